--- /dev/null
+++ b/Libraries/Coordination/ClaimBook.cpp
@@ -0,0 +1,94 @@
+#include "Coordination/ClaimBook.h"
+
+#include "Protocol/Json.h"
+
+namespace Cranberrymount {
+
+namespace {
+
+/** Claims outlive any client's retries. */
+constexpr Duration ClaimTtl{1'200'000};
+
+std::string claimKey(const std::string &scope)
+{
+    return "claim/" + scope;
+}
+
+ClaimResult decodeClaim(const Json &claim, const std::string &digest)
+{
+    if (claim.at("digest").get<std::string>() != digest)
+        return {ClaimResult::Mismatch};
+    if (!claim.contains("status"))
+        return {ClaimResult::InDoubt};
+    LookupReply reply;
+    reply.outcome = LookupReply::Answered;
+    reply.status = claim.at("status").get<int>();
+    reply.contentType = claim.at("content_type").get<std::string>();
+    reply.body = claim.at("body").get<std::string>();
+    return {ClaimResult::Replayed, reply};
+}
+
+} // namespace
+
+ClaimBook::ClaimBook(Store &store, TimerService &timers, std::string entry)
+    : m_store(store)
+    , m_entry(std::move(entry))
+    , m_lease(store, timers, ClaimTtl)
+{
+}
+
+void ClaimBook::claim(const std::string &scope, const std::string &digest,
+                      const std::string &nonce, std::function<void(ClaimResult)> done)
+{
+    if (m_lease.current() == StoreLeaseId())
+        return done({ClaimResult::NotRun});
+    const std::string key = claimKey(scope);
+    const Json value = {{"entry", m_entry}, {"digest", digest}, {"nonce", nonce}};
+    m_store.write({key, value.dump(), Revision(), m_lease.current()},
+                  [this, key, digest, nonce, done = std::move(done)](const StoreWrite &write) {
+                      if (write.outcome == StoreWrite::Written)
+                          return done({ClaimResult::Claimed});
+                      if (write.outcome == StoreWrite::NotSent)
+                          return done({ClaimResult::NotRun});
+                      readClaim(key, digest, nonce, write.outcome == StoreWrite::Unknown, done);
+                  });
+}
+
+void ClaimBook::readClaim(const std::string &key, const std::string &digest,
+                          const std::string &nonce, bool wasUnknown,
+                          std::function<void(ClaimResult)> done)
+{
+    m_store.read(key, [digest, nonce, wasUnknown, done = std::move(done)](const StoreRead &read) {
+        if (!read.answered || read.entries.empty()) {
+            // This try sends nothing, so it has not run, even if its late claim bars a repeat.
+            return done({ClaimResult::NotRun});
+        }
+        const Json claim = parseJson(read.entries.front().value);
+        const bool isMine = wasUnknown && claim.at("nonce").get<std::string>() == nonce;
+        done(isMine ? ClaimResult{ClaimResult::Claimed} : decodeClaim(claim, digest));
+    });
+}
+
+void ClaimBook::settle(const std::string &scope, const std::string &digest,
+                       const LookupReply &reply)
+{
+    if (reply.outcome == LookupReply::Unknown)
+        return;
+    const std::string key = claimKey(scope);
+    m_store.read(key, [this, key, digest, reply](const StoreRead &read) {
+        if (!read.answered || read.entries.empty())
+            return;
+        const StoreEntry &entry = read.entries.front();
+        if (reply.outcome == LookupReply::NotRun)
+            return m_store.remove(key, entry.revision, [](const StoreWrite &) {});
+        Json claim = parseJson(entry.value);
+        const bool isKept = reply.body.size() <= MaxKeptBytes;
+        claim["status"] = reply.status;
+        claim["content_type"] = isKept ? reply.contentType : "application/json";
+        claim["body"] = isKept ? reply.body : "{\"note\":\"answered before; too large to keep\"}";
+        m_store.write({key, claim.dump(), entry.revision, m_lease.current()},
+                      [](const StoreWrite &) {});
+    });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/EscrowKeeper.cpp
@@ -0,0 +1,217 @@
+#include "Coordination/EscrowKeeper.h"
+
+#include "Protocol/Json.h"
+
+namespace Cranberrymount {
+
+namespace {
+
+Resources sumOf(const std::map<ShardId, Resources> &slices)
+{
+    Resources sum;
+    for (const auto &[shard, slice] : slices)
+        sum += slice;
+    return sum;
+}
+
+int64_t scaled(int64_t part, int64_t sum, int64_t limit)
+{
+    return sum <= limit ? part : part * limit / sum;
+}
+
+/** Shrinks all slices in proportion until their sum is within @p limit. */
+void fitIntoLimit(std::map<ShardId, Resources> &slices, const Resources &limit)
+{
+    const Resources sum = sumOf(slices);
+    for (auto &[shard, slice] : slices) {
+        slice = {CpuMillis(scaled(slice.cpu.value(), sum.cpu.value(), limit.cpu.value())),
+                 MemoryMb(scaled(slice.memory.value(), sum.memory.value(), limit.memory.value())),
+                 AcceleratorCount(scaled(slice.accelerators.value(), sum.accelerators.value(),
+                                         limit.accelerators.value()))};
+    }
+}
+
+} // namespace
+
+std::string escrowKey(const TeamId &team)
+{
+    return "escrow/" + team.value();
+}
+
+EscrowKeeper::EscrowKeeper(Store &store, TimerService &timers, const ShardId &shard,
+                           Settings settings)
+    : m_store(store)
+    , m_timers(timers)
+    , m_shard(shard)
+    , m_settings(settings)
+{
+}
+
+void EscrowKeeper::setLimits(const Configuration &configuration)
+{
+    for (const auto &[id, team] : configuration.teams) {
+        TeamSlice &slice = m_teams[id];
+        if (slice.limitRevision >= configuration.revision)
+            continue;
+        if (slice.limit != team.limit)
+            slice.isRead = false;
+        slice.limit = team.limit;
+        slice.limitRevision = configuration.revision;
+    }
+    for (auto &[id, slice] : m_teams) {
+        if (!configuration.teams.contains(id) && slice.limitRevision < configuration.revision) {
+            slice.limit = Resources();
+            slice.limitRevision = configuration.revision;
+            slice.isRead = false;
+        }
+    }
+}
+
+void EscrowKeeper::update(const TeamId &team, const Resources &used, const Resources &need)
+{
+    const auto found = m_teams.find(team);
+    if (found == m_teams.end())
+        return;
+    TeamSlice &slice = found->second;
+    slice.used = used;
+    slice.need = need;
+    const bool hasSurplus = !slice.usable.fitsIn(need);
+    if (!hasSurplus)
+        slice.enoughSince = m_timers.now();
+    step(team);
+}
+
+Resources EscrowKeeper::slice(const TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? Resources() : found->second.usable;
+}
+
+void EscrowKeeper::reset()
+{
+    for (auto &[id, slice] : m_teams) {
+        slice.usable = Resources();
+        slice.isRead = false;
+        slice.isConfirmed = false;
+    }
+}
+
+/** @return the slice that the shard should have by its need and the others' slices. */
+Resources EscrowKeeper::desired(const TeamSlice &slice) const
+{
+    Resources others;
+    for (const auto &[shard, part] : slice.slices) {
+        if (shard != m_shard)
+            others += part;
+    }
+    const Resources room = (slice.limit - others).clampedToZero();
+    return slice.need.cappedAt(room);
+}
+
+void EscrowKeeper::step(const TeamId &team)
+{
+    TeamSlice &slice = m_teams[team];
+    const Instant now = m_timers.now();
+    if (slice.isBusy || now < slice.nextTry)
+        return;
+    if (!slice.isRead)
+        return readRecord(team);
+    const bool limitChanged = slice.recordLimitRevision < slice.limitRevision
+            && !sumOf(slice.slices).fitsIn(slice.limit);
+    if (!slice.isConfirmed || limitChanged)
+        return writeRecord(team, desired(slice));
+    if (!slice.need.fitsIn(slice.usable)) {
+        const Resources mine = desired(slice);
+        if (!mine.fitsIn(slice.usable))
+            return writeRecord(team, mine);
+        // Others may have given something back since the record was read.
+        slice.isRead = false;
+        slice.nextTry = now + m_settings.retryDelay;
+        return;
+    }
+    const bool hasSurplus = slice.need != slice.usable;
+    if (hasSurplus && now - slice.enoughSince >= m_settings.surplusDelay)
+        writeRecord(team, desired(slice));
+}
+
+void EscrowKeeper::readRecord(const TeamId &team)
+{
+    m_teams[team].isBusy = true;
+    m_store.read(escrowKey(team),
+                 [this, alive = std::weak_ptr(m_alive), team](const StoreRead &read) {
+                     if (alive.expired())
+                         return;
+                     TeamSlice &slice = m_teams[team];
+                     slice.isBusy = false;
+                     if (!read.answered) {
+                         slice.nextTry = m_timers.now() + m_settings.retryDelay;
+                         return;
+                     }
+                     takeRecord(slice, read);
+                     step(team);
+                 });
+}
+
+void EscrowKeeper::takeRecord(TeamSlice &slice, const StoreRead &read)
+{
+    slice.isRead = true;
+    slice.slices.clear();
+    slice.revision = Revision();
+    slice.recordLimitRevision = Revision();
+    if (!read.entries.empty()) {
+        slice.revision = read.entries.front().revision;
+        const Json record = parseJson(read.entries.front().value);
+        slice.recordLimitRevision = Revision(record.at("limit_revision").get<uint64_t>());
+        for (const auto &[shard, part] : record.at("slices").items())
+            slice.slices[ShardId(shard)] = part.get<Resources>();
+        if (slice.recordLimitRevision > slice.limitRevision) {
+            slice.limit = record.at("limit").get<Resources>();
+            slice.limitRevision = slice.recordLimitRevision;
+        }
+    }
+    // Another shard may have shrunk all slices to fit a lowered limit.
+    slice.usable = slice.usable.cappedAt(slice.slices[m_shard]);
+}
+
+void EscrowKeeper::writeRecord(const TeamId &team, const Resources &mine)
+{
+    TeamSlice &slice = m_teams[team];
+    auto slices = slice.slices;
+    slices[m_shard] = mine;
+    fitIntoLimit(slices, slice.limit);
+    const Resources granted = slices[m_shard];
+    // What is given up is not spent from here on, whether or not the write is answered.
+    slice.usable = slice.usable.cappedAt(granted);
+    slice.isBusy = true;
+    Json parts = Json::object();
+    for (const auto &[shard, part] : slices) {
+        if (part != Resources())
+            parts[shard.value()] = part;
+    }
+    const Json record = {{"limit", slice.limit},
+                         {"limit_revision", slice.limitRevision.value()},
+                         {"slices", parts}};
+    m_store.write({escrowKey(team), record.dump(), slice.revision},
+                  [this, alive = std::weak_ptr(m_alive), team, slices, granted,
+                   limitRevision = slice.limitRevision](const StoreWrite &write) {
+                      if (alive.expired())
+                          return;
+                      TeamSlice &slice = m_teams[team];
+                      slice.isBusy = false;
+                      slice.isConfirmed = write.outcome == StoreWrite::Written;
+                      slice.isRead = slice.isConfirmed;
+                      if (!slice.isConfirmed) {
+                          const bool raced = write.outcome == StoreWrite::Conflict;
+                          slice.nextTry = m_timers.now()
+                                  + (raced ? Duration(20) : m_settings.retryDelay);
+                          return;
+                      }
+                      slice.slices = slices;
+                      slice.revision = write.revision;
+                      slice.recordLimitRevision = limitRevision;
+                      slice.usable = granted;
+                      slice.enoughSince = m_timers.now();
+                  });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/MemberTable.cpp
@@ -0,0 +1,65 @@
+#include "Coordination/MemberTable.h"
+
+namespace Cranberrymount {
+
+namespace {
+
+/** A member that was not heard for this long has been replaced. */
+constexpr Duration Forgotten{600'000};
+
+} // namespace
+
+MemberTable::MemberTable(EntryId self, Duration silence)
+    : m_self(std::move(self))
+    , m_silence(silence)
+{
+}
+
+void MemberTable::addAddress(const Endpoint &address)
+{
+    m_addresses.insert(address);
+}
+
+void MemberTable::heard(const Heartbeat &heartbeat, Instant now)
+{
+    if (heartbeat.from == m_self)
+        return;
+    m_members[heartbeat.from] = {heartbeat, now};
+}
+
+std::vector<Endpoint> MemberTable::addresses(Instant now) const
+{
+    std::set<Endpoint> addresses = m_addresses;
+    for (const auto &[id, member] : m_members) {
+        if (now - member.heardAt < Forgotten)
+            addresses.insert(member.heartbeat.address);
+    }
+    return {addresses.begin(), addresses.end()};
+}
+
+std::vector<Member> MemberTable::alive(Instant now) const
+{
+    std::vector<Member> members;
+    for (const auto &[id, member] : m_members) {
+        if (now - member.heardAt <= m_silence)
+            members.push_back(member);
+    }
+    return members;
+}
+
+std::optional<Member> MemberTable::ownerOf(const ShardId &shard, Instant now) const
+{
+    std::optional<Member> owner;
+    Epoch highest;
+    for (const Member &member : alive(now)) {
+        for (const ShardSummary &summary : member.heartbeat.shards) {
+            if (summary.shard != shard || summary.epoch < highest)
+                continue;
+            highest = summary.epoch;
+            owner = member;
+        }
+    }
+    return owner;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/RecordWriter.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Protocol/Store.h"
+#include "State/ShardRecord.h"
+#include "Transport/TimerService.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace Cranberrymount {
+
+/**
+ * Keeps the record of one shard in the store with group commit: all edits made while one write is
+ * under way go out together in the next.
+ *
+ * Every write carries the owner's epoch and a sequence number. After a lost answer or a conflict
+ * the record is read back; epoch and sequence tell whether the write took effect, and a higher
+ * epoch tells that another owner has taken the shard over.
+ */
+class RecordWriter
+{
+public:
+    struct Settings
+    {
+        Duration retryDelay{300};
+        /** A write not answered for this long makes the store count as out of reach. */
+        Duration healthBound{1500};
+    };
+
+    RecordWriter(Store &store, TimerService &timers, const ShardId &shard, Settings settings);
+    ~RecordWriter();
+
+    /**
+     * Reads the record and writes it back under @p epoch, which fences the former owner.
+     * @param done called once the record is this owner's; not called if ownership is lost first.
+     */
+    void takeOver(Epoch epoch, std::function<void()> done);
+    /** Goes on under a higher epoch after the owner got its shard back. */
+    void raiseEpoch(Epoch epoch);
+
+    const ShardRecord &record() const { return m_record; }
+    /** @return the record, to be changed; the change is written soon. */
+    ShardRecord &edit();
+
+    /** Calls @p done with true once all edits so far are in the store; false if that failed. */
+    void whenRecorded(std::function<void(bool)> done);
+
+    /** @return true if writes are being answered. */
+    bool isHealthy() const;
+    bool hasUnwrittenEdits() const { return m_dirty || m_busy; }
+    /** @return bytes of the last encoded record. */
+    std::size_t encodedBytes() const { return m_encodedBytes; }
+    /** Called once when another owner's epoch is found in the record. */
+    void onLost(std::function<void()> callback) { m_onLost = std::move(callback); }
+
+    /** Largest value that the store takes. */
+    static constexpr std::size_t MaxRecordBytes = 1'000'000;
+
+private:
+    struct Waiter
+    {
+        uint64_t sequence;
+        std::function<void(bool)> done;
+    };
+
+    void flushSoon();
+    void flush();
+    void written(uint64_t sequence, Revision revision);
+    void readBack();
+    void adoptStored(const StoreRead &read);
+    void lose();
+    void retry(std::function<void()> action);
+
+    Store &m_store;
+    TimerService &m_timers;
+    std::string m_key;
+    Settings m_settings;
+    ShardRecord m_record;
+    /** The epochs under which this object has written, and the one that it took over from. */
+    std::set<Epoch> m_ownEpochs;
+    Revision m_revision;
+    std::vector<Waiter> m_waiters;
+    std::function<void()> m_onLost;
+    std::size_t m_encodedBytes = 0;
+    bool m_dirty = false;
+    bool m_busy = false;
+    bool m_scheduled = false;
+    bool m_lost = false;
+    Instant m_busySince;
+    /** Expires with this object, so that late callbacks do nothing. */
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+/** @return the store key of a shard's record. */
+std::string recordKey(const ShardId &shard);
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -0,0 +1,836 @@
+#include "Coordination/ShardKeeper.h"
+
+#include "Protocol/Json.h"
+#include "State/StateError.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr Duration TickPeriod{100};
+constexpr Duration SpillPeriod{500};
+constexpr Duration MaxJobBackoff{60'000};
+constexpr Duration FirstJobBackoff{200};
+/** Waiting tasks of one job that one scheduling pass looks at. */
+constexpr std::size_t MaxGroupSize = 256;
+constexpr std::size_t MaxHistory = 24;
+/** Tasks that leave a zone in one move. */
+constexpr std::size_t MaxMoveSize = 512;
+/** Admissions that a shard remembers to tell repeated submissions. */
+constexpr std::size_t MaxAdmitted = 1024;
+/** Bits of an attempt number that count within one shard epoch. */
+constexpr unsigned AttemptBits = 24;
+
+bool isGang(const JobSpec &spec)
+{
+    return std::holds_alternative<GangPolicy>(spec.policy);
+}
+
+bool isService(const JobSpec &spec)
+{
+    return std::holds_alternative<ServicePolicy>(spec.policy);
+}
+
+bool hasOpenTask(const Portion &portion)
+{
+    return std::any_of(portion.tasks.begin(), portion.tasks.end(),
+                       [](const TaskRecord &task) { return task.phase == TaskPhase::Open; });
+}
+
+const char *phaseName(TaskPhase phase)
+{
+    switch (phase) {
+    case TaskPhase::Open:
+        return "waiting";
+    case TaskPhase::Done:
+        return "done";
+    case TaskPhase::Failed:
+        return "failed";
+    case TaskPhase::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+ShardKeeper::ShardKeeper(Store &store, WorkerLink &link, TimerService &timers,
+                         ShardContext &context, ShardId shard, ZoneId zone, EntryId self,
+                         Settings settings)
+    : m_timers(timers)
+    , m_context(context)
+    , m_shard(std::move(shard))
+    , m_zone(std::move(zone))
+    , m_self(std::move(self))
+    , m_settings(settings)
+    , m_record(store, timers, m_shard, settings.record)
+    , m_escrow(store, timers, m_shard, settings.escrow)
+    , m_pool(link, timers, m_self, settings.pool, *this)
+    , m_scheduler(settings.scheduler)
+{
+    m_record.onLost([this] {
+        m_isActive = false;
+        if (m_onLost)
+            m_onLost();
+    });
+}
+
+void ShardKeeper::later(Duration delay, std::function<void()> action)
+{
+    m_timers.after(delay, [alive = std::weak_ptr(m_alive), action = std::move(action)] {
+        if (!alive.expired())
+            action();
+    });
+}
+
+void ShardKeeper::takeOver(Epoch epoch)
+{
+    m_epoch = epoch;
+    m_record.takeOver(epoch, [this] { recordTaken(); });
+}
+
+void ShardKeeper::recordTaken()
+{
+    m_isRecordTaken = true;
+    const Instant now = m_timers.now();
+    for (const auto &[worker, version] : m_record.record().roster) {
+        m_pool.expect(worker, version);
+        m_rostered.insert(worker);
+    }
+    for (const auto &[job, portion] : m_record.record().portions) {
+        m_memory[job].waitingSince = now;
+        note(job, "shard taken over by " + m_self.value());
+    }
+    m_escrow.setLimits(m_context.configuration());
+    m_pool.takeOver(m_epoch);
+    tick();
+}
+
+void ShardKeeper::raiseEpoch(Epoch epoch)
+{
+    m_epoch = epoch;
+    m_record.raiseEpoch(epoch);
+    m_pool.raiseEpoch(epoch);
+}
+
+void ShardKeeper::handBack(std::function<void()> done)
+{
+    m_isHandingBack = true;
+    m_record.whenRecorded([this, done = std::move(done)](bool) mutable {
+        m_pool.handBack(std::move(done));
+    });
+}
+
+void ShardKeeper::setListed(ListVersion version, const std::vector<WorkerInfo> &workers)
+{
+    m_listVersion = version;
+    m_pool.setListed(version, workers);
+}
+
+void ShardKeeper::configurationChanged()
+{
+    m_escrow.setLimits(m_context.configuration());
+    poolChanged();
+}
+
+void ShardKeeper::tick()
+{
+    if (m_isHandingBack)
+        return;
+    becomeActiveIfResolved();
+    rosterHeldWorkers();
+    if (m_isActive) {
+        updateEscrow();
+        enforceSlices();
+        stopCancelled();
+        leaveZone();
+        schedule();
+        spill();
+        offerMoves();
+        forgetEnded();
+    }
+    later(TickPeriod, [this] { tick(); });
+}
+
+void ShardKeeper::becomeActiveIfResolved()
+{
+    if (m_isActive || !m_isRecordTaken || m_listVersion == ListVersion())
+        return;
+    m_isActive = m_pool.isResolved();
+}
+
+/** A worker gets tasks only once the record names it, so that a later owner asks it. */
+void ShardKeeper::rosterHeldWorkers()
+{
+    std::vector<WorkerId> added;
+    for (const HeldWorker &worker : m_pool.heldWorkers()) {
+        if (!m_record.record().roster.contains(worker.info.id))
+            added.push_back(worker.info.id);
+    }
+    if (added.empty() || !m_isRecordTaken)
+        return;
+    for (const WorkerId &worker : added)
+        m_record.edit().roster[worker] = m_listVersion;
+    // Workers that the list has dropped can hold nothing any more.
+    std::erase_if(m_record.edit().roster,
+                  [this](const auto &item) { return !m_pool.info(item.first); });
+    m_record.whenRecorded([this, added, alive = std::weak_ptr(m_alive)](bool recorded) {
+        if (recorded && !alive.expired())
+            m_rostered.insert(added.begin(), added.end());
+    });
+}
+
+bool ShardKeeper::isZoneOut() const
+{
+    return m_context.configuration().zonesOut.contains(m_zone);
+}
+
+bool ShardKeeper::mayStart() const
+{
+    return m_isActive && !m_isHandingBack && !isZoneOut() && m_context.isConfigurationFresh();
+}
+
+std::vector<uint32_t> ShardKeeper::waitingIndexes(const Portion &portion) const
+{
+    std::vector<uint32_t> indexes;
+    for (const TaskRecord &task : portion.tasks) {
+        if (task.phase == TaskPhase::Open && !m_live.contains({portion.spec.id, task.index}))
+            indexes.push_back(task.index);
+    }
+    return indexes;
+}
+
+std::optional<WaitingGroup> ShardKeeper::waitingGroup(const Portion &portion) const
+{
+    const JobSpec &spec = portion.spec;
+    const auto memory = m_memory.find(spec.id);
+    if (portion.cancelled || memory == m_memory.end()
+        || memory->second.retryAt > m_timers.now())
+        return std::nullopt;
+    WaitingGroup group{spec.id, spec.team, spec.policy, spec.perTask, waitingIndexes(portion)};
+    if (group.indexes.empty())
+        return std::nullopt;
+    // Members of a gang start together: all are waiting, or none is started.
+    if (isGang(spec) && group.indexes.size() != portion.tasks.size())
+        return std::nullopt;
+    if (!isGang(spec) && group.indexes.size() > MaxGroupSize)
+        group.indexes.resize(MaxGroupSize);
+    group.urgent = spec.urgent;
+    group.since = memory->second.waitingSince;
+    const auto declared = m_context.configuration().deadlines.find(spec.id);
+    group.deadline = declared == m_context.configuration().deadlines.end() ? spec.deadline
+                                                                          : declared->second;
+    if (!isService(spec))
+        return group;
+    for (const TaskRecord &task : portion.tasks) {
+        const auto live = m_live.find({spec.id, task.index});
+        if (live == m_live.end())
+            continue;
+        if (const auto info = m_pool.info(live->second.worker))
+            ++group.runningByRack[info->rack];
+    }
+    return group;
+}
+
+std::vector<RunningTask> ShardKeeper::runningTasks() const
+{
+    std::vector<RunningTask> running;
+    for (const auto &[id, live] : m_live) {
+        const auto portion = m_record.record().portions.find(id.job);
+        if (portion == m_record.record().portions.end() || !live.isSure)
+            continue;
+        const JobSpec &spec = portion->second.spec;
+        RunningTask task{id, spec.team, live.worker, spec.perTask, spec.urgent, false, live.since};
+        task.isBatch = std::holds_alternative<BatchPolicy>(spec.policy);
+        running.push_back(std::move(task));
+    }
+    return running;
+}
+
+ShardView ShardKeeper::view() const
+{
+    ShardView view;
+    view.now = m_timers.now();
+    view.workers = m_pool.rooms();
+    for (WorkerRoom &room : view.workers)
+        room.usable = room.usable && m_rostered.contains(room.id);
+    bool hasUrgent = false;
+    for (const auto &[job, portion] : m_record.record().portions) {
+        if (auto group = waitingGroup(portion)) {
+            hasUrgent = hasUrgent || group->urgent;
+            view.waiting.push_back(std::move(*group));
+        }
+    }
+    const auto used = m_pool.usedByTeam();
+    for (const auto &[id, team] : m_context.configuration().teams) {
+        const auto found = used.find(id);
+        view.teams[id] = {team.share, found == used.end() ? Resources() : found->second,
+                          m_escrow.slice(id)};
+    }
+    if (hasUrgent)
+        view.running = runningTasks();
+    return view;
+}
+
+void ShardKeeper::schedule()
+{
+    if (!mayStart())
+        return;
+    const ShardView current = view();
+    if (current.waiting.empty())
+        return;
+    applyDecision(m_scheduler.decide(current));
+}
+
+void ShardKeeper::applyDecision(const ShardDecision &decision)
+{
+    const Instant now = m_timers.now();
+    for (auto &[job, memory] : m_memory)
+        memory.reason.reset();
+    for (const auto &[job, reason] : decision.reasons)
+        m_memory[job].reason = reason;
+    for (const Placement &placement : decision.placements) {
+        const JobSpec &spec = m_record.record().portions.at(placement.task.job).spec;
+        const AttemptId attempt((m_epoch.value() << AttemptBits) + ++m_attemptCount);
+        m_live[placement.task] = {placement.worker, attempt, false, now};
+        m_pool.start(placement.worker,
+                     {placement.task, attempt, spec.team, spec.perTask, spec.payload});
+        note(placement.task.job, "task " + std::to_string(placement.task.index) + " ordered on "
+                                         + placement.worker.value());
+    }
+    m_pool.sendStarts();
+    for (const TaskId &task : decision.checkpoints) {
+        note(task.job, "task " + std::to_string(task.index) + " checkpointed for urgent work");
+        stopTask(task, true);
+    }
+}
+
+void ShardKeeper::stopTask(const TaskId &id, bool checkpoint)
+{
+    const auto live = m_live.find(id);
+    if (live != m_live.end())
+        m_pool.stop(live->second.worker, {id, live->second.attempt}, checkpoint);
+}
+
+void ShardKeeper::attemptRuns(const RunningAttempt &attempt, const WorkerId &worker)
+{
+    const auto live = m_live.find(attempt.task);
+    if (live != m_live.end() && live->second.attempt == attempt.attempt) {
+        live->second.isSure = true;
+        return;
+    }
+    // After a take-over the workers tell what the former owner started.
+    if (isOpen(attempt.task) && live == m_live.end()) {
+        m_live[attempt.task] = {worker, attempt.attempt, true, m_timers.now()};
+        return;
+    }
+    m_pool.stop(worker, {attempt.task, attempt.attempt}, false);
+}
+
+void ShardKeeper::attemptEnded(const EndedAttempt &ended, const WorkerId &worker, bool reported)
+{
+    const AttemptRef ref{ended.task, ended.attempt};
+    const auto live = m_live.find(ended.task);
+    const bool isCurrent = live != m_live.end() && live->second.attempt == ended.attempt;
+    if (isCurrent)
+        m_live.erase(live);
+    const bool counts
+            = isOpen(ended.task) && (isCurrent || ended.outcome == AttemptOutcome::Done);
+    if (counts) {
+        // A result that comes after its task was started anew still counts; the new one stops.
+        if (!isCurrent)
+            stopTask(ended.task, false);
+        recordOutcome(ended.task, ended.outcome);
+    }
+    if (!reported)
+        return;
+    m_record.whenRecorded([this, worker, ref, alive = std::weak_ptr(m_alive)](bool recorded) {
+        if (recorded && !alive.expired())
+            m_pool.acknowledge(worker, ref);
+    });
+}
+
+void ShardKeeper::recordOutcome(const TaskId &id, AttemptOutcome outcome)
+{
+    const Portion &portion = m_record.record().portions.at(id.job);
+    if (portion.cancelled) {
+        editTask(id).phase
+                = outcome == AttemptOutcome::Done ? TaskPhase::Done : TaskPhase::Cancelled;
+        return;
+    }
+    switch (outcome) {
+    case AttemptOutcome::Done:
+        m_memory[id.job].failuresInRow = 0;
+        if (!isService(portion.spec)) {
+            editTask(id).phase = TaskPhase::Done;
+            return;
+        }
+        note(id.job, "replica " + std::to_string(id.index) + " ended and is replaced");
+        break;
+    case AttemptOutcome::Failed:
+        taskFailed(id);
+        break;
+    case AttemptOutcome::Stopped:
+        note(id.job, "task " + std::to_string(id.index) + " stopped and waits again");
+        break;
+    }
+    waitsAgain(id.job);
+    if (isGang(portion.spec))
+        stopGang(id.job);
+}
+
+void ShardKeeper::waitsAgain(const JobId &job)
+{
+    const bool isFirst = waitingIndexes(m_record.record().portions.at(job)).size() <= 1;
+    if (isFirst)
+        m_memory[job].waitingSince = m_timers.now();
+}
+
+void ShardKeeper::taskFailed(const TaskId &id)
+{
+    JobMemory &memory = m_memory[id.job];
+    TaskRecord &task = editTask(id);
+    ++task.failures;
+    ++memory.failuresInRow;
+    const auto doublings = std::min(memory.failuresInRow, 10U);
+    const Duration backoff = std::min(FirstJobBackoff * (1U << doublings), MaxJobBackoff);
+    memory.retryAt = m_timers.now() + backoff;
+    note(id.job, "task " + std::to_string(task.index) + " failed, failure "
+                         + std::to_string(task.failures));
+    if (task.failures >= m_settings.maxFailures
+        && !isService(m_record.record().portions.at(id.job).spec))
+        task.phase = TaskPhase::Failed;
+}
+
+void ShardKeeper::stopGang(const JobId &job)
+{
+    const Portion &portion = m_record.record().portions.at(job);
+    const bool hasFailed
+            = std::any_of(portion.tasks.begin(), portion.tasks.end(), [](const TaskRecord &task) {
+                  return task.phase == TaskPhase::Failed;
+              });
+    if (hasFailed)
+        m_record.edit().portions.at(job).cancelled = true;
+    for (const TaskRecord &task : portion.tasks)
+        stopTask({job, task.index}, true);
+}
+
+bool ShardKeeper::isOpen(const TaskId &id) const
+{
+    const auto portion = m_record.record().portions.find(id.job);
+    if (portion == m_record.record().portions.end())
+        return false;
+    const auto &tasks = portion->second.tasks;
+    return std::any_of(tasks.begin(), tasks.end(), [&id](const TaskRecord &task) {
+        return task.index == id.index && task.phase == TaskPhase::Open;
+    });
+}
+
+TaskRecord &ShardKeeper::editTask(const TaskId &id)
+{
+    auto &tasks = m_record.edit().portions.at(id.job).tasks;
+    const auto task = std::find_if(tasks.begin(), tasks.end(), [&id](const TaskRecord &candidate) {
+        return candidate.index == id.index;
+    });
+    if (task == tasks.end())
+        throw StateError("task " + std::to_string(id.index) + " of job " + id.job.value()
+                         + " is not in the shard's record");
+    return *task;
+}
+
+void ShardKeeper::poolChanged()
+{
+    if (m_scheduleSoon || !m_isActive)
+        return;
+    m_scheduleSoon = true;
+    later(Duration(1), [this] {
+        m_scheduleSoon = false;
+        updateEscrow();
+        schedule();
+    });
+}
+
+void ShardKeeper::updateEscrow()
+{
+    Resources free;
+    for (const WorkerRoom &room : m_pool.rooms())
+        free += room.free.clampedToZero();
+    const auto used = m_pool.usedByTeam();
+    std::map<TeamId, Resources> waiting;
+    for (const auto &[job, portion] : m_record.record().portions) {
+        if (portion.cancelled)
+            continue;
+        const auto count = static_cast<int64_t>(waitingIndexes(portion).size());
+        waiting[portion.spec.team] += portion.spec.perTask.times(count);
+    }
+    const bool isOut = isZoneOut();
+    for (const auto &[id, team] : m_context.configuration().teams) {
+        const auto found = used.find(id);
+        const Resources now = found == used.end() ? Resources() : found->second;
+        const Resources more = isOut ? Resources() : waiting[id].cappedAt(free);
+        m_escrow.update(id, now, now + more);
+    }
+}
+
+/** Checkpoints the latest tasks of a team that uses more than its slice, after a lowered limit. */
+void ShardKeeper::enforceSlices()
+{
+    for (auto [team, used] : m_pool.usedByTeam()) {
+        const Resources slice = m_escrow.slice(team);
+        if (used.fitsIn(slice) || !m_context.configuration().teams.contains(team))
+            continue;
+        std::vector<RunningTask> tasks = runningTasks();
+        std::erase_if(tasks, [&team = team](const auto &task) { return task.team != team; });
+        std::sort(tasks.begin(), tasks.end(), [](const auto &left, const auto &right) {
+            return std::tie(right.isBatch, right.since) < std::tie(left.isBatch, left.since);
+        });
+        for (const RunningTask &task : tasks) {
+            if (used.fitsIn(slice))
+                break;
+            used -= task.resources;
+            stopTask(task.task, true);
+        }
+    }
+}
+
+void ShardKeeper::stopCancelled()
+{
+    std::vector<JobId> cancelled;
+    for (const auto &[job, portion] : m_record.record().portions) {
+        if (portion.cancelled && hasOpenTask(portion))
+            cancelled.push_back(job);
+    }
+    for (const JobId &job : cancelled)
+        finishCancelled(job);
+}
+
+void ShardKeeper::finishCancelled(const JobId &job)
+{
+    std::vector<TaskId> idle;
+    for (const TaskRecord &task : m_record.record().portions.at(job).tasks) {
+        if (task.phase != TaskPhase::Open)
+            continue;
+        if (m_live.contains({job, task.index}))
+            stopTask({job, task.index}, false);
+        else
+            idle.push_back({job, task.index});
+    }
+    for (const TaskId &id : idle)
+        editTask(id).phase = TaskPhase::Cancelled;
+}
+
+void ShardKeeper::leaveZone()
+{
+    if (!isZoneOut())
+        return;
+    for (const auto &[id, live] : m_live)
+        m_pool.stop(live.worker, {id, live.attempt}, true);
+}
+
+/** Moves waiting work to shards that can start it at once, or off a zone that is out. */
+void ShardKeeper::spill()
+{
+    const Instant now = m_timers.now();
+    if (now - m_lastSpill < SpillPeriod)
+        return;
+    m_lastSpill = now;
+    std::vector<ShardCandidate> others = m_context.otherShards();
+    if (others.empty())
+        return;
+    const bool isOut = isZoneOut();
+    std::vector<std::pair<JobId, std::size_t>> waiting;
+    for (const auto &[job, portion] : m_record.record().portions) {
+        const std::size_t count = waitingIndexes(portion).size();
+        const bool isWhole = count == portion.tasks.size();
+        if (count == 0 || portion.cancelled || (isGang(portion.spec) && !isWhole))
+            continue;
+        const auto &memory = m_memory[job];
+        // Work at its team's limit would wait elsewhere too.
+        const bool isStuck = memory.reason && *memory.reason != WaitReason::TeamLimit;
+        if (isOut || isStuck)
+            waiting.emplace_back(job, count);
+    }
+    for (const auto &[job, count] : waiting) {
+        const JobSpec spec = m_record.record().portions.at(job).spec;
+        const auto target
+                = chooseHome(others, spec.perTask, static_cast<uint32_t>(count));
+        const auto chosen = std::find_if(others.begin(), others.end(), [&](const auto &shard) {
+            return target && shard.shard == *target;
+        });
+        if (chosen == others.end())
+            return;
+        const auto room = static_cast<std::size_t>(spec.perTask.countIn(chosen->free));
+        const bool fitsNow = chosen->waitingTasks == 0 && room > 0;
+        std::size_t moved = isOut ? std::min(count, MaxMoveSize) : std::min(count, room);
+        if (isGang(spec))
+            moved = isOut || room >= count ? count : 0;
+        if (moved == 0 || (!isOut && !fitsNow))
+            continue;
+        moveOut(job, moved, chosen->shard);
+        chosen->free -= spec.perTask.times(static_cast<int64_t>(moved));
+    }
+}
+
+void ShardKeeper::moveOut(const JobId &job, std::size_t count, const ShardId &target)
+{
+    ShardRecord &record = m_record.edit();
+    Portion &portion = record.portions.at(job);
+    OutgoingMove move;
+    move.sequence = ++record.lastSent[target];
+    move.target = target;
+    move.portion.spec = portion.spec;
+    std::erase_if(portion.tasks, [&](const TaskRecord &task) {
+        if (move.portion.tasks.size() >= count || task.phase != TaskPhase::Open
+            || m_live.contains({job, task.index}))
+            return false;
+        move.portion.tasks.push_back(task);
+        return true;
+    });
+    note(job, std::to_string(move.portion.tasks.size()) + " tasks move to " + target.value());
+    record.outgoing.push_back(std::move(move));
+    if (portion.tasks.empty())
+        record.portions.erase(job);
+}
+
+void ShardKeeper::offerMoves()
+{
+    for (const OutgoingMove &move : m_record.record().outgoing) {
+        if (!m_offering.insert(move.target).second)
+            continue;
+        // Offered only once the record says that the tasks have left.
+        m_record.whenRecorded([this, move, alive = std::weak_ptr(m_alive)](bool recorded) {
+            if (alive.expired())
+                return;
+            if (!recorded)
+                return moveAnswered(move.target, move.sequence, MoveAnswer::Unknown);
+            m_context.offerMove(m_shard, move, [this, move, alive](MoveAnswer answer) {
+                if (!alive.expired())
+                    moveAnswered(move.target, move.sequence, answer);
+            });
+        });
+    }
+}
+
+void ShardKeeper::moveAnswered(const ShardId &target, uint64_t sequence, MoveAnswer answer)
+{
+    if (answer == MoveAnswer::Unknown) {
+        later(Duration(500), [this, target] { m_offering.erase(target); });
+        return;
+    }
+    m_offering.erase(target);
+    ShardRecord &record = m_record.edit();
+    const auto move = std::find_if(record.outgoing.begin(), record.outgoing.end(),
+                                   [&](const OutgoingMove &candidate) {
+                                       return candidate.target == target
+                                               && candidate.sequence == sequence;
+                                   });
+    if (move == record.outgoing.end())
+        return;
+    if (answer == MoveAnswer::Declined) {
+        const JobId job = move->portion.spec.id;
+        Portion &portion = record.portions[job];
+        portion.spec = move->portion.spec;
+        portion.tasks.insert(portion.tasks.end(), move->portion.tasks.begin(),
+                             move->portion.tasks.end());
+        m_memory[job].waitingSince = m_timers.now();
+    }
+    record.outgoing.erase(move);
+}
+
+void ShardKeeper::takeMove(const ShardId &from, const OutgoingMove &move,
+                           std::function<void(MoveAnswer)> done)
+{
+    if (!m_isRecordTaken || m_isHandingBack)
+        return done(MoveAnswer::Unknown);
+    const auto answer = [done = std::move(done)](MoveAnswer wanted) {
+        return [done, wanted](bool recorded) { done(recorded ? wanted : MoveAnswer::Unknown); };
+    };
+    const auto last = m_record.record().lastReceived.find(from);
+    if (last != m_record.record().lastReceived.end() && last->second >= move.sequence)
+        return m_record.whenRecorded(answer(MoveAnswer::Taken));
+    ShardRecord &record = m_record.edit();
+    record.lastReceived[from] = move.sequence;
+    const JobSpec &spec = move.portion.spec;
+    auto [position, isNew] = record.portions.try_emplace(spec.id);
+    Portion &portion = position->second;
+    if (isNew)
+        portion.spec = spec;
+    portion.tasks.insert(portion.tasks.end(), move.portion.tasks.begin(),
+                         move.portion.tasks.end());
+    JobMemory &memory = m_memory[spec.id];
+    if (isNew || memory.waitingSince == Instant())
+        memory.waitingSince = m_timers.now();
+    memory.endedSince.reset();
+    note(spec.id, std::to_string(move.portion.tasks.size()) + " tasks came from " + from.value());
+    m_record.whenRecorded(answer(MoveAnswer::Taken));
+    poolChanged();
+}
+
+void ShardKeeper::admit(const JobSpec &spec, std::function<void(AdmissionOutcome)> done)
+{
+    if (!m_isRecordTaken || m_isHandingBack || !m_record.isHealthy()
+        || m_record.encodedBytes() > RecordWriter::MaxRecordBytes * 9 / 10)
+        return done(AdmissionOutcome::NotRun);
+    const uint64_t digest = digestOf(spec);
+    const auto &admitted = m_record.record().admitted;
+    const auto known = std::find_if(admitted.begin(), admitted.end(),
+                                    [&spec](const auto &job) { return job.job == spec.id; });
+    if (known != admitted.end()) {
+        const auto outcome = known->digest == digest ? AdmissionOutcome::AlreadyRecorded
+                                                     : AdmissionOutcome::NameTaken;
+        return m_record.whenRecorded([done, outcome](bool recorded) {
+            done(recorded ? outcome : AdmissionOutcome::Unknown);
+        });
+    }
+    Portion portion;
+    portion.spec = spec;
+    for (uint32_t index = 0; index < spec.tasks; ++index)
+        portion.tasks.push_back({index});
+    ShardRecord &record = m_record.edit();
+    record.portions.emplace(spec.id, std::move(portion));
+    record.admitted.push_back({spec.id, digest});
+    if (record.admitted.size() > MaxAdmitted)
+        record.admitted.erase(record.admitted.begin());
+    m_memory[spec.id].waitingSince = m_timers.now();
+    note(spec.id, "admitted by " + m_self.value() + " to shard " + m_shard.value());
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [answered, done = std::move(done)](AdmissionOutcome outcome) {
+        if (!std::exchange(*answered, true))
+            done(outcome);
+    };
+    m_record.whenRecorded([this, once, alive = std::weak_ptr(m_alive)](bool recorded) {
+        once(recorded ? AdmissionOutcome::Recorded : AdmissionOutcome::Unknown);
+        if (!alive.expired())
+            poolChanged();
+    });
+    later(m_settings.admissionTimeout, [once] { once(AdmissionOutcome::Unknown); });
+}
+
+bool ShardKeeper::cancel(const JobId &job, std::function<void(bool)> done)
+{
+    const auto found = m_record.record().portions.find(job);
+    if (!m_isRecordTaken || found == m_record.record().portions.end())
+        return false;
+    if (!found->second.cancelled) {
+        m_record.edit().portions.at(job).cancelled = true;
+        note(job, "cancelled");
+    }
+    m_record.whenRecorded(std::move(done));
+    return true;
+}
+
+void ShardKeeper::forgetEnded()
+{
+    const Instant now = m_timers.now();
+    std::vector<JobId> forgotten;
+    for (const auto &[job, portion] : m_record.record().portions) {
+        JobMemory &memory = m_memory[job];
+        if (hasOpenTask(portion)) {
+            memory.endedSince.reset();
+            continue;
+        }
+        if (!memory.endedSince)
+            memory.endedSince = now;
+        if (now - *memory.endedSince > m_settings.retention)
+            forgotten.push_back(job);
+    }
+    for (const JobId &job : forgotten) {
+        m_record.edit().portions.erase(job);
+        m_memory.erase(job);
+    }
+}
+
+void ShardKeeper::note(const JobId &job, const std::string &event)
+{
+    auto &history = m_memory[job].history;
+    history.push_back(std::to_string(std::time(nullptr)) + " " + event);
+    if (history.size() > MaxHistory)
+        history.pop_front();
+}
+
+std::optional<JobView> ShardKeeper::job(const JobId &id) const
+{
+    const auto found = m_record.record().portions.find(id);
+    JobView view;
+    view.shard = m_shard;
+    bool isKnown = false;
+    if (found != m_record.record().portions.end()) {
+        isKnown = true;
+        view.spec = found->second.spec;
+        view.cancelled = found->second.cancelled;
+        for (const TaskRecord &task : found->second.tasks) {
+            TaskView shown{task.index, phaseName(task.phase), {}, task.failures};
+            const auto live = m_live.find({id, task.index});
+            if (live != m_live.end()) {
+                shown.state = live->second.isSure ? "running" : "starting";
+                shown.worker = live->second.worker;
+            }
+            view.tasks.push_back(std::move(shown));
+        }
+    }
+    for (const OutgoingMove &move : m_record.record().outgoing) {
+        if (move.portion.spec.id != id)
+            continue;
+        isKnown = true;
+        view.spec = move.portion.spec;
+        for (const TaskRecord &task : move.portion.tasks)
+            view.tasks.push_back({task.index, "moving", {}, task.failures});
+    }
+    if (!isKnown)
+        return std::nullopt;
+    const auto memory = m_memory.find(id);
+    if (memory == m_memory.end())
+        return view;
+    view.history.assign(memory->second.history.begin(), memory->second.history.end());
+    if (!m_isActive)
+        view.waitReason = "the shard's workers are being taken over";
+    else if (isZoneOut())
+        view.waitReason = "availability zone " + m_zone.value() + " is out";
+    else if (!m_context.isConfigurationFresh())
+        view.waitReason = "no recent evidence that the configuration is current";
+    else if (memory->second.retryAt > m_timers.now())
+        view.waitReason = "failed before; the next try is delayed";
+    else if (memory->second.reason)
+        view.waitReason = describe(*memory->second.reason);
+    return view;
+}
+
+std::vector<JobView> ShardKeeper::jobs() const
+{
+    std::set<JobId> ids;
+    for (const auto &[id, portion] : m_record.record().portions)
+        ids.insert(id);
+    for (const OutgoingMove &move : m_record.record().outgoing)
+        ids.insert(move.portion.spec.id);
+    std::vector<JobView> views;
+    for (const JobId &id : ids) {
+        if (auto view = job(id))
+            views.push_back(std::move(*view));
+    }
+    return views;
+}
+
+ShardStatus ShardKeeper::status() const
+{
+    ShardStatus status;
+    status.shard = m_shard;
+    status.epoch = m_epoch;
+    status.isActive = m_isActive;
+    for (const WorkerRoom &room : m_pool.rooms()) {
+        ++status.workers;
+        status.capacity += room.capacity;
+        if (room.usable)
+            status.free += room.free.clampedToZero();
+    }
+    for (const auto &[job, portion] : m_record.record().portions)
+        status.waiting += waitingIndexes(portion).size();
+    status.running = m_live.size();
+    status.recordBytes = m_record.encodedBytes();
+    status.unresolved = m_pool.unresolved();
+    return status;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/ShardOwnership.cpp
@@ -0,0 +1,259 @@
+#include "Coordination/ShardOwnership.h"
+
+#include "Protocol/Json.h"
+
+#include <glog/logging.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+uint64_t weight(const ShardId &shard, const EntryId &entry)
+{
+    const std::string text = shard.value() + "|" + entry.value();
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+std::string ownerKey(const ShardId &shard)
+{
+    return "owner/" + shard.value();
+}
+
+ShardOwnership::ShardOwnership(Store &store, WorkerLink &link, TimerService &timers,
+                               ShardContext &context, MemberTable &members, Settings settings)
+    : m_store(store)
+    , m_link(link)
+    , m_timers(timers)
+    , m_context(context)
+    , m_members(members)
+    , m_settings(std::move(settings))
+{
+}
+
+void ShardOwnership::start()
+{
+    m_storeHeardAt = m_timers.now();
+    renewLease();
+    m_timers.every(m_settings.period, [this] { contend(); });
+}
+
+std::string ShardOwnership::ownerValue() const
+{
+    return Json{{"entry", m_settings.self.value()},
+                {"address", m_settings.address.text()},
+                {"incarnation", m_settings.incarnation}}
+            .dump();
+}
+
+void ShardOwnership::renewLease()
+{
+    if (m_isHandingBack)
+        return;
+    const auto answered = [this](const StoreLease &answer) { leaseAnswered(answer); };
+    if (m_lease)
+        m_store.renewLease(*m_lease, answered);
+    else
+        m_store.createLease(m_settings.leaseTtl, answered);
+}
+
+void ShardOwnership::leaseAnswered(const StoreLease &answer)
+{
+    if (answer.answered) {
+        m_storeHeardAt = m_timers.now();
+        if (answer.alive)
+            m_lease = answer.id;
+        else
+            m_lease.reset();
+    }
+    const bool createNow = answer.answered && !answer.alive;
+    m_timers.after(createNow ? Duration(10) : m_settings.leaseTtl / 4, [this] { renewLease(); });
+}
+
+void ShardOwnership::setListed(ListVersion version, const std::vector<WorkerInfo> &workers,
+                               const std::function<ShardId(const WorkerInfo &)> &shardOf)
+{
+    if (version < m_listVersion)
+        return;
+    m_listVersion = version;
+    m_shards.clear();
+    for (const auto &[shard, owned] : m_owned)
+        m_shards[shard];
+    for (const WorkerInfo &worker : workers) {
+        if (worker.zone == m_settings.zone)
+            m_shards[shardOf(worker)].push_back(worker);
+    }
+    for (const auto &[shard, owned] : m_owned)
+        owned.keeper->setListed(version, m_shards.at(shard));
+}
+
+void ShardOwnership::configurationChanged()
+{
+    for (const auto &[shard, owned] : m_owned)
+        owned.keeper->configurationChanged();
+}
+
+ShardKeeper *ShardOwnership::keeper(const ShardId &shard) const
+{
+    const auto found = m_owned.find(shard);
+    return found == m_owned.end() ? nullptr : found->second.keeper.get();
+}
+
+std::vector<ShardKeeper *> ShardOwnership::keepers() const
+{
+    std::vector<ShardKeeper *> keepers;
+    for (const auto &[shard, owned] : m_owned)
+        keepers.push_back(owned.keeper.get());
+    return keepers;
+}
+
+std::size_t ShardOwnership::rank(const ShardId &shard) const
+{
+    const uint64_t mine = weight(shard, m_settings.self);
+    std::size_t better = 0;
+    for (const Member &member : m_members.alive(m_timers.now())) {
+        const Heartbeat &heartbeat = member.heartbeat;
+        if (heartbeat.zone == m_settings.zone && !heartbeat.leaving
+            && weight(shard, heartbeat.from) > mine)
+            ++better;
+    }
+    return better;
+}
+
+bool ShardOwnership::isMyTurn(const ShardId &shard)
+{
+    const Instant now = m_timers.now();
+    const auto owner = m_members.ownerOf(shard, now);
+    if (owner && !owner->heartbeat.leaving) {
+        m_vacantSince.erase(shard);
+        return false;
+    }
+    const auto [since, isNew] = m_vacantSince.try_emplace(shard, now);
+    return now - since->second >= m_settings.rankDelay * rank(shard);
+}
+
+void ShardOwnership::contend()
+{
+    if (m_isHandingBack)
+        return;
+    resignIfIsolated();
+    if (!m_lease)
+        return;
+    for (const auto &[shard, workers] : m_shards) {
+        const auto owned = m_owned.find(shard);
+        const bool isSettled = owned != m_owned.end() && owned->second.lease == *m_lease;
+        if (isSettled || m_acquiring.contains(shard))
+            continue;
+        if (owned != m_owned.end() || isMyTurn(shard))
+            acquire(shard);
+    }
+}
+
+void ShardOwnership::resignIfIsolated()
+{
+    if (m_timers.now() - m_storeHeardAt < m_settings.isolationBound)
+        return;
+    for (const ShardKeeper *keeper : keepers()) {
+        LOG(WARNING) << "event=shard_resigned shard=" << keeper->shard().value()
+                     << " reason=isolation_bound";
+        resign(keeper->shard());
+    }
+}
+
+void ShardOwnership::acquire(const ShardId &shard)
+{
+    m_acquiring.insert(shard);
+    const StoreLeaseId lease = *m_lease;
+    m_store.write({ownerKey(shard), ownerValue(), Revision(), lease},
+                  [this, shard, lease](const StoreWrite &write) {
+                      if (write.outcome == StoreWrite::Written)
+                          return acquired(shard, Epoch(write.revision.value()), lease);
+                      if (write.outcome == StoreWrite::NotSent) {
+                          m_acquiring.erase(shard);
+                          return;
+                      }
+                      readOwner(shard, lease);
+                  });
+}
+
+/** After a conflict or a lost answer, the key itself tells who owns the shard. */
+void ShardOwnership::readOwner(const ShardId &shard, StoreLeaseId lease)
+{
+    m_store.read(ownerKey(shard), [this, shard, lease](const StoreRead &read) {
+        if (!read.answered || read.entries.empty()) {
+            m_acquiring.erase(shard);
+            return;
+        }
+        const StoreEntry &entry = read.entries.front();
+        const bool isOwned = m_owned.contains(shard);
+        if (entry.value == ownerValue()) {
+            // A key that an earlier lease of this life still holds goes away with that lease.
+            if (!isOwned || m_owned.at(shard).lease == lease)
+                return acquired(shard, Epoch(entry.revision.value()), lease);
+            m_acquiring.erase(shard);
+            return;
+        }
+        m_acquiring.erase(shard);
+        m_vacantSince.erase(shard);
+        if (isOwned)
+            resign(shard);
+    });
+}
+
+void ShardOwnership::acquired(const ShardId &shard, Epoch epoch, StoreLeaseId lease)
+{
+    m_acquiring.erase(shard);
+    m_vacantSince.erase(shard);
+    if (m_isHandingBack)
+        return;
+    LOG(INFO) << "event=shard_acquired shard=" << shard.value() << " epoch=" << epoch.value();
+    OwnedShard &owned = m_owned[shard];
+    owned.lease = lease;
+    if (owned.keeper) {
+        owned.keeper->raiseEpoch(epoch);
+        return;
+    }
+    owned.keeper = std::make_unique<ShardKeeper>(m_store, m_link, m_timers, m_context, shard,
+                                                 m_settings.zone, m_settings.self,
+                                                 m_settings.keeper);
+    owned.keeper->onLost([this, shard] {
+        // Deferred, since the keeper is still on the call stack.
+        m_timers.after(Duration(0), [this, shard] { resign(shard); });
+    });
+    owned.keeper->takeOver(epoch);
+    owned.keeper->setListed(m_listVersion, m_shards[shard]);
+}
+
+void ShardOwnership::resign(const ShardId &shard)
+{
+    const auto found = m_owned.find(shard);
+    if (found == m_owned.end())
+        return;
+    LOG(WARNING) << "event=shard_lost shard=" << shard.value();
+    // Kept alive until its workers have been asked to take their leases back.
+    std::shared_ptr<ShardKeeper> keeper = std::move(found->second.keeper);
+    m_owned.erase(found);
+    keeper->handBack([this, keeper] { m_timers.after(Duration(0), [keeper] {}); });
+}
+
+void ShardOwnership::handBack(std::function<void()> done)
+{
+    m_isHandingBack = true;
+    auto left = std::make_shared<std::size_t>(m_owned.size() + 1);
+    const auto finished = [this, left, done = std::move(done)] {
+        if (--*left > 0)
+            return;
+        if (!m_lease)
+            return done();
+        m_store.endLease(*m_lease, [done](const StoreLease &) { done(); });
+    };
+    for (const auto &[shard, owned] : m_owned)
+        owned.keeper->handBack(finished);
+    finished();
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Decision/ShardScheduler.cpp
@@ -0,0 +1,315 @@
+#include "Decision/ShardScheduler.h"
+
+#include <algorithm>
+#include <limits>
+#include <queue>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** Tasks of one job that are placed before the shares are compared again. */
+constexpr std::size_t TasksPerTurn = 4;
+
+/** One pass over one view. */
+class SchedulingPass
+{
+public:
+    SchedulingPass(const ShardView &view, const ShardScheduler::Settings &settings)
+        : m_view(view)
+        , m_settings(settings)
+        , m_choice(view.workers)
+        , m_teams(view.teams)
+    {
+    }
+
+    ShardDecision run()
+    {
+        sortQueues();
+        reserveForOldestGang();
+        placeByShares(true);
+        makeRoomForUrgent();
+        placeByShares(false);
+        return std::move(m_decision);
+    }
+
+private:
+    /** Groups of one team in the order in which they are tried. */
+    struct TeamQueue
+    {
+        std::vector<WaitingGroup> groups;
+        std::size_t next = 0;
+    };
+
+    void sortQueues();
+    void reserveForOldestGang();
+    void placeByShares(bool urgent);
+    /** Places the head group of @p queue as far as it goes. @return true if tasks were placed. */
+    bool placeHead(TeamQueue &queue);
+    bool placeIndependent(WaitingGroup &group);
+    bool placeGang(const WaitingGroup &group);
+    void makeRoomForUrgent();
+    bool makeRoomFor(const WaitingGroup &group);
+
+    void place(const WaitingGroup &group, uint32_t index, std::size_t position);
+    double weightedShare(const TeamId &team) const;
+    int64_t countWithinSlice(const WaitingGroup &group) const;
+
+    const ShardView &m_view;
+    const ShardScheduler::Settings &m_settings;
+    WorkerChoice m_choice;
+    std::map<TeamId, TeamRoom> m_teams;
+    std::map<TeamId, TeamQueue> m_urgent;
+    std::map<TeamId, TeamQueue> m_normal;
+    std::vector<std::size_t> m_reserved;
+    JobId m_reservedFor;
+    ShardDecision m_decision;
+};
+
+bool comesBefore(const WaitingGroup &left, const WaitingGroup &right)
+{
+    constexpr int64_t Never = std::numeric_limits<int64_t>::max();
+    const int64_t leftDeadline = left.deadline == 0 ? Never : left.deadline;
+    const int64_t rightDeadline = right.deadline == 0 ? Never : right.deadline;
+    return std::tie(leftDeadline, left.since, left.job)
+            < std::tie(rightDeadline, right.since, right.job);
+}
+
+void SchedulingPass::sortQueues()
+{
+    for (const WaitingGroup &group : m_view.waiting)
+        (group.urgent ? m_urgent : m_normal)[group.team].groups.push_back(group);
+    for (auto *queues : {&m_urgent, &m_normal}) {
+        for (auto &[team, queue] : *queues)
+            std::sort(queue.groups.begin(), queue.groups.end(), comesBefore);
+    }
+}
+
+double SchedulingPass::weightedShare(const TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    if (found == m_teams.end())
+        return std::numeric_limits<double>::max();
+    const double share = std::max(found->second.share, 1e-9);
+    return found->second.used.dominantPartOf(m_choice.capacity()) / share;
+}
+
+int64_t SchedulingPass::countWithinSlice(const WaitingGroup &group) const
+{
+    const auto found = m_teams.find(group.team);
+    if (found == m_teams.end())
+        return 0;
+    const Resources room = found->second.slice - found->second.used;
+    return group.perTask.countIn(room);
+}
+
+void SchedulingPass::reserveForOldestGang()
+{
+    const WaitingGroup *oldest = nullptr;
+    for (const WaitingGroup &group : m_view.waiting) {
+        if (!std::holds_alternative<GangPolicy>(group.policy)
+            || m_view.now - group.since < m_settings.gangPatience
+            || countWithinSlice(group) < static_cast<int64_t>(group.indexes.size()))
+            continue;
+        if (!oldest || group.since < oldest->since)
+            oldest = &group;
+    }
+    if (!oldest || placeGang(*oldest))
+        return;
+    // Workers on which the most of the gang would fit if they were empty hold it soonest.
+    std::vector<std::size_t> order;
+    for (std::size_t position = 0; position < m_choice.workers().size(); ++position) {
+        if (m_choice.workers()[position].usable)
+            order.push_back(position);
+    }
+    const auto fitNow = [&](std::size_t position) {
+        return oldest->perTask.countIn(m_choice.workers()[position].free);
+    };
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return fitNow(left) > fitNow(right);
+    });
+    auto left = static_cast<int64_t>(oldest->indexes.size());
+    for (const std::size_t position : order) {
+        if (left <= 0)
+            break;
+        left -= oldest->perTask.countIn(m_choice.workers()[position].capacity);
+        m_reserved.push_back(position);
+        m_choice.setAside(position);
+    }
+    m_reservedFor = oldest->job;
+    m_decision.reasons[oldest->job] = WaitReason::GangIncomplete;
+}
+
+void SchedulingPass::placeByShares(bool urgent)
+{
+    auto &queues = urgent ? m_urgent : m_normal;
+    using Turn = std::pair<double, TeamId>;
+    std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
+    for (const auto &[team, queue] : queues)
+        turns.emplace(weightedShare(team), team);
+    while (!turns.empty()) {
+        const TeamId team = turns.top().second;
+        turns.pop();
+        TeamQueue &queue = queues[team];
+        if (queue.next >= queue.groups.size())
+            continue;
+        if (!placeHead(queue))
+            ++queue.next;
+        turns.emplace(weightedShare(team), team);
+    }
+}
+
+bool SchedulingPass::placeHead(TeamQueue &queue)
+{
+    WaitingGroup &group = queue.groups[queue.next];
+    if (group.indexes.empty() || group.job == m_reservedFor)
+        return false;
+    if (!std::holds_alternative<GangPolicy>(group.policy))
+        return placeIndependent(group);
+    if (placeGang(group)) {
+        group.indexes.clear();
+        return true;
+    }
+    return false;
+}
+
+bool SchedulingPass::placeIndependent(WaitingGroup &group)
+{
+    std::size_t placed = 0;
+    while (placed < TasksPerTurn && !group.indexes.empty()) {
+        if (countWithinSlice(group) < 1) {
+            m_decision.reasons[group.job] = WaitReason::TeamLimit;
+            break;
+        }
+        const auto position = m_choice.choose(group);
+        if (!position) {
+            m_decision.reasons[group.job]
+                    = m_reserved.empty() ? WaitReason::NoRoom : WaitReason::BehindReservation;
+            break;
+        }
+        place(group, group.indexes.back(), *position);
+        ++group.runningByRack[m_choice.workers()[*position].rack];
+        group.indexes.pop_back();
+        ++placed;
+    }
+    return placed > 0;
+}
+
+bool SchedulingPass::placeGang(const WaitingGroup &group)
+{
+    if (countWithinSlice(group) < static_cast<int64_t>(group.indexes.size())) {
+        m_decision.reasons[group.job] = WaitReason::TeamLimit;
+        return false;
+    }
+    std::vector<std::size_t> positions;
+    for (std::size_t member = 0; member < group.indexes.size(); ++member) {
+        const auto position = m_choice.choose(group);
+        if (!position)
+            break;
+        m_choice.take(*position, group.perTask);
+        positions.push_back(*position);
+    }
+    for (const std::size_t position : positions)
+        m_choice.giveBack(position, group.perTask);
+    if (positions.size() < group.indexes.size()) {
+        m_decision.reasons[group.job] = WaitReason::GangIncomplete;
+        return false;
+    }
+    for (std::size_t member = 0; member < positions.size(); ++member)
+        place(group, group.indexes[member], positions[member]);
+    m_decision.reasons.erase(group.job);
+    return true;
+}
+
+void SchedulingPass::place(const WaitingGroup &group, uint32_t index, std::size_t position)
+{
+    m_choice.take(position, group.perTask);
+    m_teams[group.team].used += group.perTask;
+    m_decision.placements.push_back(
+            {{group.job, index}, m_choice.workers()[position].id, group.perTask});
+}
+
+void SchedulingPass::makeRoomForUrgent()
+{
+    for (const auto &[team, queue] : m_urgent) {
+        for (const WaitingGroup &group : queue.groups) {
+            if (group.indexes.empty() || m_view.now - group.since < m_settings.urgentPatience
+                || countWithinSlice(group) < 1)
+                continue;
+            makeRoomFor(group);
+        }
+    }
+}
+
+/** Checkpoints batch tasks on the worker where the fewest have to go; richest teams first. */
+bool SchedulingPass::makeRoomFor(const WaitingGroup &group)
+{
+    std::vector<const RunningTask *> best;
+    std::size_t bestPosition = 0;
+    for (std::size_t position = 0; position < m_choice.workers().size(); ++position) {
+        const WorkerRoom &worker = m_choice.workers()[position];
+        if (!worker.usable || !group.perTask.fitsIn(worker.capacity))
+            continue;
+        std::vector<const RunningTask *> victims;
+        for (const RunningTask &task : m_view.running) {
+            if (task.worker == worker.id && task.isBatch && !task.urgent)
+                victims.push_back(&task);
+        }
+        std::sort(victims.begin(), victims.end(), [this](const auto *left, const auto *right) {
+            const double leftShare = weightedShare(left->team);
+            const double rightShare = weightedShare(right->team);
+            return std::tie(rightShare, right->since) < std::tie(leftShare, left->since);
+        });
+        Resources free = worker.free;
+        std::size_t needed = 0;
+        while (needed < victims.size() && !group.perTask.fitsIn(free))
+            free += victims[needed++]->resources;
+        if (!group.perTask.fitsIn(free) || needed == 0)
+            continue;
+        victims.resize(needed);
+        if (best.empty() || victims.size() < best.size()) {
+            best = victims;
+            bestPosition = position;
+        }
+    }
+    if (best.empty())
+        return false;
+    for (const RunningTask *victim : best)
+        m_decision.checkpoints.push_back(victim->task);
+    m_choice.setAside(bestPosition);
+    return true;
+}
+
+} // namespace
+
+const char *describe(WaitReason reason)
+{
+    switch (reason) {
+    case WaitReason::NoRoom:
+        return "no worker of the shard has enough free room for one task";
+    case WaitReason::TeamLimit:
+        return "the team is at its upper limit, or at the part of it that this shard holds";
+    case WaitReason::GangIncomplete:
+        return "the shard has not yet room for all tasks of the gang at once";
+    case WaitReason::BehindReservation:
+        return "the free room is reserved for a gang that has waited longer";
+    }
+    return "unknown";
+}
+
+ShardScheduler::ShardScheduler()
+    : ShardScheduler(Settings())
+{
+}
+
+ShardScheduler::ShardScheduler(Settings settings)
+    : m_settings(settings)
+{
+}
+
+ShardDecision ShardScheduler::decide(const ShardView &view) const
+{
+    return SchedulingPass(view, m_settings).run();
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Decision/ShardScheduler.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Decision/ShardView.h"
+#include "Decision/WorkerChoice.h"
+
+namespace Cranberrymount {
+
+/**
+ * Decides which waiting tasks of one shard start where. A pure function of its view.
+ *
+ * Order: urgent work first; then the team that is furthest below its share, by the dominant
+ * resource (Ghodsi et al., "Dominant Resource Fairness", NSDI 2011); within a team the earliest
+ * deadline, then the earliest arrival. The oldest gang that does not fit keeps a reservation, so
+ * that at most one gang at a time holds room idle and gangs cannot block each other.
+ */
+class ShardScheduler
+{
+public:
+    struct Settings
+    {
+        /** A gang that has waited this long gets the next room reserved. */
+        Duration gangPatience{5000};
+        /** Urgent work may move running batch tasks aside after this wait. */
+        Duration urgentPatience{500};
+    };
+
+    ShardScheduler();
+    explicit ShardScheduler(Settings settings);
+
+    ShardDecision decide(const ShardView &view) const;
+
+private:
+    Settings m_settings;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Protocol/HttpWorkerLink.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Protocol/WorkerLink.h"
+#include "Transport/HttpClient.h"
+
+#include <asio/io_context.hpp>
+
+#include <atomic>
+
+namespace Cranberrymount {
+
+/** Workers over HTTP and JSON; docs/Platform.md describes the protocol. */
+class HttpWorkerLink : public WorkerLink
+{
+public:
+    /** @p control runs the callbacks. */
+    HttpWorkerLink(HttpClient &client, asio::io_context &control, Duration timeout);
+
+    void lease(const WorkerInfo &worker, LeaseRequest request,
+               std::function<void(LeaseAnswer)> done) override;
+    void probe(const WorkerInfo &worker, std::function<void(bool)> done) override;
+    void start(const WorkerInfo &worker, Epoch epoch, std::vector<StartOrder> orders,
+               std::function<void(StartAnswer)> done) override;
+    void stop(const WorkerInfo &worker, Epoch epoch, std::vector<AttemptRef> attempts,
+              bool checkpoint) override;
+    void release(const WorkerInfo &worker, EntryId holder, Epoch epoch,
+                 std::function<void(bool)> done) override;
+
+    /** @return bytes of bodies sent and received since the start. */
+    uint64_t bodyBytes() const { return m_bodyBytes; }
+    uint64_t calls() const { return m_calls; }
+
+private:
+    void send(HttpCall call, std::function<void(HttpResult)> done);
+
+    HttpClient &m_client;
+    asio::io_context &m_control;
+    Duration m_timeout;
+    std::atomic<uint64_t> m_bodyBytes = 0;
+    std::atomic<uint64_t> m_calls = 0;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Protocol/Json.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "State/Configuration.h"
+#include "State/ShardRecord.h"
+#include "State/Worker.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Cranberrymount {
+
+using Json = nlohmann::json;
+
+/**
+ * JSON forms of state, as kept in the store and shown by the API. Amounts are whole numbers in the
+ * units that the names tell: cpu_millis, memory_mb, accelerators. Reading throws ProtocolError
+ * through @c parseJson or nlohmann's own exceptions, which callers at the boundary convert.
+ */
+void to_json(Json &json, const Resources &resources);
+void from_json(const Json &json, Resources &resources);
+void to_json(Json &json, const JobSpec &spec);
+void from_json(const Json &json, JobSpec &spec);
+void to_json(Json &json, const Portion &portion);
+void from_json(const Json &json, Portion &portion);
+void to_json(Json &json, const ShardRecord &record);
+void from_json(const Json &json, ShardRecord &record);
+void to_json(Json &json, const Configuration &configuration);
+void from_json(const Json &json, Configuration &configuration);
+void to_json(Json &json, const WorkerInfo &worker);
+void from_json(const Json &json, WorkerInfo &worker);
+
+/** @throws ProtocolError if @p text is not JSON. */
+Json parseJson(const std::string &text);
+
+/** @throws ProtocolError if @p json does not have the form of a @c T. */
+template <typename T>
+T fromJson(const Json &json);
+
+/** Reads a JSON text as a @c T. @throws ProtocolError if it does not have that form. */
+template <typename T>
+T decodeJson(const std::string &text)
+{
+    return fromJson<T>(parseJson(text));
+}
+
+/** @return a hash that is equal for equal specs. */
+uint64_t digestOf(const JobSpec &spec);
+
+/** @return "batch", "gang" or "service". */
+std::string policyName(const WorkPolicy &policy);
+/** @throws ProtocolError if @p name is none of the known policies. */
+WorkPolicy policyFromName(const std::string &name);
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Protocol/TcpPeerNetwork.cpp
@@ -0,0 +1,205 @@
+#include "Protocol/TcpPeerNetwork.h"
+
+#include "Protocol/ProtocolError.h"
+
+#include <glog/logging.h>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr Duration ConnectTimeout{500};
+
+bool isReply(const PeerMessage &message)
+{
+    return std::holds_alternative<LookupReply>(message)
+            || std::holds_alternative<ControlReply>(message);
+}
+
+} // namespace
+
+TcpPeerNetwork::TcpPeerNetwork(asio::io_context &traffic, const Endpoint &address, Handler handler)
+    : m_context(traffic)
+    , m_handler(std::move(handler))
+    , m_listener(traffic, address,
+                 [this](const std::shared_ptr<FrameLink> &link) { accepted(link); })
+{
+}
+
+bool TcpPeerNetwork::isBlocked(const Endpoint &peer)
+{
+    return m_blocked.contains(peer.text());
+}
+
+void TcpPeerNetwork::block(std::set<std::string> peers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_blocked = std::move(peers);
+}
+
+void TcpPeerNetwork::send(const Endpoint &peer, PeerMessage message)
+{
+    enqueue(peer, 0, encodeEnvelope({0, {}, std::move(message)}));
+}
+
+void TcpPeerNetwork::call(const Endpoint &peer, PeerMessage message, const std::string &trace,
+                          Duration timeout, std::function<void(PeerResult)> done)
+{
+    uint64_t id = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        id = m_nextId++;
+        auto timer = std::make_shared<asio::steady_timer>(m_context, timeout);
+        timer->async_wait([this, id](const asio::error_code &error) {
+            if (!error)
+                timedOut(id);
+        });
+        m_pending.emplace(id, Pending{peer, std::move(done), timer, false, {}});
+    }
+    enqueue(peer, id, encodeEnvelope({id, trace, std::move(message)}));
+}
+
+void TcpPeerNetwork::transmit(const std::shared_ptr<FrameLink> &link, uint64_t id, Frame frame)
+{
+    const auto pending = m_pending.find(id);
+    if (pending != m_pending.end()) {
+        pending->second.isSent = true;
+        pending->second.sentAt = std::chrono::steady_clock::now();
+    }
+    m_bytesSent += frame.size();
+    ++m_messagesSent;
+    link->send(std::move(frame));
+}
+
+void TcpPeerNetwork::enqueue(const Endpoint &peer, uint64_t id, Frame frame)
+{
+    bool connect = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (isBlocked(peer))
+            return;
+        Peer &state = m_peers[peer];
+        if (state.link)
+            return transmit(state.link, id, std::move(frame));
+        state.waiting.emplace_back(id, std::move(frame));
+        connect = !std::exchange(state.isConnecting, true);
+    }
+    if (connect) {
+        connectFrameLink(m_context, peer, ConnectTimeout,
+                         [this, peer](const std::shared_ptr<FrameLink> &link) {
+                             connected(peer, link);
+                         });
+    }
+}
+
+void TcpPeerNetwork::connected(const Endpoint &peer, const std::shared_ptr<FrameLink> &link)
+{
+    std::vector<std::pair<uint64_t, Frame>> waiting;
+    {
+        const std::lock_guard lock(m_mutex);
+        Peer &state = m_peers[peer];
+        state.isConnecting = false;
+        waiting.swap(state.waiting);
+        if (link) {
+            state.link = link;
+            for (auto &[id, frame] : waiting)
+                transmit(link, id, std::move(frame));
+        }
+    }
+    if (link) {
+        link->start([this](const auto &from, const Frame &frame) { frameArrived(from, frame); },
+                    [this, peer](const auto &closed) { linkClosed(peer, closed); });
+        return;
+    }
+    for (const auto &[id, frame] : waiting)
+        finish(id, {PeerResult::NotSent, {}});
+}
+
+void TcpPeerNetwork::accepted(const std::shared_ptr<FrameLink> &link)
+{
+    link->start([this](const auto &from, const Frame &frame) { frameArrived(from, frame); },
+                [](const auto &) {});
+}
+
+void TcpPeerNetwork::frameArrived(const std::shared_ptr<FrameLink> &link, const Frame &frame)
+{
+    PeerEnvelope envelope;
+    try {
+        envelope = decodeEnvelope(frame);
+    } catch (const ProtocolError &error) {
+        LOG(WARNING) << "event=peer_frame_malformed error=\"" << error.what() << "\"";
+        return link->close();
+    }
+    if (isReply(envelope.message))
+        return finish(envelope.id, {PeerResult::Answered, std::move(envelope.message)});
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message)) {
+        const std::lock_guard lock(m_mutex);
+        if (isBlocked(heartbeat->address))
+            return;
+    }
+    const uint64_t id = envelope.id;
+    const std::string trace = envelope.trace;
+    m_handler(std::move(envelope.message), trace, [this, link, id, trace](PeerMessage reply) {
+        if (id == 0)
+            return;
+        Frame answer = encodeEnvelope({id, trace, std::move(reply)});
+        m_bytesSent += answer.size();
+        ++m_messagesSent;
+        link->send(std::move(answer));
+    });
+}
+
+void TcpPeerNetwork::linkClosed(const Endpoint &peer, const std::shared_ptr<FrameLink> &link)
+{
+    std::vector<uint64_t> lost;
+    {
+        const std::lock_guard lock(m_mutex);
+        Peer &state = m_peers[peer];
+        if (state.link != link)
+            return;
+        state.link.reset();
+        for (const auto &[id, pending] : m_pending) {
+            if (pending.peer == peer && pending.isSent)
+                lost.push_back(id);
+        }
+    }
+    for (const uint64_t id : lost)
+        finish(id, {PeerResult::Unknown, {}});
+}
+
+void TcpPeerNetwork::finish(uint64_t id, PeerResult result)
+{
+    std::function<void(PeerResult)> done;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto pending = m_pending.find(id);
+        if (pending == m_pending.end())
+            return;
+        done = std::move(pending->second.done);
+        pending->second.timer->cancel();
+        m_pending.erase(pending);
+    }
+    done(std::move(result));
+}
+
+void TcpPeerNetwork::timedOut(uint64_t id)
+{
+    std::shared_ptr<FrameLink> silent;
+    PeerResult result;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto pending = m_pending.find(id);
+        if (pending == m_pending.end())
+            return;
+        result.outcome = pending->second.isSent ? PeerResult::Unknown : PeerResult::NotSent;
+        Peer &peer = m_peers[pending->second.peer];
+        std::erase_if(peer.waiting, [id](const auto &item) { return item.first == id; });
+        if (peer.link && peer.link->lastReceived() < pending->second.sentAt)
+            silent = peer.link;
+    }
+    finish(id, std::move(result));
+    if (silent)
+        silent->close();
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/InstanceList.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "State/Worker.h"
+#include "Transport/HttpClient.h"
+#include "Transport/TimerService.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Cranberrymount {
+
+/** Follows the platform's list of worker instances, which lags. */
+class InstanceList
+{
+public:
+    using Changed = std::function<void(ListVersion, const std::vector<WorkerInfo> &)>;
+
+    InstanceList(HttpClient &client, asio::io_context &control, TimerService &timers,
+                 std::string url, Duration period, Changed changed);
+
+    void start();
+    const std::vector<WorkerInfo> &workers() const { return m_workers; }
+    ListVersion version() const { return m_version; }
+
+private:
+    void poll();
+    void answered(const HttpResult &result);
+
+    HttpClient &m_client;
+    asio::io_context &m_control;
+    TimerService &m_timers;
+    std::string m_url;
+    Duration m_period;
+    Changed m_changed;
+    ListVersion m_version;
+    std::vector<WorkerInfo> m_workers;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/JobBook.cpp
@@ -0,0 +1,250 @@
+#include "Service/JobBook.h"
+
+#include "Protocol/ProtocolError.h"
+#include "Service/JobViewJson.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr uint32_t MaxTasks = 10'000;
+constexpr std::size_t MaxNameLength = 64;
+constexpr std::size_t MaxPayloadBytes = 4096;
+constexpr std::size_t JobIdBytes = 8;
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && text.size() <= MaxNameLength
+            && std::all_of(text.begin(), text.end(), [](unsigned char character) {
+                   return std::isalnum(character) || character == '-' || character == '_'
+                           || character == '.';
+               });
+}
+
+std::string homeKey(const JobId &id)
+{
+    return "home/" + id.value();
+}
+
+OperatorAnswer notRun(int status, const std::string &reason)
+{
+    return {status, {{"outcome", "not-run"}, {"error", reason}}};
+}
+
+void checkResources(const Json &job, std::vector<std::string> &faults)
+{
+    const Json resources = job.value("per_task", Json());
+    if (!resources.is_object()) {
+        faults.emplace_back("'per_task' takes an object with cpu_millis, memory_mb, accelerators");
+        return;
+    }
+    for (const auto &[key, value] : resources.items()) {
+        const bool isKnown = key == "cpu_millis" || key == "memory_mb" || key == "accelerators";
+        if (!isKnown)
+            faults.push_back("unknown key 'per_task." + key + "'");
+        else if (!value.is_number_integer() || value.get<int64_t>() < 0)
+            faults.push_back("'per_task." + key + "' takes a whole number of 0 or more");
+    }
+    if (!resources.contains("cpu_millis") || resources.at("cpu_millis") == 0)
+        faults.emplace_back("'per_task.cpu_millis' takes a whole number of 1 or more");
+}
+
+} // namespace
+
+std::vector<std::string> jobFaults(const Json &job)
+{
+    if (!job.is_object())
+        return {"a job is a JSON object"};
+    std::vector<std::string> faults;
+    static const std::set<std::string> Known{"id",       "kind",   "tasks",    "per_task",
+                                             "payload", "urgent", "deadline", "team"};
+    for (const auto &[key, value] : job.items()) {
+        if (!Known.contains(key))
+            faults.push_back("unknown key '" + key + "'");
+    }
+    if (job.contains("id") && (!job["id"].is_string() || !isName(job["id"].get<std::string>())))
+        faults.emplace_back("'id' takes up to 64 letters, digits, '-', '_' or '.'");
+    const Json kind = job.value("kind", Json());
+    if (kind != "batch" && kind != "gang" && kind != "service")
+        faults.emplace_back("'kind' takes batch, gang or service");
+    const Json tasks = job.value("tasks", Json(1));
+    if (!tasks.is_number_integer() || tasks.get<int64_t>() < 1 || tasks.get<int64_t>() > MaxTasks)
+        faults.push_back("'tasks' takes a whole number from 1 to " + std::to_string(MaxTasks));
+    checkResources(job, faults);
+    const Json payload = job.value("payload", Json(""));
+    if (!payload.is_string() || payload.get<std::string>().size() > MaxPayloadBytes)
+        faults.push_back("'payload' takes a text of up to " + std::to_string(MaxPayloadBytes)
+                         + " bytes");
+    if (!job.value("urgent", Json(false)).is_boolean())
+        faults.emplace_back("'urgent' takes true or false");
+    if (!job.value("deadline", Json(0)).is_number_integer())
+        faults.emplace_back("'deadline' takes seconds since the Unix epoch");
+    return faults;
+}
+
+JobBook::JobBook(EntryNode &node)
+    : m_node(node)
+{
+}
+
+std::string JobBook::neverRuns(const JobSpec &spec) const
+{
+    const auto &workers = m_node.instances().workers();
+    const bool fitsSomewhere
+            = std::any_of(workers.begin(), workers.end(), [&spec](const WorkerInfo &worker) {
+                  return spec.perTask.fitsIn(worker.capacity);
+              });
+    if (!workers.empty() && !fitsSomewhere)
+        return "no worker of the fleet is large enough for one task";
+    const auto &teams = m_node.configurationKeeper().configuration()->teams;
+    const auto team = teams.find(spec.team);
+    const bool isGang = std::holds_alternative<GangPolicy>(spec.policy);
+    const Resources atOnce = isGang ? spec.perTask.times(spec.tasks) : spec.perTask;
+    if (team != teams.end() && !atOnce.fitsIn(team->second.limit)) {
+        return isGang ? "the gang as a whole is above the team's upper limit"
+                      : "one task is above the team's upper limit";
+    }
+    if (!isGang || workers.empty())
+        return {};
+    std::map<ZoneId, int64_t> fitByZone;
+    for (const WorkerInfo &worker : workers)
+        fitByZone[worker.zone] += spec.perTask.countIn(worker.capacity);
+    const bool fitsZone = std::any_of(fitByZone.begin(), fitByZone.end(), [&](const auto &item) {
+        return item.second >= static_cast<int64_t>(spec.tasks);
+    });
+    return fitsZone ? std::string() : "no zone is large enough for all tasks of the gang at once";
+}
+
+void JobBook::submit(Json job, const TeamId &team, const std::string &trace, Done done)
+{
+    const auto faults = jobFaults(job);
+    if (!faults.empty())
+        return done({400, {{"outcome", "not-run"}, {"error", "bad job"}, {"faults", faults}}});
+    const bool isNamed = job.contains("id");
+    if (!isNamed)
+        job["id"] = "job-" + m_node.tracer().randomHex(JobIdBytes);
+    job["team"] = team.value();
+    job["tasks"] = job.value("tasks", 1);
+    const auto spec = fromJson<JobSpec>(job);
+    const std::string reason = neverRuns(spec);
+    if (!reason.empty())
+        return done(notRun(422, "this job can never run: " + reason));
+    const auto home = m_node.chooseHomeFor(spec.perTask, spec.tasks);
+    if (!home)
+        return done(notRun(503, "no shard is ready to take a job; try again"));
+    if (isNamed)
+        return claimHome(spec, *home, trace, std::move(done));
+    admit(spec, *home, false, trace, std::move(done));
+}
+
+/** Repeats of a named job go to the home that its first submission chose. */
+void JobBook::claimHome(const JobSpec &spec, const ShardId &home, const std::string &trace,
+                        Done done)
+{
+    m_node.store().write(
+            {homeKey(spec.id), home.value(), Revision(), m_node.dayLease().current()},
+            [this, spec, home, trace, done = std::move(done)](const StoreWrite &write) {
+                if (write.outcome == StoreWrite::Written)
+                    return admit(spec, home, false, trace, done);
+                if (write.outcome == StoreWrite::NotSent)
+                    return done(notRun(503, "the store cannot be reached"));
+                m_node.store().read(homeKey(spec.id), [this, spec, trace,
+                                                       done](const StoreRead &read) {
+                    if (!read.answered || read.entries.empty()) {
+                        return done({504,
+                                     {{"outcome", "unknown"},
+                                      {"id", spec.id.value()},
+                                      {"error", "the store cannot be reached; an earlier "
+                                                "submission of this name may be recorded"},
+                                      {"next", "submit again with the same id"}}});
+                    }
+                    admit(spec, ShardId(read.entries.front().value), true, trace, done);
+                });
+            });
+}
+
+void JobBook::admit(const JobSpec &spec, const ShardId &home, bool mayBeRecorded,
+                    const std::string &trace, Done done)
+{
+    const Json body = {{"shard", home.value()}, {"spec", spec}};
+    m_node.callOwner(
+            home, {"admit", body.dump()}, trace,
+            [spec, home, mayBeRecorded, done = std::move(done)](const PeerResult &result) {
+                const auto *reply = std::get_if<ControlReply>(&result.message);
+                const bool isAnswered = result.outcome == PeerResult::Answered && reply;
+                std::string outcome = isAnswered ? reply->body : "unknown";
+                if (result.outcome == PeerResult::NotSent)
+                    outcome = "not-run";
+                Json answer = {{"id", spec.id.value()}, {"home", home.value()}};
+                if (outcome == "recorded")
+                    return done({201, answer});
+                if (outcome == "already-recorded")
+                    return done({200, answer});
+                if (outcome == "name-taken")
+                    return done(notRun(409, "another job of this name was submitted before"));
+                if (outcome == "not-run" && !mayBeRecorded)
+                    return done(notRun(503, "the home shard cannot record the job now"));
+                answer["outcome"] = "unknown";
+                answer["error"] = "the job may have been recorded";
+                answer["next"] = "show the job, or submit it again with the same id";
+                done({504, answer});
+            });
+}
+
+void JobBook::cancel(const JobId &id, const std::string &trace, Done done)
+{
+    m_node.gather({"cancel", id.value()}, trace, [done = std::move(done)](const Gathered &all) {
+        bool isFound = false;
+        bool isRecorded = true;
+        for (const GatheredReply &reply : all.replies) {
+            isFound = isFound || reply.reply.body == "found";
+            isRecorded = isRecorded && reply.reply.status == 200;
+        }
+        if (!isRecorded || !all.silent.empty()) {
+            return done({504,
+                         {{"outcome", "unknown"},
+                          {"error", "not every shard has recorded the cancellation"},
+                          {"next", "cancel again"}}});
+        }
+        if (!isFound)
+            return done({404, {{"error", "no such job"}}});
+        done({200, {{"state", "cancelling"}}});
+    });
+}
+
+void JobBook::show(const JobId &id, const std::string &trace, Done done)
+{
+    m_node.gather({"job", id.value()}, trace, [this, id, done = std::move(done)](const Gathered &all) {
+        Json views = Json::array();
+        for (const GatheredReply &reply : all.replies) {
+            for (const Json &view : parseJson(reply.reply.body))
+                views.push_back(view);
+        }
+        if (views.empty()) {
+            const int status = all.silent.empty() ? 404 : 503;
+            return done({status, {{"error", "no shard that answered knows job " + id.value()}}});
+        }
+        Json merged = mergeJobViews(views);
+        merged["silent_entries"] = all.silent.size();
+        const auto age = m_node.configurationKeeper().evidenceAge();
+        merged["configuration_age_ms"] = age ? age->count() : -1;
+        done({200, std::move(merged)});
+    });
+}
+
+void JobBook::list(const std::string &trace, Done done)
+{
+    m_node.gather({"jobs", {}}, trace, [done = std::move(done)](const Gathered &all) {
+        Json summaries = Json::array();
+        for (const GatheredReply &reply : all.replies) {
+            for (const Json &summary : parseJson(reply.reply.body))
+                summaries.push_back(summary);
+        }
+        done({200,
+              {{"jobs", mergeJobSummaries(summaries)}, {"silent_entries", all.silent.size()}}});
+    });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/KeyHash.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace Cranberrymount {
+
+/** @return the SHA-256 of @p key in 64 lower-case hex digits. */
+std::string hashKey(const std::string &key);
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/LookupRouter.cpp
@@ -0,0 +1,249 @@
+#include "Service/LookupRouter.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr double TokensPerRequest = 0.1;
+constexpr double MaxTokens = 100;
+constexpr unsigned MaxAttempts = 3;
+constexpr Duration SuspectTime{2000};
+constexpr Duration ForwardMargin{200};
+/** A target answers so if it has not looked at the request. */
+constexpr int RefusedUnread = 429;
+
+Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+LookupReply notRun(const std::string &reason)
+{
+    LookupReply reply;
+    reply.outcome = LookupReply::NotRun;
+    reply.reason = reason;
+    return reply;
+}
+
+LookupReply unknown(const std::string &reason)
+{
+    LookupReply reply;
+    reply.outcome = LookupReply::Unknown;
+    reply.reason = reason;
+    return reply;
+}
+
+} // namespace
+
+void RetryBudget::noteRequest()
+{
+    const std::lock_guard lock(m_mutex);
+    m_tokens = std::min(MaxTokens, m_tokens + TokensPerRequest);
+}
+
+bool RetryBudget::takeRetry()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+struct LookupRouter::Request
+{
+    LookupCall call;
+    Done done;
+    Span span;
+    Instant begun;
+    Instant deadline;
+    unsigned attempts = 0;
+    std::set<WorkerId> triedTargets;
+    std::set<Endpoint> triedPeers;
+    /** True once a target may have run the request without an answer. */
+    bool mayHaveRun = false;
+};
+
+LookupRouter::LookupRouter(SlotTable &slots, HttpClient &client, PeerNetwork &peers,
+                           Tracer &tracer, Metrics &metrics)
+    : m_slots(slots)
+    , m_client(client)
+    , m_peerNetwork(peers)
+    , m_tracer(tracer)
+    , m_metrics(metrics)
+{
+}
+
+void LookupRouter::setPeers(std::vector<LookupPeer> peers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_peers = std::move(peers);
+}
+
+void LookupRouter::route(LookupCall call, const std::string &trace, Done done)
+{
+    m_budget.noteRequest();
+    auto request = std::make_shared<Request>();
+    request->span = m_tracer.begin(call.hops > 0 ? "lookup.route" : "lookup.serve", trace);
+    request->span.attributes["queue"] = call.queue.value();
+    request->begun = clockNow();
+    request->deadline = request->begun + call.timeout;
+    request->call = std::move(call);
+    request->done = std::move(done);
+    routeNext(request);
+}
+
+void LookupRouter::routeNext(const RequestRef &request)
+{
+    const Instant now = clockNow();
+    if (now >= request->deadline)
+        return finish(request, notRun("no slot came free in time"));
+    const bool isForwarded = request->call.hops == 0;
+    if (isForwarded || m_slots.freeSlots(now) > 0)
+        return takeLocal(request, isForwarded);
+    if (const auto peer = choosePeer(request, true))
+        return passOn(request, *peer);
+    if (const auto peer = choosePeer(request, false))
+        return passOn(request, *peer);
+    takeLocal(request, true);
+}
+
+std::optional<LookupPeer> LookupRouter::choosePeer(const RequestRef &request, bool sameZone)
+{
+    const std::lock_guard lock(m_mutex);
+    LookupPeer *best = nullptr;
+    for (LookupPeer &peer : m_peers) {
+        if (peer.sameZone != sameZone || request->triedPeers.contains(peer.address))
+            continue;
+        // In the own zone a full owner still queues; elsewhere only free slots are worth the way.
+        if (peer.freeSlots == 0 && !sameZone)
+            continue;
+        if (!best || peer.freeSlots > best->freeSlots)
+            best = &peer;
+    }
+    if (!best)
+        return std::nullopt;
+    const LookupPeer chosen = *best;
+    // Until the next heartbeat tells better, each request passed on takes one.
+    if (best->freeSlots > 0)
+        --best->freeSlots;
+    return chosen;
+}
+
+void LookupRouter::passOn(const RequestRef &request, const LookupPeer &peer)
+{
+    request->triedPeers.insert(peer.address);
+    ++request->attempts;
+    LookupCall call = request->call;
+    --call.hops;
+    call.timeout = std::chrono::duration_cast<Duration>(request->deadline - clockNow());
+    m_metrics.count("lookups_passed_on_total");
+    m_peerNetwork.call(peer.address, std::move(call), request->span.traceparent(),
+                       request->call.timeout + ForwardMargin,
+                       [this, request](PeerResult result) {
+                           if (result.outcome == PeerResult::NotSent)
+                               return retryOrFinish(request, notRun("the owner was not reached"));
+                           if (result.outcome == PeerResult::Unknown) {
+                               request->mayHaveRun = true;
+                               return retryOrFinish(request, unknown("the owner did not answer"));
+                           }
+                           auto *reply = std::get_if<LookupReply>(&result.message);
+                           if (!reply)
+                               return finish(request, unknown("the owner answered nonsense"));
+                           if (reply->outcome == LookupReply::Answered)
+                               return finish(request, std::move(*reply));
+                           retryOrFinish(request, std::move(*reply));
+                       });
+}
+
+void LookupRouter::takeLocal(const RequestRef &request, bool mayWait)
+{
+    const Instant now = clockNow();
+    m_slots.take(now, mayWait ? request->deadline : now, request->triedTargets,
+                 [this, request, mayWait](const std::optional<Slot> &slot) {
+                     if (slot)
+                         return sendToTarget(request, *slot);
+                     // Only a lost race for the last free slot leads on to another entry.
+                     if (mayWait || ++request->attempts >= MaxAttempts)
+                         return finish(request, notRun("no slot came free in time"));
+                     routeNext(request);
+                 });
+}
+
+void LookupRouter::sendToTarget(const RequestRef &request, const Slot &slot)
+{
+    ++request->attempts;
+    request->triedTargets.insert(slot.worker);
+    request->span.attributes["worker"] = slot.worker.value();
+    HttpCall call;
+    call.method = "POST";
+    call.url = slot.url + "/target/" + request->call.queue.value();
+    call.body = request->call.body;
+    call.headers = {"X-Lease-Epoch: " + std::to_string(slot.epoch.value()),
+                    "traceparent: " + request->span.traceparent()};
+    call.timeout = std::max(
+            std::chrono::duration_cast<Duration>(request->deadline - clockNow()), Duration(1));
+    call.once = !request->call.idempotent;
+    m_client.send(std::move(call), [this, request, slot](const HttpResult &result) {
+        targetAnswered(request, slot, result);
+    });
+}
+
+void LookupRouter::targetAnswered(const RequestRef &request, const Slot &slot,
+                                  const HttpResult &result)
+{
+    const Instant now = clockNow();
+    if (result.outcome == HttpResult::Unknown) {
+        // The target may still work on it, for as long as requests of the queue may take.
+        m_slots.giveBackLater(slot, now + request->call.timeout);
+        m_slots.suspect(slot.worker, now + SuspectTime);
+        request->mayHaveRun = true;
+        return retryOrFinish(request, unknown("the target did not answer: " + result.error));
+    }
+    m_slots.giveBack(slot, now);
+    if (result.outcome == HttpResult::NotSent) {
+        m_slots.suspect(slot.worker, now + SuspectTime);
+        return retryOrFinish(request, notRun("the target was not reached: " + result.error));
+    }
+    if (result.status == RefusedUnread)
+        return retryOrFinish(request, notRun("the target refused"));
+    LookupReply reply;
+    reply.outcome = LookupReply::Answered;
+    reply.status = result.status;
+    reply.contentType = result.contentType;
+    reply.body = result.body;
+    reply.worker = slot.worker;
+    finish(request, std::move(reply));
+}
+
+void LookupRouter::retryOrFinish(const RequestRef &request, LookupReply reply)
+{
+    const bool mayRepeat = reply.outcome == LookupReply::NotRun || request->call.idempotent;
+    if (mayRepeat && request->attempts < MaxAttempts && clockNow() < request->deadline
+        && m_budget.takeRetry()) {
+        m_metrics.count("lookup_retries_total");
+        return routeNext(request);
+    }
+    // A later refusal does not undo that an earlier try may have run.
+    if (request->mayHaveRun)
+        reply.outcome = LookupReply::Unknown;
+    finish(request, std::move(reply));
+}
+
+void LookupRouter::finish(const RequestRef &request, LookupReply reply)
+{
+    if (request->mayHaveRun && reply.outcome == LookupReply::NotRun)
+        reply.outcome = LookupReply::Unknown;
+    static const char *const Names[] = {"answered", "not_run", "unknown"};
+    m_metrics.count(std::string("lookups_") + Names[reply.outcome] + "_total");
+    m_metrics.observe("lookup_seconds", clockNow() - request->begun);
+    request->span.attributes["outcome"] = Names[reply.outcome];
+    if (!reply.reason.empty())
+        request->span.attributes["reason"] = reply.reason;
+    m_tracer.end(request->span);
+    request->done(std::move(reply));
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/PlanBook.cpp
@@ -0,0 +1,196 @@
+#include "Service/PlanBook.h"
+
+#include "Protocol/ProtocolError.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr std::size_t KeptDecisions = 256;
+constexpr std::size_t PlanIdBytes = 6;
+
+std::string planKey(const PlanId &id)
+{
+    return "plan/" + id.value();
+}
+
+const char *decisionName(PlanDecision decision)
+{
+    return decision == PlanDecision::Confirmed ? "confirmed" : "rejected";
+}
+
+std::optional<PlanDecision> decisionOn(const Configuration &configuration, const PlanId &id)
+{
+    for (const auto &[plan, decision] : configuration.decisions) {
+        if (plan == id)
+            return decision;
+    }
+    return std::nullopt;
+}
+
+void keepDecision(Configuration &configuration, const PlanId &id, PlanDecision decision)
+{
+    configuration.decisions.emplace_back(id, decision);
+    if (configuration.decisions.size() > KeptDecisions)
+        configuration.decisions.erase(configuration.decisions.begin());
+}
+
+/** What draining @p zone would move, and whether the rest has room for it. */
+Json forecastDrain(const ZoneId &zone, const Gathered &status)
+{
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    Resources used;
+    Resources free;
+    for (const GatheredReply &reply : status.replies) {
+        for (const Json &shard : parseJson(reply.reply.body).at("shards")) {
+            const auto shardFree = shard.at("free").get<Resources>();
+            if (shard.at("zone") != zone.value()) {
+                free += shardFree;
+                continue;
+            }
+            running += shard.at("running").get<std::size_t>();
+            waiting += shard.at("waiting").get<std::size_t>();
+            used += shard.at("capacity").get<Resources>() - shardFree;
+        }
+    }
+    return {{"tasks_checkpointed_and_moved", running},
+            {"waiting_tasks_moved", waiting},
+            {"resources_to_place", used},
+            {"free_elsewhere", free},
+            {"fits_elsewhere", used.fitsIn(free)},
+            {"silent_entries", status.silent.size()}};
+}
+
+} // namespace
+
+PlanBook::PlanBook(EntryNode &node)
+    : m_node(node)
+{
+}
+
+void PlanBook::create(const Json &intentJson, const std::string &trace, Done done)
+{
+    const Intent intent = intentFromJson(intentJson);
+    const Configuration base = *m_node.configurationKeeper().configuration();
+    Configuration wanted = base;
+    const std::string objection = applyIntent(intent, wanted);
+    if (!objection.empty())
+        return done({409, {{"error", objection}, {"outcome", "not-run"}}});
+    const PlanId id("plan-" + m_node.tracer().randomHex(PlanIdBytes));
+    Json plan = {{"id", id.value()},
+                 {"intent", intentJson},
+                 {"base_revision", base.revision.value()},
+                 {"base", base},
+                 {"changes", describeChanges(base, wanted)}};
+    const auto *drain = std::get_if<DrainZone>(&intent);
+    if (!drain)
+        return store(id, std::move(plan), std::move(done));
+    m_node.gather({"status", {}}, trace,
+                  [this, id, plan = std::move(plan), zone = drain->zone,
+                   done = std::move(done)](const Gathered &status) mutable {
+                      plan["forecast"] = forecastDrain(zone, status);
+                      store(id, std::move(plan), std::move(done));
+                  });
+}
+
+void PlanBook::store(const PlanId &id, Json plan, Done done)
+{
+    const std::string value = plan.dump();
+    plan.erase("base");
+    m_node.store().write({planKey(id), value, Revision(), m_node.dayLease().current()},
+                         [plan = std::move(plan), done = std::move(done)](const StoreWrite &write) {
+                             if (write.outcome == StoreWrite::Written)
+                                 return done({201, plan});
+                             done({503,
+                                   {{"error", "the store cannot be reached; no plan was made"},
+                                    {"outcome", "not-run"}}});
+                         });
+}
+
+void PlanBook::show(const PlanId &id, Done done)
+{
+    m_node.store().read(planKey(id), [this, id, done = std::move(done)](const StoreRead &read) {
+        if (!read.answered)
+            return done({503, {{"error", "the store cannot be reached"}}});
+        if (read.entries.empty())
+            return done({404, {{"error", "no plan " + id.value()}}});
+        Json plan = parseJson(read.entries.front().value);
+        plan.erase("base");
+        const auto decision
+                = decisionOn(*m_node.configurationKeeper().configuration(), id);
+        plan["state"] = decision ? decisionName(*decision) : "open";
+        done({200, std::move(plan)});
+    });
+}
+
+void PlanBook::decide(const PlanId &id, PlanDecision decision, Done done)
+{
+    m_node.store().read(planKey(id),
+                        [this, id, decision, done = std::move(done)](const StoreRead &read) {
+                            if (!read.answered) {
+                                return done({503,
+                                             {{"error", "the store cannot be reached"},
+                                              {"outcome", "not-run"}}});
+                            }
+                            if (read.entries.empty())
+                                return done({404, {{"error", "no plan " + id.value()}}});
+                            decideStored(id, decision, parseJson(read.entries.front().value), done);
+                        });
+}
+
+void PlanBook::decideStored(const PlanId &id, PlanDecision decision, const Json &plan, Done done)
+{
+    const Intent intent = intentFromJson(plan.at("intent"));
+    const auto base = plan.at("base").get<Configuration>();
+    auto refusal = std::make_shared<Json>();
+    const auto change = [=](Configuration &configuration) {
+        if (const auto earlier = decisionOn(configuration, id)) {
+            *refusal = {{"decided", decisionName(*earlier)}};
+            return false;
+        }
+        const auto changes = describeChanges(base, configuration);
+        if (decision == PlanDecision::Confirmed && !changes.empty()) {
+            *refusal = {{"error", "the configuration has changed since the plan was made"},
+                        {"changed", changes},
+                        {"next", "make a new plan from the same intent"}};
+            return false;
+        }
+        if (decision == PlanDecision::Confirmed) {
+            const std::string objection = applyIntent(intent, configuration);
+            if (!objection.empty()) {
+                *refusal = {{"error", objection}};
+                return false;
+            }
+        }
+        keepDecision(configuration, id, decision);
+        return true;
+    };
+    m_node.configurationKeeper().change(change, [=](const ChangeResult &result) {
+        const Json revision = result.current.revision.value();
+        switch (result.outcome) {
+        case ChangeResult::Changed:
+            return done({200, {{"state", decisionName(decision)}, {"revision", revision}}});
+        case ChangeResult::Refused:
+            // Deciding a plan again as before is the same as deciding it once.
+            if (refusal->value("decided", "") == decisionName(decision))
+                return done({200, {{"state", decisionName(decision)}, {"revision", revision}}});
+            (*refusal)["outcome"] = "not-run";
+            return done({409, *refusal});
+        case ChangeResult::NotSent:
+            return done({503,
+                         {{"error", "the store cannot be reached; nothing was decided"},
+                          {"outcome", "not-run"}}});
+        case ChangeResult::Unknown:
+            break;
+        }
+        done({504,
+              {{"error", "the store did not answer; the plan may have been decided"},
+               {"outcome", "unknown"},
+               {"next", "show the plan, or decide it again"}}});
+    });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/TomlChecker.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "State/Resources.h"
+#include "State/Worker.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#define TOML_HEADER_ONLY 1
+#include <toml++/toml.h>
+
+namespace Cranberrymount {
+
+/** Reads a TOML table key by key and collects every fault with its file and line. */
+class TomlChecker
+{
+public:
+    TomlChecker(std::string file, std::vector<std::string> &faults);
+
+    /** Parses @p text; a syntax fault is collected and gives an empty table. */
+    toml::table parse(const std::string &text);
+
+    /** Each reader names the allowed values if the key is absent, of another type or out of range. */
+    std::string requiredText(const toml::table &table, const std::string &key);
+    std::string text(const toml::table &table, const std::string &key, std::string fallback);
+    int64_t number(const toml::table &table, const std::string &key, int64_t fallback, int64_t low,
+                   int64_t high);
+    double real(const toml::table &table, const std::string &key, double fallback, double low,
+                double high);
+    bool flag(const toml::table &table, const std::string &key, bool fallback);
+    std::vector<std::string> texts(const toml::table &table, const std::string &key);
+    Endpoint requiredEndpoint(const toml::table &table, const std::string &key);
+    std::vector<Endpoint> endpoints(const toml::table &table, const std::string &key);
+    std::string requiredUrl(const toml::table &table, const std::string &key);
+    std::string requiredHash(const toml::table &table, const std::string &key);
+    Resources resources(const toml::table &table, const std::string &key);
+
+    /** @return the sub-table @p key; a missing one is a fault if @p required. */
+    const toml::table &section(const toml::table &table, const std::string &key, bool required);
+    /** Reports every key of @p table that no reader has asked for. */
+    void rejectUnknown(const toml::table &table);
+    void fault(const toml::node *node, const std::string &message);
+
+private:
+    const toml::node *find(const toml::table &table, const std::string &key);
+    void missing(const toml::table &table, const std::string &key, const std::string &allowed);
+    Endpoint endpointFrom(const toml::node &node, const std::string &key);
+
+    std::string m_file;
+    std::vector<std::string> &m_faults;
+    std::map<const toml::table *, std::set<std::string>> m_asked;
+    toml::table m_empty;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/State/Resources.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+
+namespace Cranberrymount {
+
+/** An amount in one unit; amounts of different units do not mix. */
+template <typename Unit>
+class Amount
+{
+public:
+    Amount() = default;
+    explicit constexpr Amount(int64_t value)
+        : m_value(value)
+    {
+    }
+
+    constexpr int64_t value() const { return m_value; }
+    auto operator<=>(const Amount &) const = default;
+    constexpr Amount operator+(Amount other) const { return Amount(m_value + other.m_value); }
+    constexpr Amount operator-(Amount other) const { return Amount(m_value - other.m_value); }
+
+private:
+    int64_t m_value = 0;
+};
+
+/** Thousandths of a processor core. */
+using CpuMillis = Amount<struct CpuMillisUnit>;
+/** Mebibytes of memory. */
+using MemoryMb = Amount<struct MemoryMbUnit>;
+/** Whole accelerators. */
+using AcceleratorCount = Amount<struct AcceleratorUnit>;
+
+/** What a task needs, a worker has or a team may use. */
+struct Resources
+{
+    CpuMillis cpu;
+    MemoryMb memory;
+    AcceleratorCount accelerators;
+
+    auto operator<=>(const Resources &) const = default;
+
+    Resources operator+(const Resources &other) const
+    {
+        return {cpu + other.cpu, memory + other.memory, accelerators + other.accelerators};
+    }
+    Resources operator-(const Resources &other) const
+    {
+        return {cpu - other.cpu, memory - other.memory, accelerators - other.accelerators};
+    }
+    Resources &operator+=(const Resources &other) { return *this = *this + other; }
+    Resources &operator-=(const Resources &other) { return *this = *this - other; }
+
+    /** @return the need of @p count tasks of this size. */
+    Resources times(int64_t count) const
+    {
+        return {CpuMillis(cpu.value() * count), MemoryMb(memory.value() * count),
+                AcceleratorCount(accelerators.value() * count)};
+    }
+
+    /** @return true if this amount fits into @p room in every dimension. */
+    bool fitsIn(const Resources &room) const
+    {
+        return cpu <= room.cpu && memory <= room.memory && accelerators <= room.accelerators;
+    }
+
+    /** @return the smaller amount in each dimension. */
+    Resources cappedAt(const Resources &cap) const
+    {
+        return {std::min(cpu, cap.cpu), std::min(memory, cap.memory),
+                std::min(accelerators, cap.accelerators)};
+    }
+
+    /** @return this amount with negative dimensions raised to zero. */
+    Resources clampedToZero() const
+    {
+        return {std::max(cpu, CpuMillis(0)), std::max(memory, MemoryMb(0)),
+                std::max(accelerators, AcceleratorCount(0))};
+    }
+
+    /** @return how many tasks of this size fit into @p room; a size of zero fits without bound. */
+    int64_t countIn(const Resources &room) const
+    {
+        int64_t count = INT32_MAX;
+        const auto narrow = [&count](int64_t need, int64_t have) {
+            if (need > 0)
+                count = std::min(count, std::max<int64_t>(have, 0) / need);
+        };
+        narrow(cpu.value(), room.cpu.value());
+        narrow(memory.value(), room.memory.value());
+        narrow(accelerators.value(), room.accelerators.value());
+        return count;
+    }
+
+    /** @return the largest part of @p total that this amount takes in any dimension, 0 to 1. */
+    double dominantPartOf(const Resources &total) const
+    {
+        const auto part = [](int64_t used, int64_t all) {
+            return all > 0 ? static_cast<double>(used) / static_cast<double>(all) : 0.0;
+        };
+        return std::max({part(cpu.value(), total.cpu.value()),
+                         part(memory.value(), total.memory.value()),
+                         part(accelerators.value(), total.accelerators.value())});
+    }
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/State/Worker.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "State/Ids.h"
+#include "State/Resources.h"
+
+#include <string>
+#include <vector>
+
+namespace Cranberrymount {
+
+/** A TCP address by IP number. */
+struct Endpoint
+{
+    std::string host;
+    uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+    bool isSet() const { return port != 0; }
+    std::string text() const { return host + ":" + std::to_string(port); }
+};
+
+/** A worker instance as the platform lists it. */
+struct WorkerInfo
+{
+    WorkerId id;
+    ZoneId zone;
+    RackId rack;
+    Resources capacity;
+    /** Base URL of the worker's own interface. */
+    std::string url;
+    /** Requests that its target serves at a time; 0 if it serves none. */
+    uint32_t slots = 0;
+    /** Connections that its target accepts at a time. */
+    uint32_t connections = 0;
+    /** True once the platform has announced that the instance will be taken away. */
+    bool leaving = false;
+
+    bool operator==(const WorkerInfo &) const = default;
+};
+
+/** How an attempt of a task ended, as its worker tells it. */
+enum class AttemptOutcome {
+    Done,
+    Failed,
+    /** Stopped or checkpointed on request, or stopped because no lease covered it. */
+    Stopped,
+};
+
+/** An attempt that a worker runs. */
+struct RunningAttempt
+{
+    TaskId task;
+    AttemptId attempt;
+    TeamId team;
+    Resources resources;
+};
+
+/** An attempt that ended on a worker and whose end has not been acknowledged. */
+struct EndedAttempt
+{
+    TaskId task;
+    AttemptId attempt;
+    AttemptOutcome outcome = AttemptOutcome::Done;
+};
+
+/** What a worker says when it grants or renews its lease. */
+struct WorkerReport
+{
+    Epoch epoch;
+    /** True if @c running lists everything that runs. */
+    bool complete = false;
+    std::vector<RunningAttempt> running;
+    /** Number of attempts that run, also if @c running is left out. */
+    std::size_t runningCount = 0;
+    std::vector<EndedAttempt> ended;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Transport/FrameLink.cpp
@@ -0,0 +1,171 @@
+#include "Transport/FrameLink.h"
+
+#include "Transport/TransportError.h"
+
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr uint32_t MaxFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t PrefixBytes = sizeof(uint32_t);
+constexpr std::size_t MaxQueuedFrames = 20'000;
+
+Frame withPrefix(const Frame &frame)
+{
+    const auto length = static_cast<uint32_t>(frame.size());
+    Frame prefixed;
+    prefixed.reserve(PrefixBytes + frame.size());
+    for (std::size_t byte = 0; byte < PrefixBytes; ++byte)
+        prefixed.push_back(static_cast<char>((length >> (8 * byte)) & 0xffU));
+    prefixed.append(frame);
+    return prefixed;
+}
+
+} // namespace
+
+FrameLink::FrameLink(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket))
+{
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void FrameLink::start(FrameHandler onFrame, CloseHandler onClose)
+{
+    asio::dispatch(m_socket.get_executor(),
+                   [self = shared_from_this(), onFrame = std::move(onFrame),
+                    onClose = std::move(onClose)]() mutable {
+                       self->m_onFrame = std::move(onFrame);
+                       self->m_onClose = std::move(onClose);
+                       self->readLength();
+                   });
+}
+
+void FrameLink::send(Frame frame)
+{
+    asio::dispatch(m_socket.get_executor(),
+                   [self = shared_from_this(), frame = std::move(frame)] {
+                       if (self->m_closed)
+                           return;
+                       self->m_outgoing.push_back(withPrefix(frame));
+                       if (self->m_outgoing.size() > MaxQueuedFrames)
+                           self->fail();
+                       else if (self->m_outgoing.size() == 1)
+                           self->writeNext();
+                   });
+}
+
+void FrameLink::close()
+{
+    asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
+}
+
+void FrameLink::readLength()
+{
+    asio::async_read(m_socket, asio::buffer(&m_length, PrefixBytes),
+                     [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                         if (error || self->m_length > MaxFrameBytes)
+                             return self->fail();
+                         self->readBody(self->m_length);
+                     });
+}
+
+void FrameLink::readBody(uint32_t length)
+{
+    m_incoming.resize(length);
+    asio::async_read(m_socket, asio::buffer(m_incoming),
+                     [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                         if (error)
+                             return self->fail();
+                         self->m_lastReceived = std::chrono::steady_clock::now();
+                         self->m_onFrame(self, std::move(self->m_incoming));
+                         self->m_incoming = {};
+                         self->readLength();
+                     });
+}
+
+void FrameLink::writeNext()
+{
+    asio::async_write(m_socket, asio::buffer(m_outgoing.front()),
+                      [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                          if (error)
+                              return self->fail();
+                          self->m_outgoing.pop_front();
+                          if (!self->m_outgoing.empty())
+                              self->writeNext();
+                      });
+}
+
+void FrameLink::fail()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    asio::error_code ignored;
+    m_socket.close(ignored);
+    if (m_onClose)
+        m_onClose(shared_from_this());
+}
+
+FrameListener::FrameListener(asio::io_context &context, const Endpoint &address,
+                             AcceptHandler onAccept)
+    : m_context(context)
+    , m_acceptor(context)
+    , m_onAccept(std::move(onAccept))
+{
+    try {
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+    } catch (const std::exception &error) {
+        throw TransportError("cannot listen on " + address.text() + ": " + error.what());
+    }
+    acceptNext();
+}
+
+void FrameListener::acceptNext()
+{
+    m_acceptor.async_accept(asio::make_strand(m_context),
+                            [this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+                                if (error == asio::error::operation_aborted)
+                                    return;
+                                if (!error)
+                                    m_onAccept(std::make_shared<FrameLink>(std::move(socket)));
+                                acceptNext();
+                            });
+}
+
+void connectFrameLink(asio::io_context &context, const Endpoint &address, Duration timeout,
+                      std::function<void(std::shared_ptr<FrameLink>)> done)
+{
+    asio::error_code badAddress;
+    const auto ip = asio::ip::make_address(address.host, badAddress);
+    if (badAddress)
+        return done(nullptr);
+    const auto strand = asio::make_strand(context);
+    auto socket = std::make_shared<asio::ip::tcp::socket>(strand);
+    auto timer = std::make_shared<asio::steady_timer>(strand, timeout);
+    timer->async_wait([socket, timer](const asio::error_code &error) {
+        asio::error_code ignored;
+        if (!error)
+            socket->close(ignored);
+    });
+    socket->async_connect(asio::ip::tcp::endpoint(ip, address.port),
+                          [socket, timer, done = std::move(done)](const asio::error_code &error) {
+                              timer->cancel();
+                              if (error || !socket->is_open())
+                                  return done(nullptr);
+                              done(std::make_shared<FrameLink>(std::move(*socket)));
+                          });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Transport/HttpClient.cpp
@@ -0,0 +1,221 @@
+#include "Transport/HttpClient.h"
+
+#include "Transport/TransportError.h"
+
+#include <curl/curl.h>
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr long ConnectTimeoutMs = 500;
+constexpr int PollTimeoutMs = 1000;
+constexpr std::size_t MaxIdleHandles = 256;
+
+struct Exchange
+{
+    HttpCall call;
+    HttpClient::Callback callback;
+    HttpResult result;
+    curl_slist *headers = nullptr;
+
+    ~Exchange() { curl_slist_free_all(headers); }
+};
+
+std::size_t collectBody(char *data, std::size_t size, std::size_t count, void *target)
+{
+    static_cast<Exchange *>(target)->result.body.append(data, size * count);
+    return size * count;
+}
+
+void configure(CURL *handle, Exchange &exchange)
+{
+    const HttpCall &call = exchange.call;
+    curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.once ? 1L : 0L);
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &collectBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &exchange);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    if (!call.body.empty() || call.method != "GET") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
+    }
+    exchange.headers = curl_slist_append(exchange.headers, "Expect:");
+    exchange.headers = curl_slist_append(exchange.headers, "Accept:");
+    exchange.headers = curl_slist_append(exchange.headers, "Content-Type: application/json");
+    for (const std::string &header : call.headers)
+        exchange.headers = curl_slist_append(exchange.headers, header.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, exchange.headers);
+}
+
+HttpResult finish(CURL *handle, CURLcode code, Exchange &exchange)
+{
+    HttpResult result = std::move(exchange.result);
+    if (code == CURLE_OK) {
+        long status = 0;
+        char *contentType = nullptr;
+        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+        curl_easy_getinfo(handle, CURLINFO_CONTENT_TYPE, &contentType);
+        result.outcome = HttpResult::Answered;
+        result.status = static_cast<int>(status);
+        result.contentType = contentType ? contentType : "";
+        return result;
+    }
+    long sent = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent);
+    result.outcome = sent == 0 ? HttpResult::NotSent : HttpResult::Unknown;
+    result.error = curl_easy_strerror(code);
+    return result;
+}
+
+} // namespace
+
+struct HttpClient::Private
+{
+    CURLM *multi = curl_multi_init();
+    std::mutex mutex;
+    std::vector<std::unique_ptr<Exchange>> waiting;
+    std::vector<std::string> blocked;
+    std::atomic<bool> stopping = false;
+    std::unordered_map<CURL *, std::unique_ptr<Exchange>> running;
+    std::vector<CURL *> idle;
+    std::thread thread;
+
+    void run();
+    void startWaiting();
+    void finishEnded();
+    bool isBlocked(const std::string &url);
+};
+
+bool HttpClient::Private::isBlocked(const std::string &url)
+{
+    for (const std::string &prefix : blocked) {
+        if (url.starts_with(prefix))
+            return true;
+    }
+    return false;
+}
+
+void HttpClient::Private::startWaiting()
+{
+    std::vector<std::unique_ptr<Exchange>> batch;
+    {
+        const std::lock_guard lock(mutex);
+        batch.swap(waiting);
+    }
+    for (auto &exchange : batch) {
+        CURL *handle = nullptr;
+        if (idle.empty()) {
+            handle = curl_easy_init();
+        } else {
+            handle = idle.back();
+            idle.pop_back();
+        }
+        configure(handle, *exchange);
+        running.emplace(handle, std::move(exchange));
+        curl_multi_add_handle(multi, handle);
+    }
+}
+
+void HttpClient::Private::finishEnded()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(multi, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        CURL *handle = message->easy_handle;
+        const CURLcode code = message->data.result;
+        auto found = running.find(handle);
+        std::unique_ptr<Exchange> exchange = std::move(found->second);
+        running.erase(found);
+        HttpResult result = finish(handle, code, *exchange);
+        curl_multi_remove_handle(multi, handle);
+        if (idle.size() < MaxIdleHandles) {
+            curl_easy_reset(handle);
+            idle.push_back(handle);
+        } else {
+            curl_easy_cleanup(handle);
+        }
+        exchange->callback(std::move(result));
+    }
+}
+
+void HttpClient::Private::run()
+{
+    while (!stopping) {
+        startWaiting();
+        int active = 0;
+        curl_multi_perform(multi, &active);
+        finishEnded();
+        curl_multi_poll(multi, nullptr, 0, PollTimeoutMs, nullptr);
+    }
+}
+
+HttpClient::HttpClient()
+    : d(std::make_unique<Private>())
+{
+    static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+    if (Initialized != CURLE_OK || !d->multi)
+        throw TransportError("libcurl cannot be initialised");
+    curl_multi_setopt(d->multi, CURLMOPT_MAXCONNECTS, 1024L);
+    d->thread = std::thread([this] { d->run(); });
+}
+
+HttpClient::~HttpClient()
+{
+    d->stopping = true;
+    curl_multi_wakeup(d->multi);
+    d->thread.join();
+    for (auto &[handle, exchange] : d->running) {
+        curl_multi_remove_handle(d->multi, handle);
+        curl_easy_cleanup(handle);
+    }
+    for (CURL *handle : d->idle)
+        curl_easy_cleanup(handle);
+    curl_multi_cleanup(d->multi);
+}
+
+void HttpClient::send(HttpCall call, Callback callback)
+{
+    auto exchange = std::make_unique<Exchange>();
+    exchange->call = std::move(call);
+    exchange->callback = std::move(callback);
+    bool blocked = false;
+    {
+        const std::lock_guard lock(d->mutex);
+        blocked = d->isBlocked(exchange->call.url);
+        if (!blocked)
+            d->waiting.push_back(std::move(exchange));
+    }
+    if (blocked) {
+        exchange->callback({HttpResult::NotSent, 0, {}, {}, "blocked by a fault rule"});
+        return;
+    }
+    curl_multi_wakeup(d->multi);
+}
+
+HttpResult HttpClient::sendAndWait(HttpCall call)
+{
+    std::promise<HttpResult> promise;
+    send(std::move(call), [&promise](HttpResult result) { promise.set_value(std::move(result)); });
+    return promise.get_future().get();
+}
+
+void HttpClient::blockPrefixes(std::vector<std::string> prefixes)
+{
+    const std::lock_guard lock(d->mutex);
+    d->blocked = std::move(prefixes);
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Transport/HttpClient.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "State/Time.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Cranberrymount {
+
+/** One call to make. */
+struct HttpCall
+{
+    std::string method = "GET";
+    std::string url;
+    std::string body = {};
+    std::vector<std::string> headers = {};
+    Duration timeout{2000};
+    /**
+     * True if the call must leave this process at most once. It then uses a new connection, since
+     * a call that dies on a kept one would be sent again by the library.
+     */
+    bool once = false;
+};
+
+/** What became of a call. */
+struct HttpResult
+{
+    enum Outcome {
+        /** A whole answer came. */
+        Answered,
+        /** No byte of the call left this process. */
+        NotSent,
+        /** Part of the call was sent and no whole answer came. */
+        Unknown,
+    };
+    Outcome outcome = NotSent;
+    int status = 0;
+    std::string body;
+    std::string contentType;
+    std::string error;
+
+    bool isOk() const { return outcome == Answered && status >= 200 && status < 300; }
+};
+
+/** An HTTP client on libcurl with one thread of its own, which keeps connections open. */
+class HttpClient
+{
+public:
+    using Callback = std::function<void(HttpResult)>;
+
+    HttpClient();
+    ~HttpClient();
+
+    /** Makes @p call; @p callback runs on the client's thread and must not block. */
+    void send(HttpCall call, Callback callback);
+
+    /** Makes @p call and waits for its result. */
+    HttpResult sendAndWait(HttpCall call);
+
+    /**
+     * Refuses calls to URLs that begin with one of @p prefixes, as a cut network would. Open
+     * calls go on. For failure tests; settings must allow it.
+     */
+    void blockPrefixes(std::vector<std::string> prefixes);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Transport/TransportError.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <stdexcept>
+
+namespace Cranberrymount {
+
+/** A connection, socket or HTTP exchange failed below the meaning of its message. */
+class TransportError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Meta/cranberrymount.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Installs, builds, tests and shows cranberrymount: demo | test | check | bench | lint | build
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-Build}
+
+build() {
+    Meta/install.sh
+    cmake -S . -B "$BUILD" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+    cmake --build "$BUILD" -- "$@"
+}
+
+case "${1:-}" in
+build)
+    build
+    ;;
+demo)
+    build
+    exec Meta/demo.sh "$PWD/$BUILD"
+    ;;
+test)
+    build
+    exec Meta/test.sh "$PWD/$BUILD"
+    ;;
+check)
+    Meta/install.sh
+    exec Meta/check.sh
+    ;;
+bench)
+    build
+    exec "$BUILD/bench" "${@:2}"
+    ;;
+lint)
+    build
+    exec Meta/lint.sh "$BUILD"
+    ;;
+*)
+    echo "usage: Meta/cranberrymount.sh demo|test|check|bench|lint|build" >&2
+    exit 2
+    ;;
+esac
--- /dev/null
+++ b/Services/cranberrymountd/main.cpp
@@ -0,0 +1,108 @@
+#include "Service/EntryApi.h"
+#include "Service/EntryNode.h"
+#include "Service/Settings.h"
+#include "Transport/TransportError.h"
+
+#include <glog/logging.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <future>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace Cranberrymount;
+
+enum ExitCode {
+    Success = 0,
+    BadUsage = 2,
+    BadSettings = 3,
+    CannotListen = 4,
+};
+
+constexpr std::chrono::seconds DrainLimit{20};
+constexpr std::chrono::milliseconds DrainPoll{20};
+/** Long enough for the balancer and the peers to see that this entry leaves. */
+constexpr std::chrono::milliseconds NoticeTime{1500};
+
+template <typename Condition>
+void waitUntil(std::chrono::steady_clock::time_point limit, Condition condition)
+{
+    while (!condition() && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(DrainPoll);
+}
+
+/**
+ * Announces the stop and goes on serving until the balancer has seen it; then lets requests under
+ * way end, hands back shards and leases, and accepts no more.
+ */
+void shutDown(EntryNode &node, HttpServer &server)
+{
+    LOG(INFO) << "event=shutdown_begins in_flight=" << server.requestsInFlight();
+    const auto limit = std::chrono::steady_clock::now() + DrainLimit;
+    node.announceLeaving();
+    std::this_thread::sleep_for(NoticeTime);
+    waitUntil(limit, [&node] { return node.slots().slotsInUse() == 0; });
+    std::promise<void> handedBack;
+    const auto handed = handedBack.get_future();
+    node.onControl([&] { node.handBack([&handedBack] { handedBack.set_value(); }); });
+    handed.wait_until(limit);
+    server.stopAccepting();
+    waitUntil(limit, [&server] { return server.requestsInFlight() == 0; });
+    LOG(INFO) << "event=shutdown_ends in_flight=" << server.requestsInFlight();
+}
+
+int run(const std::string &settingsPath)
+{
+    const Settings settings = readSettings(settingsPath);
+    // Blocked in all threads, so that one sigwait gets them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    EntryNode node(settings);
+    EntryApi api(node);
+    HttpServerLimits limits;
+    limits.threads = settings.httpThreads;
+    limits.bodyBytes = settings.maxBodyBytes;
+    HttpServer server(settings.http, limits,
+                      [&api](HttpIncoming request, HttpRespond respond) {
+                          api.handle(std::move(request), std::move(respond));
+                      });
+    node.start();
+    LOG(INFO) << "event=started entry=" << settings.entry.value()
+              << " zone=" << settings.zone.value() << " http=" << settings.http.text();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    shutDown(node, server);
+    return Success;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_logtostderr = true;
+    try {
+        TCLAP::CmdLine command("cranberrymountd: one entry instance of the scheduler", ' ', "0.1");
+        const TCLAP::UnlabeledValueArg<std::string> settings("settings", "TOML settings file", true,
+                                                             "", "FILE", command);
+        command.parse(argc, argv);
+        return run(settings.getValue());
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << error.error() << " " << error.argId() << "\n";
+        return BadUsage;
+    } catch (const SettingsError &error) {
+        std::cerr << error.what() << "\n";
+        return BadSettings;
+    } catch (const TransportError &error) {
+        std::cerr << error.what() << "\n";
+        return CannotListen;
+    }
+}
--- /dev/null
+++ b/Tests/Standins/Platform.cpp
@@ -0,0 +1,351 @@
+// Stand-in for the platform: store, leases, watches and the lagging list of instances.
+
+#include "Protocol/Json.h"
+#include "Transport/HttpServer.h"
+
+#include <tclap/CmdLine.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <csignal>
+#include <deque>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+namespace Cranberrymount {
+
+namespace {
+
+struct Value
+{
+    std::string value;
+    uint64_t revision = 0;
+    uint64_t lease = 0;
+};
+
+struct Lease
+{
+    Duration ttl{0};
+    Instant until;
+};
+
+struct Watch
+{
+    std::string key;
+    uint64_t since = 0;
+    Instant until;
+    HttpRespond respond;
+};
+
+struct Faults
+{
+    bool isDown = false;
+    Duration delay{0};
+    /** Answers of writes that take effect and are then lost. */
+    int loseAnswers = 0;
+    Duration listLag{0};
+    bool listFrozen = false;
+};
+
+struct Announced
+{
+    Instant at;
+    Json workers;
+    uint64_t version = 0;
+};
+
+Instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+class Platform
+{
+public:
+    void handle(HttpIncoming request, HttpRespond respond);
+    void tick();
+
+private:
+    HttpAnswer read(const std::string &key);
+    HttpAnswer list(const std::string &prefix);
+    HttpAnswer write(const std::string &key, const Json &body);
+    HttpAnswer remove(const std::string &key, uint64_t expected);
+    HttpAnswer lease(const HttpIncoming &request, const std::string &id);
+    HttpAnswer instances(uint64_t since);
+    HttpAnswer admin(const HttpIncoming &request);
+    std::optional<HttpAnswer> store(const HttpIncoming &request, const HttpRespond &respond);
+    void endLease(uint64_t id);
+    Json entry(const std::string &key, const Value &value) const;
+    void serveWatches(bool isChanged);
+
+    std::mutex m_mutex;
+    std::map<std::string, Value> m_values;
+    std::map<uint64_t, Lease> m_leases;
+    std::vector<Watch> m_watches;
+    std::deque<std::pair<Instant, std::function<void()>>> m_delayed;
+    uint64_t m_revision = 0;
+    uint64_t m_nextLease = 1;
+    Faults m_faults;
+    std::map<std::string, Json> m_workers;
+    std::deque<Announced> m_announced{{now(), Json::array(), 0}};
+    uint64_t m_listVersion = 0;
+    uint64_t m_reads = 0;
+    uint64_t m_writes = 0;
+    uint64_t m_writtenBytes = 0;
+};
+
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+
+Json Platform::entry(const std::string &key, const Value &value) const
+{
+    return {{"key", key}, {"value", value.value}, {"revision", value.revision}};
+}
+
+HttpAnswer Platform::read(const std::string &key)
+{
+    ++m_reads;
+    const auto found = m_values.find(key);
+    if (found == m_values.end())
+        return {NotFound, "{}"};
+    return {200, Json{{"entries", {entry(key, found->second)}}}.dump()};
+}
+
+HttpAnswer Platform::list(const std::string &prefix)
+{
+    ++m_reads;
+    Json entries = Json::array();
+    for (const auto &[key, value] : m_values) {
+        if (key.starts_with(prefix))
+            entries.push_back(entry(key, value));
+    }
+    return {200, Json{{"entries", entries}}.dump()};
+}
+
+HttpAnswer Platform::write(const std::string &key, const Json &body)
+{
+    ++m_writes;
+    const auto lease = body.at("lease").get<uint64_t>();
+    const auto found = m_values.find(key);
+    const uint64_t revision = found == m_values.end() ? 0 : found->second.revision;
+    if (revision != body.at("expected").get<uint64_t>())
+        return {Conflict, Json{{"revision", revision}}.dump()};
+    if (lease != 0 && !m_leases.contains(lease))
+        return {Conflict, "{\"error\":\"the lease has ended\"}"};
+    const auto value = body.at("value").get<std::string>();
+    if (value.size() > 1024 * 1024)
+        return {413, "{\"error\":\"value above 1 MB\"}"};
+    m_writtenBytes += value.size();
+    m_values[key] = {value, ++m_revision, lease};
+    serveWatches(true);
+    return {200, Json{{"revision", m_revision}}.dump()};
+}
+
+HttpAnswer Platform::remove(const std::string &key, uint64_t expected)
+{
+    ++m_writes;
+    const auto found = m_values.find(key);
+    if (found == m_values.end() || found->second.revision != expected)
+        return {Conflict, "{}"};
+    m_values.erase(found);
+    serveWatches(true);
+    return {200, Json{{"revision", ++m_revision}}.dump()};
+}
+
+void Platform::endLease(uint64_t id)
+{
+    m_leases.erase(id);
+    std::erase_if(m_values, [id](const auto &item) { return item.second.lease == id; });
+    serveWatches(true);
+}
+
+HttpAnswer Platform::lease(const HttpIncoming &request, const std::string &id)
+{
+    ++m_writes;
+    if (id.empty()) {
+        const Duration ttl(parseJson(request.body).at("ttl_ms").get<int64_t>());
+        m_leases[m_nextLease] = {ttl, now() + ttl};
+        return {200, Json{{"lease", m_nextLease++}}.dump()};
+    }
+    const uint64_t number = std::stoull(id);
+    const auto found = m_leases.find(number);
+    if (found == m_leases.end())
+        return {NotFound, "{}"};
+    if (request.method == "DELETE")
+        endLease(number);
+    else
+        found->second.until = now() + found->second.ttl;
+    return {200, Json{{"lease", number}}.dump()};
+}
+
+HttpAnswer Platform::instances(uint64_t since)
+{
+    while (m_announced.size() > 1 && !m_faults.listFrozen
+           && m_announced[1].at + m_faults.listLag <= now())
+        m_announced.pop_front();
+    const Announced &shown = m_announced.front();
+    if (shown.version <= since)
+        return {304, ""};
+    return {200, Json{{"version", shown.version}, {"workers", shown.workers}}.dump()};
+}
+
+HttpAnswer Platform::admin(const HttpIncoming &request)
+{
+    if (request.path == "/admin/counters") {
+        return {200, Json{{"reads", m_reads},
+                          {"writes", m_writes},
+                          {"written_bytes", m_writtenBytes},
+                          {"keys", m_values.size()},
+                          {"waiting_watches", m_watches.size()}}
+                             .dump()};
+    }
+    const Json body = parseJson(request.body.empty() ? "{}" : request.body);
+    if (request.path == "/admin/faults") {
+        m_faults.isDown = body.value("down", false);
+        m_faults.delay = Duration(body.value("delay_ms", 0));
+        m_faults.loseAnswers = body.value("lose_answers", 0);
+        m_faults.listLag = Duration(body.value("list_lag_ms", 0));
+        m_faults.listFrozen = body.value("list_frozen", false);
+        return {200, "{}"};
+    }
+    // Workers register, announce that they leave, and are removed through the same call.
+    for (const Json &worker : body.value("add", Json::array()))
+        m_workers[worker.at("id").get<std::string>()] = worker;
+    for (const Json &id : body.value("remove", Json::array()))
+        m_workers.erase(id.get<std::string>());
+    Json workers = Json::array();
+    for (const auto &[id, worker] : m_workers)
+        workers.push_back(worker);
+    m_announced.push_back({now(), workers, ++m_listVersion});
+    return {200, Json{{"version", m_listVersion}}.dump()};
+}
+
+std::optional<HttpAnswer> Platform::store(const HttpIncoming &request, const HttpRespond &respond)
+{
+    const std::string &path = request.path;
+    const auto rest = [&path](const std::string &prefix) { return path.substr(prefix.size()); };
+    if (path.starts_with("/list/"))
+        return list(rest("/list/"));
+    if (path.starts_with("/lease"))
+        return lease(request, path.size() > 7 ? path.substr(7) : "");
+    if (path.starts_with("/watch/")) {
+        const Duration wait(request.queryNumber("wait_ms", 0));
+        m_watches.push_back({rest("/watch/"),
+                             static_cast<uint64_t>(request.queryNumber("since", 0)), now() + wait,
+                             respond});
+        serveWatches(true);
+        return std::nullopt;
+    }
+    if (!path.starts_with("/kv/"))
+        return HttpAnswer{NotFound, "{}"};
+    const std::string key = rest("/kv/");
+    if (request.method == "PUT")
+        return write(key, parseJson(request.body));
+    if (request.method == "DELETE")
+        return remove(key, static_cast<uint64_t>(request.queryNumber("expected", 0)));
+    return read(key);
+}
+
+void Platform::handle(HttpIncoming request, HttpRespond respond)
+{
+    const std::lock_guard lock(m_mutex);
+    if (request.path.starts_with("/admin/"))
+        return respond(admin(request));
+    if (request.path == "/instances")
+        return respond(instances(static_cast<uint64_t>(request.queryNumber("since", 0))));
+    if (m_faults.isDown)
+        return respond({503, "{\"error\":\"outage\"}"});
+    const bool isWrite = request.method != "GET";
+    const auto answer = store(request, respond);
+    if (!answer)
+        return;
+    if (isWrite && m_faults.loseAnswers > 0) {
+        --m_faults.loseAnswers;
+        // Held back until the caller has given up.
+        m_delayed.emplace_back(now() + Duration(20'000), [respond] { respond({500, "{}"}); });
+        return;
+    }
+    if (m_faults.delay.count() > 0) {
+        m_delayed.emplace_back(now() + m_faults.delay, [respond, answer] { respond(*answer); });
+        return;
+    }
+    respond(*answer);
+}
+
+void Platform::serveWatches(bool isChanged)
+{
+    std::erase_if(m_watches, [&](const Watch &watch) {
+        const auto found = m_values.find(watch.key);
+        const bool isNewer = found != m_values.end() && found->second.revision > watch.since;
+        if (!(isChanged && isNewer) && now() < watch.until)
+            return false;
+        watch.respond(read(watch.key));
+        return true;
+    });
+}
+
+void Platform::tick()
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<uint64_t> ended;
+    for (const auto &[id, lease] : m_leases) {
+        if (lease.until < now())
+            ended.push_back(id);
+    }
+    for (const uint64_t id : ended)
+        endLease(id);
+    if (m_faults.isDown) {
+        for (const Watch &watch : m_watches)
+            watch.respond({503, "{}"});
+        m_watches.clear();
+    }
+    serveWatches(false);
+    std::erase_if(m_delayed, [](const auto &item) {
+        if (item.first > now())
+            return false;
+        item.second();
+        return true;
+    });
+}
+
+} // namespace
+
+} // namespace Cranberrymount
+
+int main(int argc, char **argv)
+{
+    using namespace Cranberrymount;
+    try {
+        TCLAP::CmdLine command("standin-platform: store and instance list for tests", ' ', "0.1");
+        const TCLAP::ValueArg<uint16_t> port("", "port", "HTTP port", true, 0, "PORT", command);
+        command.parse(argc, argv);
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        Platform platform;
+        HttpServerLimits limits;
+        limits.bodyBytes = 8 * 1024 * 1024;
+        const HttpServer server({"127.0.0.1", port.getValue()}, limits,
+                                [&platform](HttpIncoming request, HttpRespond respond) {
+                                    platform.handle(std::move(request), std::move(respond));
+                                });
+        std::atomic<bool> isStopping = false;
+        std::thread ticker([&] {
+            while (!isStopping) {
+                platform.tick();
+                std::this_thread::sleep_for(Duration(10));
+            }
+        });
+        int signal = 0;
+        sigwait(&signals, &signal);
+        isStopping = true;
+        ticker.join();
+        return 0;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/Utilities/cranberrymount/Commands.cpp
@@ -0,0 +1,263 @@
+#include "Commands.h"
+
+#include "Service/Intent.h"
+#include "Service/KeyHash.h"
+#include "Service/Settings.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr Duration CallTimeout{10'000};
+
+std::string readFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file)
+        throw SettingsError(path + ": cannot be opened");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string cores(const Json &resources)
+{
+    return fmt::format("{:.1f} cores", resources.value("cpu_millis", 0.0) / 1000.0);
+}
+
+} // namespace
+
+Commands::Commands(Options options)
+    : m_options(std::move(options))
+{
+}
+
+std::string Commands::usage()
+{
+    return "  status                          all entries and shards\n"
+           "  job submit FILE                 submit the job that a JSON file declares\n"
+           "  job list | show ID | cancel ID\n"
+           "  explain ID                      why a job waits, moved or failed\n"
+           "  request QUEUE BODY              send a lookup request\n"
+           "  intent drain-zone ZONE | return-zone ZONE\n"
+           "  intent grant-share TEAM --share N --cpu-millis N --memory-mb N --accelerators N\n"
+           "  intent issue-key TEAM KEY | withdraw-key TEAM KEY\n"
+           "  intent finish-by JOB UNIX-SECONDS\n"
+           "  intent apply FILE               bring teams and queues to a TOML declaration\n"
+           "  plan ID | confirm ID | reject ID\n"
+           "  check FILE                      check a settings file\n"
+           "  check-declaration FILE          check a declaration\n"
+           "exit codes: 0 done, 1 refused and not run, 2 usage, 3 bad file, 4 entry not reached,\n"
+           "            5 outcome unknown\n";
+}
+
+int Commands::badUsage(const std::string &what)
+{
+    std::cerr << what << "\ncommands:\n" << usage();
+    return BadUsage;
+}
+
+HttpResult Commands::send(const std::string &method, const std::string &path,
+                          const std::string &body)
+{
+    HttpCall call{method, m_options.entryUrl + path, body, {}, CallTimeout};
+    if (!m_options.teamKey.empty())
+        call.headers.push_back("X-Team-Key: " + m_options.teamKey);
+    if (!m_options.operatorKey.empty())
+        call.headers.push_back("X-Operator-Key: " + m_options.operatorKey);
+    if (!m_options.idempotencyKey.empty())
+        call.headers.push_back("Idempotency-Key: " + m_options.idempotencyKey);
+    if (m_options.isIdempotent)
+        call.headers.emplace_back("X-Idempotent: true");
+    call.once = method == "POST";
+    return m_client.sendAndWait(std::move(call));
+}
+
+int Commands::conclude(const HttpResult &result)
+{
+    if (result.isOk())
+        return Success;
+    if (result.outcome == HttpResult::NotSent) {
+        std::cerr << "entry " << m_options.entryUrl << " was not reached: " << result.error
+                  << "\nnext: name another entry with --entry\n";
+        return Unreachable;
+    }
+    if (result.outcome == HttpResult::Unknown) {
+        std::cerr << "entry " << m_options.entryUrl << " did not answer: " << result.error
+                  << "\nnext: show the job or plan; it may have been taken\n";
+        return OutcomeUnknown;
+    }
+    const Json body = Json::parse(result.body, nullptr, false);
+    if (m_options.isJson || !body.is_object()) {
+        std::cerr << result.body << "\n";
+    } else {
+        std::cerr << body.value("error", "refused") << "\n";
+        for (const Json &fault : body.value("faults", Json::array()))
+            std::cerr << "  " << fault.get<std::string>() << "\n";
+        for (const Json &change : body.value("changed", Json::array()))
+            std::cerr << "  " << change.get<std::string>() << "\n";
+        if (body.contains("next"))
+            std::cerr << "next: " << body.at("next").get<std::string>() << "\n";
+    }
+    const bool isUnknown = body.is_object() && body.value("outcome", "") == "unknown";
+    return isUnknown ? OutcomeUnknown : Refused;
+}
+
+int Commands::call(const std::string &method, const std::string &path, const std::string &body)
+{
+    const HttpResult result = send(method, path, body);
+    if (!result.isOk())
+        return conclude(result);
+    const Json answer = Json::parse(result.body, nullptr, false);
+    if (m_options.isJson || answer.is_discarded())
+        std::cout << result.body << "\n";
+    else
+        std::cout << answer.dump(2) << "\n";
+    return Success;
+}
+
+int Commands::run(const std::vector<std::string> &words)
+{
+    if (words.empty())
+        return badUsage("no command");
+    const std::string &command = words.front();
+    const bool hasId = words.size() == 2;
+    if (command == "status" && words.size() == 1)
+        return status();
+    if (command == "job")
+        return job(words);
+    if (command == "intent")
+        return intent(words);
+    if (command == "request" && words.size() == 3)
+        return request(words);
+    if (command == "plan" && hasId)
+        return call("GET", "/plans/" + words[1]);
+    if ((command == "confirm" || command == "reject") && hasId)
+        return call("POST", "/plans/" + words[1] + "/" + command);
+    if (command == "explain" && hasId)
+        return explain(words[1]);
+    if ((command == "check" || command == "check-declaration") && hasId)
+        return check(words);
+    return badUsage("unknown command, or one with missing words: " + command);
+}
+
+int Commands::job(const std::vector<std::string> &words)
+{
+    const std::string verb = words.size() > 1 ? words[1] : "";
+    if (verb == "list" && words.size() == 2)
+        return call("GET", "/jobs");
+    if (words.size() != 3)
+        return badUsage("job takes submit FILE, list, show ID or cancel ID");
+    if (verb == "submit")
+        return call("POST", "/jobs", readFile(words[2]));
+    if (verb == "show")
+        return call("GET", "/jobs/" + words[2]);
+    if (verb == "cancel")
+        return call("DELETE", "/jobs/" + words[2]);
+    return badUsage("job takes submit FILE, list, show ID or cancel ID");
+}
+
+int Commands::intent(const std::vector<std::string> &words)
+{
+    if (words.size() < 3)
+        return badUsage("intent takes a type and its words");
+    const std::string &type = words[1];
+    Json intent = {{"type", type}};
+    if (type == "drain-zone" || type == "return-zone") {
+        intent["zone"] = words[2];
+    } else if (type == "grant-share") {
+        intent["team"] = words[2];
+        intent["share"] = m_options.share;
+        intent["limit"] = {{"cpu_millis", m_options.cpuMillis},
+                           {"memory_mb", m_options.memoryMb},
+                           {"accelerators", m_options.accelerators}};
+    } else if ((type == "issue-key" || type == "withdraw-key") && words.size() == 4) {
+        intent["team"] = words[2];
+        intent["key_sha256"] = hashKey(words[3]);
+    } else if (type == "finish-by" && words.size() == 4) {
+        intent["job"] = words[2];
+        intent["deadline"] = std::stoll(words[3]);
+    } else if (type == "apply") {
+        intent["configuration"] = readDeclaration(readFile(words[2]), words[2]);
+    } else {
+        return badUsage("unknown intent, or one with missing words: " + type);
+    }
+    return call("POST", "/plans", intent.dump());
+}
+
+int Commands::request(const std::vector<std::string> &words)
+{
+    const HttpResult result = send("POST", "/lookup/" + words[1], words[2]);
+    if (!result.isOk())
+        return conclude(result);
+    std::cout << result.body << "\n";
+    return Success;
+}
+
+int Commands::check(const std::vector<std::string> &words)
+{
+    if (words[0] == "check")
+        readSettings(words[1]);
+    else
+        readDeclaration(readFile(words[1]), words[1]);
+    std::cout << words[1] << ": good\n";
+    return Success;
+}
+
+int Commands::explain(const std::string &id)
+{
+    const HttpResult result = send("GET", "/jobs/" + id, {});
+    if (!result.isOk() || m_options.isJson) {
+        if (result.isOk())
+            std::cout << result.body << "\n";
+        return conclude(result);
+    }
+    const Json job = Json::parse(result.body);
+    const Json &spec = job.at("spec");
+    std::cout << "job " << id << ": " << spec.at("kind").get<std::string>() << " of "
+              << spec.at("tasks") << " tasks for team " << spec.at("team").get<std::string>()
+              << "\n  tasks: " << job.at("counts").dump() << "\n";
+    for (const auto &[shard, part] : job.at("shards").items()) {
+        const auto reason = part.at("wait_reason").get<std::string>();
+        std::cout << "  shard " << shard << (reason.empty() ? "" : " waits: " + reason) << "\n";
+        for (const Json &event : part.at("history"))
+            std::cout << "    " << event.get<std::string>() << "\n";
+    }
+    return Success;
+}
+
+int Commands::status()
+{
+    const HttpResult result = send("GET", "/status", {});
+    if (!result.isOk() || m_options.isJson) {
+        if (result.isOk())
+            std::cout << result.body << "\n";
+        return conclude(result);
+    }
+    const Json status = Json::parse(result.body);
+    std::cout << "configuration " << status.at("configuration_revision") << ", seen "
+              << status.at("configuration_age_ms") << " ms ago; zones out: "
+              << status.at("zones_out").dump()
+              << "; silent entries: " << status.at("silent_entries").dump() << "\n";
+    for (const Json &entry : status.at("entries")) {
+        for (const Json &shard : entry.at("shards")) {
+            std::cout << fmt::format("{:14} owner {:10} {:10} {:3} workers  {:>12} free of "
+                                     "{:>12}  {:4} running {:4} waiting\n",
+                                     shard.at("shard").get<std::string>(),
+                                     entry.at("entry").get<std::string>(),
+                                     shard.at("active").get<bool>() ? "active" : "taking-over",
+                                     shard.at("workers").get<int>(), cores(shard.at("free")),
+                                     cores(shard.at("capacity")), shard.at("running").get<int>(),
+                                     shard.at("waiting").get<int>());
+        }
+    }
+    return Success;
+}
+
+} // namespace Cranberrymount
