Tests: Run the whole path over separate processes

Two faults came out. Waiting work never moved to an empty zone: the scheduler named the team's limit as reason wherever the shard was full, since the slice is kept at what can start at once; ruled out late heartbeats (the peer showed 16 free cores for 3 s). Room is now checked before the limit. The forecast of a drain counted nothing: it iterated over a member of a temporary.

Before: 16 waiting tasks stayed for 1.5 s beside 16 free cores.

--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Duration TickPeriod{100};
-constexpr Duration SpillPeriod{500};
+constexpr Duration SpillPeriod{200};
 constexpr Duration MaxJobBackoff{60'000};
 constexpr Duration FirstJobBackoff{200};
 /** Waiting tasks of one job that one scheduling pass looks at. */
--- a/Libraries/Decision/ShardScheduler.cpp
+++ b/Libraries/Decision/ShardScheduler.cpp
@@ -177,16 +177,17 @@
 {
     std::size_t placed = 0;
     while (placed < TasksPerTurn && !group.indexes.empty()) {
-        if (countWithinSlice(group) < 1) {
-            m_decision.reasons[group.job] = WaitReason::TeamLimit;
-            break;
-        }
         const auto position = m_choice.choose(group);
         if (!position) {
             m_decision.reasons[group.job]
                     = m_reserved.empty() ? WaitReason::NoRoom : WaitReason::BehindReservation;
             break;
         }
+        // Named only where there is room: elsewhere the limit is not what the task waits for.
+        if (countWithinSlice(group) < 1) {
+            m_decision.reasons[group.job] = WaitReason::TeamLimit;
+            break;
+        }
         place(group, group.indexes.back(), *position);
         ++group.runningByRack[m_choice.workers()[*position].rack];
         group.indexes.pop_back();
@@ -197,10 +198,6 @@
 
 bool SchedulingPass::placeGang(const WaitingGroup &group)
 {
-    if (countWithinSlice(group) < static_cast<int64_t>(group.indexes.size())) {
-        m_decision.reasons[group.job] = WaitReason::TeamLimit;
-        return false;
-    }
     std::vector<std::size_t> positions;
     for (std::size_t member = 0; member < group.indexes.size(); ++member) {
         const auto position = m_choice.choose(group);
@@ -215,6 +212,10 @@
         m_decision.reasons[group.job] = WaitReason::GangIncomplete;
         return false;
     }
+    if (countWithinSlice(group) < static_cast<int64_t>(group.indexes.size())) {
+        m_decision.reasons[group.job] = WaitReason::TeamLimit;
+        return false;
+    }
     for (std::size_t member = 0; member < positions.size(); ++member)
         place(group, group.indexes[member], positions[member]);
     m_decision.reasons.erase(group.job);
--- a/Libraries/Service/PlanBook.cpp
+++ b/Libraries/Service/PlanBook.cpp
@@ -45,7 +45,8 @@
     Resources used;
     Resources free;
     for (const GatheredReply &reply : status.replies) {
-        for (const Json &shard : parseJson(reply.reply.body).at("shards")) {
+        const Json entry = parseJson(reply.reply.body);
+        for (const Json &shard : entry.at("shards")) {
             const auto shardFree = shard.at("free").get<Resources>();
             if (shard.at("zone") != zone.value()) {
                 free += shardFree;
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Runs all tests but the ones that KNOWN-RED.txt lists, and prints those.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD=$1
+red=()
+if [[ -s KNOWN-RED.txt ]]; then
+    echo "known red, passed over:"
+    cat KNOWN-RED.txt
+    while IFS= read -r name; do red+=("$name"); done < <(sed -n 's/^test: //p' KNOWN-RED.txt)
+fi
+skip=()
+if ((${#red[@]} > 0)); then
+    pattern=$(printf '%s\n' "${red[@]}" | sed 's/[][().*^$+?{}|\\]/\\&/g' | paste -sd'|')
+    skip=(-E "^($pattern)\$")
+fi
+ctest --test-dir "$BUILD" --output-on-failure -j4 "${skip[@]}"
+Meta/check.sh
--- /dev/null
+++ b/Tests/EndToEnd/Deployment.cpp
@@ -0,0 +1,465 @@
+#include "Deployment.h"
+
+#include "Service/KeyHash.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <stdexcept>
+#include <thread>
+
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+namespace Cranberrymount {
+
+namespace {
+
+const std::string OperatorKey = "operators";
+constexpr Duration Poll{25};
+
+std::string programPath(const std::string &name)
+{
+    return std::string(PROGRAM_FOLDER) + "/" + name;
+}
+
+/** @return a port that was free a moment ago; ports are not handed out twice in one process. */
+uint16_t freePort()
+{
+    static std::set<uint16_t> used;
+    for (;;) {
+        asio::io_context context;
+        const asio::ip::tcp::acceptor acceptor(
+                context, {asio::ip::make_address("127.0.0.1"), 0});
+        const uint16_t port = acceptor.local_endpoint().port();
+        if (used.insert(port).second)
+            return port;
+    }
+}
+
+std::string url(uint16_t port)
+{
+    return "http://127.0.0.1:" + std::to_string(port);
+}
+
+std::string taskName(const JournalLine &line)
+{
+    return line.job + "/" + std::to_string(line.index);
+}
+
+} // namespace
+
+bool eventually(const std::function<bool()> &condition, Duration limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(Poll);
+    }
+    return true;
+}
+
+int64_t unixMillis()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Duration>(sinceEpoch).count();
+}
+
+std::vector<std::string> Journal::doubled() const
+{
+    std::map<std::string, std::set<uint64_t>> alive;
+    std::vector<std::string> found;
+    for (const JournalLine &line : lines) {
+        auto &attempts = alive[taskName(line)];
+        if (line.event != "started") {
+            attempts.erase(line.attempt);
+            continue;
+        }
+        attempts.insert(line.attempt);
+        if (attempts.size() > 1)
+            found.push_back(taskName(line));
+    }
+    return found;
+}
+
+std::size_t Journal::doneTasks(const std::string &job) const
+{
+    std::set<uint32_t> done;
+    for (const JournalLine &line : lines) {
+        if (line.event == "done" && line.job == job)
+            done.insert(line.index);
+    }
+    return done.size();
+}
+
+std::size_t Journal::doneAttempts(const std::string &job) const
+{
+    return count("done", job);
+}
+
+std::size_t Journal::count(const std::string &event, const std::string &job) const
+{
+    return std::count_if(lines.begin(), lines.end(), [&](const JournalLine &line) {
+        return line.event == event && line.job == job;
+    });
+}
+
+int64_t Journal::peakCpuMillis(const std::string &team) const
+{
+    int64_t used = 0;
+    int64_t peak = 0;
+    for (const JournalLine &line : lines) {
+        if (line.team != team)
+            continue;
+        used += line.event == "started" ? line.cpuMillis : -line.cpuMillis;
+        peak = std::max(peak, used);
+    }
+    return peak;
+}
+
+std::size_t Journal::startsIn(const std::string &zone, int64_t millis) const
+{
+    return std::count_if(lines.begin(), lines.end(), [&](const JournalLine &line) {
+        return line.event == "started" && line.zone == zone && line.at > millis;
+    });
+}
+
+Deployment::Deployment(DeploymentShape shape)
+    : m_shape(std::move(shape))
+{
+    std::string pattern = std::filesystem::temp_directory_path() / "cranberrymount-XXXXXX";
+    if (!mkdtemp(pattern.data()))
+        throw std::runtime_error("cannot make a scratch folder");
+    m_folder = pattern;
+    m_platformPort = freePort();
+    spawn("platform", {"standin-platform", "--port", std::to_string(m_platformPort)});
+    const auto answers = [this](const std::string &url) {
+        return eventually([&] { return m_client.sendAndWait({"GET", url}).isOk(); });
+    };
+    if (!answers(url(m_platformPort) + "/admin/counters"))
+        throw std::runtime_error("the platform stand-in did not start");
+    for (const std::string &zone : m_shape.zones) {
+        const uint16_t port = m_workerPorts[zone] = freePort();
+        writeFleet(zone, port);
+        spawn("workers-" + zone,
+              {"standin-worker", "--port", std::to_string(port), "--fleet",
+               m_folder + "/fleet-" + zone + ".json", "--orphan-grace-ms",
+               std::to_string(m_shape.orphanGrace.count())});
+        if (!answers(url(port) + "/admin/journal"))
+            throw std::runtime_error("a worker stand-in did not start");
+        changeInstances({{"add", m_fleets[zone]}});
+        for (int number = 0; number < m_shape.entriesPerZone; ++number)
+            m_entries[zone + "-e" + std::to_string(number)] = {zone, freePort(), freePort()};
+    }
+    for (const auto &[name, entry] : m_entries) {
+        writeSettings(name, entry);
+        startEntry(name);
+    }
+}
+
+Deployment::~Deployment()
+{
+    for (const auto &[name, process] : m_processes) {
+        kill(process, SIGKILL);
+        waitpid(process, nullptr, 0);
+    }
+    std::error_code ignored;
+    if (!std::getenv("KEEP_LOGS"))
+        std::filesystem::remove_all(m_folder, ignored);
+}
+
+void Deployment::spawn(const std::string &name, const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> words = arguments;
+    words[0] = programPath(arguments[0]);
+    std::vector<char *> pointers;
+    for (std::string &word : words)
+        pointers.push_back(word.data());
+    pointers.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    const std::string log = m_folder + "/" + name + ".log";
+    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    pid_t process = 0;
+    const int failure
+            = posix_spawn(&process, words[0].c_str(), &actions, nullptr, pointers.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0)
+        throw std::runtime_error("cannot start " + words[0]);
+    m_processes[name] = process;
+}
+
+void Deployment::writeFleet(const std::string &zone, uint16_t port)
+{
+    Json fleet = Json::array();
+    for (int number = 0; number < m_shape.workersPerZone; ++number) {
+        const std::string id = zone + "-w" + std::to_string(number);
+        WorkerInfo worker;
+        worker.id = WorkerId(id);
+        worker.zone = ZoneId(zone);
+        worker.rack = RackId(zone + "-r" + std::to_string(number / m_shape.workersPerRack));
+        worker.capacity = m_shape.capacity;
+        worker.url = url(port) + "/" + id;
+        worker.slots = 8;
+        worker.connections = 64;
+        fleet.push_back(worker);
+    }
+    std::ofstream(m_folder + "/fleet-" + zone + ".json") << fleet.dump();
+    m_fleets[zone] = std::move(fleet);
+}
+
+void Deployment::writeSettings(const std::string &name, const Entry &entry)
+{
+    std::string peers;
+    for (const auto &[other, peer] : m_entries)
+        peers += (peers.empty() ? "\"127.0.0.1:" : ", \"127.0.0.1:") + std::to_string(peer.peer) + "\"";
+    std::ofstream(m_folder + "/" + name + ".toml")
+            << "[entry]\nid = \"" << name << "\"\nzone = \"" << entry.zone
+            << "\"\nhttp = \"127.0.0.1:" << entry.http << "\"\npeer = \"127.0.0.1:" << entry.peer
+            << "\"\npeers = [" << peers << "]\noperator_key_sha256 = \"" << hashKey(OperatorKey)
+            << "\"\n[platform]\nstore = \"" << url(m_platformPort) << "\"\ninstances = \""
+            << url(m_platformPort) << "/instances\"\n[limits]\nfaults_allowed = true\n"
+            << "[timing]\nheartbeat_ms = 300\nstore_timeout_ms = 600\nworker_timeout_ms = 600\n"
+            << "instance_list_ms = 300\nworker_lease_ms = " << m_shape.workerLease.count()
+            << "\nstore_lease_ms = " << m_shape.storeLease.count()
+            << "\norphan_grace_ms = " << m_shape.orphanGrace.count() << "\n";
+}
+
+void Deployment::startEntry(const std::string &name)
+{
+    spawn(name, {"cranberrymountd", m_folder + "/" + name + ".toml"});
+}
+
+void Deployment::awaitReady()
+{
+    const bool isReady = eventually([this] {
+        for (const std::string &name : entries()) {
+            std::size_t active = 0;
+            const Json shown = status(name);
+            for (const Json &entry : shown.value("entries", Json::array())) {
+                for (const Json &shard : entry.at("shards"))
+                    active += shard.at("active").get<bool>() ? 1 : 0;
+            }
+            if (active != m_shape.zones.size())
+                return false;
+        }
+        return true;
+    });
+    if (!isReady)
+        throw std::runtime_error("the deployment did not become ready");
+}
+
+void Deployment::configure()
+{
+    Configuration declared;
+    const Resources limit{CpuMillis(1'000'000), MemoryMb(4'000'000), AcceleratorCount(0)};
+    for (const char *team : {"red", "blue"})
+        declared.teams[TeamId(team)] = {1.0, limit, {}};
+    declared.queues[QueueId("open")] = {true, {}, 1500};
+    declared.queues[QueueId("keyed")] = {false, {TeamId("red")}, 1500};
+    const std::string entry = entries().front();
+    intend(entry, {{"type", "apply"}, {"configuration", declared}});
+    for (const std::string team : {"red", "blue"}) {
+        intend(entry,
+               {{"type", "issue-key"}, {"team", team}, {"key_sha256", hashKey("key-" + team)}});
+    }
+    const uint64_t revision = status(entry).at("configuration_revision").get<uint64_t>();
+    eventually([&] {
+        for (const std::string &name : entries()) {
+            if (status(name).value("configuration_revision", uint64_t(0)) < revision)
+                return false;
+        }
+        return true;
+    });
+}
+
+void Deployment::signal(const std::string &name, int signal)
+{
+    kill(m_processes.at(name), signal);
+    if (signal == SIGKILL)
+        awaitEnd(name, Duration(5000));
+}
+
+bool Deployment::awaitEnd(const std::string &name, Duration limit)
+{
+    const pid_t process = m_processes.at(name);
+    const bool hasEnded
+            = eventually([&] { return waitpid(process, nullptr, WNOHANG) == process; }, limit);
+    if (hasEnded)
+        m_processes.erase(name);
+    return hasEnded;
+}
+
+std::string Deployment::entryUrl(const std::string &entry) const
+{
+    return url(m_entries.at(entry).http);
+}
+
+std::vector<std::string> Deployment::entries() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, entry] : m_entries) {
+        if (m_processes.contains(name))
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<Json> Deployment::workersOf(const std::string &zone) const
+{
+    return m_fleets.at(zone).get<std::vector<Json>>();
+}
+
+HttpResult Deployment::call(const std::string &entry, const std::string &method,
+                            const std::string &path, const std::string &body,
+                            std::vector<std::string> headers)
+{
+    HttpCall call{method, entryUrl(entry) + path, body, std::move(headers), Duration(6000)};
+    call.once = true;
+    return m_client.sendAndWait(std::move(call));
+}
+
+Json Deployment::operate(const std::string &entry, const std::string &method,
+                         const std::string &path, const Json &body)
+{
+    const HttpResult result
+            = call(entry, method, path, body.dump(), {"X-Operator-Key: " + OperatorKey});
+    Json answer = Json::parse(result.body, nullptr, false);
+    if (!answer.is_object())
+        answer = Json::object();
+    answer["http_status"] = result.status;
+    return answer;
+}
+
+void Deployment::intend(const std::string &entry, const Json &intent)
+{
+    const Json plan = operate(entry, "POST", "/plans", intent);
+    if (!plan.contains("id"))
+        throw std::runtime_error("no plan: " + plan.dump());
+    const Json decided
+            = operate(entry, "POST", "/plans/" + plan.at("id").get<std::string>() + "/confirm");
+    if (decided.at("http_status") != 200)
+        throw std::runtime_error("not confirmed: " + decided.dump());
+}
+
+std::string Deployment::submit(const std::string &entry, const std::string &team, Json job)
+{
+    if (!job.contains("per_task"))
+        job["per_task"] = {{"cpu_millis", 1000}, {"memory_mb", 1000}};
+    const HttpResult result
+            = call(entry, "POST", "/jobs", job.dump(), {"X-Team-Key: key-" + team});
+    if (!result.isOk())
+        return {};
+    return Json::parse(result.body).at("id").get<std::string>();
+}
+
+Json Deployment::counts(const std::string &entry, const std::string &team, const std::string &job)
+{
+    const HttpResult result
+            = call(entry, "GET", "/jobs/" + job, {}, {"X-Team-Key: key-" + team});
+    return result.isOk() ? Json::parse(result.body).at("counts") : Json::object();
+}
+
+bool Deployment::isDone(const std::string &entry, const std::string &team, const std::string &job,
+                        std::size_t tasks)
+{
+    return counts(entry, team, job).value("done", std::size_t(0)) == tasks;
+}
+
+Json Deployment::status(const std::string &entry)
+{
+    const HttpResult result = call(entry, "GET", "/status");
+    return result.isOk() ? Json::parse(result.body) : Json::object();
+}
+
+std::string Deployment::ownerOf(const std::string &zone)
+{
+    for (const std::string &name : entries()) {
+        const Json shown = status(name);
+        for (const Json &entry : shown.value("entries", Json::array())) {
+            if (entry.at("zone") == zone && !entry.at("shards").empty())
+                return entry.at("entry").get<std::string>();
+        }
+    }
+    return {};
+}
+
+void Deployment::platformFaults(const Json &faults)
+{
+    m_client.sendAndWait({"POST", url(m_platformPort) + "/admin/faults", faults.dump()});
+}
+
+void Deployment::workerFaults(const std::string &zone, const Json &faults)
+{
+    m_client.sendAndWait({"POST", url(m_workerPorts.at(zone)) + "/admin/faults", faults.dump()});
+}
+
+void Deployment::changeInstances(const Json &change)
+{
+    m_client.sendAndWait({"POST", url(m_platformPort) + "/admin/instances", change.dump()});
+}
+
+void Deployment::cutZone(const std::string &zone, bool fromPlatform)
+{
+    for (const auto &[name, entry] : m_entries) {
+        if (!m_processes.contains(name))
+            continue;
+        const bool isInside = entry.zone == zone;
+        Json rule = {{"peers", Json::array()}, {"urls", Json::array()}};
+        for (const auto &[other, peer] : m_entries) {
+            if ((peer.zone == zone) != isInside)
+                rule["peers"].push_back("127.0.0.1:" + std::to_string(peer.peer));
+        }
+        for (const auto &[workerZone, port] : m_workerPorts) {
+            if ((workerZone == zone) != isInside)
+                rule["urls"].push_back(url(port));
+        }
+        if (isInside && fromPlatform)
+            rule["urls"].push_back(url(m_platformPort));
+        call(name, "POST", "/faults", rule.dump());
+    }
+}
+
+void Deployment::heal()
+{
+    for (const std::string &name : entries())
+        call(name, "POST", "/faults", "{}");
+}
+
+Journal Deployment::journal()
+{
+    Journal journal;
+    for (const auto &[zone, port] : m_workerPorts) {
+        const HttpResult result = m_client.sendAndWait({"GET", url(port) + "/admin/journal"});
+        if (!result.isOk())
+            throw std::runtime_error("no journal from zone " + zone);
+        const Json json = Json::parse(result.body);
+        for (const Json &line : json.at("journal")) {
+            journal.lines.push_back({line.at("event"), line.at("at"), line.at("worker"),
+                                     line.at("zone"), line.at("job"), line.at("index"),
+                                     line.at("attempt"), line.at("team"), line.at("cpu_millis")});
+        }
+        for (const Json &violation : json.at("violations"))
+            journal.violations.push_back(violation);
+        for (const auto &[id, runs] : json.at("lookup_runs").items())
+            journal.lookupRuns[id] += runs.get<uint64_t>();
+    }
+    // Of lines of one millisecond the ends come first: a stop makes room for a start.
+    std::stable_sort(journal.lines.begin(), journal.lines.end(),
+                     [](const JournalLine &left, const JournalLine &right) {
+                         const bool leftStarts = left.event == "started";
+                         const bool rightStarts = right.event == "started";
+                         return std::tie(left.at, leftStarts) < std::tie(right.at, rightStarts);
+                     });
+    return journal;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Tests/EndToEnd/WholePathTest.cpp
@@ -0,0 +1,210 @@
+// The path from caller, submitter and operator to the workers, over separate processes.
+
+#include "Deployment.h"
+
+#include "Service/KeyHash.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+using namespace Cranberrymount;
+
+namespace {
+
+class ReadyDeployment
+{
+protected:
+    ReadyDeployment()
+    {
+        deployment.awaitReady();
+        deployment.configure();
+    }
+
+    HttpResult lookup(const std::string &entry, const std::string &queue, const std::string &body,
+                      std::vector<std::string> headers = {})
+    {
+        return deployment.call(entry, "POST", "/lookup/" + queue, body, std::move(headers));
+    }
+
+    /** Slots of a new owner open once a former owner's requests must have ended. */
+    bool lookupsAreServed(const std::string &entry)
+    {
+        return eventually([&] { return lookup(entry, "open", "{}").status == 200; });
+    }
+
+    Deployment deployment;
+};
+
+Json job(const std::string &kind, int tasks, int runMillis)
+{
+    return {{"kind", kind},
+            {"tasks", tasks},
+            {"payload", Json{{"run_ms", runMillis}}.dump()}};
+}
+
+} // namespace
+
+TEST_CASE_METHOD(ReadyDeployment, "Lookup through any entry is answered whole", "[path]")
+{
+    for (const std::string &entry : deployment.entries()) {
+        REQUIRE(lookupsAreServed(entry));
+        const std::string body = R"({"id":"ask-)" + entry + "\"}";
+        const HttpResult answer = lookup(entry, "open", body, {"X-Idempotent: true"});
+        REQUIRE(answer.status == 200);
+        CHECK(Json::parse(answer.body).at("echo") == body);
+    }
+    CHECK(deployment.journal().violations.empty());
+}
+
+TEST_CASE_METHOD(ReadyDeployment, "Batch job and gang run each task once", "[path]")
+{
+    const std::string batch = deployment.submit("a-e0", "red", job("batch", 30, 300));
+    const std::string gang = deployment.submit("b-e1", "blue", job("gang", 8, 600));
+    REQUIRE(eventually([&] {
+        return deployment.isDone("a-e1", "red", batch, 30)
+                && deployment.isDone("b-e0", "blue", gang, 8);
+    }));
+    const Journal journal = deployment.journal();
+    CHECK(journal.doneTasks(batch) == 30);
+    CHECK(journal.doneAttempts(batch) == 30);
+    CHECK(journal.doneAttempts(gang) == 8);
+    CHECK(journal.doubled().empty());
+    CHECK(journal.violations.empty());
+    std::vector<int64_t> starts;
+    std::vector<int64_t> ends;
+    for (const JournalLine &line : journal.lines) {
+        if (line.job == gang)
+            (line.event == "started" ? starts : ends).push_back(line.at);
+    }
+    CHECK(starts.back() <= ends.front());
+}
+
+TEST_CASE_METHOD(ReadyDeployment, "Withdrawn key stops working within seconds", "[path][keys]")
+{
+    REQUIRE(lookupsAreServed("a-e0"));
+    const std::vector<std::string> key{"X-Team-Key: key-red"};
+    REQUIRE(lookup("b-e0", "keyed", "{}", key).status == 200);
+    REQUIRE(lookup("b-e0", "keyed", "{}").status == 401);
+    REQUIRE(lookup("b-e0", "keyed", "{}", {"X-Team-Key: key-blue"}).status == 403);
+    deployment.intend("a-e0", {{"type", "withdraw-key"},
+                               {"team", "red"},
+                               {"key_sha256", hashKey("key-red")}});
+    const auto isRefusedEverywhere = [&] {
+        for (const std::string &entry : deployment.entries()) {
+            if (lookup(entry, "keyed", "{}", key).status != 401)
+                return false;
+        }
+        return true;
+    };
+    CHECK(eventually(isRefusedEverywhere, Duration(6000)));
+    CHECK(deployment.submit("a-e1", "red", job("batch", 1, 100)).empty());
+}
+
+TEST_CASE_METHOD(ReadyDeployment, "Drained zone gets no start and its work moves", "[path][zones]")
+{
+    const std::string batch = deployment.submit("a-e0", "red", job("batch", 48, 1500));
+    REQUIRE(eventually([&] {
+        return deployment.counts("a-e0", "red", batch).value("running", 0) >= 16;
+    }));
+    deployment.intend("b-e0", {{"type", "drain-zone"}, {"zone", "a"}});
+    const int64_t outAt = unixMillis();
+    CHECK(eventually([&] { return deployment.isDone("b-e0", "red", batch, 48); },
+                     Duration(60'000)));
+    const Journal journal = deployment.journal();
+    CHECK(journal.startsIn("a", outAt + 6000) == 0);
+    CHECK(journal.doneAttempts(batch) == 48);
+    CHECK(journal.doubled().empty());
+    CHECK(journal.violations.empty());
+
+    deployment.intend("a-e0", {{"type", "return-zone"}, {"zone", "a"}});
+    const int64_t backAt = unixMillis();
+    const std::string next = deployment.submit("b-e0", "red", job("batch", 48, 2000));
+    CHECK(eventually([&] { return deployment.journal().startsIn("a", backAt) > 0; }));
+    CHECK(eventually([&] { return deployment.isDone("b-e0", "red", next, 48); }));
+}
+
+TEST_CASE_METHOD(ReadyDeployment, "Two operators race and one wins", "[path][operators]")
+{
+    const Json drain = {{"type", "drain-zone"}, {"zone", "a"}};
+    const Json grant = {{"type", "grant-share"},
+                        {"team", "red"},
+                        {"share", 4.0},
+                        {"limit", {{"cpu_millis", 5000}, {"memory_mb", 5000}}}};
+    const auto first = deployment.operate("a-e0", "POST", "/plans", drain).at("id");
+    const auto second = deployment.operate("b-e0", "POST", "/plans", grant).at("id");
+    const auto decide = [&](const std::string &entry, const Json &plan, const std::string &verb) {
+        return deployment.operate(entry, "POST", "/plans/" + plan.get<std::string>() + "/" + verb);
+    };
+    CHECK(decide("a-e1", first, "confirm").at("http_status") == 200);
+    const Json stale = decide("b-e1", second, "confirm");
+    CHECK(stale.at("http_status") == 409);
+    CHECK(stale.at("changed") == Json::array({"zone a is taken out"}));
+    // Deciding again is the same as once; deciding otherwise is refused.
+    CHECK(decide("b-e0", first, "confirm").at("http_status") == 200);
+    CHECK(decide("b-e0", first, "reject").at("http_status") == 409);
+    CHECK(decide("b-e0", second, "reject").at("http_status") == 200);
+    CHECK(decide("a-e0", second, "confirm").at("http_status") == 409);
+}
+
+TEST_CASE_METHOD(ReadyDeployment, "Idempotency key through two entries runs once", "[path][claims]")
+{
+    REQUIRE(lookupsAreServed("a-e0"));
+    REQUIRE(lookupsAreServed("b-e0"));
+    std::vector<HttpResult> answers(8);
+    std::vector<std::thread> callers;
+    for (std::size_t caller = 0; caller < answers.size(); ++caller) {
+        callers.emplace_back([&, caller] {
+            const std::string entry = caller % 2 == 0 ? "a-e0" : "b-e1";
+            answers[caller] = lookup(entry, "open", R"({"id":"booking","work_ms":300})",
+                                     {"Idempotency-Key: k1"});
+        });
+    }
+    for (std::thread &caller : callers)
+        caller.join();
+    CHECK(deployment.journal().lookupRuns.at("booking") == 1);
+    std::size_t answered = 0;
+    for (const HttpResult &answer : answers) {
+        answered += answer.status == 200 ? 1 : 0;
+        CHECK((answer.status == 200 || answer.status == 409));
+    }
+    CHECK(answered >= 1);
+    const HttpResult later = lookup("b-e0", "open", R"({"id":"booking","work_ms":300})",
+                                    {"Idempotency-Key: k1"});
+    CHECK(later.status == 200);
+    CHECK(lookup("b-e0", "open", "{}", {"Idempotency-Key: k1"}).status == 422);
+    CHECK(deployment.journal().lookupRuns.at("booking") == 1);
+}
+
+TEST_CASE_METHOD(ReadyDeployment, "Stopping an entry cuts no request", "[path][shutdown]")
+{
+    REQUIRE(lookupsAreServed("a-e0"));
+    REQUIRE(lookupsAreServed("b-e0"));
+    const std::string leaving = deployment.ownerOf("a");
+    std::atomic<bool> isStopping = false;
+    std::atomic<int> answered = 0;
+    std::atomic<int> cut = 0;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 6; ++caller) {
+        callers.emplace_back([&] {
+            // As the balancer does, callers go where the entry still says that it is there.
+            while (deployment.call(leaving, "GET", "/healthz").status == 200) {
+                const HttpResult answer = lookup(leaving, "open", R"({"work_ms":400})");
+                if (answer.status == 200)
+                    ++answered;
+                else
+                    ++cut;
+            }
+        });
+    }
+    std::this_thread::sleep_for(Duration(1000));
+    deployment.signal(leaving, SIGTERM);
+    for (std::thread &caller : callers)
+        caller.join();
+    CHECK(deployment.awaitEnd(leaving, Duration(20'000)));
+    CHECK(answered > 0);
+    CHECK(cut == 0);
+    CHECK(deployment.journal().violations.empty());
+}
