Coordination: Derive the renewal wait from the lease time

Cause: the worker holds a renewal back for 1.5 s; with the tests' lease of 2.5 s that left less than the start margin of 1 s, so a worker was usable only in the moments after an immediate renewal. Ruled out: spilling and the list of shards (the idle zone itself showed 0.0 of 16 cores free).

Before: an idle zone took no work for 10 s. After: the wait is a quarter of the lease, the margin 0.5 s; 'Drained zone gets no start and its work moves' passes.

--- a/Libraries/Coordination/WorkerPool.cpp
+++ b/Libraries/Coordination/WorkerPool.cpp
@@ -122,7 +122,7 @@
     request.ttl = m_settings.leaseTtl;
     request.complete = worker.needsComplete;
     request.wait = worker.needsComplete || !worker.acknowledged.empty() ? Duration(0)
-                                                                        : m_settings.renewalWait;
+                                                                        : renewalWait();
     request.acknowledged.assign(worker.acknowledged.begin(), worker.acknowledged.end());
     worker.isCalling = true;
     worker.lastAsked = now;
--- a/Libraries/Coordination/WorkerPool.h
+++ b/Libraries/Coordination/WorkerPool.h
@@ -53,14 +53,12 @@
     struct Settings
     {
         Duration leaseTtl{6000};
-        /** The worker holds a renewal back for this long unless a task ends. */
-        Duration renewalWait{1500};
         /** A worker stops its tasks when its lease has been over for this long. */
         Duration orphanGrace{30'000};
         /** Allowance for clock rates and scheduling when a silent worker's tasks count as ended. */
         Duration endMargin{2000};
         /** No task starts on a lease that ends sooner than this. */
-        Duration startMargin{1000};
+        Duration startMargin{500};
         Duration retryDelay{500};
         /** A former owner without the store hands its leases back after this time. */
         Duration isolationBound{7'200'000};
@@ -162,6 +160,8 @@
     void startAnswered(const WorkerId &id, const std::vector<AttemptRef> &attempts,
                        const StartAnswer &answer);
     Epoch epochOf(const Worker &worker) const;
+    /** @return how long a worker holds a renewal back unless a task ends. */
+    Duration renewalWait() const { return m_settings.leaseTtl / 4; }
     void later(Duration delay, std::function<void()> action);
 
     WorkerLink &m_link;
