Coordination: Put all decisions behind four interfaces, and vouch during outages

ControlPlane holds everything that one entry decides behind store, workers, peers and time, so that tests can drive it through virtual time. An entry changes the configuration only after every registered member has acknowledged it.

--- a/Libraries/Coordination/ConfigurationKeeper.cpp
+++ b/Libraries/Coordination/ConfigurationKeeper.cpp
@@ -9,26 +9,107 @@
 namespace {
 
 const char *const ConfigurationKey = "configuration";
+const char *const RegisterPrefix = "register/";
 constexpr unsigned MaxChangeAttempts = 8;
 
 } // namespace
 
-ConfigurationKeeper::ConfigurationKeeper(Store &store, TimerService &timers, Settings settings)
+ConfigurationKeeper::ConfigurationKeeper(Store &store, TimerService &timers, EntryId self,
+                                         Settings settings)
     : m_store(store)
     , m_timers(timers)
+    , m_self(std::move(self))
     , m_settings(settings)
+    , m_vouches(m_self, timers.now(), settings.vouches)
 {
 }
 
 void ConfigurationKeeper::start()
 {
     watch();
+    registerSelf();
 }
 
-bool ConfigurationKeeper::isFresh() const
+void ConfigurationKeeper::registerSelf()
 {
-    const auto age = evidenceAge();
-    return age && *age < m_settings.evidenceBound;
+    m_store.write({RegisterPrefix + m_self.value(), "{}", Revision()},
+                  [this, alive = std::weak_ptr(m_alive)](const StoreWrite &) {
+                      // Whether it was written shows in the register itself.
+                      if (!alive.expired())
+                          readRegister();
+                  });
+}
+
+void ConfigurationKeeper::readRegister()
+{
+    const Instant askedAt = m_timers.now();
+    m_store.list(RegisterPrefix,
+                 [this, alive = std::weak_ptr(m_alive), askedAt](const StoreRead &read) {
+                     if (alive.expired() || m_hasLeft)
+                         return;
+                     if (read.answered)
+                         takeRegister(read, askedAt);
+                     m_timers.after(m_settings.registerPeriod, [this, alive] {
+                         if (!alive.expired() && !m_hasLeft)
+                             readRegister();
+                     });
+                 });
+}
+
+void ConfigurationKeeper::takeRegister(const StoreRead &read, Instant askedAt)
+{
+    const Instant now = m_timers.now();
+    std::set<EntryId> registered;
+    for (const StoreEntry &entry : read.entries) {
+        const EntryId member(entry.key.substr(std::string(RegisterPrefix).size()));
+        registered.insert(member);
+        const auto [heardAt, isNew] = m_heardAt.try_emplace(member, now);
+        if (member != m_self && now - heardAt->second > m_settings.forgetAfter) {
+            LOG(WARNING) << "event=member_forgotten member=" << member.value();
+            m_store.remove(entry.key, entry.revision, [](const StoreWrite &) {});
+        }
+    }
+    const bool isRegistered = registered.contains(m_self);
+    m_vouches.takeRegister(std::move(registered), askedAt, now);
+    if (!isRegistered)
+        registerSelf();
+}
+
+void ConfigurationKeeper::heard(const EntryId &member)
+{
+    m_heardAt[member] = m_timers.now();
+}
+
+void ConfigurationKeeper::leave(std::function<void()> done)
+{
+    m_hasLeft = true;
+    const std::string key = RegisterPrefix + m_self.value();
+    m_store.read(key, [this, key, done = std::move(done)](const StoreRead &read) {
+        if (read.entries.empty())
+            return done();
+        m_store.remove(key, read.entries.front().revision,
+                       [done](const StoreWrite &) { done(); });
+    });
+}
+
+Instant ConfigurationKeeper::freshUntil() const
+{
+    Instant until;
+    if (m_evidenceAt)
+        until = *m_evidenceAt + m_settings.evidenceBound;
+    if (const auto vouched = m_vouches.vouchedUntil(m_configuration->revision))
+        until = std::max(until, *vouched);
+    return until;
+}
+
+bool ConfigurationKeeper::vouchFor(const EntryId &peer)
+{
+    const Instant now = m_timers.now();
+    m_vouches.meet(peer, now);
+    if (!m_vouches.mayVouch(now, hearsStore()))
+        return false;
+    m_vouches.promise(now);
+    return true;
 }
 
 std::optional<Duration> ConfigurationKeeper::evidenceAge() const
@@ -119,7 +200,30 @@
 void ConfigurationKeeper::change(std::function<bool(Configuration &)> change,
                                  std::function<void(ChangeResult)> done)
 {
-    attemptChange(change, done, 0);
+    beginChange(change, std::move(done), m_timers.now() + m_settings.changePatience);
+}
+
+/** Waits until no promise of this entry stands against a change. */
+void ConfigurationKeeper::beginChange(const std::function<bool(Configuration &)> &change,
+                                      std::function<void(ChangeResult)> done, Instant deadline)
+{
+    const Instant now = m_timers.now();
+    if (m_hasLeft || now >= deadline)
+        return done({ChangeResult::NotSent, *m_configuration});
+    if (!m_vouches.mayChange(now)) {
+        m_timers.after(m_settings.retryDelay, [this, alive = std::weak_ptr(m_alive), change,
+                                               done = std::move(done), deadline] {
+            if (!alive.expired())
+                beginChange(change, done, deadline);
+        });
+        return;
+    }
+    m_vouches.changeBegins();
+    const auto ended = [this, done = std::move(done)](const ChangeResult &result) {
+        m_vouches.changeEnds(result.outcome != ChangeResult::Unknown);
+        done(result);
+    };
+    attemptChange(change, ended, 0);
 }
 
 void ConfigurationKeeper::attemptChange(const std::function<bool(Configuration &)> &change,
@@ -144,6 +248,7 @@
                           if (write.outcome == StoreWrite::Written) {
                               Configuration current = wanted;
                               current.revision = write.revision;
+                              m_vouches.changesSettled();
                               takeConfiguration(current);
                               return done({ChangeResult::Changed, current});
                           }
--- a/Libraries/Coordination/ConfigurationKeeper.h
+++ b/Libraries/Coordination/ConfigurationKeeper.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "Coordination/VouchBook.h"
 #include "Protocol/Store.h"
 #include "State/Configuration.h"
 #include "Transport/TimerService.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -40,16 +42,29 @@
         Duration evidenceBound{4000};
         Duration watchWait{1000};
         Duration retryDelay{300};
+        /** How long a change waits for this entry's own promises to end. */
+        Duration changePatience{5000};
+        Duration registerPeriod{2000};
+        /** A registered member that nobody heard for this long is taken off the register. */
+        Duration forgetAfter{900'000};
+        VouchBook::Settings vouches;
     };
 
-    ConfigurationKeeper(Store &store, TimerService &timers, Settings settings);
+    ConfigurationKeeper(Store &store, TimerService &timers, EntryId self, Settings settings);
 
-    /** Begins to watch the store. */
+    /** Registers this entry and begins to watch the store. */
     void start();
+    /** Takes this entry off the register; it may change nothing from here on. */
+    void leave(std::function<void()> done);
+    /** Tells which members are alive, so that the others can be taken off the register. */
+    void heard(const EntryId &member);
 
     /** @return the latest known configuration; valid in any thread. */
     std::shared_ptr<const Configuration> configuration() const { return m_configuration; }
-    bool isFresh() const;
+    /** @return true while nothing newer can have been accepted more than seconds ago. */
+    bool isFresh() const { return m_timers.now() < freshUntil(); }
+    /** @return until when the configuration counts as current unless more evidence comes. */
+    Instant freshUntil() const;
     /** @return the age of the evidence, or nothing if there never was any. */
     std::optional<Duration> evidenceAge() const;
     /** @return true while the store answers this instance itself. */
@@ -70,12 +85,21 @@
     void change(std::function<bool(Configuration &)> change,
                 std::function<void(ChangeResult)> done);
 
+    /** Vouches for the configuration to @p peer, which asked for it. @return false if it cannot. */
+    bool vouchFor(const EntryId &peer);
+    VouchBook &vouches() { return m_vouches; }
+
     void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
 
 private:
     void watch();
+    void registerSelf();
+    void readRegister();
+    void takeRegister(const StoreRead &read, Instant askedAt);
     void readNow();
     void takeRead(const StoreRead &read, Instant askedAt);
+    void beginChange(const std::function<bool(Configuration &)> &change,
+                     std::function<void(ChangeResult)> done, Instant deadline);
     void attemptChange(const std::function<bool(Configuration &)> &change,
                        const std::function<void(ChangeResult)> &done, unsigned attempts);
     void settleUnknown(const Configuration &wanted,
@@ -84,7 +108,11 @@
 
     Store &m_store;
     TimerService &m_timers;
+    EntryId m_self;
     Settings m_settings;
+    VouchBook m_vouches;
+    std::map<EntryId, Instant> m_heardAt;
+    bool m_hasLeft = false;
     std::shared_ptr<const Configuration> m_configuration = std::make_shared<Configuration>();
     std::optional<Instant> m_evidenceAt;
     std::optional<Instant> m_storeHeardAt;
--- /dev/null
+++ b/Libraries/Coordination/ControlPlane.cpp
@@ -0,0 +1,421 @@
+#include "Coordination/ControlPlane.h"
+
+#include "Coordination/JobViewJson.h"
+#include "Protocol/Json.h"
+#include "Protocol/ProtocolError.h"
+
+#include <xxhash.h>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr Duration ControlCallTimeout{2500};
+constexpr Duration EvidenceCallTimeout{1000};
+/** Heartbeats that may be missed before a member counts as silent. */
+constexpr int MissedHeartbeats = 3;
+
+const char *outcomeName(AdmissionOutcome outcome)
+{
+    switch (outcome) {
+    case AdmissionOutcome::Recorded:
+        return "recorded";
+    case AdmissionOutcome::AlreadyRecorded:
+        return "already-recorded";
+    case AdmissionOutcome::NameTaken:
+        return "name-taken";
+    case AdmissionOutcome::NotRun:
+        return "not-run";
+    case AdmissionOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(Store &store, WorkerLink &workers, PeerNetwork &peers,
+                           TimerService &timers, Settings settings)
+    : m_peers(peers)
+    , m_timers(timers)
+    , m_settings(std::move(settings))
+    , m_members(m_settings.self, m_settings.heartbeatPeriod * MissedHeartbeats)
+    , m_configuration(store, timers, m_settings.self, m_settings.configuration)
+    , m_ownership(store, workers, timers, *this, m_members, m_settings.ownership)
+{
+    for (const Endpoint &peer : m_settings.peers) {
+        if (peer != m_settings.address)
+            m_members.addAddress(peer);
+    }
+    m_configuration.onChange([this] {
+        m_ownership.configurationChanged();
+        if (m_onConfigurationChange)
+            m_onConfigurationChange();
+    });
+}
+
+void ControlPlane::start()
+{
+    m_configuration.start();
+    m_ownership.start();
+    beat();
+    m_timers.every(m_settings.heartbeatPeriod, [this] { beat(); });
+}
+
+void ControlPlane::announceLeaving()
+{
+    m_leaving = true;
+    beat();
+}
+
+void ControlPlane::handBack(std::function<void()> done)
+{
+    m_ownership.handBack(
+            [this, done = std::move(done)]() mutable { m_configuration.leave(std::move(done)); });
+}
+
+void ControlPlane::setListed(ListVersion version, const std::vector<WorkerInfo> &workers)
+{
+    m_ownership.setListed(version, workers,
+                          [this](const WorkerInfo &worker) { return shardOf(worker); });
+}
+
+std::vector<Member> ControlPlane::members() const
+{
+    return m_members.alive(m_timers.now());
+}
+
+void ControlPlane::setStatusExtra(std::function<void(Json &)> extra)
+{
+    m_statusExtra = std::move(extra);
+}
+
+void ControlPlane::onConfigurationChange(std::function<void()> callback)
+{
+    m_onConfigurationChange = std::move(callback);
+}
+
+const Configuration &ControlPlane::configuration() const
+{
+    return *m_configuration.configuration();
+}
+
+bool ControlPlane::isConfigurationFresh() const
+{
+    return m_configuration.isFresh();
+}
+
+ShardId ControlPlane::shardOf(const WorkerInfo &worker) const
+{
+    const std::string &rack = worker.rack.value();
+    const uint64_t part = XXH64(rack.data(), rack.size(), 0) % m_settings.shardsPerZone;
+    return ShardId(worker.zone.value() + "." + std::to_string(part));
+}
+
+std::vector<ShardCandidate> ControlPlane::candidates(bool withOwn) const
+{
+    const auto &out = configuration().zonesOut;
+    std::vector<ShardCandidate> found;
+    if (withOwn && !out.contains(m_settings.zone)) {
+        for (const ShardKeeper *keeper : m_ownership.keepers()) {
+            const ShardStatus status = keeper->status();
+            if (status.isActive) {
+                found.push_back({status.shard, m_settings.zone, true, status.free,
+                                 static_cast<uint32_t>(status.waiting)});
+            }
+        }
+    }
+    for (const Member &member : m_members.alive(m_timers.now())) {
+        const Heartbeat &beat = member.heartbeat;
+        if (beat.leaving || out.contains(beat.zone))
+            continue;
+        for (const ShardSummary &shard : beat.shards) {
+            if (shard.active) {
+                found.push_back({shard.shard, beat.zone, beat.zone == m_settings.zone, shard.free,
+                                 shard.waitingTasks});
+            }
+        }
+    }
+    return found;
+}
+
+std::vector<ShardCandidate> ControlPlane::otherShards() const
+{
+    return candidates(false);
+}
+
+std::optional<ShardId> ControlPlane::chooseHomeFor(const Resources &perTask, uint32_t tasks) const
+{
+    return chooseHome(candidates(true), perTask, tasks);
+}
+
+void ControlPlane::offerMove(const ShardId &from, const OutgoingMove &move,
+                          std::function<void(MoveAnswer)> done)
+{
+    const Json body = {{"shard", move.target.value()},
+                       {"from", from.value()},
+                       {"sequence", move.sequence},
+                       {"portion", move.portion}};
+    callOwner(move.target, {"adopt", body.dump()}, {},
+              [done = std::move(done)](const PeerResult &result) {
+                  const auto *reply = std::get_if<ControlReply>(&result.message);
+                  const bool isTaken
+                          = result.outcome == PeerResult::Answered && reply && reply->status == 200;
+                  done(isTaken ? MoveAnswer::Taken : MoveAnswer::Unknown);
+              });
+}
+
+void ControlPlane::callOwner(const ShardId &shard, const ControlCall &call,
+                             const std::string &trace, std::function<void(PeerResult)> done)
+{
+    if (m_ownership.keeper(shard)) {
+        return control(call, [done = std::move(done)](ControlReply reply) {
+            done({PeerResult::Answered, std::move(reply)});
+        });
+    }
+    const auto owner = m_members.ownerOf(shard, m_timers.now());
+    if (!owner)
+        return done({PeerResult::NotSent, {}});
+    m_peers.call(owner->heartbeat.address, call, trace, ControlCallTimeout, std::move(done));
+}
+
+void ControlPlane::gather(const ControlCall &call, const std::string &trace,
+                          std::function<void(Gathered)> done)
+{
+    struct Collection
+    {
+        Gathered gathered;
+        std::size_t left = 1;
+        std::function<void(Gathered)> done;
+    };
+    auto collection = std::make_shared<Collection>();
+    collection->done = std::move(done);
+    const auto finished = [collection] {
+        if (--collection->left == 0)
+            collection->done(std::move(collection->gathered));
+    };
+    const auto alive = members();
+    collection->left += alive.size();
+    for (const Member &member : alive) {
+        m_peers.call(member.heartbeat.address, call, trace, ControlCallTimeout,
+                     [collection, finished, id = member.heartbeat.from](const PeerResult &result) {
+                         const auto *reply = std::get_if<ControlReply>(&result.message);
+                         if (result.outcome == PeerResult::Answered && reply)
+                             collection->gathered.replies.push_back({id, *reply});
+                         else
+                             collection->gathered.silent.push_back(id);
+                         finished();
+                     });
+    }
+    control(call, [this, collection, finished](ControlReply reply) {
+        collection->gathered.replies.push_back({m_settings.self, std::move(reply)});
+        finished();
+    });
+}
+
+void ControlPlane::heard(const Heartbeat &beat)
+{
+    m_members.heard(beat, m_timers.now());
+    m_configuration.heard(beat.from);
+    m_configuration.hasNewer(beat.configRevision);
+}
+
+void ControlPlane::control(const ControlCall &call, std::function<void(ControlReply)> reply)
+{
+    try {
+        if (call.method == "admit")
+            return admitHere(call.body, std::move(reply));
+        if (call.method == "cancel")
+            return cancelHere(call.body, std::move(reply));
+        if (call.method == "adopt")
+            return adoptHere(call.body, std::move(reply));
+        if (call.method == "job")
+            return reply({200, jobHere(call.body)});
+        if (call.method == "jobs")
+            return reply({200, jobsHere()});
+        if (call.method == "status")
+            return reply({200, statusHere()});
+        if (call.method == "evidence")
+            return reply({200, evidenceHere(call.body)});
+        if (call.method == "configuration")
+            return reply({200, Json(configuration()).dump()});
+        reply({404, "unknown method " + call.method});
+    } catch (const ProtocolError &error) {
+        reply({400, error.what()});
+    } catch (const Json::exception &error) {
+        reply({400, error.what()});
+    }
+}
+
+void ControlPlane::admitHere(const std::string &body, std::function<void(ControlReply)> reply)
+{
+    const Json json = parseJson(body);
+    ShardKeeper *keeper = m_ownership.keeper(ShardId(json.at("shard").get<std::string>()));
+    if (!keeper)
+        return reply({200, outcomeName(AdmissionOutcome::NotRun)});
+    keeper->admit(fromJson<JobSpec>(json.at("spec")),
+                  [reply = std::move(reply)](AdmissionOutcome outcome) {
+                      reply({200, outcomeName(outcome)});
+                  });
+}
+
+void ControlPlane::cancelHere(const std::string &body, std::function<void(ControlReply)> reply)
+{
+    auto left = std::make_shared<std::size_t>(1);
+    auto recorded = std::make_shared<bool>(true);
+    auto found = std::make_shared<bool>(false);
+    const auto finished = [left, recorded, found, reply = std::move(reply)] {
+        if (--*left == 0)
+            reply({*recorded ? 200 : 503, *found ? "found" : "unknown"});
+    };
+    for (ShardKeeper *keeper : m_ownership.keepers()) {
+        ++*left;
+        const bool isHere = keeper->cancel(JobId(body), [recorded, finished](bool wasRecorded) {
+            *recorded = *recorded && wasRecorded;
+            finished();
+        });
+        if (isHere)
+            *found = true;
+        else
+            --*left;
+    }
+    finished();
+}
+
+void ControlPlane::adoptHere(const std::string &body, std::function<void(ControlReply)> reply)
+{
+    const Json json = parseJson(body);
+    OutgoingMove move;
+    move.sequence = json.at("sequence").get<uint64_t>();
+    move.target = ShardId(json.at("shard").get<std::string>());
+    move.portion = fromJson<Portion>(json.at("portion"));
+    ShardKeeper *keeper = m_ownership.keeper(move.target);
+    if (!keeper)
+        return reply({503, "not the owner"});
+    keeper->takeMove(ShardId(json.at("from").get<std::string>()), move,
+                     [reply = std::move(reply)](MoveAnswer answer) {
+                         reply({answer == MoveAnswer::Taken ? 200 : 503, {}});
+                     });
+}
+
+std::string ControlPlane::jobHere(const std::string &id) const
+{
+    Json views = Json::array();
+    for (const ShardKeeper *keeper : m_ownership.keepers()) {
+        if (const auto view = keeper->job(JobId(id)))
+            views.push_back(encodeJobView(*view));
+    }
+    return views.dump();
+}
+
+std::string ControlPlane::jobsHere() const
+{
+    Json summaries = Json::array();
+    for (const ShardKeeper *keeper : m_ownership.keepers()) {
+        for (const JobView &view : keeper->jobs())
+            summaries.push_back(summarizeJobView(view));
+    }
+    return summaries.dump();
+}
+
+std::string ControlPlane::statusHere() const
+{
+    Json shards = Json::array();
+    for (const ShardKeeper *keeper : m_ownership.keepers())
+        shards.push_back(encodeShardStatus(keeper->status(), m_settings.zone));
+    const auto age = m_configuration.evidenceAge();
+    Json status = {{"entry", m_settings.self.value()},
+                   {"zone", m_settings.zone.value()},
+                   {"configuration_revision", configuration().revision.value()},
+                   {"evidence_age_ms", age ? age->count() : -1},
+                   {"fresh", m_configuration.isFresh()},
+                   {"leaving", m_leaving},
+                   {"shards", shards}};
+    if (m_statusExtra)
+        m_statusExtra(status);
+    return status.dump();
+}
+
+/** Tells a peer what this entry knows, and vouches for it if the store is silent here too. */
+std::string ControlPlane::evidenceHere(const std::string &body)
+{
+    const Json question = parseJson(body);
+    const bool isVouched = m_configuration.vouchFor(EntryId(question.at("from").get<std::string>()));
+    const auto age = m_configuration.evidenceAge();
+    Json answer = {{"revision", configuration().revision.value()},
+                   {"age_ms", age ? age->count() : -1},
+                   {"vouched", isVouched}};
+    if (question.at("revision").get<uint64_t>() < configuration().revision.value())
+        answer["configuration"] = configuration();
+    return answer.dump();
+}
+
+Heartbeat ControlPlane::heartbeat() const
+{
+    Heartbeat beat;
+    beat.from = m_settings.self;
+    beat.zone = m_settings.zone;
+    beat.address = m_settings.address;
+    beat.leaving = m_leaving;
+    beat.configRevision = configuration().revision;
+    beat.evidenceAge = m_configuration.evidenceAge();
+    for (const ShardKeeper *keeper : m_ownership.keepers()) {
+        const ShardStatus status = keeper->status();
+        beat.shards.push_back({status.shard, status.epoch, status.isActive, status.free,
+                               static_cast<uint32_t>(status.waiting), 0});
+    }
+    if (!beat.shards.empty())
+        beat.shards.front().freeSlots = m_freeSlots;
+    return beat;
+}
+
+void ControlPlane::beat()
+{
+    const Heartbeat mine = heartbeat();
+    for (const Endpoint &address : m_members.addresses(m_timers.now()))
+        m_peers.send(address, mine);
+    askPeersForEvidence();
+}
+
+/**
+ * Peers in other zones may reach the store when this entry does not; and every member has to know
+ * of this one before it may change the configuration.
+ */
+void ControlPlane::askPeersForEvidence()
+{
+    const Instant askedAt = m_timers.now();
+    const bool hearsStore = m_configuration.hearsStore();
+    const Json question = {{"from", m_settings.self.value()},
+                           {"revision", configuration().revision.value()}};
+    for (const Member &member : members()) {
+        const EntryId peer = member.heartbeat.from;
+        if (hearsStore && m_configuration.vouches().isAcknowledgedBy(peer))
+            continue;
+        m_peers.call(member.heartbeat.address, ControlCall{"evidence", question.dump()}, {},
+                     EvidenceCallTimeout, [this, peer, askedAt](const PeerResult &result) {
+                         takePeerEvidence(peer, result, askedAt);
+                     });
+    }
+}
+
+void ControlPlane::takePeerEvidence(const EntryId &peer, const PeerResult &result, Instant askedAt)
+{
+    const auto *reply = std::get_if<ControlReply>(&result.message);
+    if (result.outcome != PeerResult::Answered || !reply || reply->status != 200)
+        return;
+    const Json json = parseJson(reply->body);
+    const Revision revision(json.at("revision").get<uint64_t>());
+    const Duration age(json.at("age_ms").get<int64_t>());
+    m_configuration.vouches().acknowledgedBy(peer, askedAt);
+    if (json.contains("configuration")) {
+        auto newer = fromJson<Configuration>(json.at("configuration"));
+        newer.revision = revision;
+        m_configuration.takeConfiguration(std::move(newer));
+    }
+    if (json.at("vouched").get<bool>())
+        m_configuration.vouches().takeVouch(peer, revision, askedAt);
+    if (age.count() >= 0)
+        m_configuration.takeEvidence(revision, askedAt - age);
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/ControlPlane.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "Coordination/ConfigurationKeeper.h"
+#include "Coordination/MemberTable.h"
+#include "Coordination/ShardOwnership.h"
+#include "Protocol/Json.h"
+#include "Protocol/PeerNetwork.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace Cranberrymount {
+
+/** One member's answer to a call that went to all of them. */
+struct GatheredReply
+{
+    EntryId entry;
+    ControlReply reply;
+};
+
+/** What a call to all members brought. */
+struct Gathered
+{
+    std::vector<GatheredReply> replies;
+    /** Members that are alive by their heartbeats and did not answer. */
+    std::vector<EntryId> silent;
+};
+
+/**
+ * Everything that one entry instance decides, behind four interfaces: store, workers, peers and
+ * time. Runs on one thread; tests drive it through virtual time.
+ */
+class ControlPlane : private ShardContext
+{
+public:
+    struct Settings
+    {
+        EntryId self;
+        ZoneId zone;
+        Endpoint address;
+        std::string incarnation;
+        std::vector<Endpoint> peers;
+        uint32_t shardsPerZone = 1;
+        Duration heartbeatPeriod{1000};
+        ConfigurationKeeper::Settings configuration;
+        ShardOwnership::Settings ownership;
+    };
+
+    ControlPlane(Store &store, WorkerLink &workers, PeerNetwork &peers, TimerService &timers,
+                 Settings settings);
+
+    void start();
+    /** Tells the peers that this entry stops soon. */
+    void announceLeaving();
+    bool isLeaving() const { return m_leaving; }
+    /** Hands back all that this entry holds, then calls @p done. */
+    void handBack(std::function<void()> done);
+
+    /** Takes the platform's list of workers in. */
+    void setListed(ListVersion version, const std::vector<WorkerInfo> &workers);
+    /** Sets how many slots the heartbeats tell of. */
+    void setFreeSlots(uint32_t freeSlots) { m_freeSlots = freeSlots; }
+
+    void heard(const Heartbeat &heartbeat);
+    /** Answers a call from a peer or from this entry itself. */
+    void control(const ControlCall &call, std::function<void(ControlReply)> reply);
+
+    /** @return where a new job of @p tasks tasks of @p perTask should have its home. */
+    std::optional<ShardId> chooseHomeFor(const Resources &perTask, uint32_t tasks) const;
+    /** Calls the owner of @p shard, which may be this entry. */
+    void callOwner(const ShardId &shard, const ControlCall &call, const std::string &trace,
+                   std::function<void(PeerResult)> done);
+    /** Calls every member that is alive, this one included. */
+    void gather(const ControlCall &call, const std::string &trace,
+                std::function<void(Gathered)> done);
+
+    ConfigurationKeeper &configurationKeeper() { return m_configuration; }
+    const ConfigurationKeeper &configurationKeeper() const { return m_configuration; }
+    const ShardOwnership &ownership() const { return m_ownership; }
+    /** @return the members that were heard lately. */
+    std::vector<Member> members() const;
+    /** Adds figures of this entry to what the method "status" answers. */
+    void setStatusExtra(std::function<void(Json &)> extra);
+    void onConfigurationChange(std::function<void()> callback);
+
+private:
+    const Configuration &configuration() const override;
+    bool isConfigurationFresh() const override;
+    std::vector<ShardCandidate> otherShards() const override;
+    void offerMove(const ShardId &from, const OutgoingMove &move,
+                   std::function<void(MoveAnswer)> done) override;
+
+    void admitHere(const std::string &body, std::function<void(ControlReply)> reply);
+    void cancelHere(const std::string &body, std::function<void(ControlReply)> reply);
+    void adoptHere(const std::string &body, std::function<void(ControlReply)> reply);
+    std::string jobHere(const std::string &id) const;
+    std::string jobsHere() const;
+    std::string statusHere() const;
+    std::string evidenceHere(const std::string &body);
+
+    void beat();
+    Heartbeat heartbeat() const;
+    void askPeersForEvidence();
+    void takePeerEvidence(const EntryId &peer, const PeerResult &result, Instant askedAt);
+    ShardId shardOf(const WorkerInfo &worker) const;
+    std::vector<ShardCandidate> candidates(bool withOwn) const;
+
+    PeerNetwork &m_peers;
+    TimerService &m_timers;
+    Settings m_settings;
+    MemberTable m_members;
+    ConfigurationKeeper m_configuration;
+    ShardOwnership m_ownership;
+    uint32_t m_freeSlots = 0;
+    bool m_leaving = false;
+    std::function<void(Json &)> m_statusExtra;
+    std::function<void()> m_onConfigurationChange;
+};
+
+} // namespace Cranberrymount
--- a/Libraries/Service/JobViewJson.cpp
+++ b/Libraries/Coordination/JobViewJson.cpp
@@ -1,4 +1,4 @@
-#include "Service/JobViewJson.h"
+#include "Coordination/JobViewJson.h"
 
 namespace Cranberrymount {
 
--- /dev/null
+++ b/Libraries/Coordination/VouchBook.cpp
@@ -0,0 +1,99 @@
+#include "Coordination/VouchBook.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+VouchBook::VouchBook(EntryId self, Instant startedAt, Settings settings)
+    : m_self(std::move(self))
+    , m_startedAt(startedAt)
+    , m_settings(settings)
+{
+}
+
+void VouchBook::takeRegister(std::set<EntryId> registered, Instant askedAt, Instant now)
+{
+    m_registered = std::move(registered);
+    if (!m_registered.contains(m_self)) {
+        m_registeredSince.reset();
+        m_acknowledged.clear();
+    } else if (!m_registeredSince) {
+        m_registeredSince = now;
+    }
+    m_registerReadAt = askedAt;
+    // Whoever was met before this read and is not registered has left.
+    std::erase_if(m_met, [&](const auto &item) {
+        return item.second < askedAt && !m_registered.contains(item.first);
+    });
+}
+
+void VouchBook::meet(const EntryId &peer, Instant now)
+{
+    m_met[peer] = now;
+}
+
+void VouchBook::acknowledgedBy(const EntryId &peer, Instant askedAt)
+{
+    // A peer that met this entry before it was registered may have dropped it again.
+    if (m_registeredSince && askedAt >= *m_registeredSince)
+        m_acknowledged.insert(peer);
+}
+
+std::set<EntryId> VouchBook::needed() const
+{
+    std::set<EntryId> all = m_registered;
+    for (const auto &[peer, at] : m_met)
+        all.insert(peer);
+    all.erase(m_self);
+    return all;
+}
+
+bool VouchBook::mayVouch(Instant now, bool hearsStore) const
+{
+    return !hearsStore && m_changes == 0 && !m_isUncertain
+            && now - m_startedAt >= m_settings.restartSilence;
+}
+
+void VouchBook::promise(Instant now)
+{
+    m_promisedUntil = now + m_settings.promise;
+}
+
+bool VouchBook::mayChange(Instant now) const
+{
+    // An earlier life of this entry may have promised just before it ended.
+    const bool isPromised = (m_promisedUntil && now < *m_promisedUntil)
+            || now - m_startedAt < m_settings.promise;
+    if (isPromised || !m_registeredSince)
+        return false;
+    return std::all_of(m_registered.begin(), m_registered.end(), [this](const EntryId &entry) {
+        return entry == m_self || m_acknowledged.contains(entry);
+    });
+}
+
+void VouchBook::changeEnds(bool isCertain)
+{
+    --m_changes;
+    m_isUncertain = m_isUncertain || !isCertain;
+}
+
+void VouchBook::takeVouch(const EntryId &peer, Revision revision, Instant askedAt)
+{
+    m_vouches[peer] = {revision, askedAt};
+}
+
+std::optional<Instant> VouchBook::vouchedUntil(Revision revision) const
+{
+    if (!m_registerReadAt)
+        return std::nullopt;
+    Instant until = *m_registerReadAt + m_settings.extensionBound;
+    for (const EntryId &peer : needed()) {
+        const auto vouch = m_vouches.find(peer);
+        if (vouch == m_vouches.end() || vouch->second.revision > revision)
+            return std::nullopt;
+        until = std::min(until, vouch->second.askedAt + m_settings.promise);
+    }
+    return until;
+}
+
+} // namespace Cranberrymount
--- a/Libraries/Service/EntryApi.cpp
+++ b/Libraries/Service/EntryApi.cpp
@@ -259,7 +259,7 @@
 void EntryApi::status(const HttpRespond &respond)
 {
     onControl(respond, [this, respond] {
-        m_node.gather({"status", {}}, {}, [this, respond](const Gathered &all) {
+        m_node.plane().gather({"status", {}}, {}, [this, respond](const Gathered &all) {
             Json entries = Json::array();
             for (const GatheredReply &reply : all.replies)
                 entries.push_back(parseJson(reply.reply.body));
@@ -267,8 +267,8 @@
             for (const EntryId &entry : all.silent)
                 silent.push_back(entry.value());
             const Configuration &configuration
-                    = *m_node.configurationKeeper().configuration();
-            const auto age = m_node.configurationKeeper().evidenceAge();
+                    = *m_node.plane().configurationKeeper().configuration();
+            const auto age = m_node.plane().configurationKeeper().evidenceAge();
             Json zonesOut = Json::array();
             for (const ZoneId &zone : configuration.zonesOut)
                 zonesOut.push_back(zone.value());
--- a/Libraries/Service/EntryNode.h
+++ b/Libraries/Service/EntryNode.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "Coordination/ClaimBook.h"
-#include "Coordination/ConfigurationKeeper.h"
-#include "Coordination/MemberTable.h"
-#include "Coordination/ShardOwnership.h"
+#include "Coordination/ControlPlane.h"
 #include "Coordination/SlotTable.h"
 #include "Protocol/HttpStore.h"
 #include "Protocol/HttpWorkerLink.h"
+#include "Protocol/PostedPeerNetwork.h"
 #include "Protocol/TcpPeerNetwork.h"
 #include "Service/InstanceList.h"
 #include "Service/LookupRouter.h"
@@ -22,26 +21,11 @@
 
 namespace Cranberrymount {
 
-/** One member's answer to a call that went to all of them. */
-struct GatheredReply
-{
-    EntryId entry;
-    ControlReply reply;
-};
-
-/** What a call to all members brought. */
-struct Gathered
-{
-    std::vector<GatheredReply> replies;
-    /** Members that are alive by their heartbeats and did not answer. */
-    std::vector<EntryId> silent;
-};
-
 /**
  * One entry instance: all parts of the library, wired. The control thread runs everything that
  * decides; peer links, HTTP and lookups run on traffic threads.
  */
-class EntryNode : private ShardContext
+class EntryNode
 {
 public:
     explicit EntryNode(Settings settings);
@@ -69,53 +53,22 @@
     std::shared_ptr<const Configuration> latestConfiguration() const;
 
     // The rest is for the control thread.
-    /** Hands back all that this entry holds, then calls @p done. */
-    void handBack(std::function<void()> done);
+    ControlPlane &plane() { return m_plane; }
     Store &store() { return m_store; }
-    TimerService &timers() { return m_timers; }
-    ConfigurationKeeper &configurationKeeper() { return m_configuration; }
     ClaimBook &claims() { return m_claims; }
     RotatingLease &dayLease() { return m_dayLease; }
     const InstanceList &instances() const { return m_instances; }
-    /** @return where a new job of @p perTask times @p tasks should have its home. */
-    std::optional<ShardId> chooseHomeFor(const Resources &perTask, uint32_t tasks) const;
-    /** Calls the owner of @p shard, which may be this entry. */
-    void callOwner(const ShardId &shard, const ControlCall &call, const std::string &trace,
-                   std::function<void(PeerResult)> done);
-    /** Calls every member that is alive, this one included. */
-    void gather(const ControlCall &call, const std::string &trace,
-                std::function<void(Gathered)> done);
     /** Cuts this entry off from addresses and URLs, for failure tests. */
     void cut(const std::set<std::string> &peers, const std::vector<std::string> &urls);
 
 private:
-    const Configuration &configuration() const override;
-    bool isConfigurationFresh() const override;
-    std::vector<ShardCandidate> otherShards() const override;
-    void offerMove(const ShardId &from, const OutgoingMove &move,
-                   std::function<void(MoveAnswer)> done) override;
-
     void peerMessage(PeerMessage message, const std::string &trace,
                      std::function<void(PeerMessage)> reply);
-    void heard(const Heartbeat &heartbeat);
-    void control(const ControlCall &call, std::function<void(ControlReply)> reply);
-    void admitHere(const std::string &body, std::function<void(ControlReply)> reply);
-    void cancelHere(const std::string &body, std::function<void(ControlReply)> reply);
-    void adoptHere(const std::string &body, std::function<void(ControlReply)> reply);
-    std::string jobHere(const std::string &id) const;
-    std::string jobsHere() const;
-    std::string statusHere() const;
-    std::string evidenceHere() const;
-
-    void beat();
-    Heartbeat heartbeat() const;
     void updateSlots();
     Duration slotQuarantine() const;
     void updatePeers();
-    void askPeersForEvidence();
     void publishConfiguration();
-    ShardId shardOf(const WorkerInfo &worker) const;
-    std::vector<ShardCandidate> candidates(bool withOwn) const;
+    void addFigures(Json &status) const;
 
     Settings m_settings;
     Metrics m_metrics;
@@ -131,12 +84,11 @@
     HttpWorkerLink m_workers;
     SlotTable m_slots;
     TcpPeerNetwork m_peers;
+    PostedPeerNetwork m_controlPeers;
     LookupRouter m_router;
-    MemberTable m_members;
-    ConfigurationKeeper m_configuration;
+    ControlPlane m_plane;
     ClaimBook m_claims;
     RotatingLease m_dayLease;
-    ShardOwnership m_ownership;
     InstanceList m_instances;
     std::atomic<bool> m_leaving = false;
 
--- a/Libraries/Service/JobBook.cpp
+++ b/Libraries/Service/JobBook.cpp
@@ -1,7 +1,7 @@
 #include "Service/JobBook.h"
 
 #include "Protocol/ProtocolError.h"
-#include "Service/JobViewJson.h"
+#include "Coordination/JobViewJson.h"
 
 #include <algorithm>
 
@@ -98,7 +98,7 @@
               });
     if (!workers.empty() && !fitsSomewhere)
         return "no worker of the fleet is large enough for one task";
-    const auto &teams = m_node.configurationKeeper().configuration()->teams;
+    const auto &teams = m_node.plane().configurationKeeper().configuration()->teams;
     const auto team = teams.find(spec.team);
     const bool isGang = std::holds_alternative<GangPolicy>(spec.policy);
     const Resources atOnce = isGang ? spec.perTask.times(spec.tasks) : spec.perTask;
@@ -131,7 +131,7 @@
     const std::string reason = neverRuns(spec);
     if (!reason.empty())
         return done(notRun(422, "this job can never run: " + reason));
-    const auto home = m_node.chooseHomeFor(spec.perTask, spec.tasks);
+    const auto home = m_node.plane().chooseHomeFor(spec.perTask, spec.tasks);
     if (!home)
         return done(notRun(503, "no shard is ready to take a job; try again"));
     if (isNamed)
@@ -169,7 +169,7 @@
                     const std::string &trace, Done done)
 {
     const Json body = {{"shard", home.value()}, {"spec", spec}};
-    m_node.callOwner(
+    m_node.plane().callOwner(
             home, {"admit", body.dump()}, trace,
             [spec, home, mayBeRecorded, done = std::move(done)](const PeerResult &result) {
                 const auto *reply = std::get_if<ControlReply>(&result.message);
@@ -195,7 +195,7 @@
 
 void JobBook::cancel(const JobId &id, const std::string &trace, Done done)
 {
-    m_node.gather({"cancel", id.value()}, trace, [done = std::move(done)](const Gathered &all) {
+    m_node.plane().gather({"cancel", id.value()}, trace, [done = std::move(done)](const Gathered &all) {
         bool isFound = false;
         bool isRecorded = true;
         for (const GatheredReply &reply : all.replies) {
@@ -216,7 +216,7 @@
 
 void JobBook::show(const JobId &id, const std::string &trace, Done done)
 {
-    m_node.gather({"job", id.value()}, trace, [this, id, done = std::move(done)](const Gathered &all) {
+    m_node.plane().gather({"job", id.value()}, trace, [this, id, done = std::move(done)](const Gathered &all) {
         Json views = Json::array();
         for (const GatheredReply &reply : all.replies) {
             for (const Json &view : parseJson(reply.reply.body))
@@ -228,7 +228,7 @@
         }
         Json merged = mergeJobViews(views);
         merged["silent_entries"] = all.silent.size();
-        const auto age = m_node.configurationKeeper().evidenceAge();
+        const auto age = m_node.plane().configurationKeeper().evidenceAge();
         merged["configuration_age_ms"] = age ? age->count() : -1;
         done({200, std::move(merged)});
     });
@@ -236,7 +236,7 @@
 
 void JobBook::list(const std::string &trace, Done done)
 {
-    m_node.gather({"jobs", {}}, trace, [done = std::move(done)](const Gathered &all) {
+    m_node.plane().gather({"jobs", {}}, trace, [done = std::move(done)](const Gathered &all) {
         Json summaries = Json::array();
         for (const GatheredReply &reply : all.replies) {
             for (const Json &summary : parseJson(reply.reply.body))
--- a/Libraries/Service/PlanBook.cpp
+++ b/Libraries/Service/PlanBook.cpp
@@ -75,7 +75,7 @@
 void PlanBook::create(const Json &intentJson, const std::string &trace, Done done)
 {
     const Intent intent = intentFromJson(intentJson);
-    const Configuration base = *m_node.configurationKeeper().configuration();
+    const Configuration base = *m_node.plane().configurationKeeper().configuration();
     Configuration wanted = base;
     const std::string objection = applyIntent(intent, wanted);
     if (!objection.empty())
@@ -89,7 +89,7 @@
     const auto *drain = std::get_if<DrainZone>(&intent);
     if (!drain)
         return store(id, std::move(plan), std::move(done));
-    m_node.gather({"status", {}}, trace,
+    m_node.plane().gather({"status", {}}, trace,
                   [this, id, plan = std::move(plan), zone = drain->zone,
                    done = std::move(done)](const Gathered &status) mutable {
                       plan["forecast"] = forecastDrain(zone, status);
@@ -121,7 +121,7 @@
         Json plan = parseJson(read.entries.front().value);
         plan.erase("base");
         const auto decision
-                = decisionOn(*m_node.configurationKeeper().configuration(), id);
+                = decisionOn(*m_node.plane().configurationKeeper().configuration(), id);
         plan["state"] = decision ? decisionName(*decision) : "open";
         done({200, std::move(plan)});
     });
@@ -169,7 +169,7 @@
         keepDecision(configuration, id, decision);
         return true;
     };
-    m_node.configurationKeeper().change(change, [=](const ChangeResult &result) {
+    m_node.plane().configurationKeeper().change(change, [=](const ChangeResult &result) {
         const Json revision = result.current.revision.value();
         switch (result.outcome) {
         case ChangeResult::Changed:
--- a/Services/cranberrymountd/main.cpp
+++ b/Services/cranberrymountd/main.cpp
@@ -47,7 +47,7 @@
     waitUntil(limit, [&node] { return node.slots().slotsInUse() == 0; });
     std::promise<void> handedBack;
     const auto handed = handedBack.get_future();
-    node.onControl([&] { node.handBack([&handedBack] { handedBack.set_value(); }); });
+    node.onControl([&] { node.plane().handBack([&handedBack] { handedBack.set_value(); }); });
     handed.wait_until(limit);
     server.stopAccepting();
     waitUntil(limit, [&server] { return server.requestsInFlight() == 0; });
