--- a/Libraries/Coordination/RecordWriter.cpp
+++ b/Libraries/Coordination/RecordWriter.cpp
@@ -25,12 +25,6 @@
 {
 }
 
-RecordWriter::~RecordWriter()
-{
-    for (const Waiter &waiter : m_waiters)
-        waiter.done(false);
-}
-
 void RecordWriter::takeOver(Epoch epoch, std::function<void()> done)
 {
     m_store.read(m_key, [this, alive = std::weak_ptr(m_alive), epoch,
@@ -164,16 +158,21 @@
 }
 
 void RecordWriter::lose()
+{
+    const std::weak_ptr alive(m_alive);
+    abandon();
+    if (!alive.expired() && m_onLost)
+        m_onLost();
+}
+
+void RecordWriter::abandon()
 {
     m_lost = true;
     m_busy = false;
     std::vector<Waiter> waiters;
     waiters.swap(m_waiters);
-    const std::weak_ptr alive(m_alive);
     for (const Waiter &waiter : waiters)
         waiter.done(false);
-    if (!alive.expired() && m_onLost)
-        m_onLost();
 }
 
 void RecordWriter::retry(std::function<void()> action)
--- a/Libraries/Coordination/RecordWriter.h
+++ b/Libraries/Coordination/RecordWriter.h
@@ -30,7 +30,6 @@
     };
 
     RecordWriter(Store &store, TimerService &timers, const ShardId &shard, Settings settings);
-    ~RecordWriter();
 
     /**
      * Reads the record and writes it back under @p epoch, which fences the former owner.
@@ -47,6 +46,9 @@
     /** Calls @p done with true once all edits so far are in the store; false if that failed. */
     void whenRecorded(std::function<void(bool)> done);
 
+    /** Writes no more and tells all who wait that their edits may not be recorded. */
+    void abandon();
+
     /** @return true if writes are being answered. */
     bool isHealthy() const;
     bool hasUnwrittenEdits() const { return m_dirty || m_busy; }
--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -34,10 +34,15 @@
     return std::holds_alternative<ServicePolicy>(spec.policy);
 }
 
+std::size_t countOpen(const Portion &portion)
+{
+    return std::count_if(portion.tasks.begin(), portion.tasks.end(),
+                         [](const TaskRecord &task) { return task.phase == TaskPhase::Open; });
+}
+
 bool hasOpenTask(const Portion &portion)
 {
-    return std::any_of(portion.tasks.begin(), portion.tasks.end(),
-                       [](const TaskRecord &task) { return task.phase == TaskPhase::Open; });
+    return countOpen(portion) > 0;
 }
 
 const char *phaseName(TaskPhase phase)
@@ -119,9 +124,19 @@
 void ShardKeeper::handBack(std::function<void()> done)
 {
     m_isHandingBack = true;
-    m_record.whenRecorded([this, done = std::move(done)](bool) mutable {
-        m_pool.handBack(std::move(done));
-    });
+    m_record.whenRecorded(
+            [this, done = std::move(done), alive = std::weak_ptr(m_alive)](bool) mutable {
+                if (!alive.expired())
+                    m_pool.handBack(std::move(done));
+            });
+}
+
+void ShardKeeper::resign(std::function<void()> done)
+{
+    m_isHandingBack = true;
+    m_isActive = false;
+    m_record.abandon();
+    m_pool.handBack(std::move(done));
 }
 
 void ShardKeeper::setListed(ListVersion version, const std::vector<WorkerInfo> &workers)
@@ -213,8 +228,8 @@
     WaitingGroup group{spec.id, spec.team, spec.policy, spec.perTask, waitingIndexes(portion)};
     if (group.indexes.empty())
         return std::nullopt;
-    // Members of a gang start together: all are waiting, or none is started.
-    if (isGang(spec) && group.indexes.size() != portion.tasks.size())
+    // Members of a gang that have not ended start together.
+    if (isGang(spec) && group.indexes.size() != countOpen(portion))
         return std::nullopt;
     if (!isGang(spec) && group.indexes.size() > MaxGroupSize)
         group.indexes.resize(MaxGroupSize);
@@ -293,6 +308,9 @@
     for (const auto &[job, reason] : decision.reasons)
         m_memory[job].reason = reason;
     for (const Placement &placement : decision.placements) {
+        // The promise does not rest on the policy: what is alive or ended never starts.
+        if (m_live.contains(placement.task) || !isOpen(placement.task))
+            continue;
         const JobSpec &spec = m_record.record().portions.at(placement.task.job).spec;
         const AttemptId attempt((m_epoch.value() << AttemptBits) + ++m_attemptCount);
         m_live[placement.task] = {placement.worker, attempt, false, now};
@@ -544,7 +562,7 @@
     std::vector<std::pair<JobId, std::size_t>> waiting;
     for (const auto &[job, portion] : m_record.record().portions) {
         const std::size_t count = waitingIndexes(portion).size();
-        const bool isWhole = count == portion.tasks.size();
+        const bool isWhole = count == countOpen(portion);
         if (count == 0 || portion.cancelled || (isGang(portion.spec) && !isWhole))
             continue;
         const auto &memory = m_memory[job];
--- a/Libraries/Coordination/ShardKeeper.h
+++ b/Libraries/Coordination/ShardKeeper.h
@@ -123,6 +123,8 @@
     void raiseEpoch(Epoch epoch);
     /** Hands workers and shard back; @p done is called when nothing is held any more. */
     void handBack(std::function<void()> done);
+    /** Gives the workers back without waiting for the store, after the shard was lost. */
+    void resign(std::function<void()> done);
     /** Called when another owner has taken the shard over. */
     void onLost(std::function<void()> callback) { m_onLost = std::move(callback); }
 
--- a/Libraries/Coordination/ShardOwnership.cpp
+++ b/Libraries/Coordination/ShardOwnership.cpp
@@ -237,7 +237,7 @@
     // Kept alive until its workers have been asked to take their leases back.
     std::shared_ptr<ShardKeeper> keeper = std::move(found->second.keeper);
     m_owned.erase(found);
-    keeper->handBack([this, keeper] { m_timers.after(Duration(0), [keeper] {}); });
+    keeper->resign([this, keeper] { m_timers.after(Duration(0), [keeper] {}); });
 }
 
 void ShardOwnership::handBack(std::function<void()> done)
--- a/Libraries/Decision/ShardScheduler.cpp
+++ b/Libraries/Decision/ShardScheduler.cpp
@@ -62,7 +62,8 @@
     std::map<TeamId, TeamQueue> m_urgent;
     std::map<TeamId, TeamQueue> m_normal;
     std::vector<std::size_t> m_reserved;
-    JobId m_reservedFor;
+    /** The gang that was placed, or got a reservation, before all others. */
+    JobId m_handledFirst;
     ShardDecision m_decision;
 };
 
@@ -114,7 +115,10 @@
         if (!oldest || group.since < oldest->since)
             oldest = &group;
     }
-    if (!oldest || placeGang(*oldest))
+    if (!oldest)
+        return;
+    m_handledFirst = oldest->job;
+    if (placeGang(*oldest))
         return;
     // Workers on which the most of the gang would fit if they were empty hold it soonest.
     std::vector<std::size_t> order;
@@ -136,7 +140,6 @@
         m_reserved.push_back(position);
         m_choice.setAside(position);
     }
-    m_reservedFor = oldest->job;
     m_decision.reasons[oldest->job] = WaitReason::GangIncomplete;
 }
 
@@ -162,7 +165,7 @@
 bool SchedulingPass::placeHead(TeamQueue &queue)
 {
     WaitingGroup &group = queue.groups[queue.next];
-    if (group.indexes.empty() || group.job == m_reservedFor)
+    if (group.indexes.empty() || group.job == m_handledFirst)
         return false;
     if (!std::holds_alternative<GangPolicy>(group.policy))
         return placeIndependent(group);
--- /dev/null
+++ b/Tests/Unit/ShardSchedulerTest.cpp
@@ -0,0 +1,138 @@
+#include "Decision/ShardScheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace Cranberrymount;
+
+namespace {
+
+const Resources OneCore{CpuMillis(1000), MemoryMb(1000), AcceleratorCount(0)};
+const Resources FourCores{CpuMillis(4000), MemoryMb(4000), AcceleratorCount(0)};
+const Resources Plenty{CpuMillis(1'000'000), MemoryMb(1'000'000), AcceleratorCount(100)};
+
+class SchedulerFixture
+{
+protected:
+    SchedulerFixture()
+    {
+        view.now = Instant(Duration(1'000'000));
+        for (int number = 0; number < 2; ++number) {
+            view.workers.push_back({WorkerId("w" + std::to_string(number)),
+                                    RackId("r" + std::to_string(number)), FourCores, FourCores});
+        }
+        view.teams[TeamId("red")] = {1.0, {}, Plenty};
+        view.teams[TeamId("blue")] = {1.0, {}, Plenty};
+    }
+
+    void wait(const std::string &job, const std::string &team, const WorkPolicy &policy,
+              uint32_t tasks, Duration waited)
+    {
+        WaitingGroup group;
+        group.job = JobId(job);
+        group.team = TeamId(team);
+        group.policy = policy;
+        group.perTask = OneCore;
+        group.since = view.now - waited;
+        for (uint32_t index = 0; index < tasks; ++index)
+            group.indexes.push_back(index);
+        view.waiting.push_back(std::move(group));
+    }
+
+    std::size_t placed(const std::string &job) const
+    {
+        std::size_t count = 0;
+        for (const Placement &placement : decision.placements)
+            count += placement.task.job == JobId(job) ? 1 : 0;
+        return count;
+    }
+
+    void decide() { decision = ShardScheduler().decide(view); }
+
+    ShardView view;
+    ShardDecision decision;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SchedulerFixture, "Gang that waited long is placed once", "[scheduler]")
+{
+    wait("gang", "red", GangPolicy(), 4, Duration(60'000));
+    decide();
+    std::set<TaskId> tasks;
+    for (const Placement &placement : decision.placements)
+        tasks.insert(placement.task);
+    CHECK(decision.placements.size() == 4);
+    CHECK(tasks.size() == 4);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Gang that does not fit is not started in part", "[scheduler]")
+{
+    wait("gang", "red", GangPolicy(), 9, Duration(0));
+    decide();
+    CHECK(placed("gang") == 0);
+    CHECK(decision.reasons.at(JobId("gang")) == WaitReason::GangIncomplete);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Waiting gang holds back batch work behind it", "[scheduler]")
+{
+    view.workers[0].free = OneCore;
+    view.workers[1].free = OneCore;
+    wait("gang", "red", GangPolicy(), 8, Duration(60'000));
+    wait("batch", "blue", BatchPolicy(), 8, Duration(1000));
+    decide();
+    CHECK(placed("batch") == 0);
+    CHECK(decision.reasons.at(JobId("batch")) == WaitReason::BehindReservation);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Full shard is divided by the shares", "[scheduler]")
+{
+    view.teams[TeamId("red")].share = 3.0;
+    wait("much", "red", BatchPolicy(), 20, Duration(1000));
+    wait("more", "blue", BatchPolicy(), 20, Duration(9000));
+    decide();
+    CHECK(placed("much") + placed("more") == 8);
+    CHECK(placed("much") >= 4);
+    CHECK(placed("more") >= 1);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Team stays within its slice", "[scheduler]")
+{
+    view.teams[TeamId("red")].slice = OneCore.times(3);
+    wait("batch", "red", BatchPolicy(), 8, Duration(1000));
+    decide();
+    CHECK(placed("batch") == 3);
+    CHECK(decision.reasons.at(JobId("batch")) == WaitReason::TeamLimit);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Urgent work checkpoints batch tasks on a full shard", "[scheduler]")
+{
+    for (std::size_t number = 0; number < 2; ++number) {
+        view.workers[number].free = Resources();
+        for (uint32_t index = 0; index < 4; ++index) {
+            RunningTask task;
+            task.task = {JobId("old" + std::to_string(number)), index};
+            task.team = TeamId("blue");
+            task.worker = view.workers[number].id;
+            task.resources = OneCore;
+            task.isBatch = true;
+            task.since = view.now - Duration(1000 * (index + 1));
+            view.running.push_back(task);
+        }
+    }
+    wait("now", "red", BatchPolicy(), 1, Duration(1000));
+    view.waiting.back().urgent = true;
+    decide();
+    REQUIRE(decision.checkpoints.size() == 1);
+    // The task that has run for the shortest time loses the least.
+    CHECK(decision.checkpoints.front().index == 0);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Service replicas spread over racks", "[scheduler]")
+{
+    wait("service", "red", ServicePolicy(), 2, Duration(1000));
+    decide();
+    REQUIRE(decision.placements.size() == 2);
+    CHECK(decision.placements[0].worker != decision.placements[1].worker);
+}
--- /dev/null
+++ b/Tests/Unit/World.cpp
@@ -0,0 +1,877 @@
+#include "World.h"
+
+#include "Protocol/Json.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr Duration StoreTimeout{600};
+constexpr Duration WorkerTimeout{600};
+constexpr Duration WorkerLease{4000};
+constexpr Duration OrphanGrace{6000};
+constexpr Duration WorkerTick{50};
+constexpr Duration ListPeriod{500};
+/** "A few seconds" of the brief; the letter's bound for a configuration in force. */
+constexpr Duration InForceBound{6000};
+
+std::string describe(const TaskId &task)
+{
+    return task.job.value() + "/" + std::to_string(task.index);
+}
+
+} // namespace
+
+void EventQueue::at(Instant when, std::function<void()> action)
+{
+    m_events.push({std::max(when, m_now), m_order++, std::move(action)});
+}
+
+void EventQueue::runUntil(Instant end)
+{
+    while (!m_events.empty() && m_events.top().when <= end) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.when;
+        ++m_eventCount;
+        event.action();
+    }
+    m_now = end;
+}
+
+/** Timers of one node: silent after its death, held back while it is paused. */
+class World::NodeTimers : public TimerService
+{
+public:
+    NodeTimers(World &world, std::size_t node, uint64_t life)
+        : m_world(world)
+        , m_node(node)
+        , m_life(life)
+    {
+    }
+
+    Instant now() const override { return m_world.m_events.now(); }
+
+    void after(Duration delay, std::function<void()> callback) override
+    {
+        m_world.m_events.at(now() + delay, [this, &world = m_world, node = m_node, life = m_life,
+                                            callback = std::move(callback)]() mutable {
+            world.onNode(node, life, std::move(callback));
+        });
+    }
+
+private:
+    World &m_world;
+    std::size_t m_node;
+    uint64_t m_life;
+};
+
+class World::NodeStore : public Store
+{
+public:
+    NodeStore(World &world, std::size_t node)
+        : m_world(world)
+        , m_node(node)
+    {
+    }
+
+    void read(const std::string &key, std::function<void(StoreRead)> done) override
+    {
+        list(key, true, std::move(done));
+    }
+    void list(const std::string &prefix, std::function<void(StoreRead)> done) override
+    {
+        list(prefix, false, std::move(done));
+    }
+    void watch(const std::string &key, Revision, Duration wait,
+               std::function<void(StoreRead)> done) override
+    {
+        // The wait is spent before the question, so that evidence stays dated to its asking.
+        auto read = std::make_shared<StoreRead>();
+        m_world.exchange(
+                m_node, isCut(), StoreTimeout + wait,
+                [this, key, read] { *read = m_world.m_storeDown ? StoreRead() : find(key, true); },
+                [read, done = std::move(done)](bool isAnswered, bool) {
+                    done(isAnswered ? *read : StoreRead());
+                });
+    }
+    void write(StorePut put, std::function<void(StoreWrite)> done) override
+    {
+        auto result = std::make_shared<StoreWrite>();
+        m_world.exchange(
+                m_node, isCut(), StoreTimeout,
+                [this, put, result] {
+                    if (!m_world.m_storeDown)
+                        *result = m_world.serveWrite(put);
+                },
+                [result, done = std::move(done)](bool isAnswered, bool isSent) {
+                    if (!isSent)
+                        return done({StoreWrite::NotSent, {}});
+                    done(isAnswered ? *result : StoreWrite());
+                });
+    }
+    void remove(const std::string &key, Revision expected,
+                std::function<void(StoreWrite)> done) override
+    {
+        auto result = std::make_shared<StoreWrite>();
+        m_world.exchange(
+                m_node, isCut(), StoreTimeout,
+                [this, key, expected, result] {
+                    const auto found = m_world.m_values.find(key);
+                    if (m_world.m_storeDown || found == m_world.m_values.end()
+                        || found->second.revision != expected)
+                        return;
+                    m_world.m_values.erase(found);
+                    *result = {StoreWrite::Written, Revision(++m_world.m_revision)};
+                },
+                [result, done = std::move(done)](bool isAnswered, bool isSent) {
+                    if (!isSent)
+                        return done({StoreWrite::NotSent, {}});
+                    done(isAnswered ? *result : StoreWrite());
+                });
+    }
+    void createLease(Duration ttl, std::function<void(StoreLease)> done) override
+    {
+        lease(std::move(done), [this, ttl] {
+            const StoreLeaseId id(m_world.m_nextLease++);
+            m_world.m_leases[id] = {ttl, m_world.m_events.now() + ttl};
+            return StoreLease{true, true, id};
+        });
+    }
+    void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) override
+    {
+        lease(std::move(done), [this, id] {
+            m_world.expireLeases();
+            const auto found = m_world.m_leases.find(id);
+            if (found == m_world.m_leases.end())
+                return StoreLease{true, false, {}};
+            found->second.until = m_world.m_events.now() + found->second.ttl;
+            return StoreLease{true, true, id};
+        });
+    }
+    void endLease(StoreLeaseId id, std::function<void(StoreLease)> done) override
+    {
+        lease(std::move(done), [this, id] {
+            const auto found = m_world.m_leases.find(id);
+            if (found != m_world.m_leases.end())
+                found->second.until = Instant();
+            m_world.expireLeases();
+            return StoreLease{true, true, id};
+        });
+    }
+
+private:
+    bool isCut() const;
+
+    StoreRead find(const std::string &key, bool isExact)
+    {
+        m_world.expireLeases();
+        StoreRead read;
+        read.answered = true;
+        for (const auto &[name, stored] : m_world.m_values) {
+            if (isExact ? name == key : name.starts_with(key))
+                read.entries.push_back({name, stored.value, stored.revision});
+        }
+        return read;
+    }
+    void list(const std::string &key, bool isExact, std::function<void(StoreRead)> done)
+    {
+        auto read = std::make_shared<StoreRead>();
+        m_world.exchange(
+                m_node, isCut(), StoreTimeout,
+                [this, key, isExact, read] {
+                    if (!m_world.m_storeDown)
+                        *read = find(key, isExact);
+                },
+                [read, done = std::move(done)](bool isAnswered, bool) {
+                    done(isAnswered ? *read : StoreRead());
+                });
+    }
+    void lease(std::function<void(StoreLease)> done, std::function<StoreLease()> serve)
+    {
+        auto result = std::make_shared<StoreLease>();
+        m_world.exchange(
+                m_node, isCut(), StoreTimeout,
+                [this, result, serve = std::move(serve)] {
+                    if (!m_world.m_storeDown)
+                        *result = serve();
+                },
+                [result, done = std::move(done)](bool isAnswered, bool) {
+                    done(isAnswered ? *result : StoreLease());
+                });
+    }
+
+    World &m_world;
+    std::size_t m_node;
+};
+
+class World::NodeWorkers : public WorkerLink
+{
+public:
+    NodeWorkers(World &world, std::size_t node)
+        : m_world(world)
+        , m_node(node)
+    {
+    }
+
+    void lease(const WorkerInfo &worker, LeaseRequest request,
+               std::function<void(LeaseAnswer)> done) override;
+    void probe(const WorkerInfo &worker, std::function<void(bool)> done) override;
+    void start(const WorkerInfo &worker, Epoch epoch, std::vector<StartOrder> orders,
+               std::function<void(StartAnswer)> done) override;
+    void stop(const WorkerInfo &worker, Epoch epoch, std::vector<AttemptRef> attempts,
+              bool checkpoint) override;
+    void release(const WorkerInfo &worker, EntryId holder, Epoch epoch,
+                 std::function<void(bool)> done) override;
+
+private:
+    FakeWorker &find(const WorkerInfo &info) const
+    {
+        return *std::find_if(m_world.m_workers.begin(), m_world.m_workers.end(),
+                             [&](const auto &worker) { return worker.info.id == info.id; });
+    }
+
+    World &m_world;
+    std::size_t m_node;
+};
+
+class World::NodePeers : public PeerNetwork
+{
+public:
+    NodePeers(World &world, std::size_t node)
+        : m_world(world)
+        , m_node(node)
+    {
+    }
+
+    void send(const Endpoint &peer, PeerMessage message) override;
+    void call(const Endpoint &peer, PeerMessage message, const std::string &trace,
+              Duration timeout, std::function<void(PeerResult)> done) override;
+
+private:
+    World &m_world;
+    std::size_t m_node;
+};
+
+/** The parts of one life of a node; the control plane goes first when they are destroyed. */
+struct World::NodeParts
+{
+    NodeTimers timers;
+    NodeStore store;
+    NodeWorkers workers;
+    NodePeers peers;
+    std::unique_ptr<ControlPlane> plane = {};
+};
+
+struct World::Node
+{
+    int zone = 0;
+    EntryId id;
+    Endpoint address;
+    uint64_t life = 0;
+    bool isRunning = false;
+    Instant pausedUntil;
+    std::vector<std::function<void()>> heldBack;
+    std::unique_ptr<NodeParts> parts;
+};
+
+bool World::NodeStore::isCut() const
+{
+    return m_world.m_storeCutZones.contains(m_world.m_nodes[m_node]->zone);
+}
+
+void World::NodeWorkers::lease(const WorkerInfo &info, LeaseRequest request,
+                               std::function<void(LeaseAnswer)> done)
+{
+    auto answer = std::make_shared<LeaseAnswer>();
+    FakeWorker &worker = find(info);
+    // A held renewal costs only time; here a fixed part of it passes before the question.
+    const Duration pause = request.wait / 4;
+    m_world.m_events.at(m_world.m_events.now() + pause, [=, this, &worker] {
+        m_world.exchange(
+                m_node, worker.isDead, WorkerTimeout,
+                [=, this, &worker] { *answer = m_world.serveLease(worker, request); },
+                [answer, done](bool isAnswered, bool) {
+                    done(isAnswered ? *answer : LeaseAnswer());
+                });
+    });
+}
+
+void World::NodeWorkers::probe(const WorkerInfo &info, std::function<void(bool)> done)
+{
+    const FakeWorker &worker = find(info);
+    m_world.exchange(
+            m_node, worker.isDead, WorkerTimeout, [] {},
+            [done = std::move(done)](bool isAnswered, bool) { done(isAnswered); });
+}
+
+void World::NodeWorkers::start(const WorkerInfo &info, Epoch epoch, std::vector<StartOrder> orders,
+                               std::function<void(StartAnswer)> done)
+{
+    FakeWorker &worker = find(info);
+    auto answer = std::make_shared<StartAnswer>();
+    m_world.exchange(
+            m_node, worker.isDead, WorkerTimeout,
+            [=, this, &worker] {
+                m_world.enforceLease(worker);
+                if (worker.epoch != epoch || m_world.m_events.now() >= worker.leaseUntil) {
+                    m_world.trace("refused start of " + describe(orders.front().task) + " on "
+                                  + worker.info.id.value() + " epoch "
+                                  + std::to_string(epoch.value()) + " worker epoch "
+                                  + std::to_string(worker.epoch.value()));
+                    answer->outcome = StartAnswer::Refused;
+                    return;
+                }
+                for (const StartOrder &order : orders)
+                    m_world.startTask(worker, order);
+                answer->outcome = StartAnswer::Started;
+            },
+            [answer, done = std::move(done)](bool isAnswered, bool isSent) {
+                if (!isSent)
+                    return done({StartAnswer::NotSent});
+                done(isAnswered ? *answer : StartAnswer());
+            });
+}
+
+void World::NodeWorkers::stop(const WorkerInfo &info, Epoch epoch, std::vector<AttemptRef> attempts,
+                              bool)
+{
+    FakeWorker &worker = find(info);
+    m_world.exchange(
+            m_node, worker.isDead, WorkerTimeout,
+            [=, this, &worker] {
+                if (epoch < worker.epoch)
+                    return;
+                for (const AttemptRef &attempt : attempts)
+                    m_world.endTask(worker, attempt, AttemptOutcome::Stopped);
+            },
+            [](bool, bool) {});
+}
+
+void World::NodeWorkers::release(const WorkerInfo &info, EntryId holder, Epoch epoch,
+                                 std::function<void(bool)> done)
+{
+    FakeWorker &worker = find(info);
+    m_world.exchange(
+            m_node, worker.isDead, WorkerTimeout,
+            [=, this, &worker] {
+                if (worker.holder != holder || epoch < worker.epoch)
+                    return;
+                worker.holder = EntryId();
+                worker.epoch = epoch;
+                worker.leaseUntil = m_world.m_events.now();
+            },
+            [done = std::move(done)](bool isAnswered, bool) { done(isAnswered); });
+}
+
+void World::NodePeers::send(const Endpoint &peer, PeerMessage message)
+{
+    const std::size_t target = peer.port;
+    const Node &node = *m_world.m_nodes[target];
+    m_world.exchange(
+            m_node, m_world.isCutOff(m_node, node.zone), WorkerTimeout,
+            [this, target, message = std::move(message)] {
+                Node &receiver = *m_world.m_nodes[target];
+                m_world.onNode(target, receiver.life, [&receiver, message] {
+                    receiver.parts->plane->heard(std::get<Heartbeat>(message));
+                });
+            },
+            [](bool, bool) {});
+}
+
+void World::NodePeers::call(const Endpoint &peer, PeerMessage message, const std::string &,
+                            Duration timeout, std::function<void(PeerResult)> done)
+{
+    const std::size_t target = peer.port;
+    const std::size_t self = m_node;
+    World &world = m_world;
+    const Node &node = *world.m_nodes[target];
+    const uint64_t life = world.m_nodes[self]->life;
+    auto isOver = std::make_shared<bool>(false);
+    const auto finish = [&world, self, life, isOver, done = std::move(done)](PeerResult result) {
+        world.onNode(self, life, [isOver, done, result = std::move(result)] {
+            if (!std::exchange(*isOver, true))
+                done(result);
+        });
+    };
+    const bool isCut = world.isCutOff(self, node.zone) || !node.isRunning;
+    world.m_events.at(world.m_events.now() + timeout, [finish, isCut] {
+        finish({isCut ? PeerResult::NotSent : PeerResult::Unknown, {}});
+    });
+    if (isCut || world.chance(world.m_faults.lostRequests))
+        return;
+    world.m_events.at(world.m_events.now() + world.delay(), [&world, target, self, finish,
+                                                             message = std::move(message)] {
+        Node &receiver = *world.m_nodes[target];
+        world.onNode(target, receiver.life, [&world, &receiver, finish, message, self] {
+            receiver.parts->plane->control(std::get<ControlCall>(message), [&world, finish, &receiver,
+                                                                     self](ControlReply reply) {
+                if (world.chance(world.m_faults.lostAnswers)
+                    || world.isCutOff(self, receiver.zone))
+                    return;
+                world.m_events.at(world.m_events.now() + world.delay(), [finish, reply] {
+                    finish({PeerResult::Answered, reply});
+                });
+            });
+        });
+    });
+}
+
+World::World(uint64_t seed, Shape shape)
+    : m_shape(shape)
+    , m_random(seed)
+{
+    for (int zone = 0; zone < shape.zones; ++zone) {
+        for (int number = 0; number < shape.workersPerZone; ++number) {
+            FakeWorker worker;
+            worker.info.id = WorkerId("w" + std::to_string(zone) + "-" + std::to_string(number));
+            worker.info.zone = ZoneId("z" + std::to_string(zone));
+            worker.info.rack = RackId("r" + std::to_string(zone) + "-" + std::to_string(number / 2));
+            worker.info.capacity = shape.capacity;
+            m_workers.push_back(std::move(worker));
+        }
+    }
+    for (int zone = 0; zone < shape.zones; ++zone) {
+        for (int number = 0; number < shape.entriesPerZone; ++number) {
+            auto node = std::make_unique<Node>();
+            node->zone = zone;
+            node->id = EntryId("e" + std::to_string(zone) + "-" + std::to_string(number));
+            node->address = {"node", static_cast<uint16_t>(m_nodes.size())};
+            m_nodes.push_back(std::move(node));
+        }
+    }
+    for (std::size_t index = 0; index < m_nodes.size(); ++index)
+        startNode(index);
+    beatWorkers();
+}
+
+World::~World() = default;
+
+void World::startNode(std::size_t index)
+{
+    Node &node = *m_nodes[index];
+    ++node.life;
+    node.isRunning = true;
+    // Messages of an earlier life may still be under way.
+    m_former.push_back(std::move(node.parts));
+    node.pausedUntil = Instant();
+    node.heldBack.clear();
+    node.parts.reset(new NodeParts{NodeTimers(*this, index, node.life), NodeStore(*this, index),
+                                   NodeWorkers(*this, index), NodePeers(*this, index)});
+    ControlPlane::Settings settings;
+    settings.self = node.id;
+    settings.zone = ZoneId("z" + std::to_string(node.zone));
+    settings.address = node.address;
+    settings.incarnation = std::to_string(node.life);
+    for (const auto &other : m_nodes)
+        settings.peers.push_back(other->address);
+    settings.heartbeatPeriod = Duration(500);
+    settings.ownership.self = node.id;
+    settings.ownership.zone = settings.zone;
+    settings.ownership.address = node.address;
+    settings.ownership.incarnation = settings.incarnation;
+    settings.ownership.leaseTtl = Duration(3000);
+    settings.ownership.keeper.pool.leaseTtl = WorkerLease;
+    settings.ownership.keeper.pool.orphanGrace = OrphanGrace;
+    NodeParts &parts = *node.parts;
+    parts.plane = std::make_unique<ControlPlane>(parts.store, parts.workers, parts.peers,
+                                                 parts.timers, settings);
+    parts.plane->start();
+    feedList(index, node.life);
+}
+
+void World::feedList(std::size_t index, uint64_t life)
+{
+    onNode(index, life, [this, index, life] {
+        std::vector<WorkerInfo> listed;
+        for (const FakeWorker &worker : m_workers) {
+            if (!worker.isDead)
+                listed.push_back(worker.info);
+        }
+        m_nodes[index]->parts->plane->setListed(m_listVersion, listed);
+        m_events.at(m_events.now() + ListPeriod, [this, index, life] { feedList(index, life); });
+    });
+}
+
+void World::onNode(std::size_t index, uint64_t life, std::function<void()> action)
+{
+    Node &node = *m_nodes[index];
+    if (!node.isRunning || node.life != life)
+        return;
+    if (m_events.now() < node.pausedUntil) {
+        node.heldBack.push_back(std::move(action));
+        return;
+    }
+    action();
+}
+
+bool World::chance(double part)
+{
+    constexpr uint32_t Steps = 1'000'000;
+    return m_random(Steps) < static_cast<uint64_t>(part * Steps);
+}
+
+int World::below(int bound)
+{
+    return static_cast<int>(m_random(static_cast<uint64_t>(bound)));
+}
+
+Duration World::delay()
+{
+    if (chance(m_faults.late))
+        return Duration(500 + below(4000));
+    return Duration(1 + below(static_cast<int>(m_faults.maxDelay.count())));
+}
+
+void World::exchange(std::size_t index, bool isCut, Duration timeout, std::function<void()> serve,
+                     std::function<void(bool, bool)> answer)
+{
+    const uint64_t life = m_nodes[index]->life;
+    auto isOver = std::make_shared<bool>(false);
+    const auto finish = [this, index, life, isOver, answer = std::move(answer)](bool isAnswered,
+                                                                                bool isSent) {
+        onNode(index, life, [isOver, answer, isAnswered, isSent] {
+            if (!std::exchange(*isOver, true))
+                answer(isAnswered, isSent);
+        });
+    };
+    m_events.at(m_events.now() + timeout, [finish, isCut] { finish(false, !isCut); });
+    if (isCut || chance(m_faults.lostRequests))
+        return;
+    m_events.at(m_events.now() + delay(), [this, serve = std::move(serve), finish] {
+        serve();
+        if (!chance(m_faults.lostAnswers))
+            m_events.at(m_events.now() + delay(), [finish] { finish(true, true); });
+    });
+}
+
+void World::trace(const std::string &what) const
+{
+    if (std::getenv("HISTORY_TRACE"))
+        std::cerr << elapsed().count() << " " << what << "\n";
+}
+
+void World::run(Duration time)
+{
+    m_events.runUntil(m_events.now() + time);
+}
+
+bool World::runUntil(const std::function<bool()> &condition, Duration limit)
+{
+    const Instant end = m_events.now() + limit;
+    while (!condition()) {
+        if (m_events.now() >= end)
+            return false;
+        run(Duration(100));
+    }
+    return true;
+}
+
+Duration World::elapsed() const
+{
+    return std::chrono::duration_cast<Duration>(m_events.now().time_since_epoch());
+}
+
+ControlPlane *World::plane(std::size_t entry)
+{
+    return m_nodes[entry]->isRunning ? m_nodes[entry]->parts->plane.get() : nullptr;
+}
+
+bool World::change(const std::function<void(Configuration &)> &change)
+{
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        if (!plane(index) || m_events.now() < m_nodes[index]->pausedUntil)
+            continue;
+        auto outcome = std::make_shared<std::optional<ChangeResult::Outcome>>();
+        plane(index)->configurationKeeper().change(
+                [change](Configuration &configuration) {
+                    change(configuration);
+                    return true;
+                },
+                [outcome](const ChangeResult &result) { *outcome = result.outcome; });
+        runUntil([&] { return outcome->has_value(); }, Duration(20'000));
+        if (*outcome == ChangeResult::Changed)
+            return true;
+    }
+    return false;
+}
+
+bool World::submit(const JobSpec &spec)
+{
+    const auto entry = static_cast<std::size_t>(below(static_cast<int>(m_nodes.size())));
+    ControlPlane *node = plane(entry);
+    if (!node)
+        return false;
+    const auto home = node->chooseHomeFor(spec.perTask, spec.tasks);
+    if (!home)
+        return false;
+    auto isRecorded = std::make_shared<bool>(false);
+    auto isAnswered = std::make_shared<bool>(false);
+    onNode(entry, m_nodes[entry]->life, [=] {
+        node->callOwner(*home, {"admit", Json{{"shard", home->value()}, {"spec", spec}}.dump()}, {},
+                        [isRecorded, isAnswered](const PeerResult &result) {
+                            const auto *reply = std::get_if<ControlReply>(&result.message);
+                            *isAnswered = true;
+                            *isRecorded = result.outcome == PeerResult::Answered && reply
+                                    && reply->body == "recorded";
+                        });
+    });
+    runUntil([&] { return *isAnswered; }, Duration(5000));
+    return *isRecorded;
+}
+
+void World::cancel(const JobId &job)
+{
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        if (plane(index))
+            plane(index)->control({"cancel", job.value()}, [](const ControlReply &) {});
+    }
+}
+
+void World::kill(std::size_t entry)
+{
+    trace("kill " + m_nodes[entry]->id.value());
+    m_nodes[entry]->isRunning = false;
+    m_nodes[entry]->heldBack.clear();
+}
+
+void World::restart(std::size_t entry)
+{
+    if (m_nodes[entry]->isRunning)
+        return;
+    trace("restart " + m_nodes[entry]->id.value());
+    startNode(entry);
+}
+
+void World::pause(std::size_t entry, Duration time)
+{
+    Node &node = *m_nodes[entry];
+    if (!node.isRunning)
+        return;
+    trace("pause " + node.id.value() + " for " + std::to_string(time.count()));
+    node.pausedUntil = m_events.now() + time;
+    const uint64_t life = node.life;
+    m_events.at(node.pausedUntil, [this, entry, life] {
+        Node &paused = *m_nodes[entry];
+        if (paused.life != life || m_events.now() < paused.pausedUntil)
+            return;
+        std::vector<std::function<void()>> heldBack;
+        heldBack.swap(paused.heldBack);
+        for (auto &action : heldBack)
+            onNode(entry, life, std::move(action));
+    });
+}
+
+bool World::isCutOff(std::size_t from, int zone) const
+{
+    const int own = m_nodes[from]->zone;
+    return own != zone && (m_cutZones.contains(own) || m_cutZones.contains(zone));
+}
+
+void World::cut(int zone, bool fromStore)
+{
+    trace("cut z" + std::to_string(zone) + (fromStore ? " also from the store" : ""));
+    m_cutZones.insert(zone);
+    if (fromStore)
+        m_storeCutZones.insert(zone);
+}
+
+void World::storeDown(bool isDown)
+{
+    trace(isDown ? "store down" : "store up");
+    m_storeDown = isDown;
+}
+
+void World::heal()
+{
+    trace("heal");
+    m_cutZones.clear();
+    m_storeCutZones.clear();
+}
+
+void World::killWorker(std::size_t index)
+{
+    FakeWorker &worker = m_workers[index];
+    worker.isDead = true;
+    worker.running.clear();
+    worker.ended.clear();
+    // The list tells of it later.
+    m_events.at(m_events.now() + Duration(3000),
+                [this] { m_listVersion = ListVersion(m_listVersion.value() + 1); });
+}
+
+void World::expireLeases()
+{
+    std::erase_if(m_leases, [this](const auto &item) {
+        if (item.second.until >= m_events.now())
+            return false;
+        std::erase_if(m_values, [&](const auto &value) { return value.second.lease == item.first; });
+        return true;
+    });
+}
+
+StoreWrite World::serveWrite(const StorePut &put)
+{
+    expireLeases();
+    const auto found = m_values.find(put.key);
+    const Revision revision = found == m_values.end() ? Revision() : found->second.revision;
+    const bool isLeaseGone = put.lease != StoreLeaseId() && !m_leases.contains(put.lease);
+    if (revision != put.expected || isLeaseGone)
+        return {StoreWrite::Conflict, revision};
+    m_values[put.key] = {put.value, Revision(++m_revision), put.lease};
+    if (put.key == "configuration")
+        noteZones(decodeJson<Configuration>(put.value));
+    return {StoreWrite::Written, Revision(m_revision)};
+}
+
+void World::noteZones(const Configuration &configuration)
+{
+    std::erase_if(m_zoneOutSince, [&](const auto &item) {
+        return !configuration.zonesOut.contains(item.first);
+    });
+    for (const ZoneId &zone : configuration.zonesOut)
+        m_zoneOutSince.try_emplace(zone, m_events.now());
+}
+
+void World::enforceLease(FakeWorker &worker)
+{
+    if (m_events.now() <= worker.leaseUntil + OrphanGrace)
+        return;
+    while (!worker.running.empty()) {
+        const AttemptRef attempt = worker.running.begin()->first;
+        endTask(worker, attempt, AttemptOutcome::Stopped);
+    }
+}
+
+void World::beatWorkers()
+{
+    for (FakeWorker &worker : m_workers)
+        enforceLease(worker);
+    m_events.at(m_events.now() + WorkerTick, [this] { beatWorkers(); });
+}
+
+LeaseAnswer World::serveLease(FakeWorker &worker, const LeaseRequest &request)
+{
+    enforceLease(worker);
+    LeaseAnswer answer;
+    const bool isLive = m_events.now() < worker.leaseUntil && !worker.holder.isEmpty();
+    if (request.epoch < worker.epoch || (isLive && worker.holder != request.holder)) {
+        answer.outcome = LeaseAnswer::Held;
+        return answer;
+    }
+    const bool isNew = worker.holder != request.holder || !isLive;
+    worker.holder = request.holder;
+    worker.epoch = request.epoch;
+    worker.leaseUntil = m_events.now() + request.ttl;
+    for (const AttemptRef &attempt : request.acknowledged)
+        worker.ended.erase(attempt);
+    answer.outcome = LeaseAnswer::Granted;
+    trace("lease " + worker.info.id.value() + " to " + worker.holder.value() + " epoch "
+          + std::to_string(worker.epoch.value()) + (request.complete ? " complete" : "")
+          + (isNew ? " new" : ""));
+    answer.report.epoch = worker.epoch;
+    answer.report.complete = isNew || request.complete;
+    answer.report.runningCount = worker.running.size();
+    for (const auto &[attempt, outcome] : worker.ended)
+        answer.report.ended.push_back({attempt.task, attempt.attempt, outcome});
+    if (!answer.report.complete)
+        return answer;
+    for (const auto &[attempt, order] : worker.running)
+        answer.report.running.push_back({attempt.task, attempt.attempt, order.team, order.resources});
+    return answer;
+}
+
+void World::startTask(FakeWorker &worker, const StartOrder &order)
+{
+    const AttemptRef attempt{order.task, order.attempt};
+    if (worker.running.contains(attempt) || worker.ended.contains(attempt))
+        return;
+    worker.running.emplace(attempt, order);
+    ++m_startCount;
+    trace("start " + describe(order.task) + " on " + worker.info.id.value() + " by "
+          + worker.holder.value());
+    judgeStart(worker, order);
+    const bool willFail = worker.failsAll || order.payload == "fail";
+    m_events.at(m_events.now() + m_shape.taskTime, [this, &worker, attempt, willFail] {
+        endTask(worker, attempt, willFail ? AttemptOutcome::Failed : AttemptOutcome::Done);
+    });
+}
+
+void World::endTask(FakeWorker &worker, const AttemptRef &attempt, AttemptOutcome outcome)
+{
+    if (worker.running.erase(attempt) == 0)
+        return;
+    worker.ended[attempt] = outcome;
+    trace("end " + describe(attempt.task) + " on " + worker.info.id.value() + " outcome "
+          + std::to_string(static_cast<int>(outcome)));
+    if (outcome == AttemptOutcome::Done)
+        ++m_done[attempt.task.job][attempt.task.index];
+}
+
+void World::judgeStart(const FakeWorker &worker, const StartOrder &order)
+{
+    Resources used;
+    for (const auto &[attempt, running] : worker.running)
+        used += running.resources;
+    if (!used.fitsIn(worker.info.capacity))
+        m_violations.push_back("overcommitted " + worker.info.id.value());
+    std::size_t copies = 0;
+    Resources ofTeam;
+    for (const FakeWorker &other : m_workers) {
+        for (const auto &[attempt, running] : other.running) {
+            copies += attempt.task == order.task ? 1 : 0;
+            if (running.team == order.team)
+                ofTeam += running.resources;
+        }
+    }
+    if (copies > 1)
+        m_violations.push_back("two places: " + describe(order.task));
+    const auto limit = m_limits.find(order.team);
+    if (limit != m_limits.end() && !ofTeam.fitsIn(limit->second))
+        m_violations.push_back("above the limit: team " + order.team.value());
+    for (const auto &[zone, since] : m_zoneOutSince) {
+        if (worker.info.zone == zone && m_events.now() - since > InForceBound)
+            m_violations.push_back("start in zone that is out: " + worker.info.id.value());
+    }
+}
+
+std::size_t World::doneTasks(const JobId &job) const
+{
+    const auto found = m_done.find(job);
+    return found == m_done.end() ? 0 : found->second.size();
+}
+
+std::size_t World::doneAttempts(const JobId &job) const
+{
+    const auto found = m_done.find(job);
+    std::size_t attempts = 0;
+    if (found == m_done.end())
+        return attempts;
+    for (const auto &[index, count] : found->second)
+        attempts += count;
+    return attempts;
+}
+
+bool World::isRecordedDone(const JobId &job, std::size_t tasks) const
+{
+    std::set<uint32_t> done;
+    for (const auto &[key, stored] : m_values) {
+        if (!key.starts_with("record/"))
+            continue;
+        const auto record = decodeJson<ShardRecord>(stored.value);
+        const auto portion = record.portions.find(job);
+        if (portion == record.portions.end())
+            continue;
+        for (const TaskRecord &task : portion->second.tasks) {
+            if (task.phase == TaskPhase::Done)
+                done.insert(task.index);
+        }
+    }
+    return done.size() == tasks;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Tests/Unit/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
