--- a/Libraries/Coordination/ClaimBook.cpp
+++ b/Libraries/Coordination/ClaimBook.cpp
@@ -37,8 +37,8 @@
 {
 }
 
-void ClaimBook::claim(const std::string &scope, const std::string &digest,
-                      const std::string &nonce, std::function<void(ClaimResult)> done)
+void ClaimBook::claim(const std::string &scope, const std::string &digest, const std::string &nonce,
+                      std::function<void(ClaimResult)> done)
 {
     if (m_lease.current() == StoreLeaseId())
         return done({ClaimResult::NotRun});
--- a/Libraries/Coordination/ConfigurationKeeper.cpp
+++ b/Libraries/Coordination/ConfigurationKeeper.cpp
@@ -87,8 +87,7 @@
     m_store.read(key, [this, key, done = std::move(done)](const StoreRead &read) {
         if (read.entries.empty())
             return done();
-        m_store.remove(key, read.entries.front().revision,
-                       [done](const StoreWrite &) { done(); });
+        m_store.remove(key, read.entries.front().revision, [done](const StoreWrite &) { done(); });
     });
 }
 
@@ -122,7 +121,7 @@
 bool ConfigurationKeeper::hearsStore() const
 {
     return m_storeHeardAt
-            && m_timers.now() - *m_storeHeardAt < m_settings.watchWait + m_settings.watchWait;
+        && m_timers.now() - *m_storeHeardAt < m_settings.watchWait + m_settings.watchWait;
 }
 
 void ConfigurationKeeper::watch()
@@ -135,11 +134,10 @@
                       takeRead(read, askedAt);
                       // A read that answers at once must not become a busy loop.
                       const bool early = m_timers.now() - askedAt < m_settings.retryDelay;
-                      m_timers.after(early ? m_settings.retryDelay : Duration(1),
-                                     [this, alive] {
-                                         if (!alive.expired())
-                                             watch();
-                                     });
+                      m_timers.after(early ? m_settings.retryDelay : Duration(1), [this, alive] {
+                          if (!alive.expired())
+                              watch();
+                      });
                   });
 }
 
@@ -211,11 +209,12 @@
     if (m_hasLeft || now >= deadline)
         return done({ChangeResult::NotSent, *m_configuration});
     if (!m_vouches.mayChange(now)) {
-        m_timers.after(m_settings.retryDelay, [this, alive = std::weak_ptr(m_alive), change,
-                                               done = std::move(done), deadline] {
-            if (!alive.expired())
-                beginChange(change, done, deadline);
-        });
+        m_timers.after(
+            m_settings.retryDelay,
+            [this, alive = std::weak_ptr(m_alive), change, done = std::move(done), deadline] {
+                if (!alive.expired())
+                    beginChange(change, done, deadline);
+            });
         return;
     }
     m_vouches.changeBegins();
@@ -231,34 +230,36 @@
                                         unsigned attempts)
 {
     const Instant askedAt = m_timers.now();
-    m_store.read(ConfigurationKey, [this, alive = std::weak_ptr(m_alive), askedAt, change, done,
-                                    attempts](const StoreRead &read) {
-        if (alive.expired())
-            return;
-        if (!read.answered || attempts >= MaxChangeAttempts)
-            return done({ChangeResult::NotSent, *m_configuration});
-        takeRead(read, askedAt);
-        Configuration wanted = *m_configuration;
-        if (!change(wanted))
-            return done({ChangeResult::Refused, *m_configuration});
-        m_store.write({ConfigurationKey, Json(wanted).dump(), wanted.revision},
-                      [this, alive, wanted, change, done, attempts](const StoreWrite &write) {
-                          if (alive.expired())
-                              return;
-                          if (write.outcome == StoreWrite::Written) {
-                              Configuration current = wanted;
-                              current.revision = write.revision;
-                              m_vouches.changesSettled();
-                              takeConfiguration(current);
-                              return done({ChangeResult::Changed, current});
-                          }
-                          if (write.outcome == StoreWrite::Conflict)
-                              return attemptChange(change, done, attempts + 1);
-                          if (write.outcome == StoreWrite::NotSent)
-                              return done({ChangeResult::NotSent, *m_configuration});
-                          settleUnknown(wanted, change, done, attempts);
-                      });
-    });
+    m_store.read(ConfigurationKey,
+                 [this, alive = std::weak_ptr(m_alive), askedAt, change, done,
+                  attempts](const StoreRead &read) {
+                     if (alive.expired())
+                         return;
+                     if (!read.answered || attempts >= MaxChangeAttempts)
+                         return done({ChangeResult::NotSent, *m_configuration});
+                     takeRead(read, askedAt);
+                     Configuration wanted = *m_configuration;
+                     if (!change(wanted))
+                         return done({ChangeResult::Refused, *m_configuration});
+                     m_store.write(
+                         {ConfigurationKey, Json(wanted).dump(), wanted.revision},
+                         [this, alive, wanted, change, done, attempts](const StoreWrite &write) {
+                             if (alive.expired())
+                                 return;
+                             if (write.outcome == StoreWrite::Written) {
+                                 Configuration current = wanted;
+                                 current.revision = write.revision;
+                                 m_vouches.changesSettled();
+                                 takeConfiguration(current);
+                                 return done({ChangeResult::Changed, current});
+                             }
+                             if (write.outcome == StoreWrite::Conflict)
+                                 return attemptChange(change, done, attempts + 1);
+                             if (write.outcome == StoreWrite::NotSent)
+                                 return done({ChangeResult::NotSent, *m_configuration});
+                             settleUnknown(wanted, change, done, attempts);
+                         });
+                 });
 }
 
 /** Tells by a read whether a write with a lost answer took effect. */
@@ -268,21 +269,23 @@
                                         unsigned attempts)
 {
     const Instant askedAt = m_timers.now();
-    m_store.read(ConfigurationKey, [this, alive = std::weak_ptr(m_alive), askedAt, wanted, change,
-                                    done, attempts](const StoreRead &read) {
-        if (alive.expired())
-            return;
-        if (!read.answered)
-            return done({ChangeResult::Unknown, *m_configuration});
-        takeRead(read, askedAt);
-        Configuration current = *m_configuration;
-        Configuration expected = wanted;
-        expected.revision = current.revision;
-        if (current == expected)
-            return done({ChangeResult::Changed, current});
-        // Either another change came first or the write did not land: the guarded write decides.
-        attemptChange(change, done, attempts + 1);
-    });
+    m_store.read(ConfigurationKey,
+                 [this, alive = std::weak_ptr(m_alive), askedAt, wanted, change, done,
+                  attempts](const StoreRead &read) {
+                     if (alive.expired())
+                         return;
+                     if (!read.answered)
+                         return done({ChangeResult::Unknown, *m_configuration});
+                     takeRead(read, askedAt);
+                     Configuration current = *m_configuration;
+                     Configuration expected = wanted;
+                     expected.revision = current.revision;
+                     if (current == expected)
+                         return done({ChangeResult::Changed, current});
+                     // Either another change came first or the write did not land: the guarded
+                     // write decides.
+                     attemptChange(change, done, attempts + 1);
+                 });
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Coordination/ControlPlane.cpp
+++ b/Libraries/Coordination/ControlPlane.cpp
@@ -71,7 +71,7 @@
 void ControlPlane::handBack(std::function<void()> done)
 {
     m_ownership.handBack(
-            [this, done = std::move(done)]() mutable { m_configuration.leave(std::move(done)); });
+        [this, done = std::move(done)]() mutable { m_configuration.leave(std::move(done)); });
 }
 
 void ControlPlane::setListed(ListVersion version, const std::vector<WorkerInfo> &workers)
@@ -150,7 +150,7 @@
 }
 
 void ControlPlane::offerMove(const ShardId &from, const OutgoingMove &move,
-                          std::function<void(MoveAnswer)> done)
+                             std::function<void(MoveAnswer)> done)
 {
     const Json body = {{"shard", move.target.value()},
                        {"from", from.value()},
@@ -159,8 +159,8 @@
     callOwner(move.target, {"adopt", body.dump()}, {},
               [done = std::move(done)](const PeerResult &result) {
                   const auto *reply = std::get_if<ControlReply>(&result.message);
-                  const bool isTaken
-                          = result.outcome == PeerResult::Answered && reply && reply->status == 200;
+                  const bool isTaken =
+                      result.outcome == PeerResult::Answered && reply && reply->status == 200;
                   done(isTaken ? MoveAnswer::Taken : MoveAnswer::Unknown);
               });
 }
@@ -340,7 +340,8 @@
 std::string ControlPlane::evidenceHere(const std::string &body)
 {
     const Json question = parseJson(body);
-    const bool isVouched = m_configuration.vouchFor(EntryId(question.at("from").get<std::string>()));
+    const bool isVouched =
+        m_configuration.vouchFor(EntryId(question.at("from").get<std::string>()));
     const auto age = m_configuration.evidenceAge();
     Json answer = {{"revision", configuration().revision.value()},
                    {"age_ms", age ? age->count() : -1},
--- a/Libraries/Coordination/EscrowKeeper.cpp
+++ b/Libraries/Coordination/EscrowKeeper.cpp
@@ -116,8 +116,8 @@
         return;
     if (!slice.isRead)
         return readRecord(team);
-    const bool limitChanged = slice.recordLimitRevision < slice.limitRevision
-            && !sumOf(slice.slices).fitsIn(slice.limit);
+    const bool limitChanged =
+        slice.recordLimitRevision < slice.limitRevision && !sumOf(slice.slices).fitsIn(slice.limit);
     if (!slice.isConfirmed || limitChanged)
         return writeRecord(team, desired(slice));
     if (!slice.need.fitsIn(slice.usable)) {
@@ -188,9 +188,8 @@
         if (part != Resources())
             parts[shard.value()] = part;
     }
-    const Json record = {{"limit", slice.limit},
-                         {"limit_revision", slice.limitRevision.value()},
-                         {"slices", parts}};
+    const Json record = {
+        {"limit", slice.limit}, {"limit_revision", slice.limitRevision.value()}, {"slices", parts}};
     m_store.write({escrowKey(team), record.dump(), slice.revision},
                   [this, alive = std::weak_ptr(m_alive), team, slices, granted,
                    limitRevision = slice.limitRevision](const StoreWrite &write) {
@@ -202,8 +201,8 @@
                       slice.isRead = slice.isConfirmed;
                       if (!slice.isConfirmed) {
                           const bool raced = write.outcome == StoreWrite::Conflict;
-                          slice.nextTry = m_timers.now()
-                                  + (raced ? Duration(20) : m_settings.retryDelay);
+                          slice.nextTry =
+                              m_timers.now() + (raced ? Duration(20) : m_settings.retryDelay);
                           return;
                       }
                       slice.slices = slices;
--- a/Libraries/Coordination/JobViewJson.cpp
+++ b/Libraries/Coordination/JobViewJson.cpp
@@ -22,12 +22,8 @@
             shown["failures"] = task.failures;
         tasks.push_back(std::move(shown));
     }
-    return {{"spec", view.spec},
-            {"shard", view.shard.value()},
-            {"cancelled", view.cancelled},
-            {"tasks", tasks},
-            {"wait_reason", view.waitReason},
-            {"history", view.history}};
+    return {{"spec", view.spec}, {"shard", view.shard.value()},    {"cancelled", view.cancelled},
+            {"tasks", tasks},    {"wait_reason", view.waitReason}, {"history", view.history}};
 }
 
 Json summarizeJobView(const JobView &view)
--- a/Libraries/Coordination/RecordWriter.cpp
+++ b/Libraries/Coordination/RecordWriter.cpp
@@ -27,30 +27,31 @@
 
 void RecordWriter::takeOver(Epoch epoch, std::function<void()> done)
 {
-    m_store.read(m_key, [this, alive = std::weak_ptr(m_alive), epoch,
-                         done = std::move(done)](const StoreRead &read) mutable {
-        if (alive.expired())
-            return;
-        if (!read.answered) {
-            return retry([this, epoch, done = std::move(done)]() mutable {
-                takeOver(epoch, std::move(done));
-            });
-        }
-        if (!read.entries.empty()) {
-            m_record = decodeJson<ShardRecord>(read.entries.front().value);
-            m_revision = read.entries.front().revision;
-            if (m_record.epoch >= epoch)
-                return lose();
-        }
-        m_ownEpochs = {m_record.epoch, epoch};
-        m_record.epoch = epoch;
-        m_record.sequence = 0;
-        edit();
-        whenRecorded([done = std::move(done)](bool recorded) {
-            if (recorded)
-                done();
-        });
-    });
+    m_store.read(m_key,
+                 [this, alive = std::weak_ptr(m_alive), epoch,
+                  done = std::move(done)](const StoreRead &read) mutable {
+                     if (alive.expired())
+                         return;
+                     if (!read.answered) {
+                         return retry([this, epoch, done = std::move(done)]() mutable {
+                             takeOver(epoch, std::move(done));
+                         });
+                     }
+                     if (!read.entries.empty()) {
+                         m_record = decodeJson<ShardRecord>(read.entries.front().value);
+                         m_revision = read.entries.front().revision;
+                         if (m_record.epoch >= epoch)
+                             return lose();
+                     }
+                     m_ownEpochs = {m_record.epoch, epoch};
+                     m_record.epoch = epoch;
+                     m_record.sequence = 0;
+                     edit();
+                     whenRecorded([done = std::move(done)](bool recorded) {
+                         if (recorded)
+                             done();
+                     });
+                 });
 }
 
 void RecordWriter::raiseEpoch(Epoch epoch)
--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -118,17 +118,22 @@
 {
     m_epoch = epoch;
     m_record.raiseEpoch(epoch);
-    m_pool.raiseEpoch(epoch);
+    // Another owner may have come and gone. Only a write to the record shows that none did; until
+    // then no worker is asked under the new epoch.
+    m_record.whenRecorded([this, epoch, alive = std::weak_ptr(m_alive)](bool recorded) {
+        if (recorded && !alive.expired())
+            m_pool.raiseEpoch(epoch);
+    });
 }
 
 void ShardKeeper::handBack(std::function<void()> done)
 {
     m_isHandingBack = true;
     m_record.whenRecorded(
-            [this, done = std::move(done), alive = std::weak_ptr(m_alive)](bool) mutable {
-                if (!alive.expired())
-                    m_pool.handBack(std::move(done));
-            });
+        [this, done = std::move(done), alive = std::weak_ptr(m_alive)](bool) mutable {
+            if (!alive.expired())
+                m_pool.handBack(std::move(done));
+        });
 }
 
 void ShardKeeper::resign(std::function<void()> done)
@@ -222,8 +227,7 @@
 {
     const JobSpec &spec = portion.spec;
     const auto memory = m_memory.find(spec.id);
-    if (portion.cancelled || memory == m_memory.end()
-        || memory->second.retryAt > m_timers.now())
+    if (portion.cancelled || memory == m_memory.end() || memory->second.retryAt > m_timers.now())
         return std::nullopt;
     WaitingGroup group{spec.id, spec.team, spec.policy, spec.perTask, waitingIndexes(portion)};
     if (group.indexes.empty())
@@ -236,8 +240,8 @@
     group.urgent = spec.urgent;
     group.since = memory->second.waitingSince;
     const auto declared = m_context.configuration().deadlines.find(spec.id);
-    group.deadline = declared == m_context.configuration().deadlines.end() ? spec.deadline
-                                                                          : declared->second;
+    group.deadline =
+        declared == m_context.configuration().deadlines.end() ? spec.deadline : declared->second;
     if (!isService(spec))
         return group;
     for (const TaskRecord &task : portion.tasks) {
@@ -316,8 +320,9 @@
         m_live[placement.task] = {placement.worker, attempt, false, now};
         m_pool.start(placement.worker,
                      {placement.task, attempt, spec.team, spec.perTask, spec.payload});
-        note(placement.task.job, "task " + std::to_string(placement.task.index) + " ordered on "
-                                         + placement.worker.value());
+        note(placement.task.job,
+             "task " + std::to_string(placement.task.index) + " ordered on "
+                 + placement.worker.value());
     }
     m_pool.sendStarts();
     for (const TaskId &task : decision.checkpoints) {
@@ -355,8 +360,7 @@
     const bool isCurrent = live != m_live.end() && live->second.attempt == ended.attempt;
     if (isCurrent)
         m_live.erase(live);
-    const bool counts
-            = isOpen(ended.task) && (isCurrent || ended.outcome == AttemptOutcome::Done);
+    const bool counts = isOpen(ended.task) && (isCurrent || ended.outcome == AttemptOutcome::Done);
     if (counts) {
         // A result that comes after its task was started anew still counts; the new one stops.
         if (!isCurrent)
@@ -375,8 +379,8 @@
 {
     const Portion &portion = m_record.record().portions.at(id.job);
     if (portion.cancelled) {
-        editTask(id).phase
-                = outcome == AttemptOutcome::Done ? TaskPhase::Done : TaskPhase::Cancelled;
+        editTask(id).phase =
+            outcome == AttemptOutcome::Done ? TaskPhase::Done : TaskPhase::Cancelled;
         return;
     }
     switch (outcome) {
@@ -416,8 +420,9 @@
     const auto doublings = std::min(memory.failuresInRow, 10U);
     const Duration backoff = std::min(FirstJobBackoff * (1U << doublings), MaxJobBackoff);
     memory.retryAt = m_timers.now() + backoff;
-    note(id.job, "task " + std::to_string(task.index) + " failed, failure "
-                         + std::to_string(task.failures));
+    note(id.job,
+         "task " + std::to_string(task.index) + " failed, failure "
+             + std::to_string(task.failures));
     if (task.failures >= m_settings.maxFailures
         && !isService(m_record.record().portions.at(id.job).spec))
         task.phase = TaskPhase::Failed;
@@ -426,10 +431,9 @@
 void ShardKeeper::stopGang(const JobId &job)
 {
     const Portion &portion = m_record.record().portions.at(job);
-    const bool hasFailed
-            = std::any_of(portion.tasks.begin(), portion.tasks.end(), [](const TaskRecord &task) {
-                  return task.phase == TaskPhase::Failed;
-              });
+    const bool hasFailed =
+        std::any_of(portion.tasks.begin(), portion.tasks.end(),
+                    [](const TaskRecord &task) { return task.phase == TaskPhase::Failed; });
     if (hasFailed)
         m_record.edit().portions.at(job).cancelled = true;
     for (const TaskRecord &task : portion.tasks)
@@ -573,8 +577,7 @@
     }
     for (const auto &[job, count] : waiting) {
         const JobSpec spec = m_record.record().portions.at(job).spec;
-        const auto target
-                = chooseHome(others, spec.perTask, static_cast<uint32_t>(count));
+        const auto target = chooseHome(others, spec.perTask, static_cast<uint32_t>(count));
         const auto chosen = std::find_if(others.begin(), others.end(), [&](const auto &shard) {
             return target && shard.shard == *target;
         });
@@ -640,11 +643,10 @@
     }
     m_offering.erase(target);
     ShardRecord &record = m_record.edit();
-    const auto move = std::find_if(record.outgoing.begin(), record.outgoing.end(),
-                                   [&](const OutgoingMove &candidate) {
-                                       return candidate.target == target
-                                               && candidate.sequence == sequence;
-                                   });
+    const auto move = std::find_if(
+        record.outgoing.begin(), record.outgoing.end(), [&](const OutgoingMove &candidate) {
+            return candidate.target == target && candidate.sequence == sequence;
+        });
     if (move == record.outgoing.end())
         return;
     if (answer == MoveAnswer::Declined) {
@@ -676,8 +678,7 @@
     Portion &portion = position->second;
     if (isNew)
         portion.spec = spec;
-    portion.tasks.insert(portion.tasks.end(), move.portion.tasks.begin(),
-                         move.portion.tasks.end());
+    portion.tasks.insert(portion.tasks.end(), move.portion.tasks.begin(), move.portion.tasks.end());
     JobMemory &memory = m_memory[spec.id];
     if (isNew || memory.waitingSince == Instant())
         memory.waitingSince = m_timers.now();
--- a/Libraries/Coordination/ShardKeeper.h
+++ b/Libraries/Coordination/ShardKeeper.h
@@ -36,8 +36,7 @@
     /** @return the shards of other zones and owners that may take work now. */
     virtual std::vector<ShardCandidate> otherShards() const = 0;
     virtual void offerMove(const ShardId &from, const OutgoingMove &move,
-                           std::function<void(MoveAnswer)> done)
-            = 0;
+                           std::function<void(MoveAnswer)> done) = 0;
 };
 
 /** What became of a submitted job. */
--- a/Libraries/Coordination/ShardOwnership.cpp
+++ b/Libraries/Coordination/ShardOwnership.cpp
@@ -47,7 +47,7 @@
     return Json{{"entry", m_settings.self.value()},
                 {"address", m_settings.address.text()},
                 {"incarnation", m_settings.incarnation}}
-            .dump();
+        .dump();
 }
 
 void ShardOwnership::renewLease()
@@ -217,9 +217,9 @@
         owned.keeper->raiseEpoch(epoch);
         return;
     }
-    owned.keeper = std::make_unique<ShardKeeper>(m_store, m_link, m_timers, m_context, shard,
-                                                 m_settings.zone, m_settings.self,
-                                                 m_settings.keeper);
+    owned.keeper =
+        std::make_unique<ShardKeeper>(m_store, m_link, m_timers, m_context, shard, m_settings.zone,
+                                      m_settings.self, m_settings.keeper);
     owned.keeper->onLost([this, shard] {
         // Deferred, since the keeper is still on the call stack.
         m_timers.after(Duration(0), [this, shard] { resign(shard); });
--- a/Libraries/Coordination/VouchBook.cpp
+++ b/Libraries/Coordination/VouchBook.cpp
@@ -51,7 +51,7 @@
 bool VouchBook::mayVouch(Instant now, bool hearsStore) const
 {
     return !hearsStore && m_changes == 0 && !m_isUncertain
-            && now - m_startedAt >= m_settings.restartSilence;
+        && now - m_startedAt >= m_settings.restartSilence;
 }
 
 void VouchBook::promise(Instant now)
@@ -62,8 +62,8 @@
 bool VouchBook::mayChange(Instant now) const
 {
     // An earlier life of this entry may have promised just before it ended.
-    const bool isPromised = (m_promisedUntil && now < *m_promisedUntil)
-            || now - m_startedAt < m_settings.promise;
+    const bool isPromised =
+        (m_promisedUntil && now < *m_promisedUntil) || now - m_startedAt < m_settings.promise;
     if (isPromised || !m_registeredSince)
         return false;
     return std::all_of(m_registered.begin(), m_registered.end(), [this](const EntryId &entry) {
--- a/Libraries/Coordination/WorkerPool.cpp
+++ b/Libraries/Coordination/WorkerPool.cpp
@@ -36,12 +36,12 @@
 {
     auto [position, isNew] = m_workers.try_emplace(id);
     Worker &worker = position->second;
+    worker.isExpected = true;
+    worker.expectedSince = m_timers.now();
     if (!isNew)
         return;
     worker.info.id = id;
     worker.listedAt = listedAt;
-    worker.isExpected = true;
-    worker.expectedSince = m_timers.now();
 }
 
 void WorkerPool::setListed(ListVersion version, const std::vector<WorkerInfo> &workers)
@@ -121,16 +121,17 @@
     request.epoch = epochOf(worker);
     request.ttl = m_settings.leaseTtl;
     request.complete = worker.needsComplete;
-    request.wait = worker.needsComplete || !worker.acknowledged.empty() ? Duration(0)
-                                                                        : renewalWait();
+    request.wait =
+        worker.needsComplete || !worker.acknowledged.empty() ? Duration(0) : renewalWait();
     request.acknowledged.assign(worker.acknowledged.begin(), worker.acknowledged.end());
     worker.isCalling = true;
     worker.lastAsked = now;
-    m_link.lease(worker.info, request,
-                 [this, alive = std::weak_ptr(m_alive), id, now, request](const LeaseAnswer &answer) {
-                     if (!alive.expired())
-                         leaseAnswered(id, now, request, answer);
-                 });
+    m_link.lease(
+        worker.info, request,
+        [this, alive = std::weak_ptr(m_alive), id, now, request](const LeaseAnswer &answer) {
+            if (!alive.expired())
+                leaseAnswered(id, now, request, answer);
+        });
 }
 
 void WorkerPool::probe(const WorkerId &id)
@@ -221,8 +222,8 @@
 {
     for (const RunningAttempt &running : report.running) {
         Worker &worker = m_workers.at(id);
-        auto [position, isNew]
-                = worker.attempts.try_emplace(AttemptRef{running.task, running.attempt});
+        auto [position, isNew] =
+            worker.attempts.try_emplace(AttemptRef{running.task, running.attempt});
         Attempt &attempt = position->second;
         const bool wasSure = attempt.isSure;
         attempt.isSure = true;
@@ -286,12 +287,11 @@
 {
     Worker &worker = m_workers.at(id);
     const Instant now = m_timers.now();
-    const Duration untilStopped
-            = m_settings.leaseTtl + m_settings.orphanGrace + m_settings.endMargin;
+    const Duration untilStopped =
+        m_settings.leaseTtl + m_settings.orphanGrace + m_settings.endMargin;
     if (!worker.isResolved) {
         // A former owner may still renew the lease, for as long as it may be isolated.
-        worker.isResolved
-                = now - worker.expectedSince > m_settings.isolationBound + untilStopped;
+        worker.isResolved = now - worker.expectedSince > m_settings.isolationBound + untilStopped;
         return;
     }
     if (!worker.attempts.empty() && worker.lastAsked && now - *worker.lastAsked > untilStopped)
@@ -317,12 +317,12 @@
         std::vector<AttemptRef> attempts;
         for (const StartOrder &order : worker.toStart)
             attempts.push_back({order.task, order.attempt});
-        m_link.start(worker.info, worker.grantedEpoch, std::exchange(worker.toStart, {}),
-                     [this, alive = std::weak_ptr(m_alive), id = id,
-                      attempts](const StartAnswer &answer) {
-                         if (!alive.expired())
-                             startAnswered(id, attempts, answer);
-                     });
+        m_link.start(
+            worker.info, worker.grantedEpoch, std::exchange(worker.toStart, {}),
+            [this, alive = std::weak_ptr(m_alive), id = id, attempts](const StartAnswer &answer) {
+                if (!alive.expired())
+                    startAnswered(id, attempts, answer);
+            });
     }
 }
 
@@ -344,7 +344,7 @@
         if (answer.outcome == StartAnswer::Started) {
             attempt->second.isSure = true;
             m_observer.attemptRuns(
-                    {ref.task, ref.attempt, attempt->second.team, attempt->second.resources}, id);
+                {ref.task, ref.attempt, attempt->second.team, attempt->second.resources}, id);
             continue;
         }
         worker.attempts.erase(attempt);
@@ -407,8 +407,8 @@
             room.free -= attempt.resources;
         const bool isProbing = worker.setAsideFor.count() > 0;
         room.usable = !worker.info.leaving && !worker.needsComplete
-                && *worker.heldUntil - now > m_settings.startMargin
-                && now >= worker.setAsideUntil && (!isProbing || worker.attempts.empty());
+            && *worker.heldUntil - now > m_settings.startMargin && now >= worker.setAsideUntil
+            && (!isProbing || worker.attempts.empty());
         rooms.push_back(std::move(room));
     }
     return rooms;
--- a/Libraries/Coordination/WorkerPool.h
+++ b/Libraries/Coordination/WorkerPool.h
@@ -24,8 +24,8 @@
      * An attempt has ended for certain.
      * @param reported true if the worker keeps the end until it is acknowledged.
      */
-    virtual void attemptEnded(const EndedAttempt &attempt, const WorkerId &worker, bool reported)
-            = 0;
+    virtual void attemptEnded(const EndedAttempt &attempt, const WorkerId &worker,
+                              bool reported) = 0;
     /** Room or the state of a worker has changed. */
     virtual void poolChanged() = 0;
 };
@@ -55,8 +55,8 @@
         Duration leaseTtl{6000};
         /** A worker stops its tasks when its lease has been over for this long. */
         Duration orphanGrace{30'000};
-        /** Allowance for clock rates and scheduling when a silent worker's tasks count as ended. */
-        Duration endMargin{2000};
+        /** Longest time that a renewal may take to arrive, and allowance for clock rates. */
+        Duration endMargin{5000};
         /** No task starts on a lease that ends sooner than this. */
         Duration startMargin{500};
         Duration retryDelay{500};
--- a/Libraries/Decision/ShardScheduler.cpp
+++ b/Libraries/Decision/ShardScheduler.cpp
@@ -73,7 +73,7 @@
     const int64_t leftDeadline = left.deadline == 0 ? Never : left.deadline;
     const int64_t rightDeadline = right.deadline == 0 ? Never : right.deadline;
     return std::tie(leftDeadline, left.since, left.job)
-            < std::tie(rightDeadline, right.since, right.job);
+        < std::tie(rightDeadline, right.since, right.job);
 }
 
 void SchedulingPass::sortQueues()
@@ -182,8 +182,8 @@
     while (placed < TasksPerTurn && !group.indexes.empty()) {
         const auto position = m_choice.choose(group);
         if (!position) {
-            m_decision.reasons[group.job]
-                    = m_reserved.empty() ? WaitReason::NoRoom : WaitReason::BehindReservation;
+            m_decision.reasons[group.job] =
+                m_reserved.empty() ? WaitReason::NoRoom : WaitReason::BehindReservation;
             break;
         }
         // Named only where there is room: elsewhere the limit is not what the task waits for.
@@ -230,7 +230,7 @@
     m_choice.take(position, group.perTask);
     m_teams[group.team].used += group.perTask;
     m_decision.placements.push_back(
-            {{group.job, index}, m_choice.workers()[position].id, group.perTask});
+        {{group.job, index}, m_choice.workers()[position].id, group.perTask});
 }
 
 void SchedulingPass::makeRoomForUrgent()
--- a/Libraries/Protocol/HttpStore.cpp
+++ b/Libraries/Protocol/HttpStore.cpp
@@ -41,7 +41,8 @@
     if (result.outcome == HttpResult::Unknown)
         return {StoreWrite::Unknown, {}};
     if (result.isOk())
-        return {StoreWrite::Written, Revision(parseJson(result.body).at("revision").get<uint64_t>())};
+        return {StoreWrite::Written,
+                Revision(parseJson(result.body).at("revision").get<uint64_t>())};
     if (result.status == ConflictStatus)
         return {StoreWrite::Conflict, {}};
     return {StoreWrite::Unknown, {}};
@@ -109,15 +110,14 @@
                       std::function<void(StoreRead)> done)
 {
     readUrl("/watch/" + key + "?since=" + std::to_string(since.value())
-                    + "&wait_ms=" + std::to_string(wait.count()),
+                + "&wait_ms=" + std::to_string(wait.count()),
             m_timeout + wait, std::move(done));
 }
 
 void HttpStore::write(StorePut put, std::function<void(StoreWrite)> done)
 {
-    const Json body = {{"value", put.value},
-                       {"expected", put.expected.value()},
-                       {"lease", put.lease.value()}};
+    const Json body = {
+        {"value", put.value}, {"expected", put.expected.value()}, {"lease", put.lease.value()}};
     send({"PUT", m_baseUrl + "/kv/" + put.key, body.dump(), {}, m_timeout},
          [done = std::move(done)](const HttpResult &result) { done(decodeWrite(result)); });
 }
--- a/Libraries/Protocol/HttpStore.h
+++ b/Libraries/Protocol/HttpStore.h
@@ -15,8 +15,7 @@
 {
 public:
     /** @p control runs the callbacks. */
-    HttpStore(HttpClient &client, asio::io_context &control, std::string baseUrl,
-              Duration timeout);
+    HttpStore(HttpClient &client, asio::io_context &control, std::string baseUrl, Duration timeout);
 
     void read(const std::string &key, std::function<void(StoreRead)> done) override;
     void list(const std::string &prefix, std::function<void(StoreRead)> done) override;
--- a/Libraries/Protocol/HttpWorkerLink.cpp
+++ b/Libraries/Protocol/HttpWorkerLink.cpp
@@ -43,10 +43,11 @@
     report.complete = json.contains("running");
     report.runningCount = json.at("running_count").get<std::size_t>();
     for (const Json &item : json.value("running", Json::array())) {
-        report.running.push_back({{JobId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>()},
-                                  AttemptId(item.at(2).get<uint64_t>()),
-                                  TeamId(item.at(3).get<std::string>()),
-                                  item.at(4).get<Resources>()});
+        report.running.push_back(
+            {{JobId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>()},
+             AttemptId(item.at(2).get<uint64_t>()),
+             TeamId(item.at(3).get<std::string>()),
+             item.at(4).get<Resources>()});
     }
     for (const Json &item : json.value("ended", Json::array())) {
         report.ended.push_back({{JobId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>()},
--- a/Libraries/Protocol/Json.cpp
+++ b/Libraries/Protocol/Json.cpp
@@ -63,8 +63,7 @@
     return json;
 }
 
-template <typename T>
-T fromJson(const Json &json)
+template <typename T> T fromJson(const Json &json)
 {
     try {
         return json.get<T>();
@@ -96,9 +95,8 @@
 
 void to_json(Json &json, const JobSpec &spec)
 {
-    json = {{"id", spec.id.value()},           {"team", spec.team.value()},
-            {"kind", policyName(spec.policy)}, {"tasks", spec.tasks},
-            {"per_task", spec.perTask},        {"payload", spec.payload}};
+    json = {{"id", spec.id.value()}, {"team", spec.team.value()}, {"kind", policyName(spec.policy)},
+            {"tasks", spec.tasks},   {"per_task", spec.perTask},  {"payload", spec.payload}};
     if (spec.urgent)
         json["urgent"] = true;
     if (spec.deadline != 0)
@@ -217,16 +215,16 @@
 {
     Json teams = Json::object();
     for (const auto &[id, team] : configuration.teams) {
-        teams[id.value()]
-                = {{"share", team.share}, {"limit", team.limit}, {"key_hashes", team.keyHashes}};
+        teams[id.value()] = {
+            {"share", team.share}, {"limit", team.limit}, {"key_hashes", team.keyHashes}};
     }
     Json queues = Json::object();
     for (const auto &[id, queue] : configuration.queues) {
         Json allowed = Json::array();
         for (const TeamId &team : queue.teams)
             allowed.push_back(team.value());
-        queues[id.value()]
-                = {{"open", queue.open}, {"teams", allowed}, {"timeout_ms", queue.timeoutMs}};
+        queues[id.value()] = {
+            {"open", queue.open}, {"teams", allowed}, {"timeout_ms", queue.timeoutMs}};
     }
     Json zones = Json::array();
     for (const ZoneId &zone : configuration.zonesOut)
@@ -247,9 +245,9 @@
 void from_json(const Json &json, Configuration &configuration)
 {
     for (const auto &[id, team] : json.at("teams").items()) {
-        configuration.teams[TeamId(id)]
-                = {team.at("share").get<double>(), team.at("limit").get<Resources>(),
-                   team.at("key_hashes").get<std::set<std::string>>()};
+        configuration.teams[TeamId(id)] = {team.at("share").get<double>(),
+                                           team.at("limit").get<Resources>(),
+                                           team.at("key_hashes").get<std::set<std::string>>()};
     }
     for (const auto &[id, json] : json.at("queues").items()) {
         Queue queue;
--- a/Libraries/Protocol/Json.h
+++ b/Libraries/Protocol/Json.h
@@ -32,12 +32,10 @@
 Json parseJson(const std::string &text);
 
 /** @throws ProtocolError if @p json does not have the form of a @c T. */
-template <typename T>
-T fromJson(const Json &json);
+template <typename T> T fromJson(const Json &json);
 
 /** Reads a JSON text as a @c T. @throws ProtocolError if it does not have that form. */
-template <typename T>
-T decodeJson(const std::string &text)
+template <typename T> T decodeJson(const std::string &text)
 {
     return fromJson<T>(parseJson(text));
 }
--- a/Libraries/Protocol/PeerMessages.cpp
+++ b/Libraries/Protocol/PeerMessages.cpp
@@ -46,9 +46,9 @@
         std::vector<Offset<Wire::ShardSummary>> shards;
         for (const ShardSummary &shard : heartbeat.shards) {
             shards.push_back(Wire::CreateShardSummary(
-                    m_builder, m_builder.CreateString(shard.shard.value()), shard.epoch.value(),
-                    shard.active, shard.free.cpu.value(), shard.free.memory.value(),
-                    shard.free.accelerators.value(), shard.waitingTasks, shard.freeSlots));
+                m_builder, m_builder.CreateString(shard.shard.value()), shard.epoch.value(),
+                shard.active, shard.free.cpu.value(), shard.free.memory.value(),
+                shard.free.accelerators.value(), shard.waitingTasks, shard.freeSlots));
         }
         const auto age = heartbeat.evidenceAge ? heartbeat.evidenceAge->count() : -1;
         return {Wire::Body::Heartbeat,
@@ -57,7 +57,7 @@
                                       m_builder.CreateString(heartbeat.address.text()),
                                       heartbeat.leaving, heartbeat.configRevision.value(), age,
                                       m_builder.CreateVector(shards))
-                        .Union()};
+                    .Union()};
     }
 
     BodyOffset operator()(const LookupCall &call)
@@ -67,19 +67,18 @@
                                        call.idempotent, call.hops,
                                        static_cast<uint32_t>(call.timeout.count()),
                                        bytes(m_builder, call.body))
-                        .Union()};
+                    .Union()};
     }
 
     BodyOffset operator()(const LookupReply &reply)
     {
         return {Wire::Body::LookupReply,
                 Wire::CreateLookupReply(
-                        m_builder, static_cast<Wire::LookupOutcome>(reply.outcome),
-                        static_cast<uint16_t>(reply.status),
-                        m_builder.CreateString(reply.contentType), bytes(m_builder, reply.body),
-                        m_builder.CreateString(reply.reason),
-                        m_builder.CreateString(reply.worker.value()))
-                        .Union()};
+                    m_builder, static_cast<Wire::LookupOutcome>(reply.outcome),
+                    static_cast<uint16_t>(reply.status), m_builder.CreateString(reply.contentType),
+                    bytes(m_builder, reply.body), m_builder.CreateString(reply.reason),
+                    m_builder.CreateString(reply.worker.value()))
+                    .Union()};
     }
 
     BodyOffset operator()(const ControlCall &call)
@@ -87,7 +86,7 @@
         return {Wire::Body::ControlCall,
                 Wire::CreateControlCall(m_builder, m_builder.CreateString(call.method),
                                         m_builder.CreateString(call.body))
-                        .Union()};
+                    .Union()};
     }
 
     BodyOffset operator()(const ControlReply &reply)
@@ -95,7 +94,7 @@
         return {Wire::Body::ControlReply,
                 Wire::CreateControlReply(m_builder, static_cast<uint16_t>(reply.status),
                                          m_builder.CreateString(reply.body))
-                        .Union()};
+                    .Union()};
     }
 
 private:
@@ -116,10 +115,10 @@
         return heartbeat;
     for (const Wire::ShardSummary *shard : *wire.shards()) {
         heartbeat.shards.push_back(
-                {ShardId(text(shard->shard())), Epoch(shard->epoch()), shard->active(),
-                 Resources{CpuMillis(shard->free_cpu()), MemoryMb(shard->free_memory()),
-                           AcceleratorCount(shard->free_accelerators())},
-                 shard->waiting_tasks(), shard->free_slots()});
+            {ShardId(text(shard->shard())), Epoch(shard->epoch()), shard->active(),
+             Resources{CpuMillis(shard->free_cpu()), MemoryMb(shard->free_memory()),
+                       AcceleratorCount(shard->free_accelerators())},
+             shard->waiting_tasks(), shard->free_slots()});
     }
     return heartbeat;
 }
--- a/Libraries/Protocol/PostedPeerNetwork.h
+++ b/Libraries/Protocol/PostedPeerNetwork.h
@@ -22,8 +22,8 @@
         m_network.send(peer, std::move(message));
     }
 
-    void call(const Endpoint &peer, PeerMessage message, const std::string &trace,
-              Duration timeout, std::function<void(PeerResult)> done) override
+    void call(const Endpoint &peer, PeerMessage message, const std::string &trace, Duration timeout,
+              std::function<void(PeerResult)> done) override
     {
         m_network.call(peer, std::move(message), trace, timeout,
                        [this, done = std::move(done)](PeerResult result) {
--- a/Libraries/Protocol/TcpPeerNetwork.cpp
+++ b/Libraries/Protocol/TcpPeerNetwork.cpp
@@ -13,7 +13,7 @@
 bool isReply(const PeerMessage &message)
 {
     return std::holds_alternative<LookupReply>(message)
-            || std::holds_alternative<ControlReply>(message);
+        || std::holds_alternative<ControlReply>(message);
 }
 
 } // namespace
@@ -85,10 +85,9 @@
         connect = !std::exchange(state.isConnecting, true);
     }
     if (connect) {
-        connectFrameLink(m_context, peer, ConnectTimeout,
-                         [this, peer](const std::shared_ptr<FrameLink> &link) {
-                             connected(peer, link);
-                         });
+        connectFrameLink(
+            m_context, peer, ConnectTimeout,
+            [this, peer](const std::shared_ptr<FrameLink> &link) { connected(peer, link); });
     }
 }
 
--- a/Libraries/Protocol/TcpPeerNetwork.h
+++ b/Libraries/Protocol/TcpPeerNetwork.h
@@ -17,9 +17,9 @@
 namespace Cranberrymount {
 
 /**
- * Peer messages over TCP frames. One link to each peer is kept open. A link on which nothing arrived
- * since a call was sent that got no answer in time counts as silent and is closed, so that the next
- * call takes a new connection.
+ * Peer messages over TCP frames. One link to each peer is kept open. A link on which nothing
+ * arrived since a call was sent that got no answer in time counts as silent and is closed, so that
+ * the next call takes a new connection.
  */
 class TcpPeerNetwork : public PeerNetwork
 {
@@ -32,8 +32,8 @@
     TcpPeerNetwork(asio::io_context &traffic, const Endpoint &address, Handler handler);
 
     void send(const Endpoint &peer, PeerMessage message) override;
-    void call(const Endpoint &peer, PeerMessage message, const std::string &trace,
-              Duration timeout, std::function<void(PeerResult)> done) override;
+    void call(const Endpoint &peer, PeerMessage message, const std::string &trace, Duration timeout,
+              std::function<void(PeerResult)> done) override;
 
     /** Drops all traffic with @p peers in both directions, as a cut network would. */
     void block(std::set<std::string> peers);
--- a/Libraries/Service/EntryApi.cpp
+++ b/Libraries/Service/EntryApi.cpp
@@ -182,9 +182,9 @@
         }
         case ClaimResult::InDoubt:
             return respond(jsonAnswer(
-                    409,
-                    {{"outcome", "unknown"},
-                     {"error", "another try with this key is under way or its outcome is lost"}}));
+                409,
+                {{"outcome", "unknown"},
+                 {"error", "another try with this key is under way or its outcome is lost"}}));
         case ClaimResult::Mismatch:
             return respond(refusal(422, "this Idempotency-Key was used with another body"));
         case ClaimResult::NotRun:
@@ -209,8 +209,8 @@
         return respond(fresh ? refusal(401, "the key is missing, unknown or withdrawn")
                              : refusal(503, "keys cannot be checked: no recent configuration"));
     }
-    const std::string trace = m_node.tracer().begin("jobs", request.header("traceparent"))
-                                      .traceparent();
+    const std::string trace =
+        m_node.tracer().begin("jobs", request.header("traceparent")).traceparent();
     const JobId id(rest.empty() ? rest : rest.substr(1));
     const auto done = answerWith(respond);
     if (rest.empty() && request.method == "POST") {
@@ -247,13 +247,13 @@
     if (!id.isEmpty() && verb.empty() && request.method == "GET")
         return onControl(respond, [this, id, done] { m_plans.show(id, done); });
     if (!id.isEmpty() && (verb == "confirm" || verb == "reject") && request.method == "POST") {
-        const auto decision
-                = verb == "confirm" ? PlanDecision::Confirmed : PlanDecision::Rejected;
+        const auto decision = verb == "confirm" ? PlanDecision::Confirmed : PlanDecision::Rejected;
         LOG(INFO) << "event=plan_decision plan=" << id.value() << " decision=" << verb;
         return onControl(respond,
                          [this, id, decision, done] { m_plans.decide(id, decision, done); });
     }
-    respond(refusal(404, "plans take POST /plans, GET /plans/ID, POST /plans/ID/confirm or reject"));
+    respond(
+        refusal(404, "plans take POST /plans, GET /plans/ID, POST /plans/ID/confirm or reject"));
 }
 
 void EntryApi::status(const HttpRespond &respond)
@@ -266,8 +266,8 @@
             Json silent = Json::array();
             for (const EntryId &entry : all.silent)
                 silent.push_back(entry.value());
-            const Configuration &configuration
-                    = *m_node.plane().configurationKeeper().configuration();
+            const Configuration &configuration =
+                *m_node.plane().configurationKeeper().configuration();
             const auto age = m_node.plane().configurationKeeper().evidenceAge();
             Json zonesOut = Json::array();
             for (const ZoneId &zone : configuration.zonesOut)
--- a/Libraries/Service/EntryNode.cpp
+++ b/Libraries/Service/EntryNode.cpp
@@ -138,9 +138,9 @@
     if (const auto *beat = std::get_if<Heartbeat>(&message))
         return onControl([this, beat = *beat] { m_plane.heard(beat); });
     if (auto *call = std::get_if<LookupCall>(&message)) {
-        return m_router.route(std::move(*call), trace, [reply = std::move(reply)](LookupReply answer) {
-            reply(std::move(answer));
-        });
+        return m_router.route(
+            std::move(*call), trace,
+            [reply = std::move(reply)](LookupReply answer) { reply(std::move(answer)); });
     }
     if (const auto *call = std::get_if<ControlCall>(&message)) {
         onControl([this, call = *call, trace, reply = std::move(reply)] {
--- a/Libraries/Service/Intent.cpp
+++ b/Libraries/Service/Intent.cpp
@@ -179,13 +179,14 @@
         const toml::table &table = checker.section(queues, id.value(), true);
         Queue &queue = declared.queues[id];
         queue.open = checker.flag(table, "open", false);
-        queue.timeoutMs
-                = static_cast<uint32_t>(checker.number(table, "timeout_ms", 2000, 10, 60'000));
+        queue.timeoutMs =
+            static_cast<uint32_t>(checker.number(table, "timeout_ms", 2000, 10, 60'000));
         for (const std::string &team : checker.texts(table, "teams")) {
             queue.teams.insert(TeamId(team));
             if (!declared.teams.contains(TeamId(team)))
-                checker.fault(table.get("teams"), "queue " + id.value() + " names team '" + team
-                                                          + "', which is not declared");
+                checker.fault(table.get("teams"),
+                              "queue " + id.value() + " names team '" + team
+                                  + "', which is not declared");
         }
         checker.rejectUnknown(table);
     }
--- a/Libraries/Service/JobBook.cpp
+++ b/Libraries/Service/JobBook.cpp
@@ -1,7 +1,7 @@
 #include "Service/JobBook.h"
 
-#include "Protocol/ProtocolError.h"
 #include "Coordination/JobViewJson.h"
+#include "Protocol/ProtocolError.h"
 
 #include <algorithm>
 
@@ -17,10 +17,10 @@
 bool isName(const std::string &text)
 {
     return !text.empty() && text.size() <= MaxNameLength
-            && std::all_of(text.begin(), text.end(), [](unsigned char character) {
-                   return std::isalnum(character) || character == '-' || character == '_'
-                           || character == '.';
-               });
+        && std::all_of(text.begin(), text.end(), [](unsigned char character) {
+               return std::isalnum(character) || character == '-' || character == '_'
+                   || character == '.';
+           });
 }
 
 std::string homeKey(const JobId &id)
@@ -58,7 +58,7 @@
     if (!job.is_object())
         return {"a job is a JSON object"};
     std::vector<std::string> faults;
-    static const std::set<std::string> Known{"id",       "kind",   "tasks",    "per_task",
+    static const std::set<std::string> Known{"id",      "kind",   "tasks",    "per_task",
                                              "payload", "urgent", "deadline", "team"};
     for (const auto &[key, value] : job.items()) {
         if (!Known.contains(key))
@@ -92,10 +92,10 @@
 std::string JobBook::neverRuns(const JobSpec &spec) const
 {
     const auto &workers = m_node.instances().workers();
-    const bool fitsSomewhere
-            = std::any_of(workers.begin(), workers.end(), [&spec](const WorkerInfo &worker) {
-                  return spec.perTask.fitsIn(worker.capacity);
-              });
+    const bool fitsSomewhere =
+        std::any_of(workers.begin(), workers.end(), [&spec](const WorkerInfo &worker) {
+            return spec.perTask.fitsIn(worker.capacity);
+        });
     if (!workers.empty() && !fitsSomewhere)
         return "no worker of the fleet is large enough for one task";
     const auto &teams = m_node.plane().configurationKeeper().configuration()->teams;
@@ -144,25 +144,25 @@
                         Done done)
 {
     m_node.store().write(
-            {homeKey(spec.id), home.value(), Revision(), m_node.dayLease().current()},
-            [this, spec, home, trace, done = std::move(done)](const StoreWrite &write) {
-                if (write.outcome == StoreWrite::Written)
-                    return admit(spec, home, false, trace, done);
-                if (write.outcome == StoreWrite::NotSent)
-                    return done(notRun(503, "the store cannot be reached"));
-                m_node.store().read(homeKey(spec.id), [this, spec, trace,
-                                                       done](const StoreRead &read) {
-                    if (!read.answered || read.entries.empty()) {
-                        return done({504,
-                                     {{"outcome", "unknown"},
-                                      {"id", spec.id.value()},
-                                      {"error", "the store cannot be reached; an earlier "
-                                                "submission of this name may be recorded"},
-                                      {"next", "submit again with the same id"}}});
-                    }
-                    admit(spec, ShardId(read.entries.front().value), true, trace, done);
-                });
+        {homeKey(spec.id), home.value(), Revision(), m_node.dayLease().current()},
+        [this, spec, home, trace, done = std::move(done)](const StoreWrite &write) {
+            if (write.outcome == StoreWrite::Written)
+                return admit(spec, home, false, trace, done);
+            if (write.outcome == StoreWrite::NotSent)
+                return done(notRun(503, "the store cannot be reached"));
+            m_node.store().read(homeKey(spec.id), [this, spec, trace, done](const StoreRead &read) {
+                if (!read.answered || read.entries.empty()) {
+                    return done({504,
+                                 {{"outcome", "unknown"},
+                                  {"id", spec.id.value()},
+                                  {"error",
+                                   "the store cannot be reached; an earlier "
+                                   "submission of this name may be recorded"},
+                                  {"next", "submit again with the same id"}}});
+                }
+                admit(spec, ShardId(read.entries.front().value), true, trace, done);
             });
+        });
 }
 
 void JobBook::admit(const JobSpec &spec, const ShardId &home, bool mayBeRecorded,
@@ -170,68 +170,71 @@
 {
     const Json body = {{"shard", home.value()}, {"spec", spec}};
     m_node.plane().callOwner(
-            home, {"admit", body.dump()}, trace,
-            [spec, home, mayBeRecorded, done = std::move(done)](const PeerResult &result) {
-                const auto *reply = std::get_if<ControlReply>(&result.message);
-                const bool isAnswered = result.outcome == PeerResult::Answered && reply;
-                std::string outcome = isAnswered ? reply->body : "unknown";
-                if (result.outcome == PeerResult::NotSent)
-                    outcome = "not-run";
-                Json answer = {{"id", spec.id.value()}, {"home", home.value()}};
-                if (outcome == "recorded")
-                    return done({201, answer});
-                if (outcome == "already-recorded")
-                    return done({200, answer});
-                if (outcome == "name-taken")
-                    return done(notRun(409, "another job of this name was submitted before"));
-                if (outcome == "not-run" && !mayBeRecorded)
-                    return done(notRun(503, "the home shard cannot record the job now"));
-                answer["outcome"] = "unknown";
-                answer["error"] = "the job may have been recorded";
-                answer["next"] = "show the job, or submit it again with the same id";
-                done({504, answer});
-            });
+        home, {"admit", body.dump()}, trace,
+        [spec, home, mayBeRecorded, done = std::move(done)](const PeerResult &result) {
+            const auto *reply = std::get_if<ControlReply>(&result.message);
+            const bool isAnswered = result.outcome == PeerResult::Answered && reply;
+            std::string outcome = isAnswered ? reply->body : "unknown";
+            if (result.outcome == PeerResult::NotSent)
+                outcome = "not-run";
+            Json answer = {{"id", spec.id.value()}, {"home", home.value()}};
+            if (outcome == "recorded")
+                return done({201, answer});
+            if (outcome == "already-recorded")
+                return done({200, answer});
+            if (outcome == "name-taken")
+                return done(notRun(409, "another job of this name was submitted before"));
+            if (outcome == "not-run" && !mayBeRecorded)
+                return done(notRun(503, "the home shard cannot record the job now"));
+            answer["outcome"] = "unknown";
+            answer["error"] = "the job may have been recorded";
+            answer["next"] = "show the job, or submit it again with the same id";
+            done({504, answer});
+        });
 }
 
 void JobBook::cancel(const JobId &id, const std::string &trace, Done done)
 {
-    m_node.plane().gather({"cancel", id.value()}, trace, [done = std::move(done)](const Gathered &all) {
-        bool isFound = false;
-        bool isRecorded = true;
-        for (const GatheredReply &reply : all.replies) {
-            isFound = isFound || reply.reply.body == "found";
-            isRecorded = isRecorded && reply.reply.status == 200;
-        }
-        if (!isRecorded || !all.silent.empty()) {
-            return done({504,
-                         {{"outcome", "unknown"},
-                          {"error", "not every shard has recorded the cancellation"},
-                          {"next", "cancel again"}}});
-        }
-        if (!isFound)
-            return done({404, {{"error", "no such job"}}});
-        done({200, {{"state", "cancelling"}}});
-    });
+    m_node.plane().gather(
+        {"cancel", id.value()}, trace, [done = std::move(done)](const Gathered &all) {
+            bool isFound = false;
+            bool isRecorded = true;
+            for (const GatheredReply &reply : all.replies) {
+                isFound = isFound || reply.reply.body == "found";
+                isRecorded = isRecorded && reply.reply.status == 200;
+            }
+            if (!isRecorded || !all.silent.empty()) {
+                return done({504,
+                             {{"outcome", "unknown"},
+                              {"error", "not every shard has recorded the cancellation"},
+                              {"next", "cancel again"}}});
+            }
+            if (!isFound)
+                return done({404, {{"error", "no such job"}}});
+            done({200, {{"state", "cancelling"}}});
+        });
 }
 
 void JobBook::show(const JobId &id, const std::string &trace, Done done)
 {
-    m_node.plane().gather({"job", id.value()}, trace, [this, id, done = std::move(done)](const Gathered &all) {
-        Json views = Json::array();
-        for (const GatheredReply &reply : all.replies) {
-            for (const Json &view : parseJson(reply.reply.body))
-                views.push_back(view);
-        }
-        if (views.empty()) {
-            const int status = all.silent.empty() ? 404 : 503;
-            return done({status, {{"error", "no shard that answered knows job " + id.value()}}});
-        }
-        Json merged = mergeJobViews(views);
-        merged["silent_entries"] = all.silent.size();
-        const auto age = m_node.plane().configurationKeeper().evidenceAge();
-        merged["configuration_age_ms"] = age ? age->count() : -1;
-        done({200, std::move(merged)});
-    });
+    m_node.plane().gather(
+        {"job", id.value()}, trace, [this, id, done = std::move(done)](const Gathered &all) {
+            Json views = Json::array();
+            for (const GatheredReply &reply : all.replies) {
+                for (const Json &view : parseJson(reply.reply.body))
+                    views.push_back(view);
+            }
+            if (views.empty()) {
+                const int status = all.silent.empty() ? 404 : 503;
+                return done(
+                    {status, {{"error", "no shard that answered knows job " + id.value()}}});
+            }
+            Json merged = mergeJobViews(views);
+            merged["silent_entries"] = all.silent.size();
+            const auto age = m_node.plane().configurationKeeper().evidenceAge();
+            merged["configuration_age_ms"] = age ? age->count() : -1;
+            done({200, std::move(merged)});
+        });
 }
 
 void JobBook::list(const std::string &trace, Done done)
@@ -242,8 +245,8 @@
             for (const Json &summary : parseJson(reply.reply.body))
                 summaries.push_back(summary);
         }
-        done({200,
-              {{"jobs", mergeJobSummaries(summaries)}, {"silent_entries", all.silent.size()}}});
+        done(
+            {200, {{"jobs", mergeJobSummaries(summaries)}, {"silent_entries", all.silent.size()}}});
     });
 }
 
--- a/Libraries/Service/LookupRouter.cpp
+++ b/Libraries/Service/LookupRouter.cpp
@@ -66,8 +66,8 @@
     bool mayHaveRun = false;
 };
 
-LookupRouter::LookupRouter(SlotTable &slots, HttpClient &client, PeerNetwork &peers,
-                           Tracer &tracer, Metrics &metrics)
+LookupRouter::LookupRouter(SlotTable &slots, HttpClient &client, PeerNetwork &peers, Tracer &tracer,
+                           Metrics &metrics)
     : m_slots(slots)
     , m_client(client)
     , m_peerNetwork(peers)
@@ -141,8 +141,7 @@
     call.timeout = std::chrono::duration_cast<Duration>(request->deadline - clockNow());
     m_metrics.count("lookups_passed_on_total");
     m_peerNetwork.call(peer.address, std::move(call), request->span.traceparent(),
-                       request->call.timeout + ForwardMargin,
-                       [this, request](PeerResult result) {
+                       request->call.timeout + ForwardMargin, [this, request](PeerResult result) {
                            if (result.outcome == PeerResult::NotSent)
                                return retryOrFinish(request, notRun("the owner was not reached"));
                            if (result.outcome == PeerResult::Unknown) {
@@ -183,8 +182,8 @@
     call.body = request->call.body;
     call.headers = {"X-Lease-Epoch: " + std::to_string(slot.epoch.value()),
                     "traceparent: " + request->span.traceparent()};
-    call.timeout = std::max(
-            std::chrono::duration_cast<Duration>(request->deadline - clockNow()), Duration(1));
+    call.timeout =
+        std::max(std::chrono::duration_cast<Duration>(request->deadline - clockNow()), Duration(1));
     call.once = !request->call.idempotent;
     m_client.send(std::move(call), [this, request, slot](const HttpResult &result) {
         targetAnswered(request, slot, result);
--- a/Libraries/Service/Metrics.cpp
+++ b/Libraries/Service/Metrics.cpp
@@ -69,8 +69,7 @@
         summary.sample_count = Acc::count(quantiles);
         summary.sample_sum = Acc::sum(quantiles);
         for (const double probability : ShownQuantiles) {
-            const double value
-                    = Acc::quantile(quantiles, Acc::quantile_probability = probability);
+            const double value = Acc::quantile(quantiles, Acc::quantile_probability = probability);
             summary.quantile.push_back({probability, value});
         }
     }
--- a/Libraries/Service/Metrics.h
+++ b/Libraries/Service/Metrics.h
@@ -29,10 +29,9 @@
 
 private:
     using Quantiles = boost::accumulators::accumulator_set<
-            double,
-            boost::accumulators::stats<boost::accumulators::tag::count,
-                                       boost::accumulators::tag::sum,
-                                       boost::accumulators::tag::extended_p_square_quantile>>;
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                   boost::accumulators::tag::extended_p_square_quantile>>;
 
     mutable std::mutex m_mutex;
     std::map<std::string, double> m_counters;
--- a/Libraries/Service/PlanBook.cpp
+++ b/Libraries/Service/PlanBook.cpp
@@ -90,11 +90,11 @@
     if (!drain)
         return store(id, std::move(plan), std::move(done));
     m_node.plane().gather({"status", {}}, trace,
-                  [this, id, plan = std::move(plan), zone = drain->zone,
-                   done = std::move(done)](const Gathered &status) mutable {
-                      plan["forecast"] = forecastDrain(zone, status);
-                      store(id, std::move(plan), std::move(done));
-                  });
+                          [this, id, plan = std::move(plan), zone = drain->zone,
+                           done = std::move(done)](const Gathered &status) mutable {
+                              plan["forecast"] = forecastDrain(zone, status);
+                              store(id, std::move(plan), std::move(done));
+                          });
 }
 
 void PlanBook::store(const PlanId &id, Json plan, Done done)
@@ -120,8 +120,7 @@
             return done({404, {{"error", "no plan " + id.value()}}});
         Json plan = parseJson(read.entries.front().value);
         plan.erase("base");
-        const auto decision
-                = decisionOn(*m_node.plane().configurationKeeper().configuration(), id);
+        const auto decision = decisionOn(*m_node.plane().configurationKeeper().configuration(), id);
         plan["state"] = decision ? decisionName(*decision) : "open";
         done({200, std::move(plan)});
     });
@@ -129,17 +128,16 @@
 
 void PlanBook::decide(const PlanId &id, PlanDecision decision, Done done)
 {
-    m_node.store().read(planKey(id),
-                        [this, id, decision, done = std::move(done)](const StoreRead &read) {
-                            if (!read.answered) {
-                                return done({503,
-                                             {{"error", "the store cannot be reached"},
-                                              {"outcome", "not-run"}}});
-                            }
-                            if (read.entries.empty())
-                                return done({404, {{"error", "no plan " + id.value()}}});
-                            decideStored(id, decision, parseJson(read.entries.front().value), done);
-                        });
+    m_node.store().read(
+        planKey(id), [this, id, decision, done = std::move(done)](const StoreRead &read) {
+            if (!read.answered) {
+                return done(
+                    {503, {{"error", "the store cannot be reached"}, {"outcome", "not-run"}}});
+            }
+            if (read.entries.empty())
+                return done({404, {{"error", "no plan " + id.value()}}});
+            decideStored(id, decision, parseJson(read.entries.front().value), done);
+        });
 }
 
 void PlanBook::decideStored(const PlanId &id, PlanDecision decision, const Json &plan, Done done)
--- a/Libraries/Service/Settings.cpp
+++ b/Libraries/Service/Settings.cpp
@@ -24,8 +24,8 @@
     settings.peer = checker.requiredEndpoint(entry, "peer");
     settings.peers = checker.endpoints(entry, "peers");
     settings.operatorKeyHash = checker.requiredHash(entry, "operator_key_sha256");
-    settings.shardsPerZone
-            = static_cast<uint32_t>(checker.number(entry, "shards_per_zone", 1, 1, 256));
+    settings.shardsPerZone =
+        static_cast<uint32_t>(checker.number(entry, "shards_per_zone", 1, 1, 256));
     checker.rejectUnknown(entry);
 }
 
@@ -41,8 +41,8 @@
 {
     const toml::table &limits = checker.section(root, "limits", false);
     settings.httpThreads = checker.number(limits, "http_threads", 2, 1, 64);
-    settings.maxBodyBytes
-            = checker.number(limits, "max_body_bytes", 1024 * 1024, 1024, 16 * 1024 * 1024);
+    settings.maxBodyBytes =
+        checker.number(limits, "max_body_bytes", 1024 * 1024, 1024, 16 * 1024 * 1024);
     settings.maxWaitingRequests = checker.number(limits, "max_waiting_requests", 256, 0, 100'000);
     settings.faultsAllowed = checker.flag(limits, "faults_allowed", false);
     checker.rejectUnknown(limits);
--- a/Libraries/Service/Settings.h
+++ b/Libraries/Service/Settings.h
@@ -36,7 +36,7 @@
     std::string instancesUrl;
 
     std::size_t httpThreads = 2;
-    std::size_t maxBodyBytes = 1024 * 1024;
+    std::size_t maxBodyBytes = 1'048'576;
     std::size_t maxWaitingRequests = 256;
     /** True if the API may cut connections, for failure tests. */
     bool faultsAllowed = false;
--- a/Libraries/Service/TomlChecker.cpp
+++ b/Libraries/Service/TomlChecker.cpp
@@ -43,8 +43,7 @@
 void TomlChecker::fault(const toml::node *node, const std::string &message)
 {
     const auto line = node ? node->source().begin.line : 1;
-    m_faults.push_back(m_file + ":" + std::to_string(std::max<unsigned>(line, 1)) + ": "
-                       + message);
+    m_faults.push_back(m_file + ":" + std::to_string(std::max<unsigned>(line, 1)) + ": " + message);
 }
 
 const toml::node *TomlChecker::find(const toml::table &table, const std::string &key)
@@ -92,8 +91,9 @@
     const auto value = node->value_exact<int64_t>();
     if (value && *value >= low && *value <= high)
         return *value;
-    fault(node, "'" + key + "' takes a whole number from " + std::to_string(low) + " to "
-                        + std::to_string(high));
+    fault(node,
+          "'" + key + "' takes a whole number from " + std::to_string(low) + " to "
+              + std::to_string(high));
     return fallback;
 }
 
@@ -106,8 +106,9 @@
     const auto value = node->is_number() ? node->value<double>() : std::nullopt;
     if (value && *value >= low && *value <= high)
         return *value;
-    fault(node, "'" + key + "' takes a number from " + std::to_string(low) + " to "
-                        + std::to_string(high));
+    fault(node,
+          "'" + key + "' takes a number from " + std::to_string(low) + " to "
+              + std::to_string(high));
     return fallback;
 }
 
--- a/Libraries/Service/TomlChecker.h
+++ b/Libraries/Service/TomlChecker.h
@@ -22,7 +22,8 @@
     /** Parses @p text; a syntax fault is collected and gives an empty table. */
     toml::table parse(const std::string &text);
 
-    /** Each reader names the allowed values if the key is absent, of another type or out of range. */
+    /** Each reader names the allowed values if the key is absent, of another type or out of range.
+     */
     std::string requiredText(const toml::table &table, const std::string &key);
     std::string text(const toml::table &table, const std::string &key, std::string fallback);
     int64_t number(const toml::table &table, const std::string &key, int64_t fallback, int64_t low,
--- a/Libraries/Service/Tracer.cpp
+++ b/Libraries/Service/Tracer.cpp
@@ -2,8 +2,8 @@
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <pcg_random.hpp>
 #include <pcg_extras.hpp>
+#include <pcg_random.hpp>
 
 #include <chrono>
 #include <random>
@@ -93,8 +93,8 @@
                              {"attributes", attributes}});
         }
     }
-    const json resource = {{"attributes",
-                            {{{"key", "service.name"}, {"value", {{"stringValue", m_service}}}}}}};
+    const json resource = {
+        {"attributes", {{{"key", "service.name"}, {"value", {{"stringValue", m_service}}}}}}};
     const json scope = {{"scope", {{"name", "cranberrymount"}}}, {"spans", spans}};
     return json{{"resourceSpans", {{{"resource", resource}, {"scopeSpans", {scope}}}}}}.dump();
 }
--- a/Libraries/State/Ids.h
+++ b/Libraries/State/Ids.h
@@ -13,8 +13,7 @@
  *
  * Source: declarations, settings or the platform's lists. An empty name means "none".
  */
-template <typename Tag>
-class Id
+template <typename Tag> class Id
 {
 public:
     Id() = default;
@@ -51,8 +50,7 @@
 };
 
 /** A 64-bit counter that only compares with counters of its own kind. */
-template <typename Tag>
-class Counter
+template <typename Tag> class Counter
 {
 public:
     Counter() = default;
@@ -79,8 +77,7 @@
 
 } // namespace Cranberrymount
 
-template <typename Tag>
-struct std::hash<Cranberrymount::Id<Tag>>
+template <typename Tag> struct std::hash<Cranberrymount::Id<Tag>>
 {
     std::size_t operator()(const Cranberrymount::Id<Tag> &id) const noexcept
     {
--- a/Libraries/State/Resources.h
+++ b/Libraries/State/Resources.h
@@ -7,8 +7,7 @@
 namespace Cranberrymount {
 
 /** An amount in one unit; amounts of different units do not mix. */
-template <typename Unit>
-class Amount
+template <typename Unit> class Amount
 {
 public:
     Amount() = default;
--- a/Libraries/Transport/FrameLink.cpp
+++ b/Libraries/Transport/FrameLink.cpp
@@ -50,16 +50,15 @@
 
 void FrameLink::send(Frame frame)
 {
-    asio::dispatch(m_socket.get_executor(),
-                   [self = shared_from_this(), frame = std::move(frame)] {
-                       if (self->m_closed)
-                           return;
-                       self->m_outgoing.push_back(withPrefix(frame));
-                       if (self->m_outgoing.size() > MaxQueuedFrames)
-                           self->fail();
-                       else if (self->m_outgoing.size() == 1)
-                           self->writeNext();
-                   });
+    asio::dispatch(m_socket.get_executor(), [self = shared_from_this(), frame = std::move(frame)] {
+        if (self->m_closed)
+            return;
+        self->m_outgoing.push_back(withPrefix(frame));
+        if (self->m_outgoing.size() > MaxQueuedFrames)
+            self->fail();
+        else if (self->m_outgoing.size() == 1)
+            self->writeNext();
+    });
 }
 
 void FrameLink::close()
--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -163,27 +163,27 @@
 }
 
 HttpClient::HttpClient()
-    : d(std::make_unique<Private>())
+    : m_private(std::make_unique<Private>())
 {
     static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
-    if (Initialized != CURLE_OK || !d->multi)
+    if (Initialized != CURLE_OK || !m_private->multi)
         throw TransportError("libcurl cannot be initialised");
-    curl_multi_setopt(d->multi, CURLMOPT_MAXCONNECTS, 1024L);
-    d->thread = std::thread([this] { d->run(); });
+    curl_multi_setopt(m_private->multi, CURLMOPT_MAXCONNECTS, 1024L);
+    m_private->thread = std::thread([this] { m_private->run(); });
 }
 
 HttpClient::~HttpClient()
 {
-    d->stopping = true;
-    curl_multi_wakeup(d->multi);
-    d->thread.join();
-    for (auto &[handle, exchange] : d->running) {
-        curl_multi_remove_handle(d->multi, handle);
+    m_private->stopping = true;
+    curl_multi_wakeup(m_private->multi);
+    m_private->thread.join();
+    for (auto &[handle, exchange] : m_private->running) {
+        curl_multi_remove_handle(m_private->multi, handle);
         curl_easy_cleanup(handle);
     }
-    for (CURL *handle : d->idle)
+    for (CURL *handle : m_private->idle)
         curl_easy_cleanup(handle);
-    curl_multi_cleanup(d->multi);
+    curl_multi_cleanup(m_private->multi);
 }
 
 void HttpClient::send(HttpCall call, Callback callback)
@@ -193,16 +193,16 @@
     exchange->callback = std::move(callback);
     bool blocked = false;
     {
-        const std::lock_guard lock(d->mutex);
-        blocked = d->isBlocked(exchange->call.url);
+        const std::lock_guard lock(m_private->mutex);
+        blocked = m_private->isBlocked(exchange->call.url);
         if (!blocked)
-            d->waiting.push_back(std::move(exchange));
+            m_private->waiting.push_back(std::move(exchange));
     }
     if (blocked) {
         exchange->callback({HttpResult::NotSent, 0, {}, {}, "blocked by a fault rule"});
         return;
     }
-    curl_multi_wakeup(d->multi);
+    curl_multi_wakeup(m_private->multi);
 }
 
 HttpResult HttpClient::sendAndWait(HttpCall call)
@@ -214,8 +214,8 @@
 
 void HttpClient::blockPrefixes(std::vector<std::string> prefixes)
 {
-    const std::lock_guard lock(d->mutex);
-    d->blocked = std::move(prefixes);
+    const std::lock_guard lock(m_private->mutex);
+    m_private->blocked = std::move(prefixes);
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -68,7 +68,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace Cranberrymount
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -33,8 +33,8 @@
     const auto &header = request->header();
     incoming.method = std::string(header.method().c_str());
     incoming.path = std::string(header.path());
-    const auto query = restinio::parse_query<restinio::parse_query_traits::javascript_compatible>(
-            header.query());
+    const auto query =
+        restinio::parse_query<restinio::parse_query_traits::javascript_compatible>(header.query());
     for (const auto &item : query)
         incoming.query.emplace(std::string(item.first), std::string(item.second));
     for (const auto &field : header)
@@ -46,8 +46,8 @@
 void send(const restinio::request_handle_t &request, const HttpAnswer &answer, bool closing)
 {
     auto response = request->create_response(restinio::http_status_line_t(
-            restinio::http_status_code_t(static_cast<uint16_t>(answer.status)),
-            answer.status < 400 ? "OK" : "Error"));
+        restinio::http_status_code_t(static_cast<uint16_t>(answer.status)),
+        answer.status < 400 ? "OK" : "Error"));
     response.append_header(restinio::http_field::content_type, answer.contentType);
     for (const auto &[name, value] : answer.headers)
         response.append_header(name, value);
@@ -78,18 +78,18 @@
 
 struct HttpServer::Private
 {
-    std::shared_ptr<std::atomic<std::size_t>> inFlight
-            = std::make_shared<std::atomic<std::size_t>>(0);
+    std::shared_ptr<std::atomic<std::size_t>> inFlight =
+        std::make_shared<std::atomic<std::size_t>>(0);
     std::shared_ptr<std::atomic<bool>> closing = std::make_shared<std::atomic<bool>>(false);
     std::unique_ptr<RestinioServer> server;
     std::unique_ptr<restinio::on_pool_runner_t<RestinioServer>> runner;
 };
 
 HttpServer::HttpServer(const Endpoint &address, const HttpServerLimits &limits, Handler handler)
-    : d(std::make_unique<Private>())
+    : m_private(std::make_unique<Private>())
 {
-    const auto handle = [handler = std::move(handler), inFlight = d->inFlight,
-                         closing = d->closing](restinio::request_handle_t request) {
+    const auto handle = [handler = std::move(handler), inFlight = m_private->inFlight,
+                         closing = m_private->closing](restinio::request_handle_t request) {
         ++*inFlight;
         const auto respond = [request, inFlight, closing](const HttpAnswer &answer) {
             send(request, answer, *closing);
@@ -98,60 +98,58 @@
         try {
             handler(convert(request), respond);
         } catch (const std::exception &error) {
-            respond({400, fmt::format("{{\"error\":\"request not understood: {}\"}}", error.what())});
+            respond(
+                {400, fmt::format("{{\"error\":\"request not understood: {}\"}}", error.what())});
         }
         return restinio::request_accepted();
     };
     restinio::server_settings_t<ServerTraits> settings;
     settings.address(address.host)
-            .port(address.port)
-            .request_handler(handle)
-            .max_parallel_connections(limits.connections)
-            .read_next_http_message_timelimit(limits.readTimeout)
-            .handle_request_timeout(limits.handleTimeout)
-            .buffer_size(16 * 1024)
-            .max_pipelined_requests(1)
-            .socket_options_setter([](auto &options) {
-                options.set_option(asio::ip::tcp::no_delay(true));
-            })
-            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
-                                              .max_url_size(8 * 1024)
-                                              .max_field_count(64)
-                                              .max_field_name_size(256)
-                                              .max_field_value_size(8 * 1024)
-                                              .max_body_size(limits.bodyBytes));
+        .port(address.port)
+        .request_handler(handle)
+        .max_parallel_connections(limits.connections)
+        .read_next_http_message_timelimit(limits.readTimeout)
+        .handle_request_timeout(limits.handleTimeout)
+        .buffer_size(16 * 1024)
+        .max_pipelined_requests(1)
+        .socket_options_setter(
+            [](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
+                                      .max_url_size(8 * 1024)
+                                      .max_field_count(64)
+                                      .max_field_name_size(256)
+                                      .max_field_value_size(8 * 1024)
+                                      .max_body_size(limits.bodyBytes));
     try {
-        d->server = std::make_unique<RestinioServer>(restinio::own_io_context(),
-                                                     std::move(settings));
-        d->runner = std::make_unique<restinio::on_pool_runner_t<RestinioServer>>(limits.threads,
-                                                                                 *d->server);
+        m_private->server =
+            std::make_unique<RestinioServer>(restinio::own_io_context(), std::move(settings));
+        m_private->runner = std::make_unique<restinio::on_pool_runner_t<RestinioServer>>(
+            limits.threads, *m_private->server);
         std::promise<void> opened;
-        d->runner->start([&opened]() noexcept { opened.set_value(); },
-                         [&opened](std::exception_ptr error) noexcept {
-                             opened.set_exception(error);
-                         });
+        m_private->runner->start(
+            [&opened]() noexcept { opened.set_value(); },
+            [&opened](std::exception_ptr error) noexcept { opened.set_exception(error); });
         opened.get_future().get();
     } catch (const std::exception &error) {
-        throw TransportError(
-                fmt::format("cannot listen on {}: {}", address.text(), error.what()));
+        throw TransportError(fmt::format("cannot listen on {}: {}", address.text(), error.what()));
     }
 }
 
 HttpServer::~HttpServer()
 {
-    d->runner->stop();
-    d->runner->wait();
+    m_private->runner->stop();
+    m_private->runner->wait();
 }
 
 void HttpServer::stopAccepting()
 {
-    *d->closing = true;
-    d->server->close_async([] {}, [](const std::exception_ptr &) {});
+    *m_private->closing = true;
+    m_private->server->close_async([] {}, [](const std::exception_ptr &) {});
 }
 
 std::size_t HttpServer::requestsInFlight() const
 {
-    return *d->inFlight;
+    return *m_private->inFlight;
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -46,7 +46,7 @@
 struct HttpServerLimits
 {
     std::size_t threads = 2;
-    std::size_t bodyBytes = 1024 * 1024;
+    std::size_t bodyBytes = 1'048'576;
     std::size_t connections = 4096;
     /** Longest time in which a client may send one request. */
     Duration readTimeout{10'000};
@@ -71,7 +71,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace Cranberrymount
--- a/Services/cranberrymountd/main.cpp
+++ b/Services/cranberrymountd/main.cpp
@@ -70,10 +70,9 @@
     HttpServerLimits limits;
     limits.threads = settings.httpThreads;
     limits.bodyBytes = settings.maxBodyBytes;
-    HttpServer server(settings.http, limits,
-                      [&api](HttpIncoming request, HttpRespond respond) {
-                          api.handle(std::move(request), std::move(respond));
-                      });
+    HttpServer server(settings.http, limits, [&api](HttpIncoming request, HttpRespond respond) {
+        api.handle(std::move(request), std::move(respond));
+    });
     node.start();
     LOG(INFO) << "event=started entry=" << settings.entry.value()
               << " zone=" << settings.zone.value() << " http=" << settings.http.text();
--- /dev/null
+++ b/Specification/Core.m
@@ -0,0 +1,310 @@
+-- The core protocol of one shard for one task of one team, over two entries and two workers.
+--
+-- Names are those of the code: WorkerPool (leases, epochs), ShardKeeper (taking over, active),
+-- RecordWriter (record epoch), EscrowKeeper (slices), ConfigurationKeeper (evidence), ClaimBook.
+-- Each guard marked GUARD n is removed in one broken variant by Meta/check.sh.
+
+const
+  EntryCount: 2;
+  WorkerCount: 2;
+  MaxEpoch: 3;
+  MaxStarts: 2;
+
+type
+  Entry: scalarset(EntryCount);
+  Worker: scalarset(WorkerCount);
+  Epoch: 0..MaxEpoch;
+
+  KeeperState: enum { Idle, TakingOver, Active };
+
+  Keeper: record
+    state: KeeperState;
+    epoch: Epoch;
+    -- Workers whose lease this keeper believes to hold, and those whose report it has.
+    holds: array[Worker] of boolean;
+    resolved: array[Worker] of boolean;
+    -- The keeper's own picture of the task: on which worker it was ordered, if on any.
+    ordered: array[Worker] of boolean;
+    knowsDone: boolean;
+    -- Evidence that the configuration is current.
+    fresh: boolean;
+    seesZoneOut: boolean;
+  end;
+
+  WorkerState: record
+    -- Highest epoch granted; its holder's lease may have ended.
+    epoch: Epoch;
+    leaseAlive: boolean;
+    running: boolean;
+    -- Ended well, and the end is not yet recorded in the store.
+    ended: boolean;
+  end;
+
+var
+  keepers: array[Entry] of Keeper;
+  workers: array[Worker] of WorkerState;
+
+  -- The store: owner key, record of the shard, configuration.
+  ownerEpoch: Epoch;
+  ownerKeyHeld: boolean;
+  owner: Entry;
+  recordEpoch: Epoch;
+  recordDone: boolean;
+  everRecorded: boolean;
+  zoneOut: boolean;
+  -- Set once every instance's evidence from before the change has run out.
+  zoneOutInForce: boolean;
+
+  -- Start orders under way; they may arrive late, whatever their sender does meanwhile.
+  order: array[Worker] of array[Epoch] of boolean;
+  starts: 0..MaxStarts;
+  startedAfterOut: boolean;
+  endedEver: boolean;
+  ranAgainAfterDone: boolean;
+
+procedure StopKeeping(e: Entry);
+begin
+  keepers[e].state := Idle;
+  keepers[e].epoch := 0;
+  keepers[e].knowsDone := false;
+  for w: Worker do
+    keepers[e].holds[w] := false;
+    keepers[e].resolved[w] := false;
+    keepers[e].ordered[w] := false;
+  end;
+end;
+
+startstate
+begin
+  for e: Entry do
+    StopKeeping(e);
+    keepers[e].fresh := true;
+    keepers[e].seesZoneOut := false;
+  end;
+  for w: Worker do
+    workers[w].epoch := 0;
+    workers[w].leaseAlive := false;
+    workers[w].running := false;
+    workers[w].ended := false;
+    for n: Epoch do order[w][n] := false; end;
+  end;
+  ownerEpoch := 0;
+  ownerKeyHeld := false;
+  undefine owner;
+  recordEpoch := 0;
+  recordDone := false;
+  everRecorded := false;
+  zoneOut := false;
+  zoneOutInForce := false;
+  starts := 0;
+  startedAfterOut := false;
+  endedEver := false;
+  ranAgainAfterDone := false;
+end;
+
+-- The owner key: a hint of who may try. It ends with its store lease, at any time.
+rule "owner key lapses"
+  ownerKeyHeld
+==>
+begin
+  ownerKeyHeld := false;
+  undefine owner;
+end;
+
+ruleset e: Entry do
+  -- ShardOwnership::acquire, then RecordWriter::takeOver fences the record.
+  rule "acquire"
+    !ownerKeyHeld & ownerEpoch < MaxEpoch & keepers[e].state = Idle
+  ==>
+  begin
+    ownerEpoch := ownerEpoch + 1;
+    ownerKeyHeld := true;
+    owner := e;
+    keepers[e].state := TakingOver;
+    keepers[e].epoch := ownerEpoch;
+  end;
+
+  rule "take over the record"
+    keepers[e].state = TakingOver & recordEpoch < keepers[e].epoch
+  ==>
+  begin
+    recordEpoch := keepers[e].epoch;
+    keepers[e].knowsDone := recordDone;
+  end;
+
+  -- ShardKeeper::becomeActiveIfResolved
+  rule "become active"
+    keepers[e].state = TakingOver & recordEpoch = keepers[e].epoch
+    & (forall w: Worker do keepers[e].resolved[w] end) -- GUARD 1: every worker is taken over
+  ==>
+  begin
+    keepers[e].state := Active;
+  end;
+
+  -- RecordWriter::lose: the record names a higher epoch.
+  rule "find the shard lost"
+    keepers[e].state != Idle & recordEpoch > keepers[e].epoch
+  ==>
+  begin
+    StopKeeping(e);
+  end;
+
+  rule "die"
+    keepers[e].state != Idle
+  ==>
+  begin
+    StopKeeping(e);
+  end;
+
+  -- RecordWriter::written under the owner's epoch.
+  rule "write the record"
+    keepers[e].state = Active
+    & recordEpoch = keepers[e].epoch -- GUARD 2: the record's epoch fences a former owner
+  ==>
+  begin
+    recordDone := keepers[e].knowsDone;
+    if recordDone then everRecorded := true; end;
+  end;
+
+  rule "evidence runs out"
+    keepers[e].fresh
+  ==>
+  begin
+    keepers[e].fresh := false;
+  end;
+
+  rule "evidence comes"
+    true
+  ==>
+  begin
+    keepers[e].fresh := true;
+    keepers[e].seesZoneOut := zoneOut;
+  end;
+end;
+
+ruleset e: Entry; w: Worker do
+  -- WorkerPool::renew: the worker grants to a higher epoch once the former lease is over.
+  rule "lease is granted"
+    keepers[e].state != Idle & recordEpoch >= keepers[e].epoch
+    & (workers[w].epoch < keepers[e].epoch)
+    -- Safety rests on the epoch alone; that the lease excludes others only keeps the peace.
+    & !workers[w].leaseAlive
+  ==>
+  begin
+    workers[w].epoch := keepers[e].epoch;
+    workers[w].leaseAlive := true;
+    keepers[e].holds[w] := true;
+    keepers[e].resolved[w] := true;
+    keepers[e].ordered[w] := workers[w].running;
+    if workers[w].ended then keepers[e].knowsDone := true; end;
+  end;
+
+  rule "renewal reports"
+    keepers[e].holds[w] & workers[w].leaseAlive & workers[w].epoch = keepers[e].epoch
+  ==>
+  begin
+    if workers[w].ended then
+      keepers[e].knowsDone := true;
+      keepers[e].ordered[w] := false;
+    end;
+  end;
+
+  -- A paused or silent owner: the worker's clock ends the lease.
+  rule "lease lapses"
+    workers[w].leaseAlive
+  ==>
+  begin
+    workers[w].leaseAlive := false;
+  end;
+
+  -- ShardKeeper::schedule and applyDecision
+  rule "order a start"
+    keepers[e].state = Active & keepers[e].holds[w] & starts < MaxStarts
+    & !keepers[e].knowsDone
+    & (forall v: Worker do !keepers[e].ordered[v] end) -- GUARD 3: no attempt is alive
+    & keepers[e].fresh & !keepers[e].seesZoneOut -- GUARD 4: recent evidence, zone in
+  ==>
+  begin
+    keepers[e].ordered[w] := true;
+    order[w][keepers[e].epoch] := true;
+    starts := starts + 1;
+  end;
+
+  -- WorkerPool::acknowledge after the end is recorded
+  rule "acknowledge the end"
+    keepers[e].holds[w] & workers[w].ended
+    & recordDone -- GUARD 5: a worker forgets an end only once it is recorded
+  ==>
+  begin
+    workers[w].ended := false;
+  end;
+end;
+
+ruleset w: Worker; n: Epoch do
+  rule "start arrives"
+    order[w][n]
+  ==>
+  begin
+    order[w][n] := false;
+    if workers[w].epoch = n -- GUARD 6: a late order of a former holder is refused
+       & workers[w].leaseAlive then
+      if endedEver then ranAgainAfterDone := true; end;
+      if zoneOutInForce then startedAfterOut := true; end;
+      workers[w].running := true;
+    end;
+  end;
+
+  rule "start is lost"
+    order[w][n]
+  ==>
+  begin
+    order[w][n] := false;
+  end;
+end;
+
+ruleset w: Worker do
+  rule "task ends well"
+    workers[w].running
+  ==>
+  begin
+    workers[w].running := false;
+    workers[w].ended := true;
+    endedEver := true;
+  end;
+end;
+
+rule "operators take the zone out"
+  !zoneOut
+==>
+begin
+  zoneOut := true;
+end;
+
+-- A few seconds later all older evidence has run out and all orders under it have arrived.
+rule "zone out is in force"
+  zoneOut & !zoneOutInForce
+  & (forall e: Entry do !keepers[e].fresh | keepers[e].seesZoneOut end)
+  & (forall w: Worker do forall n: Epoch do !order[w][n] end end)
+==>
+begin
+  zoneOutInForce := true;
+end;
+
+invariant "no task runs in two places"
+  forall v: Worker do forall w: Worker do
+    v != w -> !(workers[v].running & workers[w].running)
+  end end;
+
+invariant "a task that ended well is never run again"
+  !ranAgainAfterDone;
+
+invariant "a recorded end stays recorded"
+  everRecorded -> recordDone;
+
+invariant "an end is known or kept"
+  forall v: Worker do forall w: Worker do
+    v != w -> !(workers[v].ended & workers[w].running)
+  end end;
+
+invariant "no start in a zone that is out"
+  !startedAfterOut;
--- a/Tests/EndToEnd/Deployment.cpp
+++ b/Tests/EndToEnd/Deployment.cpp
@@ -35,8 +35,7 @@
     static std::set<uint16_t> used;
     for (;;) {
         asio::io_context context;
-        const asio::ip::tcp::acceptor acceptor(
-                context, {asio::ip::make_address("127.0.0.1"), 0});
+        const asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
         const uint16_t port = acceptor.local_endpoint().port();
         if (used.insert(port).second)
             return port;
@@ -189,8 +188,8 @@
     posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     pid_t process = 0;
-    const int failure
-            = posix_spawn(&process, words[0].c_str(), &actions, nullptr, pointers.data(), environ);
+    const int failure =
+        posix_spawn(&process, words[0].c_str(), &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0)
         throw std::runtime_error("cannot start " + words[0]);
@@ -220,17 +219,18 @@
 {
     std::string peers;
     for (const auto &[other, peer] : m_entries)
-        peers += (peers.empty() ? "\"127.0.0.1:" : ", \"127.0.0.1:") + std::to_string(peer.peer) + "\"";
+        peers +=
+            (peers.empty() ? "\"127.0.0.1:" : ", \"127.0.0.1:") + std::to_string(peer.peer) + "\"";
     std::ofstream(m_folder + "/" + name + ".toml")
-            << "[entry]\nid = \"" << name << "\"\nzone = \"" << entry.zone
-            << "\"\nhttp = \"127.0.0.1:" << entry.http << "\"\npeer = \"127.0.0.1:" << entry.peer
-            << "\"\npeers = [" << peers << "]\noperator_key_sha256 = \"" << hashKey(OperatorKey)
-            << "\"\n[platform]\nstore = \"" << url(m_platformPort) << "\"\ninstances = \""
-            << url(m_platformPort) << "/instances\"\n[limits]\nfaults_allowed = true\n"
-            << "[timing]\nheartbeat_ms = 300\nstore_timeout_ms = 600\nworker_timeout_ms = 600\n"
-            << "instance_list_ms = 300\nworker_lease_ms = " << m_shape.workerLease.count()
-            << "\nstore_lease_ms = " << m_shape.storeLease.count()
-            << "\norphan_grace_ms = " << m_shape.orphanGrace.count() << "\n";
+        << "[entry]\nid = \"" << name << "\"\nzone = \"" << entry.zone
+        << "\"\nhttp = \"127.0.0.1:" << entry.http << "\"\npeer = \"127.0.0.1:" << entry.peer
+        << "\"\npeers = [" << peers << "]\noperator_key_sha256 = \"" << hashKey(OperatorKey)
+        << "\"\n[platform]\nstore = \"" << url(m_platformPort) << "\"\ninstances = \""
+        << url(m_platformPort) << "/instances\"\n[limits]\nfaults_allowed = true\n"
+        << "[timing]\nheartbeat_ms = 300\nstore_timeout_ms = 600\nworker_timeout_ms = 600\n"
+        << "instance_list_ms = 300\nworker_lease_ms = " << m_shape.workerLease.count()
+        << "\nstore_lease_ms = " << m_shape.storeLease.count()
+        << "\norphan_grace_ms = " << m_shape.orphanGrace.count() << "\n";
 }
 
 void Deployment::startEntry(const std::string &name)
@@ -291,8 +291,8 @@
 bool Deployment::awaitEnd(const std::string &name, Duration limit)
 {
     const pid_t process = m_processes.at(name);
-    const bool hasEnded
-            = eventually([&] { return waitpid(process, nullptr, WNOHANG) == process; }, limit);
+    const bool hasEnded =
+        eventually([&] { return waitpid(process, nullptr, WNOHANG) == process; }, limit);
     if (hasEnded)
         m_processes.erase(name);
     return hasEnded;
@@ -330,8 +330,8 @@
 Json Deployment::operate(const std::string &entry, const std::string &method,
                          const std::string &path, const Json &body)
 {
-    const HttpResult result
-            = call(entry, method, path, body.dump(), {"X-Operator-Key: " + OperatorKey});
+    const HttpResult result =
+        call(entry, method, path, body.dump(), {"X-Operator-Key: " + OperatorKey});
     Json answer = Json::parse(result.body, nullptr, false);
     if (!answer.is_object())
         answer = Json::object();
@@ -344,8 +344,8 @@
     const Json plan = operate(entry, "POST", "/plans", intent);
     if (!plan.contains("id"))
         throw std::runtime_error("no plan: " + plan.dump());
-    const Json decided
-            = operate(entry, "POST", "/plans/" + plan.at("id").get<std::string>() + "/confirm");
+    const Json decided =
+        operate(entry, "POST", "/plans/" + plan.at("id").get<std::string>() + "/confirm");
     if (decided.at("http_status") != 200)
         throw std::runtime_error("not confirmed: " + decided.dump());
 }
@@ -354,8 +354,7 @@
 {
     if (!job.contains("per_task"))
         job["per_task"] = {{"cpu_millis", 1000}, {"memory_mb", 1000}};
-    const HttpResult result
-            = call(entry, "POST", "/jobs", job.dump(), {"X-Team-Key: key-" + team});
+    const HttpResult result = call(entry, "POST", "/jobs", job.dump(), {"X-Team-Key: key-" + team});
     if (!result.isOk())
         return {};
     return Json::parse(result.body).at("id").get<std::string>();
@@ -363,8 +362,7 @@
 
 Json Deployment::counts(const std::string &entry, const std::string &team, const std::string &job)
 {
-    const HttpResult result
-            = call(entry, "GET", "/jobs/" + job, {}, {"X-Team-Key: key-" + team});
+    const HttpResult result = call(entry, "GET", "/jobs/" + job, {}, {"X-Team-Key: key-" + team});
     return result.isOk() ? Json::parse(result.body).at("counts") : Json::object();
 }
 
--- a/Tests/EndToEnd/WholePathTest.cpp
+++ b/Tests/EndToEnd/WholePathTest.cpp
@@ -40,9 +40,7 @@
 
 Json job(const std::string &kind, int tasks, int runMillis)
 {
-    return {{"kind", kind},
-            {"tasks", tasks},
-            {"payload", Json{{"run_ms", runMillis}}.dump()}};
+    return {{"kind", kind}, {"tasks", tasks}, {"payload", Json{{"run_ms", runMillis}}.dump()}};
 }
 
 } // namespace
@@ -65,7 +63,7 @@
     const std::string gang = deployment.submit("b-e1", "blue", job("gang", 8, 600));
     REQUIRE(eventually([&] {
         return deployment.isDone("a-e1", "red", batch, 30)
-                && deployment.isDone("b-e0", "blue", gang, 8);
+            && deployment.isDone("b-e0", "blue", gang, 8);
     }));
     const Journal journal = deployment.journal();
     CHECK(journal.doneTasks(batch) == 30);
@@ -89,9 +87,8 @@
     REQUIRE(lookup("b-e0", "keyed", "{}", key).status == 200);
     REQUIRE(lookup("b-e0", "keyed", "{}").status == 401);
     REQUIRE(lookup("b-e0", "keyed", "{}", {"X-Team-Key: key-blue"}).status == 403);
-    deployment.intend("a-e0", {{"type", "withdraw-key"},
-                               {"team", "red"},
-                               {"key_sha256", hashKey("key-red")}});
+    deployment.intend(
+        "a-e0", {{"type", "withdraw-key"}, {"team", "red"}, {"key_sha256", hashKey("key-red")}});
     const auto isRefusedEverywhere = [&] {
         for (const std::string &entry : deployment.entries()) {
             if (lookup(entry, "keyed", "{}", key).status != 401)
@@ -106,13 +103,12 @@
 TEST_CASE_METHOD(ReadyDeployment, "Drained zone gets no start and its work moves", "[path][zones]")
 {
     const std::string batch = deployment.submit("a-e0", "red", job("batch", 48, 1500));
-    REQUIRE(eventually([&] {
-        return deployment.counts("a-e0", "red", batch).value("running", 0) >= 16;
-    }));
+    REQUIRE(eventually(
+        [&] { return deployment.counts("a-e0", "red", batch).value("running", 0) >= 16; }));
     deployment.intend("b-e0", {{"type", "drain-zone"}, {"zone", "a"}});
     const int64_t outAt = unixMillis();
-    CHECK(eventually([&] { return deployment.isDone("b-e0", "red", batch, 48); },
-                     Duration(60'000)));
+    CHECK(
+        eventually([&] { return deployment.isDone("b-e0", "red", batch, 48); }, Duration(60'000)));
     const Journal journal = deployment.journal();
     CHECK(journal.startsIn("a", outAt + 6000) == 0);
     CHECK(journal.doneAttempts(batch) == 48);
@@ -158,8 +154,8 @@
     for (std::size_t caller = 0; caller < answers.size(); ++caller) {
         callers.emplace_back([&, caller] {
             const std::string entry = caller % 2 == 0 ? "a-e0" : "b-e1";
-            answers[caller] = lookup(entry, "open", R"({"id":"booking","work_ms":300})",
-                                     {"Idempotency-Key: k1"});
+            answers[caller] =
+                lookup(entry, "open", R"({"id":"booking","work_ms":300})", {"Idempotency-Key: k1"});
         });
     }
     for (std::thread &caller : callers)
@@ -171,8 +167,8 @@
         CHECK((answer.status == 200 || answer.status == 409));
     }
     CHECK(answered >= 1);
-    const HttpResult later = lookup("b-e0", "open", R"({"id":"booking","work_ms":300})",
-                                    {"Idempotency-Key: k1"});
+    const HttpResult later =
+        lookup("b-e0", "open", R"({"id":"booking","work_ms":300})", {"Idempotency-Key: k1"});
     CHECK(later.status == 200);
     CHECK(lookup("b-e0", "open", "{}", {"Idempotency-Key: k1"}).status == 422);
     CHECK(deployment.journal().lookupRuns.at("booking") == 1);
--- a/Tests/Standins/Platform.cpp
+++ b/Tests/Standins/Platform.cpp
@@ -193,12 +193,13 @@
 HttpAnswer Platform::admin(const HttpIncoming &request)
 {
     if (request.path == "/admin/counters") {
-        return {200, Json{{"reads", m_reads},
-                          {"writes", m_writes},
-                          {"written_bytes", m_writtenBytes},
-                          {"keys", m_values.size()},
-                          {"waiting_watches", m_watches.size()}}
-                             .dump()};
+        return {200,
+                Json{{"reads", m_reads},
+                     {"writes", m_writes},
+                     {"written_bytes", m_writtenBytes},
+                     {"keys", m_values.size()},
+                     {"waiting_watches", m_watches.size()}}
+                    .dump()};
     }
     const Json body = parseJson(request.body.empty() ? "{}" : request.body);
     if (request.path == "/admin/faults") {
--- a/Tests/Standins/Worker.cpp
+++ b/Tests/Standins/Worker.cpp
@@ -306,11 +306,12 @@
 HttpAnswer WorkerHost::admin(const HttpIncoming &request)
 {
     if (request.path == "/admin/journal") {
-        return {200, Json{{"journal", m_journal},
-                          {"violations", m_violations},
-                          {"lookup_count", m_lookupCount},
-                          {"lookup_runs", m_lookupRuns}}
-                             .dump()};
+        return {200,
+                Json{{"journal", m_journal},
+                     {"violations", m_violations},
+                     {"lookup_count", m_lookupCount},
+                     {"lookup_runs", m_lookupRuns}}
+                    .dump()};
     }
     const Json body = parseJson(request.body.empty() ? "{}" : request.body);
     m_silentLookups = body.value("silent_lookups", m_silentLookups);
--- a/Tests/Unit/HistoryTest.cpp
+++ b/Tests/Unit/HistoryTest.cpp
@@ -62,8 +62,8 @@
 
     void oneFault()
     {
-        const auto entry = static_cast<std::size_t>(
-                m_world.below(static_cast<int>(m_world.entryCount())));
+        const auto entry =
+            static_cast<std::size_t>(m_world.below(static_cast<int>(m_world.entryCount())));
         switch (m_world.below(8)) {
         case 0:
             return m_world.kill(entry);
@@ -78,8 +78,8 @@
         case 5:
             return m_world.heal();
         case 6:
-            return m_world.setFaults({m_world.below(10) / 100.0, m_world.below(10) / 100.0,
-                                      m_world.below(10) / 100.0});
+            return m_world.setFaults(
+                {m_world.below(10) / 100.0, m_world.below(10) / 100.0, m_world.below(10) / 100.0});
         default:
             return moveZone();
         }
@@ -107,14 +107,14 @@
         if (m_world.isZoneOut(ZoneId("z0")))
             moveZone();
         return m_world.runUntil(
-                [this] {
-                    for (const JobSpec &spec : m_accepted) {
-                        if (!m_world.isRecordedDone(spec.id, spec.tasks))
-                            return false;
-                    }
-                    return true;
-                },
-                Duration(180'000));
+            [this] {
+                for (const JobSpec &spec : m_accepted) {
+                    if (!m_world.isRecordedDone(spec.id, spec.tasks))
+                        return false;
+                }
+                return true;
+            },
+            Duration(180'000));
     }
 
     /** @return what every entry shows of the jobs that are not done, for a failed history. */
@@ -163,6 +163,8 @@
         INFO("seed " << seed << "\n" << (isSettled ? "" : history.unfinished()));
         CHECK(isSettled);
         REQUIRE(history.world().violations() == std::vector<std::string>());
+        for (const JobSpec &spec : history.accepted())
+            CHECK(history.world().doneAttempts(spec.id) == spec.tasks);
         events += history.world().eventCount();
         starts += history.world().startCount();
         jobs += history.accepted().size();
--- a/Tests/Unit/ShardSchedulerTest.cpp
+++ b/Tests/Unit/ShardSchedulerTest.cpp
@@ -106,7 +106,8 @@
     CHECK(decision.reasons.at(JobId("batch")) == WaitReason::TeamLimit);
 }
 
-TEST_CASE_METHOD(SchedulerFixture, "Urgent work checkpoints batch tasks on a full shard", "[scheduler]")
+TEST_CASE_METHOD(SchedulerFixture, "Urgent work checkpoints batch tasks on a full shard",
+                 "[scheduler]")
 {
     for (std::size_t number = 0; number < 2; ++number) {
         view.workers[number].free = Resources();
--- a/Tests/Unit/World.cpp
+++ b/Tests/Unit/World.cpp
@@ -58,10 +58,11 @@
 
     void after(Duration delay, std::function<void()> callback) override
     {
-        m_world.m_events.at(now() + delay, [this, &world = m_world, node = m_node, life = m_life,
-                                            callback = std::move(callback)]() mutable {
-            world.onNode(node, life, std::move(callback));
-        });
+        m_world.m_events.at(now() + delay,
+                            [this, &world = m_world, node = m_node, life = m_life,
+                             callback = std::move(callback)]() mutable {
+                                world.onNode(node, life, std::move(callback));
+                            });
     }
 
 private:
@@ -93,46 +94,46 @@
         // The wait is spent before the question, so that evidence stays dated to its asking.
         auto read = std::make_shared<StoreRead>();
         m_world.exchange(
-                m_node, isCut(), StoreTimeout + wait,
-                [this, key, read] { *read = m_world.m_storeDown ? StoreRead() : find(key, true); },
-                [read, done = std::move(done)](bool isAnswered, bool) {
-                    done(isAnswered ? *read : StoreRead());
-                });
+            m_node, isCut(), StoreTimeout + wait,
+            [this, key, read] { *read = m_world.m_storeDown ? StoreRead() : find(key, true); },
+            [read, done = std::move(done)](bool isAnswered, bool) {
+                done(isAnswered ? *read : StoreRead());
+            });
     }
     void write(StorePut put, std::function<void(StoreWrite)> done) override
     {
         auto result = std::make_shared<StoreWrite>();
         m_world.exchange(
-                m_node, isCut(), StoreTimeout,
-                [this, put, result] {
-                    if (!m_world.m_storeDown)
-                        *result = m_world.serveWrite(put);
-                },
-                [result, done = std::move(done)](bool isAnswered, bool isSent) {
-                    if (!isSent)
-                        return done({StoreWrite::NotSent, {}});
-                    done(isAnswered ? *result : StoreWrite());
-                });
+            m_node, isCut(), StoreTimeout,
+            [this, put, result] {
+                if (!m_world.m_storeDown)
+                    *result = m_world.serveWrite(put);
+            },
+            [result, done = std::move(done)](bool isAnswered, bool isSent) {
+                if (!isSent)
+                    return done({StoreWrite::NotSent, {}});
+                done(isAnswered ? *result : StoreWrite());
+            });
     }
     void remove(const std::string &key, Revision expected,
                 std::function<void(StoreWrite)> done) override
     {
         auto result = std::make_shared<StoreWrite>();
         m_world.exchange(
-                m_node, isCut(), StoreTimeout,
-                [this, key, expected, result] {
-                    const auto found = m_world.m_values.find(key);
-                    if (m_world.m_storeDown || found == m_world.m_values.end()
-                        || found->second.revision != expected)
-                        return;
-                    m_world.m_values.erase(found);
-                    *result = {StoreWrite::Written, Revision(++m_world.m_revision)};
-                },
-                [result, done = std::move(done)](bool isAnswered, bool isSent) {
-                    if (!isSent)
-                        return done({StoreWrite::NotSent, {}});
-                    done(isAnswered ? *result : StoreWrite());
-                });
+            m_node, isCut(), StoreTimeout,
+            [this, key, expected, result] {
+                const auto found = m_world.m_values.find(key);
+                if (m_world.m_storeDown || found == m_world.m_values.end()
+                    || found->second.revision != expected)
+                    return;
+                m_world.m_values.erase(found);
+                *result = {StoreWrite::Written, Revision(++m_world.m_revision)};
+            },
+            [result, done = std::move(done)](bool isAnswered, bool isSent) {
+                if (!isSent)
+                    return done({StoreWrite::NotSent, {}});
+                done(isAnswered ? *result : StoreWrite());
+            });
     }
     void createLease(Duration ttl, std::function<void(StoreLease)> done) override
     {
@@ -182,27 +183,27 @@
     {
         auto read = std::make_shared<StoreRead>();
         m_world.exchange(
-                m_node, isCut(), StoreTimeout,
-                [this, key, isExact, read] {
-                    if (!m_world.m_storeDown)
-                        *read = find(key, isExact);
-                },
-                [read, done = std::move(done)](bool isAnswered, bool) {
-                    done(isAnswered ? *read : StoreRead());
-                });
+            m_node, isCut(), StoreTimeout,
+            [this, key, isExact, read] {
+                if (!m_world.m_storeDown)
+                    *read = find(key, isExact);
+            },
+            [read, done = std::move(done)](bool isAnswered, bool) {
+                done(isAnswered ? *read : StoreRead());
+            });
     }
     void lease(std::function<void(StoreLease)> done, std::function<StoreLease()> serve)
     {
         auto result = std::make_shared<StoreLease>();
         m_world.exchange(
-                m_node, isCut(), StoreTimeout,
-                [this, result, serve = std::move(serve)] {
-                    if (!m_world.m_storeDown)
-                        *result = serve();
-                },
-                [result, done = std::move(done)](bool isAnswered, bool) {
-                    done(isAnswered ? *result : StoreLease());
-                });
+            m_node, isCut(), StoreTimeout,
+            [this, result, serve = std::move(serve)] {
+                if (!m_world.m_storeDown)
+                    *result = serve();
+            },
+            [result, done = std::move(done)](bool isAnswered, bool) {
+                done(isAnswered ? *result : StoreLease());
+            });
     }
 
     World &m_world;
@@ -249,8 +250,8 @@
     }
 
     void send(const Endpoint &peer, PeerMessage message) override;
-    void call(const Endpoint &peer, PeerMessage message, const std::string &trace,
-              Duration timeout, std::function<void(PeerResult)> done) override;
+    void call(const Endpoint &peer, PeerMessage message, const std::string &trace, Duration timeout,
+              std::function<void(PeerResult)> done) override;
 
 private:
     World &m_world;
@@ -293,11 +294,9 @@
     const Duration pause = request.wait / 4;
     m_world.m_events.at(m_world.m_events.now() + pause, [=, this, &worker] {
         m_world.exchange(
-                m_node, worker.isDead, WorkerTimeout,
-                [=, this, &worker] { *answer = m_world.serveLease(worker, request); },
-                [answer, done](bool isAnswered, bool) {
-                    done(isAnswered ? *answer : LeaseAnswer());
-                });
+            m_node, worker.isDead, WorkerTimeout,
+            [=, this, &worker] { *answer = m_world.serveLease(worker, request); },
+            [answer, done](bool isAnswered, bool) { done(isAnswered ? *answer : LeaseAnswer()); });
     });
 }
 
@@ -305,8 +304,8 @@
 {
     const FakeWorker &worker = find(info);
     m_world.exchange(
-            m_node, worker.isDead, WorkerTimeout, [] {},
-            [done = std::move(done)](bool isAnswered, bool) { done(isAnswered); });
+        m_node, worker.isDead, WorkerTimeout, [] {},
+        [done = std::move(done)](bool isAnswered, bool) { done(isAnswered); });
 }
 
 void World::NodeWorkers::start(const WorkerInfo &info, Epoch epoch, std::vector<StartOrder> orders,
@@ -315,26 +314,25 @@
     FakeWorker &worker = find(info);
     auto answer = std::make_shared<StartAnswer>();
     m_world.exchange(
-            m_node, worker.isDead, WorkerTimeout,
-            [=, this, &worker] {
-                m_world.enforceLease(worker);
-                if (worker.epoch != epoch || m_world.m_events.now() >= worker.leaseUntil) {
-                    m_world.trace("refused start of " + describe(orders.front().task) + " on "
-                                  + worker.info.id.value() + " epoch "
-                                  + std::to_string(epoch.value()) + " worker epoch "
-                                  + std::to_string(worker.epoch.value()));
-                    answer->outcome = StartAnswer::Refused;
-                    return;
-                }
-                for (const StartOrder &order : orders)
-                    m_world.startTask(worker, order);
-                answer->outcome = StartAnswer::Started;
-            },
-            [answer, done = std::move(done)](bool isAnswered, bool isSent) {
-                if (!isSent)
-                    return done({StartAnswer::NotSent});
-                done(isAnswered ? *answer : StartAnswer());
-            });
+        m_node, worker.isDead, WorkerTimeout,
+        [=, this, &worker] {
+            m_world.enforceLease(worker);
+            if (worker.epoch != epoch || m_world.m_events.now() >= worker.leaseUntil) {
+                m_world.trace("refused start of " + describe(orders.front().task) + " on "
+                              + worker.info.id.value() + " epoch " + std::to_string(epoch.value())
+                              + " worker epoch " + std::to_string(worker.epoch.value()));
+                answer->outcome = StartAnswer::Refused;
+                return;
+            }
+            for (const StartOrder &order : orders)
+                m_world.startTask(worker, order);
+            answer->outcome = StartAnswer::Started;
+        },
+        [answer, done = std::move(done)](bool isAnswered, bool isSent) {
+            if (!isSent)
+                return done({StartAnswer::NotSent});
+            done(isAnswered ? *answer : StartAnswer());
+        });
 }
 
 void World::NodeWorkers::stop(const WorkerInfo &info, Epoch epoch, std::vector<AttemptRef> attempts,
@@ -342,14 +340,14 @@
 {
     FakeWorker &worker = find(info);
     m_world.exchange(
-            m_node, worker.isDead, WorkerTimeout,
-            [=, this, &worker] {
-                if (epoch < worker.epoch)
-                    return;
-                for (const AttemptRef &attempt : attempts)
-                    m_world.endTask(worker, attempt, AttemptOutcome::Stopped);
-            },
-            [](bool, bool) {});
+        m_node, worker.isDead, WorkerTimeout,
+        [=, this, &worker] {
+            if (epoch < worker.epoch)
+                return;
+            for (const AttemptRef &attempt : attempts)
+                m_world.endTask(worker, attempt, AttemptOutcome::Stopped);
+        },
+        [](bool, bool) {});
 }
 
 void World::NodeWorkers::release(const WorkerInfo &info, EntryId holder, Epoch epoch,
@@ -357,15 +355,15 @@
 {
     FakeWorker &worker = find(info);
     m_world.exchange(
-            m_node, worker.isDead, WorkerTimeout,
-            [=, this, &worker] {
-                if (worker.holder != holder || epoch < worker.epoch)
-                    return;
-                worker.holder = EntryId();
-                worker.epoch = epoch;
-                worker.leaseUntil = m_world.m_events.now();
-            },
-            [done = std::move(done)](bool isAnswered, bool) { done(isAnswered); });
+        m_node, worker.isDead, WorkerTimeout,
+        [=, this, &worker] {
+            if (worker.holder != holder || epoch < worker.epoch)
+                return;
+            worker.holder = EntryId();
+            worker.epoch = epoch;
+            worker.leaseUntil = m_world.m_events.now();
+        },
+        [done = std::move(done)](bool isAnswered, bool) { done(isAnswered); });
 }
 
 void World::NodePeers::send(const Endpoint &peer, PeerMessage message)
@@ -373,14 +371,14 @@
     const std::size_t target = peer.port;
     const Node &node = *m_world.m_nodes[target];
     m_world.exchange(
-            m_node, m_world.isCutOff(m_node, node.zone), WorkerTimeout,
-            [this, target, message = std::move(message)] {
-                Node &receiver = *m_world.m_nodes[target];
-                m_world.onNode(target, receiver.life, [&receiver, message] {
-                    receiver.parts->plane->heard(std::get<Heartbeat>(message));
-                });
-            },
-            [](bool, bool) {});
+        m_node, m_world.isCutOff(m_node, node.zone), WorkerTimeout,
+        [this, target, message = std::move(message)] {
+            Node &receiver = *m_world.m_nodes[target];
+            m_world.onNode(target, receiver.life, [&receiver, message] {
+                receiver.parts->plane->heard(std::get<Heartbeat>(message));
+            });
+        },
+        [](bool, bool) {});
 }
 
 void World::NodePeers::call(const Endpoint &peer, PeerMessage message, const std::string &,
@@ -404,21 +402,23 @@
     });
     if (isCut || world.chance(world.m_faults.lostRequests))
         return;
-    world.m_events.at(world.m_events.now() + world.delay(), [&world, target, self, finish,
-                                                             message = std::move(message)] {
-        Node &receiver = *world.m_nodes[target];
-        world.onNode(target, receiver.life, [&world, &receiver, finish, message, self] {
-            receiver.parts->plane->control(std::get<ControlCall>(message), [&world, finish, &receiver,
-                                                                     self](ControlReply reply) {
-                if (world.chance(world.m_faults.lostAnswers)
-                    || world.isCutOff(self, receiver.zone))
-                    return;
-                world.m_events.at(world.m_events.now() + world.delay(), [finish, reply] {
-                    finish({PeerResult::Answered, reply});
-                });
+    world.m_events.at(
+        world.m_events.now() + world.delay(),
+        [&world, target, self, finish, message = std::move(message)] {
+            Node &receiver = *world.m_nodes[target];
+            world.onNode(target, receiver.life, [&world, &receiver, finish, message, self] {
+                receiver.parts->plane->control(
+                    std::get<ControlCall>(message),
+                    [&world, finish, &receiver, self](ControlReply reply) {
+                        if (world.chance(world.m_faults.lostAnswers)
+                            || world.isCutOff(self, receiver.zone))
+                            return;
+                        world.m_events.at(world.m_events.now() + world.delay(), [finish, reply] {
+                            finish({PeerResult::Answered, reply});
+                        });
+                    });
             });
         });
-    });
 }
 
 World::World(uint64_t seed, Shape shape)
@@ -430,7 +430,8 @@
             FakeWorker worker;
             worker.info.id = WorkerId("w" + std::to_string(zone) + "-" + std::to_string(number));
             worker.info.zone = ZoneId("z" + std::to_string(zone));
-            worker.info.rack = RackId("r" + std::to_string(zone) + "-" + std::to_string(number / 2));
+            worker.info.rack =
+                RackId("r" + std::to_string(zone) + "-" + std::to_string(number / 2));
             worker.info.capacity = shape.capacity;
             m_workers.push_back(std::move(worker));
         }
@@ -588,11 +589,11 @@
             continue;
         auto outcome = std::make_shared<std::optional<ChangeResult::Outcome>>();
         plane(index)->configurationKeeper().change(
-                [change](Configuration &configuration) {
-                    change(configuration);
-                    return true;
-                },
-                [outcome](const ChangeResult &result) { *outcome = result.outcome; });
+            [change](Configuration &configuration) {
+                change(configuration);
+                return true;
+            },
+            [outcome](const ChangeResult &result) { *outcome = result.outcome; });
         runUntil([&] { return outcome->has_value(); }, Duration(20'000));
         if (*outcome == ChangeResult::Changed)
             return true;
@@ -617,7 +618,7 @@
                             const auto *reply = std::get_if<ControlReply>(&result.message);
                             *isAnswered = true;
                             *isRecorded = result.outcome == PeerResult::Answered && reply
-                                    && reply->body == "recorded";
+                                && reply->body == "recorded";
                         });
     });
     runUntil([&] { return *isAnswered; }, Duration(5000));
@@ -709,7 +710,8 @@
     std::erase_if(m_leases, [this](const auto &item) {
         if (item.second.until >= m_events.now())
             return false;
-        std::erase_if(m_values, [&](const auto &value) { return value.second.lease == item.first; });
+        std::erase_if(m_values,
+                      [&](const auto &value) { return value.second.lease == item.first; });
         return true;
     });
 }
@@ -730,9 +732,8 @@
 
 void World::noteZones(const Configuration &configuration)
 {
-    std::erase_if(m_zoneOutSince, [&](const auto &item) {
-        return !configuration.zonesOut.contains(item.first);
-    });
+    std::erase_if(m_zoneOutSince,
+                  [&](const auto &item) { return !configuration.zonesOut.contains(item.first); });
     for (const ZoneId &zone : configuration.zonesOut)
         m_zoneOutSince.try_emplace(zone, m_events.now());
 }
@@ -781,7 +782,8 @@
     if (!answer.report.complete)
         return answer;
     for (const auto &[attempt, order] : worker.running)
-        answer.report.running.push_back({attempt.task, attempt.attempt, order.team, order.resources});
+        answer.report.running.push_back(
+            {attempt.task, attempt.attempt, order.team, order.resources});
     return answer;
 }
 
--- a/Utilities/cranberrymount/Commands.cpp
+++ b/Utilities/cranberrymount/Commands.cpp
@@ -242,8 +242,8 @@
     }
     const Json status = Json::parse(result.body);
     std::cout << "configuration " << status.at("configuration_revision") << ", seen "
-              << status.at("configuration_age_ms") << " ms ago; zones out: "
-              << status.at("zones_out").dump()
+              << status.at("configuration_age_ms")
+              << " ms ago; zones out: " << status.at("zones_out").dump()
               << "; silent entries: " << status.at("silent_entries").dump() << "\n";
     for (const Json &entry : status.at("entries")) {
         for (const Json &shard : entry.at("shards")) {
--- a/Utilities/cranberrymount/main.cpp
+++ b/Utilities/cranberrymount/main.cpp
@@ -24,17 +24,17 @@
 {
     try {
         TCLAP::CmdLine line("cranberrymount: for operators and submitters. Commands:\n"
-                                    + Commands::usage(),
+                                + Commands::usage(),
                             ' ', "0.1");
         TCLAP::ValueArg<std::string> entry(
-                "e", "entry", "URL of an entry instance; CRANBERRYMOUNT_ENTRY if not given", false,
-                fromEnvironment("CRANBERRYMOUNT_ENTRY", "http://127.0.0.1:7000"), "URL", line);
-        TCLAP::ValueArg<std::string> key(
-                "k", "key", "the team's key; CRANBERRYMOUNT_KEY if not given", false,
-                fromEnvironment("CRANBERRYMOUNT_KEY", ""), "KEY", line);
+            "e", "entry", "URL of an entry instance; CRANBERRYMOUNT_ENTRY if not given", false,
+            fromEnvironment("CRANBERRYMOUNT_ENTRY", "http://127.0.0.1:7000"), "URL", line);
+        TCLAP::ValueArg<std::string> key("k", "key",
+                                         "the team's key; CRANBERRYMOUNT_KEY if not given", false,
+                                         fromEnvironment("CRANBERRYMOUNT_KEY", ""), "KEY", line);
         TCLAP::ValueArg<std::string> operatorKey(
-                "", "operator-key", "the operators' key; CRANBERRYMOUNT_OPERATOR_KEY if not given",
-                false, fromEnvironment("CRANBERRYMOUNT_OPERATOR_KEY", ""), "KEY", line);
+            "", "operator-key", "the operators' key; CRANBERRYMOUNT_OPERATOR_KEY if not given",
+            false, fromEnvironment("CRANBERRYMOUNT_OPERATOR_KEY", ""), "KEY", line);
         std::vector<std::string> formats{"text", "json"};
         TCLAP::ValuesConstraint<std::string> formatsAllowed(formats);
         TCLAP::ValueArg<std::string> output("o", "output", "form of the output", false, "text",
@@ -44,12 +44,11 @@
                                      line);
         TCLAP::ValueArg<int64_t> memory("", "memory-mb", "limit for grant-share", false, 0, "N",
                                         line);
-        TCLAP::ValueArg<int64_t> accelerators("", "accelerators", "limit for grant-share", false,
-                                              0, "N", line);
+        TCLAP::ValueArg<int64_t> accelerators("", "accelerators", "limit for grant-share", false, 0,
+                                              "N", line);
         TCLAP::SwitchArg idempotent("", "idempotent", "the request may be repeated", line);
-        TCLAP::ValueArg<std::string> idempotencyKey("", "idempotency-key",
-                                                    "the request runs once for this key", false,
-                                                    "", "KEY", line);
+        TCLAP::ValueArg<std::string> idempotencyKey(
+            "", "idempotency-key", "the request runs once for this key", false, "", "KEY", line);
         TCLAP::UnlabeledMultiArg<std::string> words("command", "command and its words", true,
                                                     "WORDS", line);
         line.parse(argc, argv);
