Tests: Bring about failures over separate processes

Kills, pauses, outages, lost answers, cuts, dead and failing workers, silent targets, cancellations, lagging list, limits, and two pairs.

Daemon: stop the HTTP clients before the parts that their callbacks use. Cause of the demo's exit code 139: a callback after the store adapter was gone, when the store vanished during the stop.

--- a/Libraries/Service/EntryNode.cpp
+++ b/Libraries/Service/EntryNode.cpp
@@ -69,6 +69,9 @@
 
 EntryNode::~EntryNode()
 {
+    // Threads go before the parts that their callbacks use.
+    m_controlClient.stop();
+    m_trafficClient.stop();
     m_control.stop();
     m_traffic.stop();
     if (m_controlThread.joinable())
--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -172,11 +172,18 @@
     m_private->thread = std::thread([this] { m_private->run(); });
 }
 
-HttpClient::~HttpClient()
+void HttpClient::stop()
 {
+    if (!m_private->thread.joinable())
+        return;
     m_private->stopping = true;
     curl_multi_wakeup(m_private->multi);
     m_private->thread.join();
+}
+
+HttpClient::~HttpClient()
+{
+    stop();
     for (auto &[handle, exchange] : m_private->running) {
         curl_multi_remove_handle(m_private->multi, handle);
         curl_easy_cleanup(handle);
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -57,6 +57,9 @@
     /** Makes @p call; @p callback runs on the client's thread and must not block. */
     void send(HttpCall call, Callback callback);
 
+    /** Ends the client's thread; no callback runs after that. */
+    void stop();
+
     /** Makes @p call and waits for its result. */
     HttpResult sendAndWait(HttpCall call);
 
--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -18,14 +18,26 @@
     PIDS[$name]=$!
 }
 
+# Stops everything, entries first; sets CRASHED to the processes that did not end well.
 stop_all() {
-    local name
+    local name status
+    CRASHED=''
     for name in "${!PIDS[@]}"; do
-        kill -TERM "${PIDS[$name]}" 2>/dev/null
+        [[ $name == platform || $name == workers-* ]] || kill -TERM "${PIDS[$name]}" 2>/dev/null || true
     done
     for name in "${!PIDS[@]}"; do
-        wait "${PIDS[$name]}" 2>/dev/null
+        [[ $name == platform || $name == workers-* ]] && continue
+        status=0
+        wait "${PIDS[$name]}" 2>/dev/null || status=$?
+        ((status == 0)) || CRASHED+=" $name:$status"
     done
+    for name in "${!PIDS[@]}"; do
+        kill -TERM "${PIDS[$name]}" 2>/dev/null || true
+    done
+    for name in "${!PIDS[@]}"; do
+        wait "${PIDS[$name]}" 2>/dev/null || true
+    done
+    PIDS=()
 }
 
 # wait_for SECONDS COMMAND... : until the command succeeds
--- a/Tests/EndToEnd/Deployment.h
+++ b/Tests/EndToEnd/Deployment.h
@@ -104,6 +104,8 @@
     void changeInstances(const Json &change);
     /** Cuts @p zone off from the other zones' entries, and from the platform if asked. */
     void cutZone(const std::string &zone, bool fromPlatform);
+    /** Cuts the entries of @p zone off from the platform alone. */
+    void cutPlatform(const std::string &zone);
     void heal();
     Journal journal();
 
--- /dev/null
+++ b/Tests/EndToEnd/FailureTest.cpp
@@ -0,0 +1,307 @@
+// Failures over separate processes. The judge is the record of the workers and targets.
+
+#include "Deployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <thread>
+
+using namespace Cranberrymount;
+
+namespace {
+
+/** Bounds that the letter gives, in milliseconds. */
+constexpr Duration InForce{6000};
+/** A member vouches only once a write of its former life cannot arrive any more. */
+constexpr Duration VouchAfter{10'500};
+
+Json job(const std::string &kind, int tasks, int runMillis)
+{
+    return {{"kind", kind}, {"tasks", tasks}, {"payload", Json{{"run_ms", runMillis}}.dump()}};
+}
+
+class FailingDeployment
+{
+protected:
+    FailingDeployment()
+    {
+        deployment.awaitReady();
+        deployment.configure();
+    }
+
+    int lookup(const std::string &entry, const std::string &queue = "open",
+               const std::string &body = "{}", std::vector<std::string> headers = {})
+    {
+        return deployment.call(entry, "POST", "/lookup/" + queue, body, std::move(headers)).status;
+    }
+
+    /** Submits 40 tasks in zone a's entries and waits until some run. */
+    std::string startBatch(int runMillis = 1200)
+    {
+        const std::string name = deployment.submit("a-e0", "red", job("batch", 40, runMillis));
+        REQUIRE_FALSE(name.empty());
+        REQUIRE(eventually([&] {
+            return deployment.counts("b-e0", "red", name).value("running", 0) >= 8;
+        }));
+        return name;
+    }
+
+    void checkDoneOnce(const std::string &entry, const std::string &name, std::size_t tasks)
+    {
+        CHECK(eventually([&] { return deployment.isDone(entry, "red", name, tasks); },
+                         Duration(90'000)));
+        const Journal journal = deployment.journal();
+        CHECK(journal.doneTasks(name) == tasks);
+        CHECK(journal.doneAttempts(name) == tasks);
+        CHECK(journal.doubled() == std::vector<std::string>());
+        CHECK(journal.violations == Json::array());
+    }
+
+    /** @return the entry of zone a that does not own its shard. */
+    std::string otherThan(const std::string &owner) const
+    {
+        return owner == "a-e0" ? "a-e1" : "a-e0";
+    }
+
+    Deployment deployment;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(FailingDeployment, "Killed owner loses and doubles no task", "[failure][kill]")
+{
+    const std::string batch = startBatch();
+    deployment.signal(deployment.ownerOf("a"), SIGKILL);
+    checkDoneOnce("b-e0", batch, 40);
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Owner paused past its leases doubles no task",
+                 "[failure][pause]")
+{
+    const std::string batch = startBatch();
+    const std::string owner = deployment.ownerOf("a");
+    deployment.signal(owner, SIGSTOP);
+    CHECK(eventually([&] {
+        const Json shown = deployment.status(otherThan(owner));
+        for (const Json &entry : shown.value("entries", Json::array())) {
+            if (entry.at("entry") == otherThan(owner) && !entry.at("shards").empty())
+                return entry.at("shards").front().at("active").get<bool>();
+        }
+        return false;
+    }));
+    deployment.signal(owner, SIGCONT);
+    checkDoneOnce("b-e0", batch, 40);
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Store outage stops neither keyed nor accepted work",
+                 "[failure][outage]")
+{
+    std::this_thread::sleep_for(VouchAfter);
+    const std::string batch = startBatch(3000);
+    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    deployment.platformFaults({{"down", true}});
+    const int64_t downAt = unixMillis();
+    // Longer than any evidence from before the outage lasts.
+    std::this_thread::sleep_for(Duration(8000));
+    CHECK(lookup("a-e0") == 200);
+    CHECK(eventually([&] { return lookup("b-e0", "keyed", "{}", {"X-Team-Key: key-red"}) == 200; },
+                     Duration(5000)));
+    const Journal during = deployment.journal();
+    CHECK(during.startsIn("a", downAt + 6000) + during.startsIn("b", downAt + 6000) > 0);
+    CHECK(deployment.submit("b-e0", "red", job("batch", 1, 100)).empty());
+    deployment.platformFaults({});
+    checkDoneOnce("b-e0", batch, 40);
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Lost answers of the store lose and double no task",
+                 "[failure][answers]")
+{
+    const std::string batch = startBatch();
+    for (int round = 0; round < 6; ++round) {
+        deployment.platformFaults({{"lose_answers", 5}});
+        std::this_thread::sleep_for(Duration(700));
+    }
+    deployment.platformFaults({{"delay_ms", 300}});
+    std::this_thread::sleep_for(Duration(2000));
+    deployment.platformFaults({});
+    checkDoneOnce("b-e0", batch, 40);
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Zone cut off from all serves its open queue and starts nothing",
+                 "[failure][cut]")
+{
+    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    const std::string batch = startBatch();
+    deployment.cutZone("a", true);
+    const int64_t cutAt = unixMillis();
+    deployment.intend("b-e0", {{"type", "drain-zone"}, {"zone", "a"}});
+    const int64_t outAt = unixMillis();
+    std::this_thread::sleep_for(InForce);
+    CHECK(lookup("a-e0") == 200);
+    CHECK(lookup("a-e0", "keyed", "{}", {"X-Team-Key: key-red"}) == 503);
+    std::this_thread::sleep_for(Duration(2000));
+    CHECK(deployment.journal().startsIn("a", std::max(cutAt, outAt) + InForce.count()) == 0);
+    deployment.heal();
+    checkDoneOnce("b-e0", batch, 40);
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Entry cut off from the store goes on by its peers' evidence",
+                 "[failure][cut][relay]")
+{
+    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    // Zone b still reaches both the store and zone a.
+    deployment.cutPlatform("a");
+    std::this_thread::sleep_for(InForce);
+    CHECK(lookup("a-e0", "keyed", "{}", {"X-Team-Key: key-red"}) == 200);
+    deployment.intend("b-e0", {{"type", "drain-zone"}, {"zone", "b"}});
+    CHECK(eventually([&] { return deployment.status("a-e0").at("zones_out") == Json{"b"}; }, InForce));
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Dead worker's tasks run again elsewhere", "[failure][worker]")
+{
+    const std::string batch = startBatch();
+    deployment.workerFaults("a", {{"dead", {{"a-w0", true}, {"a-w1", true}}}});
+    CHECK(eventually([&] { return deployment.isDone("b-e0", "red", batch, 40); },
+                     Duration(60'000)));
+    const Journal journal = deployment.journal();
+    CHECK(journal.doneTasks(batch) == 40);
+    CHECK(journal.doubled() == std::vector<std::string>());
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Worker that fails all it starts is set aside",
+                 "[failure][worker]")
+{
+    deployment.workerFaults("a", {{"fails_all", {{"a-w0", true}}}});
+    std::vector<std::string> names;
+    for (int number = 0; number < 6; ++number)
+        names.push_back(deployment.submit("a-e0", "red", job("batch", 8, 300)));
+    for (const std::string &name : names)
+        CHECK(eventually([&] { return deployment.isDone("b-e0", "red", name, 8); },
+                         Duration(60'000)));
+    std::size_t failed = 0;
+    for (const std::string &name : names)
+        failed += deployment.journal().count("failed", name);
+    // Two jobs' failures set it aside: at most the eight tasks that it held at that moment fail.
+    CHECK(failed <= 8);
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Job that always fails is given up and others go on",
+                 "[failure][jobs]")
+{
+    Json bad = job("batch", 4, 100);
+    bad["payload"] = R"({"run_ms":100,"fail":true})";
+    const std::string failing = deployment.submit("a-e0", "red", bad);
+    const std::string good = deployment.submit("a-e0", "red", job("batch", 20, 200));
+    checkDoneOnce("b-e0", good, 20);
+    CHECK(eventually([&] {
+        return deployment.counts("b-e0", "red", failing).value("failed", 0) == 4;
+    }));
+    CHECK(deployment.journal().count("started", failing) == 12);
+    Json huge = job("batch", 1, 100);
+    huge["per_task"] = {{"cpu_millis", 5000}, {"memory_mb", 1000}};
+    const HttpResult refused = deployment.call("a-e0", "POST", "/jobs", huge.dump(),
+                                               {"X-Team-Key: key-red"});
+    CHECK(refused.status == 422);
+    CHECK(Json::parse(refused.body).at("outcome") == "not-run");
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Wave of cancellations stops all and starts nothing",
+                 "[failure][cancel]")
+{
+    std::vector<std::string> names;
+    for (int number = 0; number < 20; ++number)
+        names.push_back(deployment.submit("a-e0", "red", job("batch", 10, 20'000)));
+    for (const std::string &name : names) {
+        CHECK(deployment.call("b-e0", "DELETE", "/jobs/" + name, {}, {"X-Team-Key: key-red"}).status
+              == 200);
+    }
+    for (const std::string &name : names) {
+        CHECK(eventually([&] {
+            return deployment.counts("b-e0", "red", name).value("cancelled", 0) == 10;
+        }));
+    }
+    const int64_t cancelledAt = unixMillis();
+    const std::string next = deployment.submit("a-e0", "red", job("batch", 8, 200));
+    checkDoneOnce("b-e0", next, 8);
+    const Journal journal = deployment.journal();
+    for (const JournalLine &line : journal.lines) {
+        if (line.event == "started" && line.job != next)
+            CHECK(line.at <= cancelledAt);
+    }
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Silent target leaves the outcome unknown and runs nothing twice",
+                 "[failure][silent]")
+{
+    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    deployment.workerFaults("a", {{"silent_lookups", 1}});
+    const HttpResult once
+            = deployment.call("a-e0", "POST", "/lookup/open", R"({"id":"tally"})");
+    CHECK(once.status == 504);
+    CHECK(Json::parse(once.body).at("outcome") == "unknown");
+    CHECK(deployment.journal().lookupRuns.at("tally") == 1);
+    deployment.workerFaults("a", {{"silent_lookups", 0}});
+    CHECK(eventually([&] { return lookup("a-e0") == 200; }));
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Leaving target gets no request after a few seconds",
+                 "[failure][leaving]")
+{
+    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    std::vector<Json> workers = deployment.workersOf("a");
+    for (Json &worker : workers)
+        worker["leaving"] = worker.at("id") != "a-w3";
+    deployment.platformFaults({{"list_lag_ms", 1000}});
+    deployment.changeInstances({{"add", workers}});
+    std::this_thread::sleep_for(InForce);
+    for (int number = 0; number < 40; ++number) {
+        const HttpResult answer = deployment.call("a-e0", "POST", "/lookup/open", "{}");
+        REQUIRE(answer.status == 200);
+        const auto worker = Json::parse(answer.body).at("worker").get<std::string>();
+        CHECK((worker == "a-w3" || worker.starts_with("b-")));
+    }
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Team's upper limit holds over two zones and a kill",
+                 "[failure][limits]")
+{
+    deployment.intend("a-e0", {{"type", "grant-share"},
+                               {"team", "red"},
+                               {"share", 1.0},
+                               {"limit", {{"cpu_millis", 10'000}, {"memory_mb", 100'000}}}});
+    std::vector<std::string> names;
+    for (const std::string entry : {"a-e0", "b-e0"})
+        names.push_back(deployment.submit(entry, "red", job("batch", 30, 700)));
+    std::this_thread::sleep_for(Duration(1500));
+    deployment.signal(deployment.ownerOf("b"), SIGKILL);
+    for (const std::string &name : names)
+        checkDoneOnce("a-e0", name, 30);
+    CHECK(deployment.journal().peakCpuMillis("red") <= 10'000);
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Store outage and killed owner together lose nothing",
+                 "[failure][pair]")
+{
+    const std::string batch = startBatch();
+    deployment.platformFaults({{"down", true}});
+    std::this_thread::sleep_for(Duration(500));
+    deployment.signal(deployment.ownerOf("a"), SIGKILL);
+    std::this_thread::sleep_for(Duration(4000));
+    deployment.platformFaults({});
+    checkDoneOnce("b-e0", batch, 40);
+}
+
+TEST_CASE_METHOD(FailingDeployment, "Zone cut off while its owner is paused doubles nothing",
+                 "[failure][pair]")
+{
+    const std::string batch = startBatch();
+    const std::string owner = deployment.ownerOf("a");
+    deployment.cutZone("a", true);
+    deployment.signal(owner, SIGSTOP);
+    std::this_thread::sleep_for(Duration(6000));
+    deployment.signal(owner, SIGCONT);
+    std::this_thread::sleep_for(Duration(1000));
+    deployment.heal();
+    checkDoneOnce("b-e0", batch, 40);
+}
