Coordination: Keep work startable through an outage of the store

Cause of the failing outage test: with the store out, spilling moved all waiting tasks into unrecorded moves, where nothing can start. Ruled out: vouches (keyed lookups were served throughout) and escrow (the slice stands). Spilling now needs a healthy record, and one move at a time goes to a shard. Ends that cannot be recorded made the worker answer each renewal at once; the owner now pauses. The tests' own platformFaults sent null, which the stand-in refused unseen; it is checked now.

--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -14,6 +14,7 @@
 constexpr Duration SpillPeriod{200};
 constexpr Duration MaxJobBackoff{60'000};
 constexpr Duration FirstJobBackoff{200};
+constexpr unsigned MaxDoublings = 10;
 /** Waiting tasks of one job that one scheduling pass looks at. */
 constexpr std::size_t MaxGroupSize = 256;
 constexpr std::size_t MaxHistory = 24;
@@ -417,8 +418,12 @@
     TaskRecord &task = editTask(id);
     ++task.failures;
     ++memory.failuresInRow;
-    const auto doublings = std::min(memory.failuresInRow, 10U);
-    const Duration backoff = std::min(FirstJobBackoff * (1U << doublings), MaxJobBackoff);
+    // Counted in rounds of the whole job, so that many tasks do not look like many rounds.
+    const std::size_t tasks = m_record.record().portions.at(id.job).tasks.size();
+    const auto rounds =
+        static_cast<unsigned>(memory.failuresInRow / std::max<std::size_t>(tasks, 1));
+    const Duration backoff =
+        std::min(FirstJobBackoff * (1U << std::min(rounds, MaxDoublings)), MaxJobBackoff);
     memory.retryAt = m_timers.now() + backoff;
     note(id.job,
          "task " + std::to_string(task.index) + " failed, failure "
@@ -559,7 +564,17 @@
     if (now - m_lastSpill < SpillPeriod)
         return;
     m_lastSpill = now;
+    // A move needs the store; without it the work is better kept where it can still start.
+    if (!m_record.isHealthy())
+        return;
     std::vector<ShardCandidate> others = m_context.otherShards();
+    // One move at a time to each shard: its heartbeat does not show yet what is on the way.
+    std::erase_if(others, [this](const auto &shard) {
+        const auto &outgoing = m_record.record().outgoing;
+        return std::any_of(outgoing.begin(), outgoing.end(), [&shard](const OutgoingMove &move) {
+            return move.target == shard.shard;
+        });
+    });
     if (others.empty())
         return;
     const bool isOut = isZoneOut();
--- a/Libraries/Coordination/WorkerPool.cpp
+++ b/Libraries/Coordination/WorkerPool.cpp
@@ -190,7 +190,13 @@
     }
     takeReport(id, answer.report);
     m_observer.poolChanged();
-    const Duration pause = worker.needsComplete ? m_settings.retryDelay : Duration(0);
+    // Ends that are told but not recorded make the worker answer at once, again and again.
+    const bool answersAtOnce = !worker.endsTold.empty() && worker.acknowledged.empty();
+    Duration pause{0};
+    if (worker.needsComplete)
+        pause = m_settings.retryDelay;
+    else if (answersAtOnce)
+        pause = renewalWait() / 2;
     later(pause, [this, id] { renew(id); });
 }
 
--- a/Tests/EndToEnd/Deployment.cpp
+++ b/Tests/EndToEnd/Deployment.cpp
@@ -271,14 +271,25 @@
         intend(entry,
                {{"type", "issue-key"}, {"team", team}, {"key_sha256", hashKey("key-" + team)}});
     }
-    const uint64_t revision = status(entry).at("configuration_revision").get<uint64_t>();
-    eventually([&] {
-        for (const std::string &name : entries()) {
-            if (status(name).value("configuration_revision", uint64_t(0)) < revision)
-                return false;
-        }
-        return true;
-    });
+    awaitInForce();
+}
+
+void Deployment::awaitInForce()
+{
+    uint64_t latest = 0;
+    for (const std::string &name : entries())
+        latest = std::max(latest, status(name).at("configuration_revision").get<uint64_t>());
+    const bool isInForce = eventually(
+        [&] {
+            for (const std::string &name : entries()) {
+                if (status(name).value("configuration_revision", uint64_t(0)) < latest)
+                    return false;
+            }
+            return true;
+        },
+        Duration(6000));
+    if (!isInForce)
+        throw std::runtime_error("the configuration is not in force within 6 s");
 }
 
 void Deployment::signal(const std::string &name, int signal)
@@ -390,9 +401,17 @@
     return {};
 }
 
+void Deployment::endPlatformFaults()
+{
+    platformFaults(Json::object());
+}
+
 void Deployment::platformFaults(const Json &faults)
 {
-    m_client.sendAndWait({"POST", url(m_platformPort) + "/admin/faults", faults.dump()});
+    const HttpResult result =
+        m_client.sendAndWait({"POST", url(m_platformPort) + "/admin/faults", faults.dump()});
+    if (!result.isOk())
+        throw std::runtime_error("the platform stand-in refused " + faults.dump());
 }
 
 void Deployment::workerFaults(const std::string &zone, const Json &faults)
--- a/Tests/EndToEnd/Deployment.h
+++ b/Tests/EndToEnd/Deployment.h
@@ -76,6 +76,9 @@
     /** Applies the tests' teams and queues and issues the key "key-TEAM" of each team. */
     void configure();
 
+    /** Waits until every entry acts on the latest configuration. */
+    void awaitInForce();
+
     /** Sends @p signal to the process @p name, such as "a-e0", "workers-a" or "platform". */
     void signal(const std::string &name, int signal);
     /** Waits until the process @p name has ended. @return true if it ended within @p limit. */
@@ -99,7 +102,9 @@
     /** @return the entry that owns the only shard of @p zone. */
     std::string ownerOf(const std::string &zone);
 
+    /** Sets exactly @p faults at the platform. */
     void platformFaults(const Json &faults);
+    void endPlatformFaults();
     void workerFaults(const std::string &zone, const Json &faults);
     void changeInstances(const Json &change);
     /** Cuts @p zone off from the other zones' entries, and from the platform if asked. */
--- a/Tests/EndToEnd/FailureTest.cpp
+++ b/Tests/EndToEnd/FailureTest.cpp
@@ -36,14 +36,13 @@
         return deployment.call(entry, "POST", "/lookup/" + queue, body, std::move(headers)).status;
     }
 
-    /** Submits 40 tasks in zone a's entries and waits until some run. */
-    std::string startBatch(int runMillis = 1200)
+    /** Submits tasks through zone a and waits until some run. */
+    std::string startBatch(int tasks = 40, int runMillis = 1200)
     {
-        const std::string name = deployment.submit("a-e0", "red", job("batch", 40, runMillis));
+        const std::string name = deployment.submit("a-e0", "red", job("batch", tasks, runMillis));
         REQUIRE_FALSE(name.empty());
-        REQUIRE(eventually([&] {
-            return deployment.counts("b-e0", "red", name).value("running", 0) >= 8;
-        }));
+        REQUIRE(eventually(
+            [&] { return deployment.counts("b-e0", "red", name).value("running", 0) >= 8; }));
         return name;
     }
 
@@ -98,7 +97,7 @@
                  "[failure][outage]")
 {
     std::this_thread::sleep_for(VouchAfter);
-    const std::string batch = startBatch(3000);
+    const std::string batch = startBatch(120, 3000);
     REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
     deployment.platformFaults({{"down", true}});
     const int64_t downAt = unixMillis();
@@ -110,8 +109,8 @@
     const Journal during = deployment.journal();
     CHECK(during.startsIn("a", downAt + 6000) + during.startsIn("b", downAt + 6000) > 0);
     CHECK(deployment.submit("b-e0", "red", job("batch", 1, 100)).empty());
-    deployment.platformFaults({});
-    checkDoneOnce("b-e0", batch, 40);
+    deployment.endPlatformFaults();
+    checkDoneOnce("b-e0", batch, 120);
 }
 
 TEST_CASE_METHOD(FailingDeployment, "Lost answers of the store lose and double no task",
@@ -124,12 +123,12 @@
     }
     deployment.platformFaults({{"delay_ms", 300}});
     std::this_thread::sleep_for(Duration(2000));
-    deployment.platformFaults({});
+    deployment.endPlatformFaults();
     checkDoneOnce("b-e0", batch, 40);
 }
 
-TEST_CASE_METHOD(FailingDeployment, "Zone cut off from all serves its open queue and starts nothing",
-                 "[failure][cut]")
+TEST_CASE_METHOD(FailingDeployment,
+                 "Zone cut off from all serves its open queue and starts nothing", "[failure][cut]")
 {
     REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
     const std::string batch = startBatch();
@@ -155,15 +154,16 @@
     std::this_thread::sleep_for(InForce);
     CHECK(lookup("a-e0", "keyed", "{}", {"X-Team-Key: key-red"}) == 200);
     deployment.intend("b-e0", {{"type", "drain-zone"}, {"zone", "b"}});
-    CHECK(eventually([&] { return deployment.status("a-e0").at("zones_out") == Json{"b"}; }, InForce));
+    CHECK(eventually([&] { return deployment.status("a-e0").at("zones_out") == Json{"b"}; },
+                     InForce));
 }
 
 TEST_CASE_METHOD(FailingDeployment, "Dead worker's tasks run again elsewhere", "[failure][worker]")
 {
     const std::string batch = startBatch();
     deployment.workerFaults("a", {{"dead", {{"a-w0", true}, {"a-w1", true}}}});
-    CHECK(eventually([&] { return deployment.isDone("b-e0", "red", batch, 40); },
-                     Duration(60'000)));
+    CHECK(
+        eventually([&] { return deployment.isDone("b-e0", "red", batch, 40); }, Duration(60'000)));
     const Journal journal = deployment.journal();
     CHECK(journal.doneTasks(batch) == 40);
     CHECK(journal.doubled() == std::vector<std::string>());
@@ -194,14 +194,13 @@
     const std::string failing = deployment.submit("a-e0", "red", bad);
     const std::string good = deployment.submit("a-e0", "red", job("batch", 20, 200));
     checkDoneOnce("b-e0", good, 20);
-    CHECK(eventually([&] {
-        return deployment.counts("b-e0", "red", failing).value("failed", 0) == 4;
-    }));
+    CHECK(eventually(
+        [&] { return deployment.counts("b-e0", "red", failing).value("failed", 0) == 4; }));
     CHECK(deployment.journal().count("started", failing) == 12);
     Json huge = job("batch", 1, 100);
     huge["per_task"] = {{"cpu_millis", 5000}, {"memory_mb", 1000}};
-    const HttpResult refused = deployment.call("a-e0", "POST", "/jobs", huge.dump(),
-                                               {"X-Team-Key: key-red"});
+    const HttpResult refused =
+        deployment.call("a-e0", "POST", "/jobs", huge.dump(), {"X-Team-Key: key-red"});
     CHECK(refused.status == 422);
     CHECK(Json::parse(refused.body).at("outcome") == "not-run");
 }
@@ -217,9 +216,8 @@
               == 200);
     }
     for (const std::string &name : names) {
-        CHECK(eventually([&] {
-            return deployment.counts("b-e0", "red", name).value("cancelled", 0) == 10;
-        }));
+        CHECK(eventually(
+            [&] { return deployment.counts("b-e0", "red", name).value("cancelled", 0) == 10; }));
     }
     const int64_t cancelledAt = unixMillis();
     const std::string next = deployment.submit("a-e0", "red", job("batch", 8, 200));
@@ -231,13 +229,13 @@
     }
 }
 
-TEST_CASE_METHOD(FailingDeployment, "Silent target leaves the outcome unknown and runs nothing twice",
+TEST_CASE_METHOD(FailingDeployment,
+                 "Silent target leaves the outcome unknown and runs nothing twice",
                  "[failure][silent]")
 {
     REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
     deployment.workerFaults("a", {{"silent_lookups", 1}});
-    const HttpResult once
-            = deployment.call("a-e0", "POST", "/lookup/open", R"({"id":"tally"})");
+    const HttpResult once = deployment.call("a-e0", "POST", "/lookup/open", R"({"id":"tally"})");
     CHECK(once.status == 504);
     CHECK(Json::parse(once.body).at("outcome") == "unknown");
     CHECK(deployment.journal().lookupRuns.at("tally") == 1);
@@ -266,10 +264,12 @@
 TEST_CASE_METHOD(FailingDeployment, "Team's upper limit holds over two zones and a kill",
                  "[failure][limits]")
 {
-    deployment.intend("a-e0", {{"type", "grant-share"},
-                               {"team", "red"},
-                               {"share", 1.0},
-                               {"limit", {{"cpu_millis", 10'000}, {"memory_mb", 100'000}}}});
+    deployment.intend("a-e0",
+                      {{"type", "grant-share"},
+                       {"team", "red"},
+                       {"share", 1.0},
+                       {"limit", {{"cpu_millis", 10'000}, {"memory_mb", 100'000}}}});
+    deployment.awaitInForce();
     std::vector<std::string> names;
     for (const std::string entry : {"a-e0", "b-e0"})
         names.push_back(deployment.submit(entry, "red", job("batch", 30, 700)));
@@ -288,7 +288,7 @@
     std::this_thread::sleep_for(Duration(500));
     deployment.signal(deployment.ownerOf("a"), SIGKILL);
     std::this_thread::sleep_for(Duration(4000));
-    deployment.platformFaults({});
+    deployment.endPlatformFaults();
     checkDoneOnce("b-e0", batch, 40);
 }
 
