--- /dev/null
+++ b/Benchmarks/Day.cpp
@@ -0,0 +1,285 @@
+#include "Day.h"
+
+#include <pcg_random.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+#include <random>
+#include <set>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr Duration Step{100};
+
+struct RunningOne
+{
+    TaskId task;
+    TeamId team;
+    std::size_t worker = 0;
+    Resources resources;
+    Instant since;
+    Instant endsAt;
+    bool urgent = false;
+    bool isBatch = false;
+};
+
+/** One day under one policy. */
+class DayRun
+{
+public:
+    DayRun(const DayShape &shape, uint64_t seed)
+        : m_shape(shape)
+        , m_random(seed)
+    {
+        for (int number = 0; number < shape.workers; ++number) {
+            WorkerRoom worker;
+            worker.id = WorkerId("w" + std::to_string(number));
+            worker.rack = RackId("r" + std::to_string(number / shape.workersPerRack));
+            worker.capacity = shape.capacity;
+            const bool hasAccelerators =
+                shape.acceleratorEvery > 0 && number % shape.acceleratorEvery == 0;
+            worker.capacity.accelerators = AcceleratorCount(hasAccelerators ? 4 : 0);
+            worker.free = worker.capacity;
+            m_total += worker.capacity;
+            m_byId[worker.id] = m_view.workers.size();
+            m_view.workers.push_back(std::move(worker));
+        }
+        for (int team = 0; team < shape.teams; ++team) {
+            // Shares 1, 2, 3 and again from 1.
+            m_view.teams[teamId(team)] = {1.0 + team % 3, {}, m_total};
+        }
+        m_view.now = Instant(Duration(1'000'000));
+        m_nextJob = m_view.now;
+    }
+
+    DayResult run(const Policy &policy)
+    {
+        const Instant end = m_view.now + m_shape.length;
+        while (m_view.now < end) {
+            arrive();
+            finish();
+            decide(policy);
+            measure();
+            m_view.now += Step;
+        }
+        return result();
+    }
+
+private:
+    static TeamId teamId(int team) { return TeamId("team" + std::to_string(team)); }
+    int below(int bound) { return static_cast<int>(m_random(static_cast<uint64_t>(bound))); }
+    double part() { return std::generate_canonical<double, 53>(m_random); }
+    Duration exponential(Duration mean)
+    {
+        const double drawn = -std::log(1.0 - part()) * static_cast<double>(mean.count());
+        return Duration(static_cast<int64_t>(drawn) + 1);
+    }
+
+    void arrive()
+    {
+        while (m_nextJob <= m_view.now) {
+            m_nextJob += exponential(m_shape.jobEvery);
+            WaitingGroup group;
+            group.job = JobId("job" + std::to_string(m_jobs++));
+            group.team = teamId(below(m_shape.teams));
+            const bool isGang = part() < m_shape.gangPart;
+            group.policy = isGang ? WorkPolicy(GangPolicy()) : WorkPolicy(BatchPolicy());
+            group.urgent = !isGang && part() < m_shape.urgentPart;
+            const int tasks = group.urgent ? 1 : 1 + below(m_shape.maxTasks);
+            for (int index = 0; index < tasks; ++index)
+                group.indexes.push_back(static_cast<uint32_t>(index));
+            // Odd sizes: processors and memory in different proportions.
+            const bool needsAccelerator =
+                m_shape.acceleratorEvery > 0 && !group.urgent && below(6) == 0;
+            group.perTask = {CpuMillis(1000 * (1 + below(6))), MemoryMb(1000 * (1 + below(24))),
+                             AcceleratorCount(needsAccelerator ? 1 : 0)};
+            group.since = m_view.now;
+            m_runTime[group.job] = exponential(m_shape.meanRunTime);
+            m_view.waiting.push_back(std::move(group));
+        }
+    }
+
+    void finish()
+    {
+        std::erase_if(m_running, [this](const RunningOne &task) {
+            if (task.endsAt > m_view.now)
+                return false;
+            release(task);
+            return true;
+        });
+    }
+
+    void release(const RunningOne &task)
+    {
+        m_view.workers[task.worker].free += task.resources;
+        m_view.teams[task.team].used -= task.resources;
+    }
+
+    void decide(const Policy &policy)
+    {
+        if (m_view.waiting.empty())
+            return;
+        m_view.running.clear();
+        for (const RunningOne &task : m_running) {
+            m_view.running.push_back({task.task, task.team, m_view.workers[task.worker].id,
+                                      task.resources, task.urgent, task.isBatch, task.since});
+        }
+        const auto begun = std::chrono::steady_clock::now();
+        const ShardDecision decision = policy(m_view);
+        const auto spent = std::chrono::steady_clock::now() - begun;
+        const double micros = std::chrono::duration<double, std::micro>(spent).count();
+        m_decisionMicros.push_back(micros / std::max<double>(1, decision.placements.size()));
+        m_spentMicros += micros;
+        m_placed += decision.placements.size();
+        for (const TaskId &victim : decision.checkpoints)
+            checkpoint(victim);
+        for (const Placement &placement : decision.placements)
+            start(placement);
+        std::erase_if(m_view.waiting, [](const auto &group) { return group.indexes.empty(); });
+    }
+
+    WaitingGroup *find(const JobId &job)
+    {
+        const auto found =
+            std::find_if(m_view.waiting.begin(), m_view.waiting.end(),
+                         [&job](const WaitingGroup &group) { return group.job == job; });
+        return found == m_view.waiting.end() ? nullptr : &*found;
+    }
+
+    void start(const Placement &placement)
+    {
+        WaitingGroup *group = find(placement.task.job);
+        std::erase(group->indexes, placement.task.index);
+        const std::size_t worker = m_byId.at(placement.worker);
+        m_view.workers[worker].free -= placement.resources;
+        m_view.teams[group->team].used += placement.resources;
+        m_running.push_back({placement.task, group->team, worker, placement.resources, m_view.now,
+                             m_view.now + m_runTime.at(placement.task.job), group->urgent,
+                             std::holds_alternative<BatchPolicy>(group->policy)});
+        const double wait = std::chrono::duration<double>(m_view.now - group->since).count();
+        m_waits.push_back(wait);
+        if (group->urgent)
+            m_urgentWorst = std::max(m_urgentWorst, wait);
+    }
+
+    void checkpoint(const TaskId &victim)
+    {
+        const auto task =
+            std::find_if(m_running.begin(), m_running.end(),
+                         [&victim](const RunningOne &one) { return one.task == victim; });
+        if (task == m_running.end())
+            return;
+        ++m_checkpointed;
+        release(*task);
+        WaitingGroup again;
+        again.job = JobId(victim.job.value() + "+" + std::to_string(m_checkpointed));
+        again.team = task->team;
+        again.policy = BatchPolicy();
+        again.perTask = task->resources;
+        again.indexes = {victim.index};
+        again.since = m_view.now;
+        m_runTime[again.job] = std::chrono::duration_cast<Duration>(task->endsAt - m_view.now);
+        m_running.erase(task);
+        m_view.waiting.push_back(std::move(again));
+    }
+
+    void measure()
+    {
+        if (m_view.waiting.empty())
+            return;
+        Resources used;
+        for (const auto &[id, team] : m_view.teams)
+            used += team.used;
+        m_packing.push_back(used.dominantPartOf(m_total));
+        measureShares();
+    }
+
+    /** Shares count only while every team wants more than it has. */
+    void measureShares()
+    {
+        std::set<TeamId> wanting;
+        for (const WaitingGroup &group : m_view.waiting)
+            wanting.insert(group.team);
+        if (wanting.size() < m_view.teams.size())
+            return;
+        double all = 0;
+        double weights = 0;
+        for (const auto &[id, team] : m_view.teams) {
+            all += team.used.dominantPartOf(m_total);
+            weights += team.share;
+        }
+        double error = 0;
+        for (const auto &[id, team] : m_view.teams)
+            error += std::abs(team.used.dominantPartOf(m_total) - all * team.share / weights);
+        m_shareErrors.push_back(error / static_cast<double>(m_view.teams.size()));
+    }
+
+    static double mean(const std::vector<double> &values)
+    {
+        if (values.empty())
+            return 0;
+        return std::accumulate(values.begin(), values.end(), 0.0)
+            / static_cast<double>(values.size());
+    }
+
+    static double quantile(std::vector<double> values, double at)
+    {
+        if (values.empty())
+            return 0;
+        std::sort(values.begin(), values.end());
+        return values[static_cast<std::size_t>(at * static_cast<double>(values.size() - 1))];
+    }
+
+    DayResult result() const
+    {
+        DayResult result;
+        // Work that never started counts with the time that it has waited.
+        std::vector<double> waits = m_waits;
+        for (const WaitingGroup &group : m_view.waiting) {
+            const double wait = std::chrono::duration<double>(m_view.now - group.since).count();
+            waits.insert(waits.end(), group.indexes.size(), wait);
+        }
+        result.meanWaitSeconds = mean(waits);
+        result.p99WaitSeconds = quantile(waits, 0.99);
+        result.urgentWorstSeconds = m_urgentWorst;
+        result.packing = mean(m_packing);
+        result.shareError = mean(m_shareErrors);
+        result.started = m_waits.size();
+        result.checkpointed = m_checkpointed;
+        result.decisionP99Micros = quantile(m_decisionMicros, 0.99);
+        result.decisionsPerSecond =
+            m_spentMicros > 0 ? static_cast<double>(m_placed) * 1e6 / m_spentMicros : 0;
+        return result;
+    }
+
+    const DayShape &m_shape;
+    pcg64 m_random;
+    ShardView m_view;
+    Resources m_total;
+    std::map<WorkerId, std::size_t> m_byId;
+    Instant m_nextJob;
+    int m_jobs = 0;
+    std::map<JobId, Duration> m_runTime;
+    std::vector<RunningOne> m_running;
+    std::vector<double> m_waits;
+    std::vector<double> m_packing;
+    std::vector<double> m_shareErrors;
+    std::vector<double> m_decisionMicros;
+    double m_spentMicros = 0;
+    std::size_t m_placed = 0;
+    double m_urgentWorst = 0;
+    std::size_t m_checkpointed = 0;
+};
+
+} // namespace
+
+DayResult runDay(const DayShape &shape, uint64_t seed, const Policy &policy)
+{
+    return DayRun(shape, seed).run(policy);
+}
+
+} // namespace Cranberrymount
--- a/Libraries/Coordination/ClaimBook.h
+++ b/Libraries/Coordination/ClaimBook.h
@@ -49,7 +49,7 @@
     void settle(const std::string &scope, const std::string &digest, const LookupReply &reply);
 
     /** Answers above this size are not kept; a repeat is told that it was answered. */
-    static constexpr std::size_t MaxKeptBytes = 16 * 1024;
+    static constexpr std::size_t MaxKeptBytes = 16'384;
 
 private:
     void readClaim(const std::string &key, const std::string &digest, const std::string &nonce,
--- a/Libraries/Coordination/ConfigurationKeeper.cpp
+++ b/Libraries/Coordination/ConfigurationKeeper.cpp
@@ -195,7 +195,7 @@
         readNow();
 }
 
-void ConfigurationKeeper::change(std::function<bool(Configuration &)> change,
+void ConfigurationKeeper::change(const std::function<bool(Configuration &)> &change,
                                  std::function<void(ChangeResult)> done)
 {
     beginChange(change, std::move(done), m_timers.now() + m_settings.changePatience);
--- a/Libraries/Coordination/ConfigurationKeeper.h
+++ b/Libraries/Coordination/ConfigurationKeeper.h
@@ -82,7 +82,7 @@
      * @param change returns false to refuse; is called again on a newer configuration if
      * another change came first.
      */
-    void change(std::function<bool(Configuration &)> change,
+    void change(const std::function<bool(Configuration &)> &change,
                 std::function<void(ChangeResult)> done);
 
     /** Vouches for the configuration to @p peer, which asked for it. @return false if it cannot. */
