--- a/Libraries/Service/EntryApi.cpp
+++ b/Libraries/Service/EntryApi.cpp
@@ -154,8 +154,8 @@
     const Span span = m_node.tracer().begin("lookup", request.header("traceparent"));
     const std::string key = request.header("Idempotency-Key");
     if (!key.empty() && !call.idempotent) {
-        return sendClaimed(std::move(request), std::move(respond), std::move(call),
-                           hashKey(scope + "/" + key), span);
+        return sendClaimed(std::move(request), respond, std::move(call), hashKey(scope + "/" + key),
+                           span);
     }
     call.body = std::move(request.body);
     m_node.router().route(std::move(call), span.traceparent(),
@@ -165,7 +165,7 @@
                           });
 }
 
-void EntryApi::sendClaimed(HttpIncoming request, HttpRespond respond, LookupCall call,
+void EntryApi::sendClaimed(HttpIncoming request, const HttpRespond &respond, LookupCall call,
                            const std::string &scope, const Span &span)
 {
     const std::string digest = hashKey(request.body);
@@ -178,7 +178,7 @@
         case ClaimResult::Replayed: {
             HttpAnswer answer = lookupAnswer(claim.reply);
             answer.headers["X-Replayed"] = "true";
-            return respond(std::move(answer));
+            return respond(answer);
         }
         case ClaimResult::InDoubt:
             return respond(jsonAnswer(
--- a/Libraries/Service/EntryApi.h
+++ b/Libraries/Service/EntryApi.h
@@ -23,7 +23,7 @@
 
 private:
     void lookup(HttpIncoming request, HttpRespond respond, const std::string &queueName);
-    void sendClaimed(HttpIncoming request, HttpRespond respond, LookupCall call,
+    void sendClaimed(HttpIncoming request, const HttpRespond &respond, LookupCall call,
                      const std::string &scope, const Span &span);
     void jobs(const HttpIncoming &request, const HttpRespond &respond, const std::string &rest);
     void plans(const HttpIncoming &request, const HttpRespond &respond, const std::string &rest);
--- a/Libraries/Service/PlanBook.cpp
+++ b/Libraries/Service/PlanBook.cpp
@@ -140,7 +140,8 @@
         });
 }
 
-void PlanBook::decideStored(const PlanId &id, PlanDecision decision, const Json &plan, Done done)
+void PlanBook::decideStored(const PlanId &id, PlanDecision decision, const Json &plan,
+                            const Done &done)
 {
     const Intent intent = intentFromJson(plan.at("intent"));
     const auto base = plan.at("base").get<Configuration>();
--- a/Libraries/Service/PlanBook.h
+++ b/Libraries/Service/PlanBook.h
@@ -35,7 +35,7 @@
 
 private:
     void store(const PlanId &id, Json plan, Done done);
-    void decideStored(const PlanId &id, PlanDecision decision, const Json &plan, Done done);
+    void decideStored(const PlanId &id, PlanDecision decision, const Json &plan, const Done &done);
 
     EntryNode &m_node;
 };
--- a/Libraries/Service/TomlChecker.cpp
+++ b/Libraries/Service/TomlChecker.cpp
@@ -64,7 +64,7 @@
         missing(table, key, "a non-empty text");
         return {};
     }
-    const std::string value = text(table, key, {});
+    std::string value = text(table, key, {});
     if (value.empty() && table.get(key)->is_string())
         fault(table.get(key), "'" + key + "' must not be empty");
     return value;
@@ -148,7 +148,7 @@
     const auto value = node.value_exact<std::string>();
     try {
         if (value) {
-            const Endpoint endpoint = parseEndpoint(*value);
+            Endpoint endpoint = parseEndpoint(*value);
             asio::ip::make_address(endpoint.host);
             return endpoint;
         }
--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -198,18 +198,15 @@
     auto exchange = std::make_unique<Exchange>();
     exchange->call = std::move(call);
     exchange->callback = std::move(callback);
-    bool blocked = false;
     {
         const std::lock_guard lock(m_private->mutex);
-        blocked = m_private->isBlocked(exchange->call.url);
-        if (!blocked)
+        if (!m_private->isBlocked(exchange->call.url)) {
             m_private->waiting.push_back(std::move(exchange));
+            curl_multi_wakeup(m_private->multi);
+            return;
+        }
     }
-    if (blocked) {
-        exchange->callback({HttpResult::NotSent, 0, {}, {}, "blocked by a fault rule"});
-        return;
-    }
-    curl_multi_wakeup(m_private->multi);
+    exchange->callback({HttpResult::NotSent, 0, {}, {}, "blocked by a fault rule"});
 }
 
 HttpResult HttpClient::sendAndWait(HttpCall call)
--- /dev/null
+++ b/Tests/Unit/PropertyTest.cpp
@@ -0,0 +1,190 @@
+// Properties over random inputs, checked against naive versions. The seed comes from RC_PARAMS.
+
+#include "Coordination/SlotTable.h"
+#include "Decision/ShardScheduler.h"
+#include "Protocol/Json.h"
+#include "Protocol/PeerMessages.h"
+#include "Protocol/ProtocolError.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace Cranberrymount;
+
+namespace {
+
+Resources anyResources(int64_t most)
+{
+    return {CpuMillis(*rc::gen::inRange<int64_t>(1, most)),
+            MemoryMb(*rc::gen::inRange<int64_t>(1, most)),
+            AcceleratorCount(*rc::gen::inRange<int64_t>(0, 3))};
+}
+
+ShardView anyView()
+{
+    ShardView view;
+    view.now = Instant(Duration(1'000'000));
+    const int workers = *rc::gen::inRange(1, 8);
+    for (int number = 0; number < workers; ++number) {
+        const Resources capacity = anyResources(20);
+        view.workers.push_back({WorkerId("w" + std::to_string(number)),
+                                RackId("r" + std::to_string(number / 2)), capacity, capacity,
+                                *rc::gen::inRange(0, 4) > 0});
+    }
+    for (const char *team : {"red", "blue"})
+        view.teams[TeamId(team)] = {*rc::gen::inRange(1, 4) * 1.0, {}, anyResources(60)};
+    const int groups = *rc::gen::inRange(0, 10);
+    for (int number = 0; number < groups; ++number) {
+        WaitingGroup group;
+        group.job = JobId("job" + std::to_string(number));
+        group.team = TeamId(*rc::gen::arbitrary<bool>() ? "red" : "blue");
+        const int kind = *rc::gen::inRange(0, 3);
+        group.policy = kind == 0 ? WorkPolicy(BatchPolicy())
+            : kind == 1          ? WorkPolicy(GangPolicy())
+                                 : WorkPolicy(ServicePolicy());
+        group.perTask = anyResources(8);
+        group.urgent = *rc::gen::inRange(0, 5) == 0;
+        group.since = view.now - Duration(*rc::gen::inRange(0, 20'000));
+        const int tasks = *rc::gen::inRange(1, 9);
+        for (int index = 0; index < tasks; ++index)
+            group.indexes.push_back(static_cast<uint32_t>(index));
+        view.waiting.push_back(std::move(group));
+    }
+    return view;
+}
+
+/** Says in the plainest way whether a decision keeps every rule of its view. */
+bool keepsTheRules(const ShardView &view, const ShardDecision &decision)
+{
+    std::map<WorkerId, Resources> onWorker;
+    std::map<TeamId, Resources> ofTeam;
+    std::map<JobId, std::set<uint32_t>> ofJob;
+    std::map<JobId, const WaitingGroup *> groups;
+    for (const WaitingGroup &group : view.waiting)
+        groups[group.job] = &group;
+    for (const Placement &placement : decision.placements) {
+        const WaitingGroup &group = *groups.at(placement.task.job);
+        if (!ofJob[group.job].insert(placement.task.index).second)
+            return false;
+        onWorker[placement.worker] += group.perTask;
+        ofTeam[group.team] += group.perTask;
+    }
+    for (const WorkerRoom &worker : view.workers) {
+        const auto used = onWorker.find(worker.id);
+        if (used != onWorker.end() && (!worker.usable || !used->second.fitsIn(worker.free)))
+            return false;
+    }
+    for (const auto &[team, used] : ofTeam) {
+        if (!used.fitsIn(view.teams.at(team).slice))
+            return false;
+    }
+    for (const auto &[job, placed] : ofJob) {
+        const WaitingGroup &group = *groups.at(job);
+        if (std::holds_alternative<GangPolicy>(group.policy)
+            && placed.size() != group.indexes.size())
+            return false;
+    }
+    return true;
+}
+
+ShardRecord anyRecord()
+{
+    ShardRecord record;
+    record.epoch = Epoch(*rc::gen::inRange<uint64_t>(0, 1000));
+    record.sequence = *rc::gen::inRange<uint64_t>(0, 1000);
+    record.roster[WorkerId("w1")] = ListVersion(*rc::gen::inRange<uint64_t>(0, 9));
+    const int jobs = *rc::gen::inRange(0, 4);
+    for (int number = 0; number < jobs; ++number) {
+        Portion portion;
+        portion.spec.id = JobId("job" + std::to_string(number));
+        portion.spec.team = TeamId("red");
+        portion.spec.tasks = static_cast<uint32_t>(*rc::gen::inRange(1, 6));
+        portion.spec.perTask = anyResources(10);
+        portion.cancelled = *rc::gen::arbitrary<bool>();
+        for (uint32_t index = 0; index < portion.spec.tasks; ++index) {
+            const auto phase = *rc::gen::element(TaskPhase::Open, TaskPhase::Done,
+                                                 TaskPhase::Failed, TaskPhase::Cancelled);
+            if (*rc::gen::inRange(0, 4) > 0 || portion.tasks.empty())
+                portion.tasks.push_back({index, phase, *rc::gen::inRange<uint32_t>(0, 3)});
+        }
+        record.outgoing.push_back({3, ShardId("b.0"), portion});
+        record.admitted.push_back({portion.spec.id, *rc::gen::arbitrary<uint64_t>()});
+        record.portions.emplace(portion.spec.id, std::move(portion));
+    }
+    record.lastSent[ShardId("b.0")] = 3;
+    record.lastReceived[ShardId("c.0")] = *rc::gen::inRange<uint64_t>(0, 9);
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("Any decision keeps capacity, slices and gangs whole", "[property]")
+{
+    CHECK(rc::check([] {
+        const ShardView view = anyView();
+        RC_ASSERT(keepsTheRules(view, ShardScheduler().decide(view)));
+    }));
+}
+
+TEST_CASE("Any record survives the store", "[property]")
+{
+    CHECK(rc::check([] {
+        const ShardRecord record = anyRecord();
+        RC_ASSERT(decodeJson<ShardRecord>(Json(record).dump()) == record);
+    }));
+}
+
+TEST_CASE("Any broken peer frame is refused and does no harm", "[property]")
+{
+    CHECK(rc::check([] {
+        LookupCall call;
+        call.queue = QueueId("open");
+        call.body = *rc::gen::arbitrary<std::string>();
+        std::string frame = encodeEnvelope({7, "trace", call});
+        const auto at = *rc::gen::inRange<std::size_t>(0, frame.size());
+        frame[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+        frame.resize(*rc::gen::inRange<std::size_t>(0, frame.size() + 1));
+        try {
+            decodeEnvelope(frame);
+        } catch (const ProtocolError &) {
+            // What a frame may end in.
+        }
+    }));
+}
+
+TEST_CASE("Slots agree with a naive count through any history", "[property]")
+{
+    CHECK(rc::check([] {
+        constexpr uint32_t SlotsEach = 3;
+        SlotTable table(0);
+        const Instant now(Duration(1000));
+        std::vector<SlotTarget> targets;
+        for (const char *id : {"w0", "w1"})
+            targets.push_back({WorkerId(id), "", SlotsEach, Epoch(1), now, now + Duration(1000)});
+        table.setTargets(targets);
+        std::map<WorkerId, uint32_t> naive;
+        std::vector<Slot> held;
+        const auto steps = *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>());
+        for (const bool isTake : steps) {
+            if (isTake) {
+                std::optional<Slot> got;
+                table.take(now, now, {}, [&got](std::optional<Slot> slot) { got = slot; });
+                const bool hasRoom =
+                    naive[WorkerId("w0")] < SlotsEach || naive[WorkerId("w1")] < SlotsEach;
+                RC_ASSERT(got.has_value() == hasRoom);
+                if (!got)
+                    continue;
+                RC_ASSERT(++naive[got->worker] <= SlotsEach);
+                held.push_back(*got);
+            } else if (!held.empty()) {
+                --naive[held.back().worker];
+                table.giveBack(held.back(), now);
+                held.pop_back();
+            }
+            RC_ASSERT(table.slotsInUse() == held.size());
+        }
+    }));
+}
