Transport: Answer an oversized body, and show gauges before the first lookup

Cause: RESTinio closes the connection at its body limit without an answer. Bodies up to 16 times the limit now get 413 and 'not-run'; above that the connection still ends. A test for bad input holds it. The stand-ins share their main loop.

--- a/Libraries/Service/EntryNode.cpp
+++ b/Libraries/Service/EntryNode.cpp
@@ -202,7 +202,14 @@
     }
     m_slots.setTargets(targets);
     m_slots.expire(now);
-    m_plane.setFreeSlots(static_cast<uint32_t>(m_slots.freeSlots(now)));
+    const std::size_t free = m_slots.freeSlots(now);
+    m_plane.setFreeSlots(static_cast<uint32_t>(free));
+    m_metrics.set("slots_free", static_cast<double>(free));
+    m_metrics.set("slots_in_use", static_cast<double>(m_slots.slotsInUse()));
+    m_metrics.set("lookups_waiting", static_cast<double>(m_slots.waiting()));
+    m_metrics.set("shards_owned", static_cast<double>(m_plane.ownership().keepers().size()));
+    m_metrics.set("store_calls", static_cast<double>(m_store.calls()));
+    m_metrics.set("configuration_fresh", m_plane.configurationKeeper().isFresh() ? 1 : 0);
 }
 
 void EntryNode::addFigures(Json &status) const
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -57,6 +57,21 @@
     response.done();
 }
 
+/** A body above this many times the limit ends its connection without an answer. */
+constexpr std::size_t AnsweredBodyFactor = 16;
+constexpr int PayloadTooLarge = 413;
+
+restinio::request_handling_status_t refuseLarge(const restinio::request_handle_t &request,
+                                                std::size_t maxBody)
+{
+    send(request,
+         {PayloadTooLarge,
+          fmt::format("{{\"outcome\":\"not-run\",\"error\":\"the body is above {} bytes\"}}\n",
+                      maxBody)},
+         true);
+    return restinio::request_accepted();
+}
+
 } // namespace
 
 std::string HttpIncoming::header(std::string_view name) const
@@ -89,12 +104,16 @@
     : m_private(std::make_unique<Private>())
 {
     const auto handle = [handler = std::move(handler), inFlight = m_private->inFlight,
-                         closing = m_private->closing](restinio::request_handle_t request) {
-        ++*inFlight;
+                         closing = m_private->closing,
+                         maxBody = limits.bodyBytes](restinio::request_handle_t request) {
         const auto respond = [request, inFlight, closing](const HttpAnswer &answer) {
             send(request, answer, *closing);
             --*inFlight;
         };
+        if (request->body().size() > maxBody) {
+            return refuseLarge(request, maxBody);
+        }
+        ++*inFlight;
         try {
             handler(convert(request), respond);
         } catch (const std::exception &error) {
@@ -119,7 +138,7 @@
                                       .max_field_count(64)
                                       .max_field_name_size(256)
                                       .max_field_value_size(8 * 1024)
-                                      .max_body_size(limits.bodyBytes));
+                                      .max_body_size(limits.bodyBytes * AnsweredBodyFactor));
     try {
         m_private->server =
             std::make_unique<RestinioServer>(restinio::own_io_context(), std::move(settings));
--- a/Tests/EndToEnd/WholePathTest.cpp
+++ b/Tests/EndToEnd/WholePathTest.cpp
@@ -204,3 +204,21 @@
     CHECK(cut == 0);
     CHECK(deployment.journal().violations.empty());
 }
+
+TEST_CASE_METHOD(ReadyDeployment, "Bad input is refused as not run", "[path][input]")
+{
+    const std::vector<std::string> key{"X-Team-Key: key-red"};
+    const auto isRefused = [&](const HttpResult &answer, int status) {
+        CHECK(answer.status == status);
+        CHECK(Json::parse(answer.body).at("outcome") == "not-run");
+    };
+    isRefused(lookup("a-e0", "no-such-queue", "{}"), 404);
+    isRefused(lookup("a-e0", "open", std::string(2'000'000, 'x')), 413);
+    isRefused(lookup("a-e0", "open", "{}", {"X-Idempotent: maybe"}), 400);
+    isRefused(deployment.call("a-e0", "POST", "/jobs", "{bad", key), 400);
+    const HttpResult faulty =
+        deployment.call("a-e0", "POST", "/jobs", R"({"kind":"heap","tasks":0,"colour":1})", key);
+    isRefused(faulty, 400);
+    CHECK(Json::parse(faulty.body).at("faults").size() == 4);
+    CHECK(lookupsAreServed("a-e0"));
+}
--- a/Tests/Standins/Platform.cpp
+++ b/Tests/Standins/Platform.cpp
@@ -1,17 +1,14 @@
 // Stand-in for the platform: store, leases, watches and the lagging list of instances.
 
+#include "ServeUntilSignal.h"
+
 #include "Protocol/Json.h"
-#include "Transport/HttpServer.h"
 
 #include <tclap/CmdLine.h>
 
-#include <atomic>
-#include <condition_variable>
-#include <csignal>
 #include <deque>
 #include <iostream>
 #include <mutex>
-#include <thread>
 
 namespace Cranberrymount {
 
@@ -321,29 +318,10 @@
         TCLAP::CmdLine command("standin-platform: store and instance list for tests", ' ', "0.1");
         const TCLAP::ValueArg<uint16_t> port("", "port", "HTTP port", true, 0, "PORT", command);
         command.parse(argc, argv);
-        sigset_t signals;
-        sigemptyset(&signals);
-        sigaddset(&signals, SIGTERM);
-        sigaddset(&signals, SIGINT);
-        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
         Platform platform;
         HttpServerLimits limits;
         limits.bodyBytes = 8 * 1024 * 1024;
-        const HttpServer server({"127.0.0.1", port.getValue()}, limits,
-                                [&platform](HttpIncoming request, HttpRespond respond) {
-                                    platform.handle(std::move(request), std::move(respond));
-                                });
-        std::atomic<bool> isStopping = false;
-        std::thread ticker([&] {
-            while (!isStopping) {
-                platform.tick();
-                std::this_thread::sleep_for(Duration(10));
-            }
-        });
-        int signal = 0;
-        sigwait(&signals, &signal);
-        isStopping = true;
-        ticker.join();
+        serveUntilSignal(platform, port.getValue(), limits, Duration(10));
         return 0;
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
--- /dev/null
+++ b/Tests/Standins/ServeUntilSignal.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Transport/HttpServer.h"
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace Cranberrymount {
+
+/** Serves a stand-in with .handle and .tick on @p port until SIGTERM or SIGINT comes. */
+template <typename Standin>
+void serveUntilSignal(Standin &standin, uint16_t port, const HttpServerLimits &limits,
+                      Duration tickPeriod)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const HttpServer server({"127.0.0.1", port}, limits,
+                            [&standin](HttpIncoming request, HttpRespond respond) {
+                                standin.handle(std::move(request), std::move(respond));
+                            });
+    std::atomic<bool> isStopping = false;
+    std::thread ticker([&] {
+        while (!isStopping) {
+            standin.tick();
+            std::this_thread::sleep_for(tickPeriod);
+        }
+    });
+    int signal = 0;
+    sigwait(&signals, &signal);
+    isStopping = true;
+    ticker.join();
+}
+
+} // namespace Cranberrymount
--- a/Tests/Standins/Worker.cpp
+++ b/Tests/Standins/Worker.cpp
@@ -4,19 +4,15 @@
 // which capacity or slots were exceeded. It accepts what a real worker would accept and notes what
 // should never have been asked of it.
 
+#include "ServeUntilSignal.h"
+
 #include "Protocol/Json.h"
-#include "Transport/HttpServer.h"
 
 #include <tclap/CmdLine.h>
 
-#include <atomic>
-#include <csignal>
-#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <mutex>
-#include <random>
-#include <thread>
 
 namespace Cranberrymount {
 
@@ -411,11 +407,6 @@
         const TCLAP::ValueArg<std::size_t> threads("", "threads", "HTTP threads", false, 2, "N",
                                                    command);
         command.parse(argc, argv);
-        sigset_t signals;
-        sigemptyset(&signals);
-        sigaddset(&signals, SIGTERM);
-        sigaddset(&signals, SIGINT);
-        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
         WorkerHost host{Duration(grace.getValue())};
         std::ifstream file(fleet.getValue());
         const auto infos = Json::parse(file).get<std::vector<WorkerInfo>>();
@@ -429,21 +420,7 @@
         }
         HttpServerLimits limits;
         limits.threads = threads.getValue();
-        const HttpServer server({"127.0.0.1", port.getValue()}, limits,
-                                [&host](HttpIncoming request, HttpRespond respond) {
-                                    host.handle(std::move(request), std::move(respond));
-                                });
-        std::atomic<bool> isStopping = false;
-        std::thread ticker([&] {
-            while (!isStopping) {
-                host.tick();
-                std::this_thread::sleep_for(Duration(5));
-            }
-        });
-        int signal = 0;
-        sigwait(&signals, &signal);
-        isStopping = true;
-        ticker.join();
+        serveUntilSignal(host, port.getValue(), limits, Duration(5));
         return 0;
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
