--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -3,6 +3,8 @@
 #include "Protocol/Json.h"
 #include "State/StateError.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <ctime>
 
@@ -657,22 +659,9 @@
         return;
     }
     m_offering.erase(target);
-    ShardRecord &record = m_record.edit();
-    const auto move = std::find_if(
-        record.outgoing.begin(), record.outgoing.end(), [&](const OutgoingMove &candidate) {
-            return candidate.target == target && candidate.sequence == sequence;
-        });
-    if (move == record.outgoing.end())
-        return;
-    if (answer == MoveAnswer::Declined) {
-        const JobId job = move->portion.spec.id;
-        Portion &portion = record.portions[job];
-        portion.spec = move->portion.spec;
-        portion.tasks.insert(portion.tasks.end(), move->portion.tasks.begin(),
-                             move->portion.tasks.end());
-        m_memory[job].waitingSince = m_timers.now();
-    }
-    record.outgoing.erase(move);
+    std::erase_if(m_record.edit().outgoing, [&](const OutgoingMove &move) {
+        return move.target == target && move.sequence == sequence;
+    });
 }
 
 void ShardKeeper::takeMove(const ShardId &from, const OutgoingMove &move,
@@ -779,6 +768,8 @@
 
 void ShardKeeper::note(const JobId &job, const std::string &event)
 {
+    VLOG(1) << "event=job_note shard=" << m_shard.value() << " job=" << job.value() << " note=\""
+            << event << "\"";
     auto &history = m_memory[job].history;
     history.push_back(std::to_string(std::time(nullptr)) + " " + event);
     if (history.size() > MaxHistory)
--- a/Libraries/Coordination/ShardKeeper.h
+++ b/Libraries/Coordination/ShardKeeper.h
@@ -18,9 +18,8 @@
 
 /** What became of a portion that was offered to another shard. */
 enum class MoveAnswer {
+    /** Recorded by the target, now or before. */
     Taken,
-    /** The target has recorded that it will never take this move. */
-    Declined,
     Unknown,
 };
 
--- a/Libraries/Decision/ShardView.h
+++ b/Libraries/Decision/ShardView.h
@@ -34,8 +34,6 @@
     Instant since = {};
     /** Replicas of the same job that already run, by rack. */
     std::map<RackId, uint32_t> runningByRack = {};
-    /** Learned run time of one task; zero if unknown. */
-    Duration expectedRunTime{0};
 };
 
 /** What one team may still use in this shard. */
@@ -57,8 +55,6 @@
     bool urgent = false;
     bool isBatch = false;
     Instant since;
-    /** Learned point at which the task ends; empty duration if unknown. */
-    Duration expectedRunTime{0};
 };
 
 /** Everything that one scheduling pass sees. */
--- a/Libraries/Service/EntryApi.cpp
+++ b/Libraries/Service/EntryApi.cpp
@@ -209,10 +209,13 @@
         return respond(fresh ? refusal(401, "the key is missing, unknown or withdrawn")
                              : refusal(503, "keys cannot be checked: no recent configuration"));
     }
-    const std::string trace =
-        m_node.tracer().begin("jobs", request.header("traceparent")).traceparent();
+    const Span span = m_node.tracer().begin("jobs", request.header("traceparent"));
+    const std::string trace = span.traceparent();
     const JobId id(rest.empty() ? rest : rest.substr(1));
-    const auto done = answerWith(respond);
+    const auto done = [this, span, respond](const OperatorAnswer &answer) {
+        respond(jsonAnswer(answer.status, answer.body));
+        m_node.tracer().end(span);
+    };
     if (rest.empty() && request.method == "POST") {
         if (!team)
             return respond(refusal(403, "a job is submitted with a team's key"));
--- a/Libraries/Service/JobBook.cpp
+++ b/Libraries/Service/JobBook.cpp
@@ -3,6 +3,8 @@
 #include "Coordination/JobViewJson.h"
 #include "Protocol/ProtocolError.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 
 namespace Cranberrymount {
@@ -171,12 +173,15 @@
     const Json body = {{"shard", home.value()}, {"spec", spec}};
     m_node.plane().callOwner(
         home, {"admit", body.dump()}, trace,
-        [spec, home, mayBeRecorded, done = std::move(done)](const PeerResult &result) {
+        [spec, home, mayBeRecorded, trace, done = std::move(done)](const PeerResult &result) {
             const auto *reply = std::get_if<ControlReply>(&result.message);
             const bool isAnswered = result.outcome == PeerResult::Answered && reply;
             std::string outcome = isAnswered ? reply->body : "unknown";
             if (result.outcome == PeerResult::NotSent)
                 outcome = "not-run";
+            LOG(INFO) << "event=job_submitted job=" << spec.id.value()
+                      << " team=" << spec.team.value() << " home=" << home.value()
+                      << " outcome=" << outcome << " trace=" << trace;
             Json answer = {{"id", spec.id.value()}, {"home", home.value()}};
             if (outcome == "recorded")
                 return done({201, answer});
@@ -195,6 +200,7 @@
 
 void JobBook::cancel(const JobId &id, const std::string &trace, Done done)
 {
+    LOG(INFO) << "event=job_cancelled job=" << id.value() << " trace=" << trace;
     m_node.plane().gather(
         {"cancel", id.value()}, trace, [done = std::move(done)](const Gathered &all) {
             bool isFound = false;
--- a/Libraries/Service/LookupRouter.cpp
+++ b/Libraries/Service/LookupRouter.cpp
@@ -1,5 +1,7 @@
 #include "Service/LookupRouter.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 
 namespace Cranberrymount {
@@ -241,6 +243,11 @@
     request->span.attributes["outcome"] = Names[reply.outcome];
     if (!reply.reason.empty())
         request->span.attributes["reason"] = reply.reason;
+    if (reply.outcome != LookupReply::Answered) {
+        LOG(INFO) << "event=lookup_refused queue=" << request->call.queue.value()
+                  << " outcome=" << Names[reply.outcome] << " reason=\"" << reply.reason
+                  << "\" trace=" << request->span.traceId;
+    }
     m_tracer.end(request->span);
     request->done(std::move(reply));
 }
--- a/Meta/cranberrymount.sh
+++ b/Meta/cranberrymount.sh
@@ -16,15 +16,15 @@
     ;;
 demo)
     build
-    exec Meta/demo.sh "$PWD/$BUILD"
+    exec bash Meta/demo.sh "$PWD/$BUILD"
     ;;
 test)
     build
-    exec Meta/test.sh "$PWD/$BUILD"
+    exec bash Meta/test.sh "$PWD/$BUILD"
     ;;
 check)
     Meta/install.sh
-    exec Meta/check.sh
+    exec bash Meta/check.sh
     ;;
 bench)
     build
@@ -32,7 +32,7 @@
     ;;
 lint)
     build
-    exec Meta/lint.sh "$BUILD"
+    exec bash Meta/lint.sh "$BUILD"
     ;;
 *)
     echo "usage: Meta/cranberrymount.sh demo|test|check|bench|lint|build" >&2
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -15,4 +15,4 @@
     skip=(-E "^($pattern)\$")
 fi
 ctest --test-dir "$BUILD" --output-on-failure -j4 "${skip[@]}"
-Meta/check.sh
+bash Meta/check.sh
