--- a/Benchmarks/Day.cpp
+++ b/Benchmarks/Day.cpp
@@ -95,7 +95,7 @@
             // Odd sizes: processors and memory in different proportions.
             const bool needsAccelerator =
                 m_shape.acceleratorEvery > 0 && !group.urgent && below(6) == 0;
-            group.perTask = {CpuMillis(1000 * (1 + below(6))), MemoryMb(1000 * (1 + below(24))),
+            group.perTask = {CpuMillis(1000L * (1 + below(6))), MemoryMb(1000L * (1 + below(24))),
                              AcceleratorCount(needsAccelerator ? 1 : 0)};
             group.since = m_view.now;
             m_runTime[group.job] = exponential(m_shape.meanRunTime);
--- a/Libraries/Service/Settings.cpp
+++ b/Libraries/Service/Settings.cpp
@@ -41,8 +41,7 @@
 {
     const toml::table &limits = checker.section(root, "limits", false);
     settings.httpThreads = checker.number(limits, "http_threads", 2, 1, 64);
-    settings.maxBodyBytes =
-        checker.number(limits, "max_body_bytes", 1024 * 1024, 1024, 16 * 1024 * 1024);
+    settings.maxBodyBytes = checker.number(limits, "max_body_bytes", 1'048'576, 1024, 16'777'216);
     settings.maxWaitingRequests = checker.number(limits, "max_waiting_requests", 256, 0, 100'000);
     settings.faultsAllowed = checker.flag(limits, "faults_allowed", false);
     checker.rejectUnknown(limits);
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -105,7 +105,7 @@
 {
     const auto handle = [handler = std::move(handler), inFlight = m_private->inFlight,
                          closing = m_private->closing,
-                         maxBody = limits.bodyBytes](restinio::request_handle_t request) {
+                         maxBody = limits.bodyBytes](const restinio::request_handle_t &request) {
         const auto respond = [request, inFlight, closing](const HttpAnswer &answer) {
             send(request, answer, *closing);
             --*inFlight;
@@ -129,15 +129,15 @@
         .max_parallel_connections(limits.connections)
         .read_next_http_message_timelimit(limits.readTimeout)
         .handle_request_timeout(limits.handleTimeout)
-        .buffer_size(16 * 1024)
+        .buffer_size(16'384)
         .max_pipelined_requests(1)
         .socket_options_setter(
             [](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
-                                      .max_url_size(8 * 1024)
+                                      .max_url_size(8'192)
                                       .max_field_count(64)
                                       .max_field_name_size(256)
-                                      .max_field_value_size(8 * 1024)
+                                      .max_field_value_size(8'192)
                                       .max_body_size(limits.bodyBytes * AnsweredBodyFactor));
     try {
         m_private->server =
@@ -147,7 +147,7 @@
         std::promise<void> opened;
         m_private->runner->start(
             [&opened]() noexcept { opened.set_value(); },
-            [&opened](std::exception_ptr error) noexcept { opened.set_exception(error); });
+            [&opened](const std::exception_ptr &error) noexcept { opened.set_exception(error); });
         opened.get_future().get();
     } catch (const std::exception &error) {
         throw TransportError(fmt::format("cannot listen on {}: {}", address.text(), error.what()));
--- a/Tests/EndToEnd/Deployment.cpp
+++ b/Tests/EndToEnd/Deployment.cpp
@@ -179,6 +179,7 @@
     std::vector<std::string> words = arguments;
     words[0] = programPath(arguments[0]);
     std::vector<char *> pointers;
+    pointers.reserve(words.size() + 1);
     for (std::string &word : words)
         pointers.push_back(word.data());
     pointers.push_back(nullptr);
--- a/Tests/EndToEnd/FailureTest.cpp
+++ b/Tests/EndToEnd/FailureTest.cpp
@@ -39,7 +39,7 @@
     /** Submits tasks through zone a and waits until some run. */
     std::string startBatch(int tasks = 40, int runMillis = 1200)
     {
-        const std::string name = deployment.submit("a-e0", "red", job("batch", tasks, runMillis));
+        std::string name = deployment.submit("a-e0", "red", job("batch", tasks, runMillis));
         REQUIRE_FALSE(name.empty());
         REQUIRE(eventually(
             [&] { return deployment.counts("b-e0", "red", name).value("running", 0) >= 8; }));
@@ -174,6 +174,7 @@
 {
     deployment.workerFaults("a", {{"fails_all", {{"a-w0", true}}}});
     std::vector<std::string> names;
+    names.reserve(6);
     for (int number = 0; number < 6; ++number)
         names.push_back(deployment.submit("a-e0", "red", job("batch", 8, 300)));
     for (const std::string &name : names)
@@ -209,6 +210,7 @@
                  "[failure][cancel]")
 {
     std::vector<std::string> names;
+    names.reserve(20);
     for (int number = 0; number < 20; ++number)
         names.push_back(deployment.submit("a-e0", "red", job("batch", 10, 20'000)));
     for (const std::string &name : names) {
--- a/Tests/EndToEnd/WholePathTest.cpp
+++ b/Tests/EndToEnd/WholePathTest.cpp
@@ -183,6 +183,7 @@
     std::atomic<int> answered = 0;
     std::atomic<int> cut = 0;
     std::vector<std::thread> callers;
+    callers.reserve(6);
     for (int caller = 0; caller < 6; ++caller) {
         callers.emplace_back([&] {
             // As the balancer does, callers go where the entry still says that it is there.
--- a/Tests/Standins/Platform.cpp
+++ b/Tests/Standins/Platform.cpp
@@ -60,7 +60,7 @@
 class Platform
 {
 public:
-    void handle(HttpIncoming request, HttpRespond respond);
+    void handle(const HttpIncoming &request, const HttpRespond &respond);
     void tick();
 
 private:
@@ -131,7 +131,7 @@
     if (lease != 0 && !m_leases.contains(lease))
         return {Conflict, "{\"error\":\"the lease has ended\"}"};
     const auto value = body.at("value").get<std::string>();
-    if (value.size() > 1024 * 1024)
+    if (value.size() > 1'048'576)
         return {413, "{\"error\":\"value above 1 MB\"}"};
     m_writtenBytes += value.size();
     m_values[key] = {value, ++m_revision, lease};
@@ -245,7 +245,7 @@
     return read(key);
 }
 
-void Platform::handle(HttpIncoming request, HttpRespond respond)
+void Platform::handle(const HttpIncoming &request, const HttpRespond &respond)
 {
     const std::lock_guard lock(m_mutex);
     if (request.path.starts_with("/admin/"))
@@ -320,7 +320,7 @@
         command.parse(argc, argv);
         Platform platform;
         HttpServerLimits limits;
-        limits.bodyBytes = 8 * 1024 * 1024;
+        limits.bodyBytes = 8'388'608;
         serveUntilSignal(platform, port.getValue(), limits, Duration(10));
         return 0;
     } catch (const std::exception &error) {
--- a/Tests/Standins/ServeUntilSignal.h
+++ b/Tests/Standins/ServeUntilSignal.h
@@ -19,8 +19,8 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     const HttpServer server({"127.0.0.1", port}, limits,
-                            [&standin](HttpIncoming request, HttpRespond respond) {
-                                standin.handle(std::move(request), std::move(respond));
+                            [&standin](const HttpIncoming &request, const HttpRespond &respond) {
+                                standin.handle(request, respond);
                             });
     std::atomic<bool> isStopping = false;
     std::thread ticker([&] {
--- a/Tests/Standins/Worker.cpp
+++ b/Tests/Standins/Worker.cpp
@@ -86,7 +86,7 @@
     }
 
     void add(Worker worker) { m_workers[worker.id] = std::move(worker); }
-    void handle(HttpIncoming request, HttpRespond respond);
+    void handle(const HttpIncoming &request, const HttpRespond &respond);
     void tick();
 
 private:
@@ -328,7 +328,7 @@
     return {200, "{}"};
 }
 
-void WorkerHost::handle(HttpIncoming request, HttpRespond respond)
+void WorkerHost::handle(const HttpIncoming &request, const HttpRespond &respond)
 {
     const std::lock_guard lock(m_mutex);
     if (request.path.starts_with("/admin/"))
--- a/Tests/Unit/World.cpp
+++ b/Tests/Unit/World.cpp
@@ -409,7 +409,7 @@
             world.onNode(target, receiver.life, [&world, &receiver, finish, message, self] {
                 receiver.parts->plane->control(
                     std::get<ControlCall>(message),
-                    [&world, finish, &receiver, self](ControlReply reply) {
+                    [&world, finish, &receiver, self](const ControlReply &reply) {
                         if (world.chance(world.m_faults.lostAnswers)
                             || world.isCutOff(self, receiver.zone))
                             return;
