Coordination: Name an entry once in the control plane's settings

Cause: ControlPlane::Settings and ShardOwnership::Settings both held the entry's name, zone, address and life, and both callers filled them in twice. The copy in ControlPlane is gone. In the fake store, write and remove share one exchange, and watch is a list with a longer time-out. Ruled out as one: the fakes' overrides of an interface, the models' rules, the adapters' headers; they are alike in shape only.

--- a/Libraries/Coordination/ControlPlane.cpp
+++ b/Libraries/Coordination/ControlPlane.cpp
@@ -39,12 +39,12 @@
     : m_peers(peers)
     , m_timers(timers)
     , m_settings(std::move(settings))
-    , m_members(m_settings.self, m_settings.heartbeatPeriod * MissedHeartbeats)
-    , m_configuration(store, timers, m_settings.self, m_settings.configuration)
+    , m_members(self(), m_settings.heartbeatPeriod * MissedHeartbeats)
+    , m_configuration(store, timers, self(), m_settings.configuration)
     , m_ownership(store, workers, timers, *this, m_members, m_settings.ownership)
 {
     for (const Endpoint &peer : m_settings.peers) {
-        if (peer != m_settings.address)
+        if (peer != address())
             m_members.addAddress(peer);
     }
     m_configuration.onChange([this] {
@@ -116,11 +116,11 @@
 {
     const auto &out = configuration().zonesOut;
     std::vector<ShardCandidate> found;
-    if (withOwn && !out.contains(m_settings.zone)) {
+    if (withOwn && !out.contains(zone())) {
         for (const ShardKeeper *keeper : m_ownership.keepers()) {
             const ShardStatus status = keeper->status();
             if (status.isActive) {
-                found.push_back({status.shard, m_settings.zone, true, status.free,
+                found.push_back({status.shard, zone(), true, status.free,
                                  static_cast<uint32_t>(status.waiting)});
             }
         }
@@ -131,8 +131,8 @@
             continue;
         for (const ShardSummary &shard : beat.shards) {
             if (shard.active) {
-                found.push_back({shard.shard, beat.zone, beat.zone == m_settings.zone, shard.free,
-                                 shard.waitingTasks});
+                found.push_back(
+                    {shard.shard, beat.zone, beat.zone == zone(), shard.free, shard.waitingTasks});
             }
         }
     }
@@ -208,7 +208,7 @@
                      });
     }
     control(call, [this, collection, finished](ControlReply reply) {
-        collection->gathered.replies.push_back({m_settings.self, std::move(reply)});
+        collection->gathered.replies.push_back({self(), std::move(reply)});
         finished();
     });
 }
@@ -322,10 +322,10 @@
 {
     Json shards = Json::array();
     for (const ShardKeeper *keeper : m_ownership.keepers())
-        shards.push_back(encodeShardStatus(keeper->status(), m_settings.zone));
+        shards.push_back(encodeShardStatus(keeper->status(), zone()));
     const auto age = m_configuration.evidenceAge();
-    Json status = {{"entry", m_settings.self.value()},
-                   {"zone", m_settings.zone.value()},
+    Json status = {{"entry", self().value()},
+                   {"zone", zone().value()},
                    {"configuration_revision", configuration().revision.value()},
                    {"evidence_age_ms", age ? age->count() : -1},
                    {"fresh", m_configuration.isFresh()},
@@ -354,9 +354,9 @@
 Heartbeat ControlPlane::heartbeat() const
 {
     Heartbeat beat;
-    beat.from = m_settings.self;
-    beat.zone = m_settings.zone;
-    beat.address = m_settings.address;
+    beat.from = self();
+    beat.zone = zone();
+    beat.address = address();
     beat.leaving = m_leaving;
     beat.configRevision = configuration().revision;
     beat.evidenceAge = m_configuration.evidenceAge();
@@ -386,7 +386,7 @@
 {
     const Instant askedAt = m_timers.now();
     const bool hearsStore = m_configuration.hearsStore();
-    const Json question = {{"from", m_settings.self.value()},
+    const Json question = {{"from", self().value()},
                            {"revision", configuration().revision.value()}};
     for (const Member &member : members()) {
         const EntryId peer = member.heartbeat.from;
--- a/Libraries/Coordination/ControlPlane.h
+++ b/Libraries/Coordination/ControlPlane.h
@@ -36,14 +36,11 @@
 public:
     struct Settings
     {
-        EntryId self;
-        ZoneId zone;
-        Endpoint address;
-        std::string incarnation;
         std::vector<Endpoint> peers;
         uint32_t shardsPerZone = 1;
         Duration heartbeatPeriod{1000};
         ConfigurationKeeper::Settings configuration;
+        /** Also names this entry, its zone and its address. */
         ShardOwnership::Settings ownership;
     };
 
@@ -108,6 +105,10 @@
 
     PeerNetwork &m_peers;
     TimerService &m_timers;
+    const EntryId &self() const { return m_settings.ownership.self; }
+    const ZoneId &zone() const { return m_settings.ownership.zone; }
+    const Endpoint &address() const { return m_settings.ownership.address; }
+
     Settings m_settings;
     MemberTable m_members;
     ConfigurationKeeper m_configuration;
--- a/Libraries/Service/EntryNode.cpp
+++ b/Libraries/Service/EntryNode.cpp
@@ -17,19 +17,15 @@
 ControlPlane::Settings planeSettings(const Settings &settings, Tracer &tracer)
 {
     ControlPlane::Settings result;
-    result.self = settings.entry;
-    result.zone = settings.zone;
-    result.address = settings.peer;
-    result.incarnation = tracer.randomHex(IncarnationBytes);
     result.peers = settings.peers;
     result.shardsPerZone = settings.shardsPerZone;
     result.heartbeatPeriod = settings.heartbeatPeriod;
     result.configuration.evidenceBound = settings.evidenceBound;
     ShardOwnership::Settings &ownership = result.ownership;
-    ownership.self = result.self;
-    ownership.zone = result.zone;
-    ownership.address = result.address;
-    ownership.incarnation = result.incarnation;
+    ownership.self = settings.entry;
+    ownership.zone = settings.zone;
+    ownership.address = settings.peer;
+    ownership.incarnation = tracer.randomHex(IncarnationBytes);
     ownership.leaseTtl = settings.storeLease;
     ownership.keeper.pool.leaseTtl = settings.workerLease;
     ownership.keeper.pool.orphanGrace = settings.orphanGrace;
--- a/Tests/Unit/World.cpp
+++ b/Tests/Unit/World.cpp
@@ -91,49 +91,23 @@
     void watch(const std::string &key, Revision, Duration wait,
                std::function<void(StoreRead)> done) override
     {
-        // The wait is spent before the question, so that evidence stays dated to its asking.
-        auto read = std::make_shared<StoreRead>();
-        m_world.exchange(
-            m_node, isCut(), StoreTimeout + wait,
-            [this, key, read] { *read = m_world.m_storeDown ? StoreRead() : find(key, true); },
-            [read, done = std::move(done)](bool isAnswered, bool) {
-                done(isAnswered ? *read : StoreRead());
-            });
+        // The wait only lengthens the time-out, so that evidence stays dated to its asking.
+        list(key, true, std::move(done), wait);
     }
     void write(StorePut put, std::function<void(StoreWrite)> done) override
     {
-        auto result = std::make_shared<StoreWrite>();
-        m_world.exchange(
-            m_node, isCut(), StoreTimeout,
-            [this, put, result] {
-                if (!m_world.m_storeDown)
-                    *result = m_world.serveWrite(put);
-            },
-            [result, done = std::move(done)](bool isAnswered, bool isSent) {
-                if (!isSent)
-                    return done({StoreWrite::NotSent, {}});
-                done(isAnswered ? *result : StoreWrite());
-            });
+        mutate(std::move(done), [this, put = std::move(put)] { return m_world.serveWrite(put); });
     }
     void remove(const std::string &key, Revision expected,
                 std::function<void(StoreWrite)> done) override
     {
-        auto result = std::make_shared<StoreWrite>();
-        m_world.exchange(
-            m_node, isCut(), StoreTimeout,
-            [this, key, expected, result] {
-                const auto found = m_world.m_values.find(key);
-                if (m_world.m_storeDown || found == m_world.m_values.end()
-                    || found->second.revision != expected)
-                    return;
-                m_world.m_values.erase(found);
-                *result = {StoreWrite::Written, Revision(++m_world.m_revision)};
-            },
-            [result, done = std::move(done)](bool isAnswered, bool isSent) {
-                if (!isSent)
-                    return done({StoreWrite::NotSent, {}});
-                done(isAnswered ? *result : StoreWrite());
-            });
+        mutate(std::move(done), [this, key, expected] {
+            const auto found = m_world.m_values.find(key);
+            if (found == m_world.m_values.end() || found->second.revision != expected)
+                return StoreWrite();
+            m_world.m_values.erase(found);
+            return StoreWrite{StoreWrite::Written, Revision(++m_world.m_revision)};
+        });
     }
     void createLease(Duration ttl, std::function<void(StoreLease)> done) override
     {
@@ -179,11 +153,12 @@
         }
         return read;
     }
-    void list(const std::string &key, bool isExact, std::function<void(StoreRead)> done)
+    void list(const std::string &key, bool isExact, std::function<void(StoreRead)> done,
+              Duration wait = Duration(0))
     {
         auto read = std::make_shared<StoreRead>();
         m_world.exchange(
-            m_node, isCut(), StoreTimeout,
+            m_node, isCut(), StoreTimeout + wait,
             [this, key, isExact, read] {
                 if (!m_world.m_storeDown)
                     *read = find(key, isExact);
@@ -192,6 +167,21 @@
                 done(isAnswered ? *read : StoreRead());
             });
     }
+    void mutate(std::function<void(StoreWrite)> done, std::function<StoreWrite()> serve)
+    {
+        auto result = std::make_shared<StoreWrite>();
+        m_world.exchange(
+            m_node, isCut(), StoreTimeout,
+            [this, result, serve = std::move(serve)] {
+                if (!m_world.m_storeDown)
+                    *result = serve();
+            },
+            [result, done = std::move(done)](bool isAnswered, bool isSent) {
+                if (!isSent)
+                    return done({StoreWrite::NotSent, {}});
+                done(isAnswered ? *result : StoreWrite());
+            });
+    }
     void lease(std::function<void(StoreLease)> done, std::function<StoreLease()> serve)
     {
         auto result = std::make_shared<StoreLease>();
@@ -464,17 +454,13 @@
     node.parts.reset(new NodeParts{NodeTimers(*this, index, node.life), NodeStore(*this, index),
                                    NodeWorkers(*this, index), NodePeers(*this, index)});
     ControlPlane::Settings settings;
-    settings.self = node.id;
-    settings.zone = ZoneId("z" + std::to_string(node.zone));
-    settings.address = node.address;
-    settings.incarnation = std::to_string(node.life);
     for (const auto &other : m_nodes)
         settings.peers.push_back(other->address);
     settings.heartbeatPeriod = Duration(500);
     settings.ownership.self = node.id;
-    settings.ownership.zone = settings.zone;
+    settings.ownership.zone = ZoneId("z" + std::to_string(node.zone));
     settings.ownership.address = node.address;
-    settings.ownership.incarnation = settings.incarnation;
+    settings.ownership.incarnation = std::to_string(node.life);
     settings.ownership.leaseTtl = Duration(3000);
     settings.ownership.keeper.pool.leaseTtl = WorkerLease;
     settings.ownership.keeper.pool.orphanGrace = OrphanGrace;
