Coordination: Keep a cancellation from missing tasks on the move

Cause, by reading and then by histories: a cancellation marked only the portions that a shard held at that moment. Tasks in an outgoing move, or on the way to another shard, ran on, and the caller was told 200. Ruled out: the stop itself (it repeats each second until the worker tells).

Now every shard keeps the cancellation in its record (a second round, only for jobs that exist, so that a name can't be barred before its use), the answer is 200 only if every listed shard's active owner recorded it, and 'no such job' only if all shards were asked.

--- a/Libraries/Coordination/ControlPlane.cpp
+++ b/Libraries/Coordination/ControlPlane.cpp
@@ -76,6 +76,9 @@
 
 void ControlPlane::setListed(ListVersion version, const std::vector<WorkerInfo> &workers)
 {
+    m_listedShards.clear();
+    for (const WorkerInfo &worker : workers)
+        m_listedShards.insert(shardOf(worker));
     m_ownership.setListed(version, workers,
                           [this](const WorkerInfo &worker) { return shardOf(worker); });
 }
@@ -213,6 +216,53 @@
     });
 }
 
+/**
+ * The first round finds the job. The second is kept by every shard, so that tasks that were on the
+ * move in the first end where they arrive; only a job that exists may be barred so.
+ */
+void ControlPlane::cancelJob(const JobId &job, const std::string &trace,
+                             std::function<void(CancelOutcome)> done)
+{
+    cancelOnce(job, false, trace, [this, job, trace, done = std::move(done)](auto outcome) {
+        if (outcome != CancelOutcome::Cancelled)
+            return done(outcome);
+        cancelOnce(job, true, trace, done);
+    });
+}
+
+void ControlPlane::cancelOnce(const JobId &job, bool known, const std::string &trace,
+                              std::function<void(CancelOutcome)> done)
+{
+    const Json body = {{"job", job.value()}, {"known", known}};
+    gather({"cancel", body.dump()}, trace,
+           [this, known, done = std::move(done)](const Gathered &all) {
+               std::set<ShardId> missing = m_listedShards;
+               bool isFound = known;
+               bool isRecorded = all.silent.empty();
+               for (const GatheredReply &reply : all.replies) {
+                   isRecorded = isRecorded && reply.reply.status == 200;
+                   const Json answer = parseJson(reply.reply.body);
+                   isFound = isFound || answer.value("found", false);
+                   for (const Json &shard : answer.value("shards", Json::array()))
+                       missing.erase(ShardId(shard.get<std::string>()));
+               }
+               // A shard between two owners may have tasks of the job.
+               if (!isRecorded || !missing.empty())
+                   return done(CancelOutcome::Unknown);
+               done(isFound ? CancelOutcome::Cancelled : CancelOutcome::NoSuchJob);
+           });
+}
+
+std::vector<ShardId> ControlPlane::shardsWithoutOwner() const
+{
+    std::vector<ShardId> without;
+    for (const ShardId &shard : m_listedShards) {
+        if (!m_ownership.keeper(shard) && !m_members.ownerOf(shard, m_timers.now()))
+            without.push_back(shard);
+    }
+    return without;
+}
+
 void ControlPlane::heard(const Heartbeat &beat)
 {
     m_members.heard(beat, m_timers.now());
@@ -261,25 +311,28 @@
 
 void ControlPlane::cancelHere(const std::string &body, std::function<void(ControlReply)> reply)
 {
-    auto left = std::make_shared<std::size_t>(1);
-    auto recorded = std::make_shared<bool>(true);
-    auto found = std::make_shared<bool>(false);
-    const auto finished = [left, recorded, found, reply = std::move(reply)] {
-        if (--*left == 0)
-            reply({*recorded ? 200 : 503, *found ? "found" : "unknown"});
+    struct Collection
+    {
+        std::size_t left = 1;
+        bool isRecorded = true;
+        Json answer = {{"found", false}, {"shards", Json::array()}};
+    };
+    const Json json = parseJson(body);
+    const JobId job(json.at("job").get<std::string>());
+    const bool known = json.at("known").get<bool>();
+    auto collection = std::make_shared<Collection>();
+    const auto finished = [collection, reply = std::move(reply)](bool wasRecorded) {
+        collection->isRecorded = collection->isRecorded && wasRecorded;
+        if (--collection->left == 0)
+            reply({collection->isRecorded ? 200 : 503, collection->answer.dump()});
     };
     for (ShardKeeper *keeper : m_ownership.keepers()) {
-        ++*left;
-        const bool isHere = keeper->cancel(JobId(body), [recorded, finished](bool wasRecorded) {
-            *recorded = *recorded && wasRecorded;
-            finished();
-        });
-        if (isHere)
-            *found = true;
-        else
-            --*left;
+        ++collection->left;
+        collection->answer["shards"].push_back(keeper->shard().value());
+        if (keeper->cancel(job, known, finished))
+            collection->answer["found"] = true;
     }
-    finished();
+    finished(true);
 }
 
 void ControlPlane::adoptHere(const std::string &body, std::function<void(ControlReply)> reply)
--- a/Libraries/Coordination/ControlPlane.h
+++ b/Libraries/Coordination/ControlPlane.h
@@ -27,6 +27,15 @@
     std::vector<EntryId> silent;
 };
 
+/** What became of a cancellation. */
+enum class CancelOutcome {
+    /** Every shard has recorded it: no further task of the job starts anywhere. */
+    Cancelled,
+    NoSuchJob,
+    /** Some shard did not record it; the job may go on there. */
+    Unknown,
+};
+
 /**
  * Everything that one entry instance decides, behind four interfaces: store, workers, peers and
  * time. Runs on one thread; tests drive it through virtual time.
@@ -72,6 +81,12 @@
     void gather(const ControlCall &call, const std::string &trace,
                 std::function<void(Gathered)> done);
 
+    /** Cancels @p job on all shards. */
+    void cancelJob(const JobId &job, const std::string &trace,
+                   std::function<void(CancelOutcome)> done);
+    /** @return the listed shards that no live member is known to own. */
+    std::vector<ShardId> shardsWithoutOwner() const;
+
     ConfigurationKeeper &configurationKeeper() { return m_configuration; }
     const ConfigurationKeeper &configurationKeeper() const { return m_configuration; }
     const ShardOwnership &ownership() const { return m_ownership; }
@@ -90,6 +105,8 @@
 
     void admitHere(const std::string &body, std::function<void(ControlReply)> reply);
     void cancelHere(const std::string &body, std::function<void(ControlReply)> reply);
+    void cancelOnce(const JobId &job, bool known, const std::string &trace,
+                    std::function<void(CancelOutcome)> done);
     void adoptHere(const std::string &body, std::function<void(ControlReply)> reply);
     std::string jobHere(const std::string &id) const;
     std::string jobsHere() const;
@@ -113,6 +130,8 @@
     MemberTable m_members;
     ConfigurationKeeper m_configuration;
     ShardOwnership m_ownership;
+    /** The shards of all workers on the platform's list. */
+    std::set<ShardId> m_listedShards;
     uint32_t m_freeSlots = 0;
     bool m_leaving = false;
     std::function<void(Json &)> m_statusExtra;
--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t MaxMoveSize = 512;
 /** Admissions that a shard remembers to tell repeated submissions. */
 constexpr std::size_t MaxAdmitted = 1024;
+/** Cancellations that a shard remembers for tasks on their way to it. */
+constexpr std::size_t MaxCancelled = 1024;
 /** Bits of an attempt number that count within one shard epoch. */
 constexpr unsigned AttemptBits = 24;
 
@@ -682,6 +684,7 @@
     Portion &portion = position->second;
     if (isNew)
         portion.spec = spec;
+    portion.cancelled = portion.cancelled || isCancelled(spec.id);
     portion.tasks.insert(portion.tasks.end(), move.portion.tasks.begin(), move.portion.tasks.end());
     JobMemory &memory = m_memory[spec.id];
     if (isNew || memory.waitingSince == Instant())
@@ -732,17 +735,40 @@
     later(m_settings.admissionTimeout, [once] { once(AdmissionOutcome::Unknown); });
 }
 
-bool ShardKeeper::cancel(const JobId &job, std::function<void(bool)> done)
+bool ShardKeeper::isCancelled(const JobId &job) const
 {
-    const auto found = m_record.record().portions.find(job);
-    if (!m_isRecordTaken || found == m_record.record().portions.end())
+    const auto &cancelled = m_record.record().cancelled;
+    return std::find(cancelled.begin(), cancelled.end(), job) != cancelled.end();
+}
+
+bool ShardKeeper::cancel(const JobId &job, bool known, std::function<void(bool)> done)
+{
+    if (!m_isRecordTaken) {
+        done(false);
         return false;
-    if (!found->second.cancelled) {
+    }
+    const ShardRecord &record = m_record.record();
+    const auto portion = record.portions.find(job);
+    const bool isHere = portion != record.portions.end();
+    const bool leavesHere =
+        std::any_of(record.outgoing.begin(), record.outgoing.end(),
+                    [&job](const OutgoingMove &move) { return move.portion.spec.id == job; });
+    if (isHere && !portion->second.cancelled) {
         m_record.edit().portions.at(job).cancelled = true;
         note(job, "cancelled");
     }
-    m_record.whenRecorded(std::move(done));
-    return true;
+    if (known && !isCancelled(job)) {
+        auto &cancelled = m_record.edit().cancelled;
+        cancelled.push_back(job);
+        if (cancelled.size() > MaxCancelled)
+            cancelled.erase(cancelled.begin());
+    }
+    // Until the workers are taken over, a former owner that is only paused may still start tasks.
+    if (m_isActive)
+        m_record.whenRecorded(std::move(done));
+    else
+        done(false);
+    return isHere || leavesHere;
 }
 
 void ShardKeeper::forgetEnded()
--- a/Libraries/Coordination/ShardKeeper.h
+++ b/Libraries/Coordination/ShardKeeper.h
@@ -130,8 +130,12 @@
     void configurationChanged();
 
     void admit(const JobSpec &spec, std::function<void(AdmissionOutcome)> done);
-    /** @return false if this shard has no open task of @p job. */
-    bool cancel(const JobId &job, std::function<void(bool)> done);
+    /**
+     * Cancels @p job here; @p done tells whether that is recorded.
+     * @param known the job exists, so that tasks of it that are still on their way here end too.
+     * @return true if tasks of it are here or leave from here.
+     */
+    bool cancel(const JobId &job, bool known, std::function<void(bool)> done);
     void takeMove(const ShardId &from, const OutgoingMove &move,
                   std::function<void(MoveAnswer)> done);
 
@@ -194,6 +198,7 @@
     void taskFailed(const TaskId &id);
     void waitsAgain(const JobId &job);
     void finishCancelled(const JobId &job);
+    bool isCancelled(const JobId &job) const;
     void note(const JobId &job, const std::string &event);
     std::vector<uint32_t> waitingIndexes(const Portion &portion) const;
     void stopTask(const TaskId &id, bool checkpoint);
--- a/Libraries/Protocol/Json.cpp
+++ b/Libraries/Protocol/Json.cpp
@@ -174,6 +174,10 @@
     for (const AdmittedJob &job : record.admitted)
         admitted.push_back({job.job.value(), job.digest});
     json["admitted"] = std::move(admitted);
+    Json cancelled = Json::array();
+    for (const JobId &job : record.cancelled)
+        cancelled.push_back(job.value());
+    json["cancelled"] = std::move(cancelled);
     Json sent = Json::object();
     for (const auto &[shard, sequence] : record.lastSent)
         sent[shard.value()] = sequence;
@@ -205,6 +209,9 @@
     }
     for (const Json &job : json.at("admitted"))
         record.admitted.push_back({JobId(job.at(0).get<std::string>()), job.at(1).get<uint64_t>()});
+    // Records of earlier versions lack it.
+    for (const Json &job : json.value("cancelled", Json::array()))
+        record.cancelled.emplace_back(job.get<std::string>());
     for (const auto &[shard, sequence] : json.at("last_sent").items())
         record.lastSent[ShardId(shard)] = sequence.get<uint64_t>();
     for (const auto &[shard, sequence] : json.at("last_received").items())
--- a/Libraries/Service/JobBook.cpp
+++ b/Libraries/Service/JobBook.cpp
@@ -201,24 +201,19 @@
 void JobBook::cancel(const JobId &id, const std::string &trace, Done done)
 {
     LOG(INFO) << "event=job_cancelled job=" << id.value() << " trace=" << trace;
-    m_node.plane().gather(
-        {"cancel", id.value()}, trace, [done = std::move(done)](const Gathered &all) {
-            bool isFound = false;
-            bool isRecorded = true;
-            for (const GatheredReply &reply : all.replies) {
-                isFound = isFound || reply.reply.body == "found";
-                isRecorded = isRecorded && reply.reply.status == 200;
-            }
-            if (!isRecorded || !all.silent.empty()) {
-                return done({504,
-                             {{"outcome", "unknown"},
-                              {"error", "not every shard has recorded the cancellation"},
-                              {"next", "cancel again"}}});
-            }
-            if (!isFound)
-                return done({404, {{"error", "no such job"}}});
-            done({200, {{"state", "cancelling"}}});
-        });
+    m_node.plane().cancelJob(id, trace, [done = std::move(done)](CancelOutcome outcome) {
+        switch (outcome) {
+        case CancelOutcome::Cancelled:
+            return done({200, {{"state", "cancelling"}}});
+        case CancelOutcome::NoSuchJob:
+            return done({404, {{"error", "no such job"}}});
+        case CancelOutcome::Unknown:
+            return done({504,
+                         {{"outcome", "unknown"},
+                          {"error", "not every shard has recorded the cancellation"},
+                          {"next", "cancel again"}}});
+        }
+    });
 }
 
 void JobBook::show(const JobId &id, const std::string &trace, Done done)
@@ -231,9 +226,10 @@
                     views.push_back(view);
             }
             if (views.empty()) {
-                const int status = all.silent.empty() ? 404 : 503;
-                return done(
-                    {status, {{"error", "no shard that answered knows job " + id.value()}}});
+                const bool sawAll =
+                    all.silent.empty() && m_node.plane().shardsWithoutOwner().empty();
+                return done({sawAll ? 404 : 503,
+                             {{"error", "no shard that answered knows job " + id.value()}}});
             }
             Json merged = mergeJobViews(views);
             merged["silent_entries"] = all.silent.size();
--- a/Libraries/State/ShardRecord.h
+++ b/Libraries/State/ShardRecord.h
@@ -34,6 +34,9 @@
     std::vector<OutgoingMove> outgoing;
     /** The latest admissions, oldest first. */
     std::vector<AdmittedJob> admitted;
+    /** The latest cancelled jobs, oldest first; tasks of theirs that still move here start no more.
+     */
+    std::vector<JobId> cancelled;
     /** Last sequence sent to each other shard. */
     std::map<ShardId, uint64_t> lastSent;
     /** Last sequence taken in from each other shard; repeats at or below it are dropped. */
--- a/Tests/Unit/HistoryTest.cpp
+++ b/Tests/Unit/HistoryTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 
@@ -96,6 +97,18 @@
         });
     }
 
+    /** Tries to cancel a job; one whose cancellation is not confirmed may end in either way. */
+    void cancelOne()
+    {
+        if (m_accepted.empty())
+            return;
+        const auto at =
+            static_cast<std::size_t>(m_world.below(static_cast<int>(m_accepted.size())));
+        if (m_world.cancel(m_accepted[at].id))
+            m_cancelled.push_back(m_accepted[at]);
+        m_accepted.erase(m_accepted.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+
     /** Ends all faults and waits until every accepted job is recorded as done. */
     bool settles()
     {
@@ -112,7 +125,9 @@
                     if (!m_world.isRecordedDone(spec.id, spec.tasks))
                         return false;
                 }
-                return true;
+                return std::all_of(
+                    m_cancelled.begin(), m_cancelled.end(),
+                    [this](const JobSpec &spec) { return m_world.isRecordedEnded(spec.id); });
             },
             Duration(180'000));
     }
@@ -134,11 +149,13 @@
 
     World &world() { return m_world; }
     const std::vector<JobSpec> &accepted() const { return m_accepted; }
+    const std::vector<JobSpec> &cancelled() const { return m_cancelled; }
 
 private:
     World m_world;
     int m_submitted = 0;
     std::vector<JobSpec> m_accepted;
+    std::vector<JobSpec> m_cancelled;
 };
 
 } // namespace
@@ -175,3 +192,35 @@
               << starts << " starts, " << jobs << " accepted jobs\n";
     CHECK(starts > 0);
 }
+
+TEST_CASE("Confirmed cancellation ends every task, also on the move", "[history][cancel]")
+{
+    const uint64_t first = numberFrom("HISTORY_SEED", 1);
+    const uint64_t count = numberFrom("HISTORY_COUNT", 100);
+    std::size_t cancelled = 0;
+    for (uint64_t seed = first; seed < first + count; ++seed) {
+        History history(seed);
+        history.world().run(Duration(4000));
+        for (int step = 0; step < 12; ++step) {
+            if (step % 3 == 0)
+                history.submitSome();
+            // Half of the histories are without faults, where cancellations meet moves.
+            if (seed % 2 == 0)
+                history.oneFault();
+            else if (step % 4 == 3)
+                history.moveZone();
+            history.world().run(Duration(history.world().below(3000)));
+            history.cancelOne();
+        }
+        const bool isSettled = history.settles();
+        INFO("seed " << seed << "\n"
+                     << Catch::Detail::stringify(history.world().violations())
+                     << (isSettled ? "" : history.unfinished()));
+        CHECK(isSettled);
+        REQUIRE(history.world().violations().empty());
+        cancelled += history.cancelled().size();
+    }
+    std::cout << count << " histories from seed " << first << ": " << cancelled
+              << " confirmed cancellations\n";
+    CHECK(cancelled > 0);
+}
--- a/Tests/Unit/PropertyTest.cpp
+++ b/Tests/Unit/PropertyTest.cpp
@@ -112,6 +112,8 @@
         }
         record.outgoing.push_back({3, ShardId("b.0"), portion});
         record.admitted.push_back({portion.spec.id, *rc::gen::arbitrary<uint64_t>()});
+        if (portion.cancelled)
+            record.cancelled.push_back(portion.spec.id);
         record.portions.emplace(portion.spec.id, std::move(portion));
     }
     record.lastSent[ShardId("b.0")] = 3;
--- a/Tests/Unit/World.cpp
+++ b/Tests/Unit/World.cpp
@@ -303,6 +303,7 @@
 {
     FakeWorker &worker = find(info);
     auto answer = std::make_shared<StartAnswer>();
+    const Instant sentAt = m_world.m_events.now();
     m_world.exchange(
         m_node, worker.isDead, WorkerTimeout,
         [=, this, &worker] {
@@ -315,7 +316,7 @@
                 return;
             }
             for (const StartOrder &order : orders)
-                m_world.startTask(worker, order);
+                m_world.startTask(worker, order, sentAt);
             answer->outcome = StartAnswer::Started;
         },
         [answer, done = std::move(done)](bool isAnswered, bool isSent) {
@@ -611,12 +612,22 @@
     return *isRecorded;
 }
 
-void World::cancel(const JobId &job)
+bool World::cancel(const JobId &job)
 {
-    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
-        if (plane(index))
-            plane(index)->control({"cancel", job.value()}, [](const ControlReply &) {});
-    }
+    const auto entry = static_cast<std::size_t>(below(static_cast<int>(m_nodes.size())));
+    ControlPlane *node = plane(entry);
+    if (!node)
+        return false;
+    auto outcome = std::make_shared<std::optional<CancelOutcome>>();
+    onNode(entry, m_nodes[entry]->life, [node, job, outcome] {
+        node->cancelJob(job, {}, [outcome](CancelOutcome told) { *outcome = told; });
+    });
+    runUntil([&] { return outcome->has_value(); }, Duration(8000));
+    if (*outcome != CancelOutcome::Cancelled)
+        return false;
+    trace("cancelled " + job.value());
+    m_cancelledAt.try_emplace(job, m_events.now());
+    return true;
 }
 
 void World::kill(std::size_t entry)
@@ -773,7 +784,7 @@
     return answer;
 }
 
-void World::startTask(FakeWorker &worker, const StartOrder &order)
+void World::startTask(FakeWorker &worker, const StartOrder &order, Instant sentAt)
 {
     const AttemptRef attempt{order.task, order.attempt};
     if (worker.running.contains(attempt) || worker.ended.contains(attempt))
@@ -782,7 +793,7 @@
     ++m_startCount;
     trace("start " + describe(order.task) + " on " + worker.info.id.value() + " by "
           + worker.holder.value());
-    judgeStart(worker, order);
+    judgeStart(worker, order, sentAt);
     const bool willFail = worker.failsAll || order.payload == "fail";
     m_events.at(m_events.now() + m_shape.taskTime, [this, &worker, attempt, willFail] {
         endTask(worker, attempt, willFail ? AttemptOutcome::Failed : AttemptOutcome::Done);
@@ -800,7 +811,7 @@
         ++m_done[attempt.task.job][attempt.task.index];
 }
 
-void World::judgeStart(const FakeWorker &worker, const StartOrder &order)
+void World::judgeStart(const FakeWorker &worker, const StartOrder &order, Instant sentAt)
 {
     Resources used;
     for (const auto &[attempt, running] : worker.running)
@@ -821,6 +832,9 @@
     const auto limit = m_limits.find(order.team);
     if (limit != m_limits.end() && !ofTeam.fitsIn(limit->second))
         m_violations.push_back("above the limit: team " + order.team.value());
+    const auto cancelled = m_cancelledAt.find(order.task.job);
+    if (cancelled != m_cancelledAt.end() && sentAt > cancelled->second)
+        m_violations.push_back("ordered after its cancellation: " + describe(order.task));
     for (const auto &[zone, since] : m_zoneOutSince) {
         if (worker.info.zone == zone && m_events.now() - since > InForceBound)
             m_violations.push_back("start in zone that is out: " + worker.info.id.value());
@@ -844,6 +858,25 @@
     return attempts;
 }
 
+bool World::isRecordedEnded(const JobId &job) const
+{
+    for (const auto &[key, stored] : m_values) {
+        if (!key.starts_with("record/"))
+            continue;
+        const auto record = decodeJson<ShardRecord>(stored.value);
+        const bool leaves =
+            std::any_of(record.outgoing.begin(), record.outgoing.end(),
+                        [&job](const auto &move) { return move.portion.spec.id == job; });
+        const auto portion = record.portions.find(job);
+        const bool isOpen = portion != record.portions.end()
+            && std::any_of(portion->second.tasks.begin(), portion->second.tasks.end(),
+                           [](const auto &task) { return task.phase == TaskPhase::Open; });
+        if (leaves || isOpen)
+            return false;
+    }
+    return true;
+}
+
 bool World::isRecordedDone(const JobId &job, std::size_t tasks) const
 {
     std::set<uint32_t> done;
--- a/Tests/Unit/World.h
+++ b/Tests/Unit/World.h
@@ -92,7 +92,8 @@
     bool change(const std::function<void(Configuration &)> &change);
     /** Submits through a random running entry; @return true if the job was recorded for certain. */
     bool submit(const JobSpec &spec);
-    void cancel(const JobId &job);
+    /** Cancels through a random running entry; @return true if that was confirmed. */
+    bool cancel(const JobId &job);
 
     void kill(std::size_t entry);
     void restart(std::size_t entry);
@@ -113,6 +114,8 @@
     std::size_t doneAttempts(const JobId &job) const;
     /** @return true if every task of the job counts as done in the shards' records. */
     bool isRecordedDone(const JobId &job, std::size_t tasks) const;
+    /** @return true if no shard's record has an open task of @p job. */
+    bool isRecordedEnded(const JobId &job) const;
     std::size_t startCount() const { return m_startCount; }
     const std::vector<std::string> &violations() const { return m_violations; }
     std::size_t eventCount() const { return m_events.eventCount(); }
@@ -157,9 +160,9 @@
     void beatWorkers();
     void noteZones(const Configuration &configuration);
     void enforceLease(FakeWorker &worker);
-    void startTask(FakeWorker &worker, const StartOrder &order);
+    void startTask(FakeWorker &worker, const StartOrder &order, Instant sentAt);
     void endTask(FakeWorker &worker, const AttemptRef &attempt, AttemptOutcome outcome);
-    void judgeStart(const FakeWorker &worker, const StartOrder &order);
+    void judgeStart(const FakeWorker &worker, const StartOrder &order, Instant sentAt);
     LeaseAnswer serveLease(FakeWorker &worker, const LeaseRequest &request);
     StoreWrite serveWrite(const StorePut &put);
     void expireLeases();
@@ -184,6 +187,8 @@
     std::map<ZoneId, Instant> m_zoneOutSince;
     std::map<TeamId, Resources> m_limits;
     std::map<JobId, std::map<uint32_t, std::size_t>> m_done;
+    /** When each confirmed cancellation was confirmed. */
+    std::map<JobId, Instant> m_cancelledAt;
     std::size_t m_startCount = 0;
     std::vector<std::string> m_violations;
 };
