Transport: Keep the server's event loop until its last held request is gone

Cause: held requests (watches) outlived the server, and their connections' destructors lock a mutex of the event loop that died with it. Ruled out: the signal (nothing pending) and the ticker thread (ended). The same fault could end a daemon badly at its stop.

A new test holds 20 requests past the server's end.

--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -43,6 +43,13 @@
     return incoming;
 }
 
+/** A request that waits for its answer; its connection needs the server's event loop to the end. */
+struct HeldRequest
+{
+    std::shared_ptr<RestinioServer> server;
+    restinio::request_handle_t request;
+};
+
 void send(const restinio::request_handle_t &request, const HttpAnswer &answer, bool closing)
 {
     auto response = request->create_response(restinio::http_status_line_t(
@@ -96,18 +103,20 @@
     std::shared_ptr<std::atomic<std::size_t>> inFlight =
         std::make_shared<std::atomic<std::size_t>>(0);
     std::shared_ptr<std::atomic<bool>> closing = std::make_shared<std::atomic<bool>>(false);
-    std::unique_ptr<RestinioServer> server;
+    std::shared_ptr<RestinioServer> server;
     std::unique_ptr<restinio::on_pool_runner_t<RestinioServer>> runner;
 };
 
 HttpServer::HttpServer(const Endpoint &address, const HttpServerLimits &limits, Handler handler)
     : m_private(std::make_unique<Private>())
 {
+    const auto self = std::make_shared<std::weak_ptr<RestinioServer>>();
     const auto handle = [handler = std::move(handler), inFlight = m_private->inFlight,
-                         closing = m_private->closing,
+                         closing = m_private->closing, self,
                          maxBody = limits.bodyBytes](const restinio::request_handle_t &request) {
-        const auto respond = [request, inFlight, closing](const HttpAnswer &answer) {
-            send(request, answer, *closing);
+        const auto respond = [held = HeldRequest{self->lock(), request}, inFlight,
+                              closing](const HttpAnswer &answer) {
+            send(held.request, answer, *closing);
             --*inFlight;
         };
         if (request->body().size() > maxBody) {
@@ -141,7 +150,8 @@
                                       .max_body_size(limits.bodyBytes * AnsweredBodyFactor));
     try {
         m_private->server =
-            std::make_unique<RestinioServer>(restinio::own_io_context(), std::move(settings));
+            std::make_shared<RestinioServer>(restinio::own_io_context(), std::move(settings));
+        *self = m_private->server;
         m_private->runner = std::make_unique<restinio::on_pool_runner_t<RestinioServer>>(
             limits.threads, *m_private->server);
         std::promise<void> opened;
--- /dev/null
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -0,0 +1,61 @@
+#include "Transport/HttpServer.h"
+#include "Transport/HttpClient.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+using namespace Cranberrymount;
+
+namespace {
+
+constexpr uint16_t Port = 20'871;
+
+/** Holds every request back, as a store does with watches. */
+class HeldRequests
+{
+public:
+    void take(HttpRespond respond)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_held.push_back(std::move(respond));
+    }
+    std::size_t count()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_held.size();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::vector<HttpRespond> m_held;
+};
+
+} // namespace
+
+TEST_CASE("Requests held back outlive their server without harm", "[transport]")
+{
+    HttpClient client;
+    auto held = std::make_unique<HeldRequests>();
+    auto server = std::make_unique<HttpServer>(
+        Endpoint{"127.0.0.1", Port}, HttpServerLimits(),
+        [&held](const HttpIncoming &, HttpRespond respond) { held->take(std::move(respond)); });
+    constexpr std::size_t Requests = 20;
+    std::vector<std::promise<HttpResult>> results(Requests);
+    for (auto &result : results) {
+        HttpCall call;
+        call.url = "http://127.0.0.1:" + std::to_string(Port) + "/watch";
+        call.timeout = Duration(20'000);
+        client.send(std::move(call), [&result](HttpResult told) { result.set_value(told); });
+    }
+    while (held->count() < Requests)
+        std::this_thread::yield();
+    server.reset();
+    held.reset();
+    for (auto &result : results)
+        CHECK(result.get_future().get().outcome == HttpResult::Unknown);
+}
