--- a/Benchmarks/Day.cpp
+++ b/Benchmarks/Day.cpp
@@ -162,6 +162,8 @@
                              std::holds_alternative<BatchPolicy>(group->policy)});
         const double wait = std::chrono::duration<double>(m_view.now - group->since).count();
         m_waits.push_back(wait);
+        if (std::holds_alternative<GangPolicy>(group->policy))
+            m_gangWaits.push_back(wait);
         if (group->urgent)
             m_urgentWorst = std::max(m_urgentWorst, wait);
     }
@@ -239,13 +241,18 @@
         DayResult result;
         // Work that never started counts with the time that it has waited.
         std::vector<double> waits = m_waits;
+        std::vector<double> gangWaits = m_gangWaits;
         for (const WaitingGroup &group : m_view.waiting) {
             const double wait = std::chrono::duration<double>(m_view.now - group.since).count();
             waits.insert(waits.end(), group.indexes.size(), wait);
+            if (std::holds_alternative<GangPolicy>(group.policy))
+                gangWaits.insert(gangWaits.end(), group.indexes.size(), wait);
         }
         result.meanWaitSeconds = mean(waits);
         result.p99WaitSeconds = quantile(waits, 0.99);
         result.urgentWorstSeconds = m_urgentWorst;
+        result.gangMeanWaitSeconds = mean(gangWaits);
+        result.gangTasksStarted = m_gangWaits.size();
         result.packing = mean(m_packing);
         result.shareError = mean(m_shareErrors);
         result.started = m_waits.size();
@@ -266,6 +273,7 @@
     std::map<JobId, Duration> m_runTime;
     std::vector<RunningOne> m_running;
     std::vector<double> m_waits;
+    std::vector<double> m_gangWaits;
     std::vector<double> m_packing;
     std::vector<double> m_shareErrors;
     std::vector<double> m_decisionMicros;
--- a/Benchmarks/Day.h
+++ b/Benchmarks/Day.h
@@ -33,6 +33,9 @@
     double meanWaitSeconds = 0;
     double p99WaitSeconds = 0;
     double urgentWorstSeconds = 0;
+    /** Over the members of gangs, started or not. */
+    double gangMeanWaitSeconds = 0;
+    std::size_t gangTasksStarted = 0;
     /** Dominant resource in use while work waited, 0 to 1. */
     double packing = 0;
     /** Mean distance of a team from its share while all had work waiting, as part of the fleet. */
--- a/Benchmarks/main.cpp
+++ b/Benchmarks/main.cpp
@@ -60,6 +60,8 @@
     return {{"mean_wait_s", result.meanWaitSeconds},
             {"p99_wait_s", result.p99WaitSeconds},
             {"urgent_worst_s", result.urgentWorstSeconds},
+            {"gang_mean_wait_s", result.gangMeanWaitSeconds},
+            {"gang_tasks_started", result.gangTasksStarted},
             {"packing", result.packing},
             {"share_error", result.shareError},
             {"started", result.started},
@@ -70,13 +72,14 @@
 
 void print(const std::string &name, const DayResult &result)
 {
-    std::cout << fmt::format("  {:10} wait mean {:7.2f} s p99 {:7.2f} s  urgent worst {:6.2f} s  "
-                             "packing {:.3f}  share error {:.4f}  started {:6}  checkpoints {:3}  "
-                             "decision p99 {:7.1f} us, {:8.0f}/s\n",
-                             name, result.meanWaitSeconds, result.p99WaitSeconds,
-                             result.urgentWorstSeconds, result.packing, result.shareError,
-                             result.started, result.checkpointed, result.decisionP99Micros,
-                             result.decisionsPerSecond);
+    std::cout << fmt::format(
+        "  {:10} wait mean {:7.2f} s p99 {:7.2f} s  urgent worst {:6.2f} s  "
+        "gang tasks wait mean {:7.2f} s, started {:5}  "
+        "packing {:.3f}  share error {:.4f}  started {:6}  checkpoints {:3}  "
+        "decision p99 {:7.1f} us, {:8.0f}/s\n",
+        name, result.meanWaitSeconds, result.p99WaitSeconds, result.urgentWorstSeconds,
+        result.gangMeanWaitSeconds, result.gangTasksStarted, result.packing, result.shareError,
+        result.started, result.checkpointed, result.decisionP99Micros, result.decisionsPerSecond);
 }
 
 Json benchDays(uint64_t seed)
