Lookups: Record a claimed request's answer before giving it

'Idempotency key through two entries runs once' failed once on a loaded machine: a repeat right after the 200 got 409, outcome unknown. Cause: the answer went out first and was recorded after it. Ruled out: a second run (the target counted one).

Now the answer is recorded first, for at most 300 ms; only requests with a key wait for it. The test slows the store by 60 ms.

--- a/Libraries/Coordination/ClaimBook.cpp
+++ b/Libraries/Coordination/ClaimBook.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 /** Claims outlive any client's retries. */
+/** The answer is not held back longer than this until a repeat would see it. */
+constexpr Duration SettleLimit{300};
 constexpr Duration ClaimTtl{1'200'000};
 
 std::string claimKey(const std::string &scope)
@@ -32,6 +34,7 @@
 
 ClaimBook::ClaimBook(Store &store, TimerService &timers, std::string entry)
     : m_store(store)
+    , m_timers(timers)
     , m_entry(std::move(entry))
     , m_lease(store, timers, ClaimTtl)
 {
@@ -69,26 +72,37 @@
     });
 }
 
-void ClaimBook::settle(const std::string &scope, const std::string &digest,
-                       const LookupReply &reply)
+void ClaimBook::settle(const std::string &scope, const LookupReply &reply,
+                       std::function<void()> done)
 {
     if (reply.outcome == LookupReply::Unknown)
-        return;
+        return done();
+    auto isDone = std::make_shared<bool>(false);
+    const auto once = [isDone, done = std::move(done)] {
+        if (!std::exchange(*isDone, true))
+            done();
+    };
+    m_timers.after(SettleLimit, once);
     const std::string key = claimKey(scope);
-    m_store.read(key, [this, key, digest, reply](const StoreRead &read) {
+    m_store.read(key, [this, key, reply, once](const StoreRead &read) {
         if (!read.answered || read.entries.empty())
-            return;
-        const StoreEntry &entry = read.entries.front();
-        if (reply.outcome == LookupReply::NotRun)
-            return m_store.remove(key, entry.revision, [](const StoreWrite &) {});
-        Json claim = parseJson(entry.value);
-        const bool isKept = reply.body.size() <= MaxKeptBytes;
-        claim["status"] = reply.status;
-        claim["content_type"] = isKept ? reply.contentType : "application/json";
-        claim["body"] = isKept ? reply.body : "{\"note\":\"answered before; too large to keep\"}";
-        m_store.write({key, claim.dump(), entry.revision, m_lease.current()},
-                      [](const StoreWrite &) {});
+            return once();
+        recordReply(read.entries.front(), key, reply, once);
     });
 }
 
+void ClaimBook::recordReply(const StoreEntry &entry, const std::string &key,
+                            const LookupReply &reply, std::function<void()> done)
+{
+    const auto written = [done = std::move(done)](const StoreWrite &) { done(); };
+    if (reply.outcome == LookupReply::NotRun)
+        return m_store.remove(key, entry.revision, written);
+    Json claim = parseJson(entry.value);
+    const bool isKept = reply.body.size() <= MaxKeptBytes;
+    claim["status"] = reply.status;
+    claim["content_type"] = isKept ? reply.contentType : "application/json";
+    claim["body"] = isKept ? reply.body : "{\"note\":\"answered before; too large to keep\"}";
+    m_store.write({key, claim.dump(), entry.revision, m_lease.current()}, written);
+}
+
 } // namespace Cranberrymount
--- a/Libraries/Coordination/ClaimBook.h
+++ b/Libraries/Coordination/ClaimBook.h
@@ -45,17 +45,23 @@
      */
     void claim(const std::string &scope, const std::string &digest, const std::string &nonce,
                std::function<void(ClaimResult)> done);
-    /** Records how the claimed request ended; a request that was not run gives the key back. */
-    void settle(const std::string &scope, const std::string &digest, const LookupReply &reply);
+    /**
+     * Records how the claimed request ended; a request that was not run gives the key back.
+     * @param done is called once that is recorded, or failed, or took too long to wait for.
+     */
+    void settle(const std::string &scope, const LookupReply &reply, std::function<void()> done);
 
     /** Answers above this size are not kept; a repeat is told that it was answered. */
     static constexpr std::size_t MaxKeptBytes = 16'384;
 
 private:
+    void recordReply(const StoreEntry &entry, const std::string &key, const LookupReply &reply,
+                     std::function<void()> done);
     void readClaim(const std::string &key, const std::string &digest, const std::string &nonce,
                    bool wasUnknown, std::function<void(ClaimResult)> done);
 
     Store &m_store;
+    TimerService &m_timers;
     std::string m_entry;
     RotatingLease m_lease;
 };
--- a/Libraries/Service/EntryApi.cpp
+++ b/Libraries/Service/EntryApi.cpp
@@ -191,9 +191,13 @@
             return respond(refusal(503, "the key cannot be claimed: the store is out of reach"));
         }
         m_node.router().route(call, span.traceparent(), [=, this](const LookupReply &reply) {
-            respond(lookupAnswer(reply));
-            m_node.tracer().end(span);
-            m_node.onControl([=, this] { m_node.claims().settle(scope, digest, reply); });
+            // Recorded first, so that a repeat after this answer is told the same.
+            m_node.onControl([=, this] {
+                m_node.claims().settle(scope, reply, [=, this] {
+                    respond(lookupAnswer(reply));
+                    m_node.tracer().end(span);
+                });
+            });
         });
     };
     m_node.onControl([=, this] { m_node.claims().claim(scope, digest, nonce, claimed); });
--- a/Tests/EndToEnd/WholePathTest.cpp
+++ b/Tests/EndToEnd/WholePathTest.cpp
@@ -172,6 +172,11 @@
     CHECK(later.status == 200);
     CHECK(lookup("b-e0", "open", "{}", {"Idempotency-Key: k1"}).status == 422);
     CHECK(deployment.journal().lookupRuns.at("booking") == 1);
+    // Also right after the first answer, when the store is slow.
+    deployment.platformFaults({{"delay_ms", 60}});
+    const std::vector<std::string> key{"Idempotency-Key: k2"};
+    CHECK(lookup("a-e0", "open", "{}", key).status == 200);
+    CHECK(lookup("b-e0", "open", "{}", key).status == 200);
 }
 
 TEST_CASE_METHOD(ReadyDeployment, "Stopping an entry cuts no request", "[path][shutdown]")
