Decision: Let work that ends in time use a gang's reserved room

Cause of packing behind first-fit: a reservation set whole workers aside until all of them had drained. Now the reservation finds, by learned run times, when and where the gang fits soonest, keeps only that room, and lets shorter work through. The gang of the team furthest below its share comes first. Urgent work passes reservations, and does not order a second checkpoint while one is under way.

--- a/Benchmarks/Day.cpp
+++ b/Benchmarks/Day.cpp
@@ -109,10 +109,30 @@
             if (task.endsAt > m_view.now)
                 return false;
             release(task);
+            learn(task);
             return true;
         });
     }
 
+    /** A job's tasks run equally long; the first one that ends tells how long. */
+    void learn(const RunningOne &task)
+    {
+        const auto ran = std::chrono::duration_cast<Duration>(m_view.now - task.since);
+        m_learned[task.task.job] = ran;
+        m_ranInAll += ran;
+        ++m_ended;
+        if (WaitingGroup *group = find(task.task.job))
+            group->runTime = ran;
+    }
+
+    Duration expectedRunTime(const JobId &job) const
+    {
+        const auto own = m_learned.find(job);
+        if (own != m_learned.end())
+            return own->second;
+        return m_ended > 0 ? m_ranInAll / m_ended : m_shape.meanRunTime;
+    }
+
     void release(const RunningOne &task)
     {
         m_view.workers[task.worker].free += task.resources;
@@ -125,8 +145,11 @@
             return;
         m_view.running.clear();
         for (const RunningOne &task : m_running) {
-            m_view.running.push_back({task.task, task.team, m_view.workers[task.worker].id,
-                                      task.resources, task.urgent, task.isBatch, task.since});
+            RunningTask shown{task.task,      task.team,   m_view.workers[task.worker].id,
+                              task.resources, task.urgent, task.isBatch,
+                              task.since};
+            shown.expectedEnd = task.since + expectedRunTime(task.task.job);
+            m_view.running.push_back(std::move(shown));
         }
         const auto begun = std::chrono::steady_clock::now();
         const ShardDecision decision = policy(m_view);
@@ -184,7 +207,8 @@
         again.perTask = task->resources;
         again.indexes = {victim.index};
         again.since = m_view.now;
-        m_runTime[again.job] = std::chrono::duration_cast<Duration>(task->endsAt - m_view.now);
+        m_runTime[again.job] = std::chrono::duration_cast<Duration>(task->endsAt - m_view.now)
+            + m_shape.checkpointCost;
         m_running.erase(task);
         m_view.waiting.push_back(std::move(again));
     }
@@ -271,6 +295,9 @@
     Instant m_nextJob;
     int m_jobs = 0;
     std::map<JobId, Duration> m_runTime;
+    std::map<JobId, Duration> m_learned;
+    Duration m_ranInAll{0};
+    int64_t m_ended = 0;
     std::vector<RunningOne> m_running;
     std::vector<double> m_waits;
     std::vector<double> m_gangWaits;
--- a/Benchmarks/Day.h
+++ b/Benchmarks/Day.h
@@ -23,6 +23,8 @@
     Duration jobEvery{1500};
     int maxTasks = 24;
     Duration meanRunTime{20'000};
+    /** Work that a checkpointed task does again. */
+    Duration checkpointCost{2000};
     double gangPart = 0.1;
     double urgentPart = 0.02;
 };
--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -244,6 +244,7 @@
         group.indexes.resize(MaxGroupSize);
     group.urgent = spec.urgent;
     group.since = memory->second.waitingSince;
+    group.runTime = memory->second.runTime;
     const auto declared = m_context.configuration().deadlines.find(spec.id);
     group.deadline =
         declared == m_context.configuration().deadlines.end() ? spec.deadline : declared->second;
@@ -269,6 +270,12 @@
         const JobSpec &spec = portion->second.spec;
         RunningTask task{id, spec.team, live.worker, spec.perTask, spec.urgent, false, live.since};
         task.isBatch = std::holds_alternative<BatchPolicy>(spec.policy);
+        task.isService = isService(spec);
+        task.isStopping = live.isStopping;
+        const auto memory = m_memory.find(id.job);
+        const bool hasOwn = memory != m_memory.end() && memory->second.runTime;
+        if (const auto runTime = hasOwn ? memory->second.runTime : m_meanRunTime)
+            task.expectedEnd = live.since + *runTime;
         running.push_back(std::move(task));
     }
     return running;
@@ -281,10 +288,10 @@
     view.workers = m_pool.rooms();
     for (WorkerRoom &room : view.workers)
         room.usable = room.usable && m_rostered.contains(room.id);
-    bool hasUrgent = false;
+    bool needsRunning = false;
     for (const auto &[job, portion] : m_record.record().portions) {
         if (auto group = waitingGroup(portion)) {
-            hasUrgent = hasUrgent || group->urgent;
+            needsRunning = needsRunning || group->urgent || isGang(portion.spec);
             view.waiting.push_back(std::move(*group));
         }
     }
@@ -294,7 +301,7 @@
         view.teams[id] = {team.share, found == used.end() ? Resources() : found->second,
                           m_escrow.slice(id)};
     }
-    if (hasUrgent)
+    if (needsRunning)
         view.running = runningTasks();
     return view;
 }
@@ -339,8 +346,10 @@
 void ShardKeeper::stopTask(const TaskId &id, bool checkpoint)
 {
     const auto live = m_live.find(id);
-    if (live != m_live.end())
-        m_pool.stop(live->second.worker, {id, live->second.attempt}, checkpoint);
+    if (live == m_live.end())
+        return;
+    live->second.isStopping = true;
+    m_pool.stop(live->second.worker, {id, live->second.attempt}, checkpoint);
 }
 
 void ShardKeeper::attemptRuns(const RunningAttempt &attempt, const WorkerId &worker)
@@ -352,7 +361,7 @@
     }
     // After a take-over the workers tell what the former owner started.
     if (isOpen(attempt.task) && live == m_live.end()) {
-        m_live[attempt.task] = {worker, attempt.attempt, true, m_timers.now()};
+        m_live[attempt.task] = {worker, attempt.attempt, true, m_timers.now(), false};
         return;
     }
     m_pool.stop(worker, {attempt.task, attempt.attempt}, false);
@@ -363,8 +372,11 @@
     const AttemptRef ref{ended.task, ended.attempt};
     const auto live = m_live.find(ended.task);
     const bool isCurrent = live != m_live.end() && live->second.attempt == ended.attempt;
-    if (isCurrent)
+    if (isCurrent) {
+        if (ended.outcome == AttemptOutcome::Done)
+            learnRunTime(ended.task.job, live->second);
         m_live.erase(live);
+    }
     const bool counts = isOpen(ended.task) && (isCurrent || ended.outcome == AttemptOutcome::Done);
     if (counts) {
         // A result that comes after its task was started anew still counts; the new one stops.
@@ -380,6 +392,17 @@
     });
 }
 
+void ShardKeeper::learnRunTime(const JobId &job, const LiveTask &live)
+{
+    const auto memory = m_memory.find(job);
+    if (!live.isStartKnown || memory == m_memory.end())
+        return;
+    constexpr int Weight = 4;
+    const auto ran = std::chrono::duration_cast<Duration>(m_timers.now() - live.since);
+    for (auto *mean : {&memory->second.runTime, &m_meanRunTime})
+        *mean = *mean ? **mean + (ran - **mean) / Weight : ran;
+}
+
 void ShardKeeper::recordOutcome(const TaskId &id, AttemptOutcome outcome)
 {
     const Portion &portion = m_record.record().portions.at(id.job);
--- a/Libraries/Coordination/ShardKeeper.h
+++ b/Libraries/Coordination/ShardKeeper.h
@@ -154,6 +154,9 @@
         AttemptId attempt;
         bool isSure = false;
         Instant since;
+        /** False if a former owner started it, so that its run time is not known. */
+        bool isStartKnown = true;
+        bool isStopping = false;
     };
     /** What is known of a job beside its record; rebuilt after a take-over. */
     struct JobMemory
@@ -164,6 +167,8 @@
         std::optional<WaitReason> reason;
         std::deque<std::string> history;
         std::optional<Instant> endedSince;
+        /** Mean of the attempts that ended well, the latest weighing most. */
+        std::optional<Duration> runTime;
     };
 
     void attemptRuns(const RunningAttempt &attempt, const WorkerId &worker) override;
@@ -195,6 +200,7 @@
     bool isOpen(const TaskId &id) const;
     TaskRecord &editTask(const TaskId &id);
     void recordOutcome(const TaskId &id, AttemptOutcome outcome);
+    void learnRunTime(const JobId &job, const LiveTask &live);
     void taskFailed(const TaskId &id);
     void waitsAgain(const JobId &job);
     void finishCancelled(const JobId &job);
@@ -224,6 +230,8 @@
     uint64_t m_attemptCount = 0;
     std::map<TaskId, LiveTask> m_live;
     std::map<JobId, JobMemory> m_memory;
+    /** Over all jobs, for those of which no task has ended yet. */
+    std::optional<Duration> m_meanRunTime;
     /** Workers whose place in the roster is in the store. */
     std::set<WorkerId> m_rostered;
     std::set<ShardId> m_offering;
--- a/Libraries/Decision/ShardScheduler.cpp
+++ b/Libraries/Decision/ShardScheduler.cpp
@@ -1,6 +1,7 @@
 #include "Decision/ShardScheduler.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <queue>
 
@@ -18,7 +19,7 @@
     SchedulingPass(const ShardView &view, const ShardScheduler::Settings &settings)
         : m_view(view)
         , m_settings(settings)
-        , m_choice(view.workers)
+        , m_choice(view.workers, view.now)
         , m_teams(view.teams)
     {
     }
@@ -26,7 +27,7 @@
     ShardDecision run()
     {
         sortQueues();
-        reserveForOldestGang();
+        reserveForFirstGang();
         placeByShares(true);
         makeRoomForUrgent();
         placeByShares(false);
@@ -42,14 +43,16 @@
     };
 
     void sortQueues();
-    void reserveForOldestGang();
+    void reserveForFirstGang();
     void placeByShares(bool urgent);
     /** Places the head group of @p queue as far as it goes. @return true if tasks were placed. */
     bool placeHead(TeamQueue &queue);
     bool placeIndependent(WaitingGroup &group);
     bool placeGang(const WaitingGroup &group);
     void makeRoomForUrgent();
-    bool makeRoomFor(const WaitingGroup &group);
+    /** @param mayGo which running tasks may be checkpointed for it. */
+    bool makeRoomFor(const WaitingGroup &group,
+                     const std::function<bool(const RunningTask &)> &mayGo);
 
     void place(const WaitingGroup &group, uint32_t index, std::size_t position);
     double weightedShare(const TeamId &team) const;
@@ -61,7 +64,7 @@
     std::map<TeamId, TeamRoom> m_teams;
     std::map<TeamId, TeamQueue> m_urgent;
     std::map<TeamId, TeamQueue> m_normal;
-    std::vector<std::size_t> m_reserved;
+    bool m_hasReservation = false;
     /** The gang that was placed, or got a reservation, before all others. */
     JobId m_handledFirst;
     ShardDecision m_decision;
@@ -104,43 +107,30 @@
     return group.perTask.countIn(room);
 }
 
-void SchedulingPass::reserveForOldestGang()
+void SchedulingPass::reserveForFirstGang()
 {
-    const WaitingGroup *oldest = nullptr;
+    const WaitingGroup *first = nullptr;
+    std::pair<double, Instant> firstRank;
     for (const WaitingGroup &group : m_view.waiting) {
         if (!std::holds_alternative<GangPolicy>(group.policy)
             || m_view.now - group.since < m_settings.gangPatience
             || countWithinSlice(group) < static_cast<int64_t>(group.indexes.size()))
             continue;
-        if (!oldest || group.since < oldest->since)
-            oldest = &group;
+        const std::pair rank(weightedShare(group.team), group.since);
+        if (!first || rank < firstRank) {
+            first = &group;
+            firstRank = rank;
+        }
     }
-    if (!oldest)
+    if (!first)
         return;
-    m_handledFirst = oldest->job;
-    if (placeGang(*oldest))
+    m_handledFirst = first->job;
+    if (placeGang(*first))
         return;
-    // Workers on which the most of the gang would fit if they were empty hold it soonest.
-    std::vector<std::size_t> order;
-    for (std::size_t position = 0; position < m_choice.workers().size(); ++position) {
-        if (m_choice.workers()[position].usable)
-            order.push_back(position);
-    }
-    const auto fitNow = [&](std::size_t position) {
-        return oldest->perTask.countIn(m_choice.workers()[position].free);
-    };
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
-        return fitNow(left) > fitNow(right);
-    });
-    auto left = static_cast<int64_t>(oldest->indexes.size());
-    for (const std::size_t position : order) {
-        if (left <= 0)
-            break;
-        left -= oldest->perTask.countIn(m_choice.workers()[position].capacity);
-        m_reserved.push_back(position);
-        m_choice.setAside(position);
-    }
-    m_decision.reasons[oldest->job] = WaitReason::GangIncomplete;
+    const auto reserved = reserveFor(*first, m_choice.workers(), m_view.running, m_view.now);
+    m_hasReservation = !reserved.empty();
+    m_choice.reserve(reserved);
+    m_decision.reasons[first->job] = WaitReason::GangIncomplete;
 }
 
 void SchedulingPass::placeByShares(bool urgent)
@@ -183,7 +173,7 @@
         const auto position = m_choice.choose(group);
         if (!position) {
             m_decision.reasons[group.job] =
-                m_reserved.empty() ? WaitReason::NoRoom : WaitReason::BehindReservation;
+                m_hasReservation ? WaitReason::BehindReservation : WaitReason::NoRoom;
             break;
         }
         // Named only where there is room: elsewhere the limit is not what the task waits for.
@@ -206,11 +196,11 @@
         const auto position = m_choice.choose(group);
         if (!position)
             break;
-        m_choice.take(*position, group.perTask);
+        m_choice.take(*position, group);
         positions.push_back(*position);
     }
     for (const std::size_t position : positions)
-        m_choice.giveBack(position, group.perTask);
+        m_choice.giveBack(position, group);
     if (positions.size() < group.indexes.size()) {
         m_decision.reasons[group.job] = WaitReason::GangIncomplete;
         return false;
@@ -227,7 +217,7 @@
 
 void SchedulingPass::place(const WaitingGroup &group, uint32_t index, std::size_t position)
 {
-    m_choice.take(position, group.perTask);
+    m_choice.take(position, group);
     m_teams[group.team].used += group.perTask;
     m_decision.placements.push_back(
         {{group.job, index}, m_choice.workers()[position].id, group.perTask});
@@ -240,13 +230,14 @@
             if (group.indexes.empty() || m_view.now - group.since < m_settings.urgentPatience
                 || countWithinSlice(group) < 1)
                 continue;
-            makeRoomFor(group);
+            makeRoomFor(group, [](const RunningTask &) { return true; });
         }
     }
 }
 
 /** Checkpoints batch tasks on the worker where the fewest have to go; richest teams first. */
-bool SchedulingPass::makeRoomFor(const WaitingGroup &group)
+bool SchedulingPass::makeRoomFor(const WaitingGroup &group,
+                                 const std::function<bool(const RunningTask &)> &mayGo)
 {
     std::vector<const RunningTask *> best;
     std::size_t bestPosition = 0;
@@ -255,8 +246,13 @@
         if (!worker.usable || !group.perTask.fitsIn(worker.capacity))
             continue;
         std::vector<const RunningTask *> victims;
+        Resources free = worker.free;
         for (const RunningTask &task : m_view.running) {
-            if (task.worker == worker.id && task.isBatch && !task.urgent)
+            if (task.worker != worker.id)
+                continue;
+            if (task.isStopping)
+                free += task.resources;
+            else if (task.isBatch && !task.urgent && mayGo(task))
                 victims.push_back(&task);
         }
         std::sort(victims.begin(), victims.end(), [this](const auto *left, const auto *right) {
@@ -264,12 +260,14 @@
             const double rightShare = weightedShare(right->team);
             return std::tie(rightShare, right->since) < std::tie(leftShare, left->since);
         });
-        Resources free = worker.free;
         std::size_t needed = 0;
         while (needed < victims.size() && !group.perTask.fitsIn(free))
             free += victims[needed++]->resources;
-        if (!group.perTask.fitsIn(free) || needed == 0)
+        if (!group.perTask.fitsIn(free))
             continue;
+        // Room is on the way already, or reserved room was passed over.
+        if (needed == 0)
+            return false;
         victims.resize(needed);
         if (best.empty() || victims.size() < best.size()) {
             best = victims;
--- a/Libraries/Decision/ShardScheduler.h
+++ b/Libraries/Decision/ShardScheduler.h
@@ -10,8 +10,9 @@
  *
  * Order: urgent work first; then the team that is furthest below its share, by the dominant
  * resource (Ghodsi et al., "Dominant Resource Fairness", NSDI 2011); within a team the earliest
- * deadline, then the earliest arrival. The oldest gang that does not fit keeps a reservation, so
- * that at most one gang at a time holds room idle and gangs cannot block each other.
+ * deadline, then the earliest arrival. Of the gangs that do not fit, the one of the team
+ * furthest below its share keeps a reservation, so that at most one gang at a time holds room back
+ * and gangs cannot block each other; work that ends in time still uses that room.
  */
 class ShardScheduler
 {
--- a/Libraries/Decision/ShardView.h
+++ b/Libraries/Decision/ShardView.h
@@ -5,6 +5,7 @@
 #include "State/Worker.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Cranberrymount {
@@ -34,6 +35,8 @@
     Instant since = {};
     /** Replicas of the same job that already run, by rack. */
     std::map<RackId, uint32_t> runningByRack = {};
+    /** Learned from tasks of the same job that ended; nothing if none did. */
+    std::optional<Duration> runTime = {};
 };
 
 /** What one team may still use in this shard. */
@@ -55,6 +58,11 @@
     bool urgent = false;
     bool isBatch = false;
     Instant since;
+    bool isService = false;
+    /** Its checkpoint is ordered already. */
+    bool isStopping = false;
+    /** From learned run times; nothing if nothing is known. */
+    std::optional<Instant> expectedEnd = {};
 };
 
 /** Everything that one scheduling pass sees. */
--- a/Libraries/Decision/WorkerChoice.cpp
+++ b/Libraries/Decision/WorkerChoice.cpp
@@ -1,5 +1,6 @@
 #include "Decision/WorkerChoice.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace Cranberrymount {
@@ -34,8 +35,9 @@
 
 } // namespace
 
-WorkerChoice::WorkerChoice(std::vector<WorkerRoom> workers)
+WorkerChoice::WorkerChoice(std::vector<WorkerRoom> workers, Instant now)
     : m_workers(std::move(workers))
+    , m_now(now)
 {
     for (const WorkerRoom &worker : m_workers)
         m_capacity += worker.capacity;
@@ -45,18 +47,18 @@
 {
     if (std::holds_alternative<ServicePolicy>(group.policy))
         return chooseSpread(group);
-    return chooseTightest(group.perTask);
+    return chooseTightest(group);
 }
 
-std::optional<std::size_t> WorkerChoice::chooseTightest(const Resources &need) const
+std::optional<std::size_t> WorkerChoice::chooseTightest(const WaitingGroup &group) const
 {
     std::optional<std::size_t> best;
     double bestCost = std::numeric_limits<double>::max();
     for (std::size_t position = 0; position < m_workers.size(); ++position) {
         const WorkerRoom &worker = m_workers[position];
-        if (!worker.usable || !need.fitsIn(worker.free))
+        if (!hasRoom(position, group))
             continue;
-        const double cost = leftoverCost(worker, need);
+        const double cost = leftoverCost(worker, group.perTask);
         if (cost < bestCost) {
             bestCost = cost;
             best = position;
@@ -71,7 +73,7 @@
     double bestCost = std::numeric_limits<double>::max();
     for (std::size_t position = 0; position < m_workers.size(); ++position) {
         const WorkerRoom &worker = m_workers[position];
-        if (!worker.usable || !group.perTask.fitsIn(worker.free))
+        if (!hasRoom(position, group))
             continue;
         const auto found = group.runningByRack.find(worker.rack);
         const double sameRack = found == group.runningByRack.end() ? 0 : found->second;
@@ -85,14 +87,53 @@
     return best;
 }
 
-void WorkerChoice::take(std::size_t position, const Resources &resources)
+bool WorkerChoice::outlasts(const ReservedWorker &reserved, const WaitingGroup &group) const
 {
-    m_workers[position].free -= resources;
+    return !group.urgent && (!group.runTime || m_now + *group.runTime > reserved.until);
 }
 
-void WorkerChoice::giveBack(std::size_t position, const Resources &resources)
+bool WorkerChoice::hasRoom(std::size_t position, const WaitingGroup &group) const
 {
-    m_workers[position].free += resources;
+    const WorkerRoom &worker = m_workers[position];
+    if (!worker.usable || !group.perTask.fitsIn(worker.free))
+        return false;
+    const auto reserved =
+        std::lower_bound(m_reserved.begin(), m_reserved.end(), position,
+                         [](const auto &entry, auto wanted) { return entry.position < wanted; });
+    if (reserved == m_reserved.end() || reserved->position != position)
+        return true;
+    return !outlasts(*reserved, group) || group.perTask.fitsIn(reserved->spare);
+}
+
+ReservedWorker *WorkerChoice::reservationOf(std::size_t position)
+{
+    const auto found =
+        std::find_if(m_reserved.begin(), m_reserved.end(),
+                     [position](const auto &entry) { return entry.position == position; });
+    return found == m_reserved.end() ? nullptr : &*found;
+}
+
+void WorkerChoice::take(std::size_t position, const WaitingGroup &group)
+{
+    m_workers[position].free -= group.perTask;
+    ReservedWorker *reserved = reservationOf(position);
+    if (reserved && outlasts(*reserved, group))
+        reserved->spare -= group.perTask;
+}
+
+void WorkerChoice::giveBack(std::size_t position, const WaitingGroup &group)
+{
+    m_workers[position].free += group.perTask;
+    ReservedWorker *reserved = reservationOf(position);
+    if (reserved && outlasts(*reserved, group))
+        reserved->spare += group.perTask;
+}
+
+void WorkerChoice::reserve(const std::vector<ReservedWorker> &reserved)
+{
+    m_reserved = reserved;
+    std::sort(m_reserved.begin(), m_reserved.end(),
+              [](const auto &left, const auto &right) { return left.position < right.position; });
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Decision/WorkerChoice.h
+++ b/Libraries/Decision/WorkerChoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decision/GangReservation.h"
 #include "Decision/ShardView.h"
 
 #include <optional>
@@ -10,7 +11,7 @@
 class WorkerChoice
 {
 public:
-    explicit WorkerChoice(std::vector<WorkerRoom> workers);
+    WorkerChoice(std::vector<WorkerRoom> workers, Instant now);
 
     /**
      * Chooses a worker for one task of @p group by the group's policy: batch and gang tasks where
@@ -20,21 +21,30 @@
      */
     std::optional<std::size_t> choose(const WaitingGroup &group) const;
 
-    void take(std::size_t position, const Resources &resources);
-    void giveBack(std::size_t position, const Resources &resources);
+    void take(std::size_t position, const WaitingGroup &group);
+    void giveBack(std::size_t position, const WaitingGroup &group);
+    /** Leaves others only what a reservation allows. */
+    void reserve(const std::vector<ReservedWorker> &reserved);
     /** Keeps the worker from being chosen. */
     void setAside(std::size_t position) { m_workers[position].usable = false; }
-    void admit(std::size_t position) { m_workers[position].usable = true; }
 
     const std::vector<WorkerRoom> &workers() const { return m_workers; }
     /** @return the sum of the usable workers' capacity. */
     const Resources &capacity() const { return m_capacity; }
 
 private:
-    std::optional<std::size_t> chooseTightest(const Resources &need) const;
+    std::optional<std::size_t> chooseTightest(const WaitingGroup &group) const;
     std::optional<std::size_t> chooseSpread(const WaitingGroup &group) const;
 
+    /** @return true if a task of @p group needs room that a reservation keeps. */
+    bool outlasts(const ReservedWorker &reserved, const WaitingGroup &group) const;
+    bool hasRoom(std::size_t position, const WaitingGroup &group) const;
+    ReservedWorker *reservationOf(std::size_t position);
+
     std::vector<WorkerRoom> m_workers;
+    Instant m_now;
+    /** In order of position. */
+    std::vector<ReservedWorker> m_reserved;
     Resources m_capacity;
 };
 
--- a/Tests/Unit/ShardSchedulerTest.cpp
+++ b/Tests/Unit/ShardSchedulerTest.cpp
@@ -86,6 +86,31 @@
     CHECK(decision.reasons.at(JobId("batch")) == WaitReason::BehindReservation);
 }
 
+TEST_CASE_METHOD(SchedulerFixture, "Room reserved for a gang takes work that ends in time",
+                 "[scheduler]")
+{
+    // The gang needs both workers whole; the last task there ends in 10 s.
+    view.workers[0].free = FourCores - OneCore;
+    RunningTask task;
+    task.task = {JobId("old"), 0};
+    task.team = TeamId("blue");
+    task.worker = view.workers[0].id;
+    task.resources = OneCore;
+    task.since = view.now;
+    task.expectedEnd = view.now + Duration(10'000);
+    view.running.push_back(task);
+    wait("gang", "red", GangPolicy(), 8, Duration(60'000));
+    wait("short", "blue", BatchPolicy(), 2, Duration(1000));
+    view.waiting.back().runTime = Duration(9000);
+    wait("long", "blue", BatchPolicy(), 2, Duration(1000));
+    view.waiting.back().runTime = Duration(11'000);
+    wait("unknown", "blue", BatchPolicy(), 2, Duration(1000));
+    decide();
+    CHECK(placed("short") == 2);
+    CHECK(placed("long") == 0);
+    CHECK(placed("unknown") == 0);
+}
+
 TEST_CASE_METHOD(SchedulerFixture, "Full shard is divided by the shares", "[scheduler]")
 {
     view.teams[TeamId("red")].share = 3.0;
