Decision: Take lent shares back by checkpoint

Cause of the share error in small zones: a team that came late waited for others' tasks to end by themselves.

--- a/Benchmarks/Day.cpp
+++ b/Benchmarks/Day.cpp
@@ -183,6 +183,9 @@
         m_running.push_back({placement.task, group->team, worker, placement.resources, m_view.now,
                              m_view.now + m_runTime.at(placement.task.job), group->urgent,
                              std::holds_alternative<BatchPolicy>(group->policy)});
+        // A checkpointed task has started before; what it costs shows in what gets finished.
+        if (m_resumed.contains(group->job))
+            return;
         const double wait = std::chrono::duration<double>(m_view.now - group->since).count();
         m_waits.push_back(wait);
         if (std::holds_alternative<GangPolicy>(group->policy))
@@ -209,6 +212,7 @@
         again.since = m_view.now;
         m_runTime[again.job] = std::chrono::duration_cast<Duration>(task->endsAt - m_view.now)
             + m_shape.checkpointCost;
+        m_resumed.insert(again.job);
         m_running.erase(task);
         m_view.waiting.push_back(std::move(again));
     }
@@ -267,6 +271,8 @@
         std::vector<double> waits = m_waits;
         std::vector<double> gangWaits = m_gangWaits;
         for (const WaitingGroup &group : m_view.waiting) {
+            if (m_resumed.contains(group.job))
+                continue;
             const double wait = std::chrono::duration<double>(m_view.now - group.since).count();
             waits.insert(waits.end(), group.indexes.size(), wait);
             if (std::holds_alternative<GangPolicy>(group.policy))
@@ -281,6 +287,7 @@
         result.shareError = mean(m_shareErrors);
         result.started = m_waits.size();
         result.checkpointed = m_checkpointed;
+        result.finished = static_cast<std::size_t>(m_ended);
         result.decisionP99Micros = quantile(m_decisionMicros, 0.99);
         result.decisionsPerSecond =
             m_spentMicros > 0 ? static_cast<double>(m_placed) * 1e6 / m_spentMicros : 0;
@@ -298,6 +305,7 @@
     std::map<JobId, Duration> m_learned;
     Duration m_ranInAll{0};
     int64_t m_ended = 0;
+    std::set<JobId> m_resumed;
     std::vector<RunningOne> m_running;
     std::vector<double> m_waits;
     std::vector<double> m_gangWaits;
--- a/Benchmarks/Day.h
+++ b/Benchmarks/Day.h
@@ -44,6 +44,7 @@
     double shareError = 0;
     std::size_t started = 0;
     std::size_t checkpointed = 0;
+    std::size_t finished = 0;
     double decisionP99Micros = 0;
     double decisionsPerSecond = 0;
 };
--- a/Benchmarks/main.cpp
+++ b/Benchmarks/main.cpp
@@ -66,6 +66,7 @@
             {"share_error", result.shareError},
             {"started", result.started},
             {"checkpointed", result.checkpointed},
+            {"finished", result.finished},
             {"decision_p99_us", result.decisionP99Micros},
             {"decisions_per_s", result.decisionsPerSecond}};
 }
@@ -75,11 +76,12 @@
     std::cout << fmt::format(
         "  {:10} wait mean {:7.2f} s p99 {:7.2f} s  urgent worst {:6.2f} s  "
         "gang tasks wait mean {:7.2f} s, started {:5}  "
-        "packing {:.3f}  share error {:.4f}  started {:6}  checkpoints {:3}  "
+        "packing {:.3f}  share error {:.4f}  started {:6}  checkpoints {:4}  finished {:5}  "
         "decision p99 {:7.1f} us, {:8.0f}/s\n",
         name, result.meanWaitSeconds, result.p99WaitSeconds, result.urgentWorstSeconds,
         result.gangMeanWaitSeconds, result.gangTasksStarted, result.packing, result.shareError,
-        result.started, result.checkpointed, result.decisionP99Micros, result.decisionsPerSecond);
+        result.started, result.checkpointed, result.finished, result.decisionP99Micros,
+        result.decisionsPerSecond);
 }
 
 Json benchDays(uint64_t seed)
--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -288,12 +288,9 @@
     view.workers = m_pool.rooms();
     for (WorkerRoom &room : view.workers)
         room.usable = room.usable && m_rostered.contains(room.id);
-    bool needsRunning = false;
     for (const auto &[job, portion] : m_record.record().portions) {
-        if (auto group = waitingGroup(portion)) {
-            needsRunning = needsRunning || group->urgent || isGang(portion.spec);
+        if (auto group = waitingGroup(portion))
             view.waiting.push_back(std::move(*group));
-        }
     }
     const auto used = m_pool.usedByTeam();
     for (const auto &[id, team] : m_context.configuration().teams) {
@@ -301,7 +298,7 @@
         view.teams[id] = {team.share, found == used.end() ? Resources() : found->second,
                           m_escrow.slice(id)};
     }
-    if (needsRunning)
+    if (!view.waiting.empty())
         view.running = runningTasks();
     return view;
 }
--- a/Libraries/Decision/ShardScheduler.cpp
+++ b/Libraries/Decision/ShardScheduler.cpp
@@ -4,6 +4,8 @@
 #include <functional>
 #include <limits>
 #include <queue>
+#include <string_view>
+#include <unordered_map>
 
 namespace Cranberrymount {
 
@@ -11,6 +13,8 @@
 
 /** Tasks of one job that are placed before the shares are compared again. */
 constexpr std::size_t TasksPerTurn = 4;
+/** Groups of a team below its share for which room is looked for in one pass. */
+constexpr std::size_t ShareTries = 3;
 
 /** One pass over one view. */
 class SchedulingPass
@@ -31,6 +35,7 @@
         placeByShares(true);
         makeRoomForUrgent();
         placeByShares(false);
+        takeBackShares();
         return std::move(m_decision);
     }
 
@@ -54,6 +59,12 @@
     bool makeRoomFor(const WaitingGroup &group,
                      const std::function<bool(const RunningTask &)> &mayGo);
 
+    void takeBackShares();
+    double usedPart(const TeamId &team) const;
+    std::map<TeamId, double> entitledParts() const;
+    /** @return the running tasks of the worker at @p position. */
+    const std::vector<const RunningTask *> &runningOn(std::size_t position);
+
     void place(const WaitingGroup &group, uint32_t index, std::size_t position);
     double weightedShare(const TeamId &team) const;
     int64_t countWithinSlice(const WaitingGroup &group) const;
@@ -67,6 +78,8 @@
     bool m_hasReservation = false;
     /** The gang that was placed, or got a reservation, before all others. */
     JobId m_handledFirst;
+    /** By position of the worker; filled when first asked for. */
+    std::vector<std::vector<const RunningTask *>> m_running;
     ShardDecision m_decision;
 };
 
@@ -235,6 +248,22 @@
     }
 }
 
+const std::vector<const RunningTask *> &SchedulingPass::runningOn(std::size_t position)
+{
+    if (m_running.empty()) {
+        std::unordered_map<std::string_view, std::size_t> positions;
+        for (std::size_t at = 0; at < m_choice.workers().size(); ++at)
+            positions[m_choice.workers()[at].id.value()] = at;
+        m_running.resize(m_choice.workers().size());
+        for (const RunningTask &task : m_view.running) {
+            const auto found = positions.find(task.worker.value());
+            if (found != positions.end())
+                m_running[found->second].push_back(&task);
+        }
+    }
+    return m_running[position];
+}
+
 /** Checkpoints batch tasks on the worker where the fewest have to go; richest teams first. */
 bool SchedulingPass::makeRoomFor(const WaitingGroup &group,
                                  const std::function<bool(const RunningTask &)> &mayGo)
@@ -247,13 +276,11 @@
             continue;
         std::vector<const RunningTask *> victims;
         Resources free = worker.free;
-        for (const RunningTask &task : m_view.running) {
-            if (task.worker != worker.id)
-                continue;
-            if (task.isStopping)
-                free += task.resources;
-            else if (task.isBatch && !task.urgent && mayGo(task))
-                victims.push_back(&task);
+        for (const RunningTask *task : runningOn(position)) {
+            if (task->isStopping)
+                free += task->resources;
+            else if (task->isBatch && !task->urgent && mayGo(*task))
+                victims.push_back(task);
         }
         std::sort(victims.begin(), victims.end(), [this](const auto *left, const auto *right) {
             const double leftShare = weightedShare(left->team);
@@ -282,6 +309,61 @@
     return true;
 }
 
+double SchedulingPass::usedPart(const TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? 0 : found->second.used.dominantPartOf(m_choice.capacity());
+}
+
+/** @return what each team that has or wants work should have of what is in use. */
+std::map<TeamId, double> SchedulingPass::entitledParts() const
+{
+    double inUse = 0;
+    double shares = 0;
+    std::map<TeamId, double> parts;
+    for (const auto &[id, team] : m_teams) {
+        const double used = usedPart(id);
+        const bool wants = m_normal.contains(id) || m_urgent.contains(id);
+        if (used <= 0 && !wants)
+            continue;
+        inUse += used;
+        shares += team.share;
+        parts[id] = team.share;
+    }
+    for (auto &[id, part] : parts)
+        part *= inUse / std::max(shares, 1e-9);
+    return parts;
+}
+
+/** Checkpoints batch tasks of teams above their share for teams that wait below theirs. */
+void SchedulingPass::takeBackShares()
+{
+    const std::map<TeamId, double> entitled = entitledParts();
+    const auto partOf = [this](const Resources &resources) {
+        return resources.dominantPartOf(m_choice.capacity());
+    };
+    // Neither side may end up on the other side of its share, or tasks would go to and fro.
+    const auto mayGo = [&](const RunningTask &task) {
+        const auto part = entitled.find(task.team);
+        const double left = usedPart(task.team) - partOf(task.resources);
+        return part != entitled.end() && left >= part->second + m_settings.shareTolerance
+            && m_view.now - task.since >= m_settings.shareMinRun;
+    };
+    for (const auto &[team, queue] : m_normal) {
+        std::size_t tries = 0;
+        for (const WaitingGroup &group : queue.groups) {
+            const double after = usedPart(team) + partOf(group.perTask);
+            const bool isGang = std::holds_alternative<GangPolicy>(group.policy);
+            if (group.indexes.empty() || isGang || countWithinSlice(group) < 1
+                || m_view.now - group.since < m_settings.sharePatience
+                || after + m_settings.shareTolerance > entitled.at(team))
+                continue;
+            if (makeRoomFor(group, mayGo) || ++tries >= ShareTries)
+                break;
+        }
+    }
+}
+
 } // namespace
 
 const char *describe(WaitReason reason)
--- a/Tests/Unit/ShardSchedulerTest.cpp
+++ b/Tests/Unit/ShardSchedulerTest.cpp
@@ -40,6 +40,25 @@
         view.waiting.push_back(std::move(group));
     }
 
+    /** Fills both workers with one team's batch tasks, the first of which ran for @p ran. */
+    void fillWith(const std::string &team, Duration ran)
+    {
+        for (std::size_t number = 0; number < 2; ++number) {
+            view.workers[number].free = Resources();
+            for (uint32_t index = 0; index < 4; ++index) {
+                RunningTask task;
+                task.task = {JobId("old" + std::to_string(number)), index};
+                task.team = TeamId(team);
+                task.worker = view.workers[number].id;
+                task.resources = OneCore;
+                task.isBatch = true;
+                task.since = view.now - ran * (index + 1);
+                view.running.push_back(task);
+            }
+        }
+        view.teams[TeamId(team)].used = OneCore.times(8);
+    }
+
     std::size_t placed(const std::string &job) const
     {
         std::size_t count = 0;
@@ -134,19 +153,7 @@
 TEST_CASE_METHOD(SchedulerFixture, "Urgent work checkpoints batch tasks on a full shard",
                  "[scheduler]")
 {
-    for (std::size_t number = 0; number < 2; ++number) {
-        view.workers[number].free = Resources();
-        for (uint32_t index = 0; index < 4; ++index) {
-            RunningTask task;
-            task.task = {JobId("old" + std::to_string(number)), index};
-            task.team = TeamId("blue");
-            task.worker = view.workers[number].id;
-            task.resources = OneCore;
-            task.isBatch = true;
-            task.since = view.now - Duration(1000 * (index + 1));
-            view.running.push_back(task);
-        }
-    }
+    fillWith("blue", Duration(1000));
     wait("now", "red", BatchPolicy(), 1, Duration(1000));
     view.waiting.back().urgent = true;
     decide();
@@ -162,3 +169,27 @@
     REQUIRE(decision.placements.size() == 2);
     CHECK(decision.placements[0].worker != decision.placements[1].worker);
 }
+
+TEST_CASE_METHOD(SchedulerFixture, "Lent share is taken back by checkpoint", "[scheduler]")
+{
+    fillWith("blue", Duration(20'000));
+    wait("owed", "red", BatchPolicy(), 8, Duration(6000));
+    decide();
+    REQUIRE(decision.checkpoints.size() == 1);
+    CHECK(decision.checkpoints.front().index == 0);
+
+    // Half of the shard is blue's by right.
+    view.teams[TeamId("blue")].used = OneCore.times(4);
+    view.teams[TeamId("red")].used = OneCore.times(4);
+    decide();
+    CHECK(decision.checkpoints.empty());
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Task that has just begun is not moved for shares",
+                 "[scheduler]")
+{
+    fillWith("blue", Duration(1000));
+    wait("owed", "red", BatchPolicy(), 8, Duration(6000));
+    decide();
+    CHECK(decision.checkpoints.empty());
+}
