Tests: Callers that half-close, stall or send nonsense

They pass at once: a half-closed caller gets its answer, 200 callers that stall in a request hold up none of 50 others and are let go of, nonsense ends its own connection. None of them was seen failing first.

--- /dev/null
+++ b/Tests/EndToEnd/CallerTest.cpp
@@ -0,0 +1,85 @@
+// Callers that behave badly on their connections; no other request may suffer.
+
+#include "Deployment.h"
+
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+
+#include <list>
+
+using namespace Cranberrymount;
+
+namespace {
+
+class CallersDeployment
+{
+protected:
+    CallersDeployment()
+    {
+        deployment.awaitReady();
+        deployment.configure();
+    }
+
+    bool isServed() { return deployment.call("a-e0", "POST", "/lookup/open", "{}").status == 200; }
+
+    /** @return a connection to a-e0 that has sent @p text. */
+    asio::ip::tcp::socket &connectAndSend(const std::string &text)
+    {
+        const std::string url = deployment.entryUrl("a-e0");
+        const auto port = static_cast<uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)));
+        asio::ip::tcp::socket &socket = m_sockets.emplace_back(m_context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), port});
+        asio::write(socket, asio::buffer(text));
+        return socket;
+    }
+
+    /** Reads until the entry closes the connection. */
+    static std::string readAll(asio::ip::tcp::socket &socket)
+    {
+        std::string answer;
+        asio::error_code error;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+    Deployment deployment;
+
+private:
+    asio::io_context m_context;
+    std::list<asio::ip::tcp::socket> m_sockets;
+};
+
+const std::string WholeRequest = "POST /lookup/open HTTP/1.1\r\nHost: entry\r\n"
+                                 "Connection: close\r\nContent-Length: 2\r\n\r\n{}";
+
+} // namespace
+
+TEST_CASE_METHOD(CallersDeployment, "Half-closed caller gets its whole answer", "[callers]")
+{
+    REQUIRE(eventually([&] { return isServed(); }));
+    asio::ip::tcp::socket &socket = connectAndSend(WholeRequest);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    CHECK(readAll(socket).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE_METHOD(CallersDeployment, "Callers that stall in a request hold up no other", "[callers]")
+{
+    REQUIRE(eventually([&] { return isServed(); }));
+    constexpr std::size_t Stalled = 200;
+    for (std::size_t number = 0; number < Stalled; ++number)
+        connectAndSend(WholeRequest.substr(0, WholeRequest.size() - 1));
+    for (int number = 0; number < 50; ++number)
+        CHECK(isServed());
+    // The stalled ones are let go of by themselves.
+    asio::ip::tcp::socket &last = connectAndSend(WholeRequest.substr(0, 20));
+    CHECK(readAll(last).empty());
+    CHECK(isServed());
+}
+
+TEST_CASE_METHOD(CallersDeployment, "Malformed request ends its connection alone", "[callers]")
+{
+    REQUIRE(eventually([&] { return isServed(); }));
+    asio::ip::tcp::socket &socket = connectAndSend("no such protocol\r\n\r\n");
+    CHECK_FALSE(readAll(socket).starts_with("HTTP/1.1 200"));
+    CHECK(isServed());
+}
