Jobs: Let a team's key reach only its own team's jobs

Seen on reading: any valid key could show, list and cancel every team's jobs. Now other teams' jobs are unknown to it (404); operators see all, and the demo asks as one. The new test fails on the former code (200 for the other team's key). Also a test for services: replicas that end are replaced, until cancelled.

--- a/Libraries/Coordination/ControlPlane.cpp
+++ b/Libraries/Coordination/ControlPlane.cpp
@@ -220,24 +220,26 @@
  * The first round finds the job. The second is kept by every shard, so that tasks that were on the
  * move in the first end where they arrive; only a job that exists may be barred so.
  */
-void ControlPlane::cancelJob(const JobId &job, const std::string &trace,
+void ControlPlane::cancelJob(Cancellation wanted, const std::string &trace,
                              std::function<void(CancelOutcome)> done)
 {
-    cancelOnce(job, false, trace, [this, job, trace, done = std::move(done)](auto outcome) {
+    wanted.known = false;
+    cancelOnce(wanted, trace, [this, wanted, trace, done = std::move(done)](auto outcome) mutable {
         if (outcome != CancelOutcome::Cancelled)
             return done(outcome);
-        cancelOnce(job, true, trace, done);
+        wanted.known = true;
+        cancelOnce(wanted, trace, std::move(done));
     });
 }
 
-void ControlPlane::cancelOnce(const JobId &job, bool known, const std::string &trace,
+void ControlPlane::cancelOnce(const Cancellation &wanted, const std::string &trace,
                               std::function<void(CancelOutcome)> done)
 {
-    const Json body = {{"job", job.value()}, {"known", known}};
+    const Json body = {
+        {"job", wanted.job.value()}, {"team", wanted.team.value()}, {"known", wanted.known}};
     gather({"cancel", body.dump()}, trace,
-           [this, known, done = std::move(done)](const Gathered &all) {
+           [this, isFound = wanted.known, done = std::move(done)](const Gathered &all) mutable {
                std::set<ShardId> missing = m_listedShards;
-               bool isFound = known;
                bool isRecorded = all.silent.empty();
                for (const GatheredReply &reply : all.replies) {
                    isRecorded = isRecorded && reply.reply.status == 200;
@@ -318,8 +320,9 @@
         Json answer = {{"found", false}, {"shards", Json::array()}};
     };
     const Json json = parseJson(body);
-    const JobId job(json.at("job").get<std::string>());
-    const bool known = json.at("known").get<bool>();
+    const Cancellation wanted{JobId(json.at("job").get<std::string>()),
+                              TeamId(json.at("team").get<std::string>()),
+                              json.at("known").get<bool>()};
     auto collection = std::make_shared<Collection>();
     const auto finished = [collection, reply = std::move(reply)](bool wasRecorded) {
         collection->isRecorded = collection->isRecorded && wasRecorded;
@@ -329,7 +332,7 @@
     for (ShardKeeper *keeper : m_ownership.keepers()) {
         ++collection->left;
         collection->answer["shards"].push_back(keeper->shard().value());
-        if (keeper->cancel(job, known, finished))
+        if (keeper->cancel(wanted, finished))
             collection->answer["found"] = true;
     }
     finished(true);
--- a/Libraries/Coordination/ControlPlane.h
+++ b/Libraries/Coordination/ControlPlane.h
@@ -81,8 +81,8 @@
     void gather(const ControlCall &call, const std::string &trace,
                 std::function<void(Gathered)> done);
 
-    /** Cancels @p job on all shards. */
-    void cancelJob(const JobId &job, const std::string &trace,
+    /** Cancels a job on all shards. */
+    void cancelJob(Cancellation wanted, const std::string &trace,
                    std::function<void(CancelOutcome)> done);
     /** @return the listed shards that no live member is known to own. */
     std::vector<ShardId> shardsWithoutOwner() const;
@@ -105,7 +105,7 @@
 
     void admitHere(const std::string &body, std::function<void(ControlReply)> reply);
     void cancelHere(const std::string &body, std::function<void(ControlReply)> reply);
-    void cancelOnce(const JobId &job, bool known, const std::string &trace,
+    void cancelOnce(const Cancellation &wanted, const std::string &trace,
                     std::function<void(CancelOutcome)> done);
     void adoptHere(const std::string &body, std::function<void(ControlReply)> reply);
     std::string jobHere(const std::string &id) const;
--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -761,23 +761,27 @@
     return std::find(cancelled.begin(), cancelled.end(), job) != cancelled.end();
 }
 
-bool ShardKeeper::cancel(const JobId &job, bool known, std::function<void(bool)> done)
+bool ShardKeeper::cancel(const Cancellation &wanted, std::function<void(bool)> done)
 {
+    const JobId &job = wanted.job;
+    const auto isMeant = [&wanted](const JobSpec &spec) {
+        return spec.id == wanted.job && (wanted.team.isEmpty() || spec.team == wanted.team);
+    };
     if (!m_isRecordTaken) {
         done(false);
         return false;
     }
     const ShardRecord &record = m_record.record();
     const auto portion = record.portions.find(job);
-    const bool isHere = portion != record.portions.end();
+    const bool isHere = portion != record.portions.end() && isMeant(portion->second.spec);
     const bool leavesHere =
         std::any_of(record.outgoing.begin(), record.outgoing.end(),
-                    [&job](const OutgoingMove &move) { return move.portion.spec.id == job; });
+                    [&isMeant](const OutgoingMove &move) { return isMeant(move.portion.spec); });
     if (isHere && !portion->second.cancelled) {
         m_record.edit().portions.at(job).cancelled = true;
         note(job, "cancelled");
     }
-    if (known && !isCancelled(job)) {
+    if (wanted.known && !isCancelled(job)) {
         auto &cancelled = m_record.edit().cancelled;
         cancelled.push_back(job);
         if (cancelled.size() > MaxCancelled)
--- a/Libraries/Coordination/ShardKeeper.h
+++ b/Libraries/Coordination/ShardKeeper.h
@@ -51,6 +51,16 @@
     Unknown,
 };
 
+/** Which job is to be cancelled. */
+struct Cancellation
+{
+    JobId job;
+    /** Only a job of this team counts; empty for any. */
+    TeamId team = {};
+    /** The job exists, so that tasks of it that are still on their way to a shard end too. */
+    bool known = false;
+};
+
 /** Where one task is, for status and explain. */
 struct TaskView
 {
@@ -131,11 +141,10 @@
 
     void admit(const JobSpec &spec, std::function<void(AdmissionOutcome)> done);
     /**
-     * Cancels @p job here; @p done tells whether that is recorded.
-     * @param known the job exists, so that tasks of it that are still on their way here end too.
+     * Cancels a job here; @p done tells whether that is recorded.
      * @return true if tasks of it are here or leave from here.
      */
-    bool cancel(const JobId &job, bool known, std::function<void(bool)> done);
+    bool cancel(const Cancellation &wanted, std::function<void(bool)> done);
     void takeMove(const ShardId &from, const OutgoingMove &move,
                   std::function<void(MoveAnswer)> done);
 
--- a/Libraries/Service/EntryApi.cpp
+++ b/Libraries/Service/EntryApi.cpp
@@ -216,6 +216,7 @@
     const Span span = m_node.tracer().begin("jobs", request.header("traceparent"));
     const std::string trace = span.traceparent();
     const JobId id(rest.empty() ? rest : rest.substr(1));
+    const TeamId seen = isOperator(request) ? TeamId() : *team;
     const auto done = [this, span, respond](const OperatorAnswer &answer) {
         respond(jsonAnswer(answer.status, answer.body));
         m_node.tracer().end(span);
@@ -228,11 +229,11 @@
         });
     }
     if (rest.empty() && request.method == "GET")
-        return onControl(respond, [this, trace, done] { m_jobs.list(trace, done); });
+        return onControl(respond, [=, this] { m_jobs.list(seen, trace, done); });
     if (!id.isEmpty() && request.method == "GET")
-        return onControl(respond, [this, id, trace, done] { m_jobs.show(id, trace, done); });
+        return onControl(respond, [=, this] { m_jobs.show(id, seen, trace, done); });
     if (!id.isEmpty() && request.method == "DELETE")
-        return onControl(respond, [this, id, trace, done] { m_jobs.cancel(id, trace, done); });
+        return onControl(respond, [=, this] { m_jobs.cancel(id, seen, trace, done); });
     respond(refusal(405, "jobs take POST, GET and DELETE"));
 }
 
--- a/Libraries/Service/JobBook.cpp
+++ b/Libraries/Service/JobBook.cpp
@@ -35,6 +35,12 @@
     return {status, {{"outcome", "not-run"}, {"error", reason}}};
 }
 
+/** @return true if @p shown is a job of @p team, or the team is empty. */
+bool isOf(const TeamId &team, const Json &shown)
+{
+    return team.isEmpty() || shown.at("team").get<std::string>() == team.value();
+}
+
 void checkResources(const Json &job, std::vector<std::string> &faults)
 {
     const Json resources = job.value("per_task", Json());
@@ -198,10 +204,10 @@
         });
 }
 
-void JobBook::cancel(const JobId &id, const std::string &trace, Done done)
+void JobBook::cancel(const JobId &id, const TeamId &team, const std::string &trace, Done done)
 {
     LOG(INFO) << "event=job_cancelled job=" << id.value() << " trace=" << trace;
-    m_node.plane().cancelJob(id, trace, [done = std::move(done)](CancelOutcome outcome) {
+    m_node.plane().cancelJob({id, team}, trace, [done = std::move(done)](CancelOutcome outcome) {
         switch (outcome) {
         case CancelOutcome::Cancelled:
             return done({200, {{"state", "cancelling"}}});
@@ -216,14 +222,16 @@
     });
 }
 
-void JobBook::show(const JobId &id, const std::string &trace, Done done)
+void JobBook::show(const JobId &id, const TeamId &team, const std::string &trace, Done done)
 {
     m_node.plane().gather(
-        {"job", id.value()}, trace, [this, id, done = std::move(done)](const Gathered &all) {
+        {"job", id.value()}, trace, [this, id, team, done = std::move(done)](const Gathered &all) {
             Json views = Json::array();
             for (const GatheredReply &reply : all.replies) {
-                for (const Json &view : parseJson(reply.reply.body))
-                    views.push_back(view);
+                for (const Json &view : parseJson(reply.reply.body)) {
+                    if (isOf(team, view.at("spec")))
+                        views.push_back(view);
+                }
             }
             if (views.empty()) {
                 const bool sawAll =
@@ -239,13 +247,15 @@
         });
 }
 
-void JobBook::list(const std::string &trace, Done done)
+void JobBook::list(const TeamId &team, const std::string &trace, Done done)
 {
-    m_node.plane().gather({"jobs", {}}, trace, [done = std::move(done)](const Gathered &all) {
+    m_node.plane().gather({"jobs", {}}, trace, [team, done = std::move(done)](const Gathered &all) {
         Json summaries = Json::array();
         for (const GatheredReply &reply : all.replies) {
-            for (const Json &summary : parseJson(reply.reply.body))
-                summaries.push_back(summary);
+            for (const Json &summary : parseJson(reply.reply.body)) {
+                if (isOf(team, summary))
+                    summaries.push_back(summary);
+            }
         }
         done(
             {200, {{"jobs", mergeJobSummaries(summaries)}, {"silent_entries", all.silent.size()}}});
--- a/Libraries/Service/JobBook.h
+++ b/Libraries/Service/JobBook.h
@@ -19,9 +19,10 @@
 
     /** Submits @p job for @p team; a name given by the submitter makes repeats harmless. */
     void submit(Json job, const TeamId &team, const std::string &trace, Done done);
-    void cancel(const JobId &id, const std::string &trace, Done done);
-    void show(const JobId &id, const std::string &trace, Done done);
-    void list(const std::string &trace, Done done);
+    /** The next three see only jobs of @p team, or all jobs if it is empty. */
+    void cancel(const JobId &id, const TeamId &team, const std::string &trace, Done done);
+    void show(const JobId &id, const TeamId &team, const std::string &trace, Done done);
+    void list(const TeamId &team, const std::string &trace, Done done);
 
 private:
     void claimHome(const JobSpec &spec, const ShardId &home, const std::string &trace, Done done);
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -35,7 +35,7 @@
 }
 
 done_tasks() {
-    cm -k forecast-key -o json job list | jq --arg id "$1" '[.jobs[] | select(.id == $id) | .counts.done // 0] | add // 0'
+    cm -o json job list | jq --arg id "$1" '[.jobs[] | select(.id == $id) | .counts.done // 0] | add // 0'
 }
 is_done() { [[ $(done_tasks "$1") -eq $2 ]]; }
 running_in() {
--- a/Tests/EndToEnd/WholePathTest.cpp
+++ b/Tests/EndToEnd/WholePathTest.cpp
@@ -100,6 +100,37 @@
     CHECK(deployment.submit("a-e1", "red", job("batch", 1, 100)).empty());
 }
 
+TEST_CASE_METHOD(ReadyDeployment, "Team's key reaches no other team's job", "[path][keys]")
+{
+    const std::string batch = deployment.submit("a-e0", "red", job("batch", 4, 2000));
+    const auto withKey = [&](const std::string &method, const std::string &path,
+                             const std::string &key) {
+        return deployment.call("b-e0", method, path, {}, {"X-Team-Key: " + key});
+    };
+    const std::string path = "/jobs/" + batch;
+    CHECK(withKey("GET", path, "key-red").status == 200);
+    CHECK(withKey("GET", path, "key-blue").status == 404);
+    CHECK(withKey("DELETE", path, "key-blue").status == 404);
+    CHECK(Json::parse(withKey("GET", "/jobs", "key-blue").body).at("jobs").empty());
+    CHECK(deployment.operate("b-e0", "GET", "/jobs").at("jobs").size() == 1);
+    CHECK(eventually([&] { return deployment.isDone("a-e0", "red", batch, 4); }));
+}
+
+TEST_CASE_METHOD(ReadyDeployment, "Service's replicas are replaced until it is cancelled", "[path]")
+{
+    const std::string service = deployment.submit("a-e0", "red", job("service", 4, 1500));
+    REQUIRE(eventually([&] { return deployment.journal().count("started", service) >= 12; }));
+    CHECK(deployment.journal().doubled().empty());
+    const HttpResult answer =
+        deployment.call("b-e0", "DELETE", "/jobs/" + service, {}, {"X-Team-Key: key-red"});
+    CHECK(answer.status == 200);
+    CHECK(eventually([&] { return deployment.counts("a-e0", "red", service).size() == 1; }));
+    const std::size_t starts = deployment.journal().count("started", service);
+    std::this_thread::sleep_for(Duration(2000));
+    CHECK(deployment.journal().count("started", service) == starts);
+    CHECK(deployment.journal().violations.empty());
+}
+
 TEST_CASE_METHOD(ReadyDeployment, "Drained zone gets no start and its work moves", "[path][zones]")
 {
     const std::string batch = deployment.submit("a-e0", "red", job("batch", 48, 1500));
--- a/Tests/Unit/World.cpp
+++ b/Tests/Unit/World.cpp
@@ -620,7 +620,7 @@
         return false;
     auto outcome = std::make_shared<std::optional<CancelOutcome>>();
     onNode(entry, m_nodes[entry]->life, [node, job, outcome] {
-        node->cancelJob(job, {}, [outcome](CancelOutcome told) { *outcome = told; });
+        node->cancelJob({job}, {}, [outcome](CancelOutcome told) { *outcome = told; });
     });
     runUntil([&] { return outcome->has_value(); }, Duration(8000));
     if (*outcome != CancelOutcome::Cancelled)
