State: Keep a portion's tasks in order of index

Found while replacing linear scans: a portion whose tasks had all come back from another shard was written without indexes, in the order of their return, and read back as 0, 1, 2 ...: after a take-over a done task would have run again and an open one been lost. Cause: the short form rests on the order, which a move broke. Tasks are now kept in order, also when read.

--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -705,7 +705,7 @@
     if (isNew)
         portion.spec = spec;
     portion.cancelled = portion.cancelled || isCancelled(spec.id);
-    portion.tasks.insert(portion.tasks.end(), move.portion.tasks.begin(), move.portion.tasks.end());
+    portion.add(move.portion.tasks);
     JobMemory &memory = m_memory[spec.id];
     if (isNew || memory.waitingSince == Instant())
         memory.waitingSince = m_timers.now();
--- a/Libraries/Protocol/Json.cpp
+++ b/Libraries/Protocol/Json.cpp
@@ -146,13 +146,15 @@
     const Json failures = json.value("failures", Json::object());
     if (!indexes.empty() && indexes.size() != phases.size())
         throw ProtocolError("portion has as many indexes as phases");
+    std::vector<TaskRecord> tasks;
     for (std::size_t position = 0; position < phases.size(); ++position) {
         TaskRecord task;
         task.index = indexes.empty() ? static_cast<uint32_t>(position) : indexes[position];
         task.phase = phaseFromLetter(phases[position]);
         task.failures = failures.value(std::to_string(task.index), 0U);
-        portion.tasks.push_back(task);
+        tasks.push_back(task);
     }
+    portion.add(tasks);
 }
 
 void to_json(Json &json, const ShardRecord &record)
--- /dev/null
+++ b/Libraries/State/Job.cpp
@@ -0,0 +1,27 @@
+#include "State/Job.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+TaskRecord *Portion::find(uint32_t index)
+{
+    const auto task = std::lower_bound(
+        tasks.begin(), tasks.end(), index,
+        [](const TaskRecord &candidate, uint32_t wanted) { return candidate.index < wanted; });
+    return task == tasks.end() || task->index != index ? nullptr : &*task;
+}
+
+const TaskRecord *Portion::find(uint32_t index) const
+{
+    return const_cast<Portion *>(this)->find(index); // NOLINT: changes nothing
+}
+
+void Portion::add(const std::vector<TaskRecord> &more)
+{
+    tasks.insert(tasks.end(), more.begin(), more.end());
+    std::sort(tasks.begin(), tasks.end(),
+              [](const auto &left, const auto &right) { return left.index < right.index; });
+}
+
+} // namespace Cranberrymount
--- a/Libraries/State/Job.h
+++ b/Libraries/State/Job.h
@@ -73,9 +73,16 @@
 struct Portion
 {
     JobSpec spec;
+    /** In order of index. */
     std::vector<TaskRecord> tasks;
     bool cancelled = false;
 
+    /** @return the task, or null if its home is elsewhere. */
+    TaskRecord *find(uint32_t index);
+    const TaskRecord *find(uint32_t index) const;
+    /** Takes tasks in that come from another shard. */
+    void add(const std::vector<TaskRecord> &more);
+
     bool operator==(const Portion &) const = default;
 };
 
--- a/Tests/Unit/PropertyTest.cpp
+++ b/Tests/Unit/PropertyTest.cpp
@@ -139,6 +139,26 @@
     }));
 }
 
+TEST_CASE("Tasks that moved away and back keep their phases in the store", "[property]")
+{
+    CHECK(rc::check([] {
+        Portion portion;
+        portion.spec.id = JobId("job");
+        portion.spec.tasks = static_cast<uint32_t>(*rc::gen::inRange(1, 9));
+        std::map<uint32_t, TaskPhase> expected;
+        std::vector<TaskRecord> moved;
+        for (uint32_t index = 0; index < portion.spec.tasks; ++index) {
+            const auto phase = *rc::gen::element(TaskPhase::Open, TaskPhase::Done);
+            expected[index] = phase;
+            (*rc::gen::arbitrary<bool>() ? moved : portion.tasks).push_back({index, phase});
+        }
+        portion.add(moved);
+        const auto stored = decodeJson<Portion>(Json(portion).dump());
+        for (const auto &[index, phase] : expected)
+            RC_ASSERT(stored.find(index)->phase == phase);
+    }));
+}
+
 TEST_CASE("Any broken peer frame is refused and does no harm", "[property]")
 {
     CHECK(rc::check([] {
