Coordination: Find a shard's tasks by index, not by scans

Cause of control cost with large jobs: each pass looked every waiting task up by a copied job name, and each start and end searched a job's tasks from the first. Attempts are now kept a job (LiveTasks), tasks are found by bisection, and what only counts no longer builds lists.

--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -220,14 +220,24 @@
 
 std::vector<uint32_t> ShardKeeper::waitingIndexes(const Portion &portion) const
 {
+    const LiveTasks::OfJob &live = m_live.of(portion.spec.id);
     std::vector<uint32_t> indexes;
     for (const TaskRecord &task : portion.tasks) {
-        if (task.phase == TaskPhase::Open && !m_live.contains({portion.spec.id, task.index}))
+        if (task.phase == TaskPhase::Open && !live.contains(task.index))
             indexes.push_back(task.index);
     }
     return indexes;
 }
 
+std::size_t ShardKeeper::countWaiting(const Portion &portion) const
+{
+    const LiveTasks::OfJob &live = m_live.of(portion.spec.id);
+    const auto isLive = [&live](const TaskRecord &task) { return live.contains(task.index); };
+    return std::count_if(portion.tasks.begin(), portion.tasks.end(), [&](const TaskRecord &task) {
+        return task.phase == TaskPhase::Open && !isLive(task);
+    });
+}
+
 std::optional<WaitingGroup> ShardKeeper::waitingGroup(const Portion &portion) const
 {
     const JobSpec &spec = portion.spec;
@@ -250,11 +260,8 @@
         declared == m_context.configuration().deadlines.end() ? spec.deadline : declared->second;
     if (!isService(spec))
         return group;
-    for (const TaskRecord &task : portion.tasks) {
-        const auto live = m_live.find({spec.id, task.index});
-        if (live == m_live.end())
-            continue;
-        if (const auto info = m_pool.info(live->second.worker))
+    for (const auto &[index, live] : m_live.of(spec.id)) {
+        if (const auto info = m_pool.info(live.worker))
             ++group.runningByRack[info->rack];
     }
     return group;
@@ -263,20 +270,26 @@
 std::vector<RunningTask> ShardKeeper::runningTasks() const
 {
     std::vector<RunningTask> running;
-    for (const auto &[id, live] : m_live) {
-        const auto portion = m_record.record().portions.find(id.job);
-        if (portion == m_record.record().portions.end() || !live.isSure)
+    for (const auto &[job, ofJob] : m_live.all()) {
+        const auto portion = m_record.record().portions.find(job);
+        if (portion == m_record.record().portions.end())
             continue;
         const JobSpec &spec = portion->second.spec;
-        RunningTask task{id, spec.team, live.worker, spec.perTask, spec.urgent, false, live.since};
-        task.isBatch = std::holds_alternative<BatchPolicy>(spec.policy);
-        task.isService = isService(spec);
-        task.isStopping = live.isStopping;
-        const auto memory = m_memory.find(id.job);
+        const auto memory = m_memory.find(job);
         const bool hasOwn = memory != m_memory.end() && memory->second.runTime;
-        if (const auto runTime = hasOwn ? memory->second.runTime : m_meanRunTime)
-            task.expectedEnd = live.since + *runTime;
-        running.push_back(std::move(task));
+        const auto runTime = hasOwn ? memory->second.runTime : m_meanRunTime;
+        for (const auto &[index, live] : ofJob) {
+            if (!live.isSure)
+                continue;
+            RunningTask task{{job, index}, spec.team, live.worker, spec.perTask,
+                             spec.urgent,  false,     live.since};
+            task.isBatch = std::holds_alternative<BatchPolicy>(spec.policy);
+            task.isService = isService(spec);
+            task.isStopping = live.isStopping;
+            if (runTime)
+                task.expectedEnd = live.since + *runTime;
+            running.push_back(std::move(task));
+        }
     }
     return running;
 }
@@ -322,11 +335,11 @@
         m_memory[job].reason = reason;
     for (const Placement &placement : decision.placements) {
         // The promise does not rest on the policy: what is alive or ended never starts.
-        if (m_live.contains(placement.task) || !isOpen(placement.task))
+        if (m_live.find(placement.task) || !isOpen(placement.task))
             continue;
         const JobSpec &spec = m_record.record().portions.at(placement.task.job).spec;
         const AttemptId attempt((m_epoch.value() << AttemptBits) + ++m_attemptCount);
-        m_live[placement.task] = {placement.worker, attempt, false, now};
+        m_live.set(placement.task, {placement.worker, attempt, false, now});
         m_pool.start(placement.worker,
                      {placement.task, attempt, spec.team, spec.perTask, spec.payload});
         note(placement.task.job,
@@ -342,23 +355,23 @@
 
 void ShardKeeper::stopTask(const TaskId &id, bool checkpoint)
 {
-    const auto live = m_live.find(id);
-    if (live == m_live.end())
+    LiveTask *live = m_live.find(id);
+    if (!live)
         return;
-    live->second.isStopping = true;
-    m_pool.stop(live->second.worker, {id, live->second.attempt}, checkpoint);
+    live->isStopping = true;
+    m_pool.stop(live->worker, {id, live->attempt}, checkpoint);
 }
 
 void ShardKeeper::attemptRuns(const RunningAttempt &attempt, const WorkerId &worker)
 {
-    const auto live = m_live.find(attempt.task);
-    if (live != m_live.end() && live->second.attempt == attempt.attempt) {
-        live->second.isSure = true;
+    LiveTask *live = m_live.find(attempt.task);
+    if (live && live->attempt == attempt.attempt) {
+        live->isSure = true;
         return;
     }
     // After a take-over the workers tell what the former owner started.
-    if (isOpen(attempt.task) && live == m_live.end()) {
-        m_live[attempt.task] = {worker, attempt.attempt, true, m_timers.now(), false};
+    if (isOpen(attempt.task) && !live) {
+        m_live.set(attempt.task, {worker, attempt.attempt, true, m_timers.now(), false});
         return;
     }
     m_pool.stop(worker, {attempt.task, attempt.attempt}, false);
@@ -367,12 +380,12 @@
 void ShardKeeper::attemptEnded(const EndedAttempt &ended, const WorkerId &worker, bool reported)
 {
     const AttemptRef ref{ended.task, ended.attempt};
-    const auto live = m_live.find(ended.task);
-    const bool isCurrent = live != m_live.end() && live->second.attempt == ended.attempt;
+    const LiveTask *live = m_live.find(ended.task);
+    const bool isCurrent = live && live->attempt == ended.attempt;
     if (isCurrent) {
         if (ended.outcome == AttemptOutcome::Done)
-            learnRunTime(ended.task.job, live->second);
-        m_live.erase(live);
+            learnRunTime(ended.task.job, *live);
+        m_live.erase(ended.task);
     }
     const bool counts = isOpen(ended.task) && (isCurrent || ended.outcome == AttemptOutcome::Done);
     if (counts) {
@@ -431,7 +444,7 @@
 
 void ShardKeeper::waitsAgain(const JobId &job)
 {
-    const bool isFirst = waitingIndexes(m_record.record().portions.at(job)).size() <= 1;
+    const bool isFirst = countWaiting(m_record.record().portions.at(job)) <= 1;
     if (isFirst)
         m_memory[job].waitingSince = m_timers.now();
 }
@@ -474,19 +487,14 @@
     const auto portion = m_record.record().portions.find(id.job);
     if (portion == m_record.record().portions.end())
         return false;
-    const auto &tasks = portion->second.tasks;
-    return std::any_of(tasks.begin(), tasks.end(), [&id](const TaskRecord &task) {
-        return task.index == id.index && task.phase == TaskPhase::Open;
-    });
+    const TaskRecord *task = portion->second.find(id.index);
+    return task && task->phase == TaskPhase::Open;
 }
 
 TaskRecord &ShardKeeper::editTask(const TaskId &id)
 {
-    auto &tasks = m_record.edit().portions.at(id.job).tasks;
-    const auto task = std::find_if(tasks.begin(), tasks.end(), [&id](const TaskRecord &candidate) {
-        return candidate.index == id.index;
-    });
-    if (task == tasks.end())
+    TaskRecord *task = m_record.edit().portions.at(id.job).find(id.index);
+    if (!task)
         throw StateError("task " + std::to_string(id.index) + " of job " + id.job.value()
                          + " is not in the shard's record");
     return *task;
@@ -514,7 +522,7 @@
     for (const auto &[job, portion] : m_record.record().portions) {
         if (portion.cancelled)
             continue;
-        const auto count = static_cast<int64_t>(waitingIndexes(portion).size());
+        const auto count = static_cast<int64_t>(countWaiting(portion));
         waiting[portion.spec.team] += portion.spec.perTask.times(count);
     }
     const bool isOut = isZoneOut();
@@ -564,7 +572,7 @@
     for (const TaskRecord &task : m_record.record().portions.at(job).tasks) {
         if (task.phase != TaskPhase::Open)
             continue;
-        if (m_live.contains({job, task.index}))
+        if (m_live.find({job, task.index}))
             stopTask({job, task.index}, false);
         else
             idle.push_back({job, task.index});
@@ -577,8 +585,10 @@
 {
     if (!isZoneOut())
         return;
-    for (const auto &[id, live] : m_live)
-        m_pool.stop(live.worker, {id, live.attempt}, true);
+    for (const auto &[job, ofJob] : m_live.all()) {
+        for (const auto &[index, live] : ofJob)
+            m_pool.stop(live.worker, {{job, index}, live.attempt}, true);
+    }
 }
 
 /** Moves waiting work to shards that can start it at once, or off a zone that is out. */
@@ -604,7 +614,7 @@
     const bool isOut = isZoneOut();
     std::vector<std::pair<JobId, std::size_t>> waiting;
     for (const auto &[job, portion] : m_record.record().portions) {
-        const std::size_t count = waitingIndexes(portion).size();
+        const std::size_t count = countWaiting(portion);
         const bool isWhole = count == countOpen(portion);
         if (count == 0 || portion.cancelled || (isGang(portion.spec) && !isWhole))
             continue;
@@ -644,7 +654,7 @@
     move.portion.spec = portion.spec;
     std::erase_if(portion.tasks, [&](const TaskRecord &task) {
         if (move.portion.tasks.size() >= count || task.phase != TaskPhase::Open
-            || m_live.contains({job, task.index}))
+            || m_live.find({job, task.index}))
             return false;
         move.portion.tasks.push_back(task);
         return true;
@@ -838,10 +848,9 @@
         view.cancelled = found->second.cancelled;
         for (const TaskRecord &task : found->second.tasks) {
             TaskView shown{task.index, phaseName(task.phase), {}, task.failures};
-            const auto live = m_live.find({id, task.index});
-            if (live != m_live.end()) {
-                shown.state = live->second.isSure ? "running" : "starting";
-                shown.worker = live->second.worker;
+            if (const LiveTask *live = m_live.find({id, task.index})) {
+                shown.state = live->isSure ? "running" : "starting";
+                shown.worker = live->worker;
             }
             view.tasks.push_back(std::move(shown));
         }
@@ -901,7 +910,7 @@
             status.free += room.free.clampedToZero();
     }
     for (const auto &[job, portion] : m_record.record().portions)
-        status.waiting += waitingIndexes(portion).size();
+        status.waiting += countWaiting(portion);
     status.running = m_live.size();
     status.recordBytes = m_record.encodedBytes();
     status.unresolved = m_pool.unresolved();
--- a/Libraries/Coordination/ShardKeeper.h
+++ b/Libraries/Coordination/ShardKeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/EscrowKeeper.h"
+#include "Coordination/LiveTasks.h"
 #include "Coordination/RecordWriter.h"
 #include "Coordination/WorkerPool.h"
 #include "Decision/ShardChoice.h"
@@ -157,16 +158,6 @@
     const WorkerPool &pool() const { return m_pool; }
 
 private:
-    struct LiveTask
-    {
-        WorkerId worker;
-        AttemptId attempt;
-        bool isSure = false;
-        Instant since;
-        /** False if a former owner started it, so that its run time is not known. */
-        bool isStartKnown = true;
-        bool isStopping = false;
-    };
     /** What is known of a job beside its record; rebuilt after a take-over. */
     struct JobMemory
     {
@@ -216,6 +207,7 @@
     bool isCancelled(const JobId &job) const;
     void note(const JobId &job, const std::string &event);
     std::vector<uint32_t> waitingIndexes(const Portion &portion) const;
+    std::size_t countWaiting(const Portion &portion) const;
     void stopTask(const TaskId &id, bool checkpoint);
     void later(Duration delay, std::function<void()> action);
 
@@ -237,7 +229,7 @@
     bool m_isHandingBack = false;
     bool m_scheduleSoon = false;
     uint64_t m_attemptCount = 0;
-    std::map<TaskId, LiveTask> m_live;
+    LiveTasks m_live;
     std::map<JobId, JobMemory> m_memory;
     /** Over all jobs, for those of which no task has ended yet. */
     std::optional<Duration> m_meanRunTime;
