Requests: Explain a lookup request by its id

'explain' knew jobs only. Every answer to a lookup now names its request (X-Request-Id, the trace's id); GET /requests/ID and 'explain REQUEST' at any entry show its hops with queue, worker, outcome and reason, from the entries' own spans. Refusals before the router (key, queue, method) have a span now too, and refused spans are kept apart, so that served ones don't push them out.

--- a/Libraries/Coordination/ControlPlane.cpp
+++ b/Libraries/Coordination/ControlPlane.cpp
@@ -88,6 +88,12 @@
     return m_members.alive(m_timers.now());
 }
 
+void ControlPlane::addMethod(const std::string &name,
+                             std::function<std::string(const std::string &)> answer)
+{
+    m_methods[name] = std::move(answer);
+}
+
 void ControlPlane::setStatusExtra(std::function<void(Json &)> extra)
 {
     m_statusExtra = std::move(extra);
@@ -291,6 +297,9 @@
             return reply({200, evidenceHere(call.body)});
         if (call.method == "configuration")
             return reply({200, Json(configuration()).dump()});
+        const auto added = m_methods.find(call.method);
+        if (added != m_methods.end())
+            return reply({200, added->second(call.body)});
         reply({404, "unknown method " + call.method});
     } catch (const ProtocolError &error) {
         reply({400, error.what()});
--- a/Libraries/Coordination/ControlPlane.h
+++ b/Libraries/Coordination/ControlPlane.h
@@ -7,6 +7,7 @@
 #include "Protocol/PeerNetwork.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -92,6 +93,8 @@
     const ShardOwnership &ownership() const { return m_ownership; }
     /** @return the members that were heard lately. */
     std::vector<Member> members() const;
+    /** Adds a method that peers may call, answered with status 200 by what @p answer returns. */
+    void addMethod(const std::string &name, std::function<std::string(const std::string &)> answer);
     /** Adds figures of this entry to what the method "status" answers. */
     void setStatusExtra(std::function<void(Json &)> extra);
     void onConfigurationChange(std::function<void()> callback);
@@ -135,6 +138,7 @@
     uint32_t m_freeSlots = 0;
     bool m_leaving = false;
     std::function<void(Json &)> m_statusExtra;
+    std::map<std::string, std::function<std::string(const std::string &)>> m_methods;
     std::function<void()> m_onConfigurationChange;
 };
 
--- a/Libraries/Service/EntryApi.cpp
+++ b/Libraries/Service/EntryApi.cpp
@@ -5,6 +5,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace Cranberrymount {
 
 namespace {
@@ -12,6 +14,7 @@
 const std::string LookupPrefix = "/lookup/";
 const std::string JobsPrefix = "/jobs";
 const std::string PlansPrefix = "/plans";
+const std::string RequestsPrefix = "/requests/";
 constexpr std::size_t RequestIdBytes = 8;
 
 HttpAnswer jsonAnswer(int status, const Json &body)
@@ -97,6 +100,8 @@
         const bool isLeaving = m_node.isLeaving();
         return respond({isLeaving ? 503 : 200, Json{{"leaving", isLeaving}}.dump() + "\n"});
     }
+    if (path.starts_with(RequestsPrefix) && request.method == "GET")
+        return explainRequest(respond, path.substr(RequestsPrefix.size()));
     if (path == "/faults")
         return faults(request, respond);
     respond(refusal(404, "no such path; see docs/Api.md"));
@@ -123,6 +128,10 @@
 
 void EntryApi::lookup(HttpIncoming request, HttpRespond respond, const std::string &queueName)
 {
+    const Span span = m_node.tracer().begin("lookup", request.header("traceparent"));
+    respond = [this, span, respond = std::move(respond)](const HttpAnswer &answer) {
+        respond(traced(answer, span));
+    };
     if (request.method != "POST")
         return respond(refusal(405, "lookup requests use POST"));
     const auto latest = m_node.latestConfiguration();
@@ -151,18 +160,49 @@
     call.queue = QueueId(queueName);
     call.idempotent = asked == "true";
     call.timeout = Duration(queue->second.timeoutMs);
-    const Span span = m_node.tracer().begin("lookup", request.header("traceparent"));
     const std::string key = request.header("Idempotency-Key");
     if (!key.empty() && !call.idempotent) {
         return sendClaimed(std::move(request), respond, std::move(call), hashKey(scope + "/" + key),
                            span);
     }
     call.body = std::move(request.body);
-    m_node.router().route(std::move(call), span.traceparent(),
-                          [this, span, respond = std::move(respond)](const LookupReply &reply) {
-                              respond(lookupAnswer(reply));
-                              m_node.tracer().end(span);
-                          });
+    m_node.router().route(
+        std::move(call), span.traceparent(),
+        [respond = std::move(respond)](const LookupReply &reply) { respond(lookupAnswer(reply)); });
+}
+
+/** Ends the span of a lookup request and names it to the caller, who may ask to explain it. */
+HttpAnswer EntryApi::traced(HttpAnswer answer, Span span)
+{
+    span.attributes["status"] = std::to_string(answer.status);
+    const auto outcome = answer.headers.find("X-Outcome");
+    if (outcome != answer.headers.end())
+        span.attributes["outcome"] = outcome->second;
+    if (outcome != answer.headers.end() && outcome->second != "answered")
+        span.attributes["reason"] = parseJson(answer.body).value("error", "");
+    answer.headers["X-Request-Id"] = span.traceId;
+    m_node.tracer().end(std::move(span));
+    return answer;
+}
+
+void EntryApi::explainRequest(const HttpRespond &respond, const std::string &id)
+{
+    onControl(respond, [this, id, respond] {
+        m_node.plane().gather({"trace", id}, {}, [id, respond](const Gathered &all) {
+            Json hops = Json::array();
+            for (const GatheredReply &reply : all.replies) {
+                for (const Json &hop : parseJson(reply.reply.body))
+                    hops.push_back(hop);
+            }
+            if (hops.empty())
+                return respond(jsonAnswer(404, {{"error", "no entry remembers request " + id}}));
+            std::sort(hops.begin(), hops.end(), [](const Json &left, const Json &right) {
+                return left.at("begun_ns") < right.at("begun_ns");
+            });
+            respond(jsonAnswer(
+                200, {{"id", id}, {"hops", hops}, {"silent_entries", all.silent.size()}}));
+        });
+    });
 }
 
 void EntryApi::sendClaimed(HttpIncoming request, const HttpRespond &respond, LookupCall call,
@@ -193,10 +233,7 @@
         m_node.router().route(call, span.traceparent(), [=, this](const LookupReply &reply) {
             // Recorded first, so that a repeat after this answer is told the same.
             m_node.onControl([=, this] {
-                m_node.claims().settle(scope, reply, [=, this] {
-                    respond(lookupAnswer(reply));
-                    m_node.tracer().end(span);
-                });
+                m_node.claims().settle(scope, reply, [=] { respond(lookupAnswer(reply)); });
             });
         });
     };
--- a/Libraries/Service/EntryApi.h
+++ b/Libraries/Service/EntryApi.h
@@ -28,6 +28,8 @@
     void jobs(const HttpIncoming &request, const HttpRespond &respond, const std::string &rest);
     void plans(const HttpIncoming &request, const HttpRespond &respond, const std::string &rest);
     void status(const HttpRespond &respond);
+    void explainRequest(const HttpRespond &respond, const std::string &id);
+    HttpAnswer traced(HttpAnswer answer, Span span);
     void faults(const HttpIncoming &request, const HttpRespond &respond);
 
     bool isOperator(const HttpIncoming &request) const;
--- a/Libraries/Service/EntryNode.cpp
+++ b/Libraries/Service/EntryNode.cpp
@@ -60,6 +60,7 @@
                   })
 {
     m_plane.onConfigurationChange([this] { publishConfiguration(); });
+    m_plane.addMethod("trace", [this](const std::string &id) { return m_tracer.traceJson(id); });
     m_plane.setStatusExtra([this](Json &status) { addFigures(status); });
 }
 
--- a/Libraries/Service/Tracer.cpp
+++ b/Libraries/Service/Tracer.cpp
@@ -25,6 +25,20 @@
     return std::chrono::duration_cast<std::chrono::nanoseconds>(now).count();
 }
 
+nlohmann::json encodeSpan(const Span &span)
+{
+    nlohmann::json attributes = nlohmann::json::array();
+    for (const auto &[key, value] : span.attributes)
+        attributes.push_back({{"key", key}, {"value", {{"stringValue", value}}}});
+    return {{"traceId", span.traceId},
+            {"spanId", span.spanId},
+            {"parentSpanId", span.parentId},
+            {"name", span.name},
+            {"startTimeUnixNano", std::to_string(span.startNanos)},
+            {"endTimeUnixNano", std::to_string(span.endNanos)},
+            {"attributes", attributes}};
+}
+
 } // namespace
 
 std::string Span::traceparent() const
@@ -68,10 +82,33 @@
 void Tracer::end(Span span)
 {
     span.endNanos = nowNanos();
+    const auto outcome = span.attributes.find("outcome");
+    const bool isRefused = outcome != span.attributes.end() && outcome->second != "answered";
+    const std::lock_guard lock(m_mutex);
+    auto &kept = isRefused ? m_refused : m_ended;
+    kept.push_back(std::move(span));
+    if (kept.size() > KeptSpans)
+        kept.pop_front();
+}
+
+std::string Tracer::traceJson(const std::string &traceId) const
+{
+    using nlohmann::json;
+    constexpr uint64_t NanosPerMicro = 1000;
+    json hops = json::array();
     const std::lock_guard lock(m_mutex);
-    m_ended.push_back(std::move(span));
-    if (m_ended.size() > KeptSpans)
-        m_ended.pop_front();
+    for (const auto *kept : {&m_ended, &m_refused}) {
+        for (const Span &span : *kept) {
+            if (span.traceId == traceId) {
+                hops.push_back({{"service", m_service},
+                                {"hop", span.name},
+                                {"begun_ns", span.startNanos},
+                                {"took_us", (span.endNanos - span.startNanos) / NanosPerMicro},
+                                {"facts", span.attributes}});
+            }
+        }
+    }
+    return hops.dump();
 }
 
 std::string Tracer::exportJson() const
@@ -80,17 +117,9 @@
     json spans = json::array();
     {
         const std::lock_guard lock(m_mutex);
-        for (const Span &span : m_ended) {
-            json attributes = json::array();
-            for (const auto &[key, value] : span.attributes)
-                attributes.push_back({{"key", key}, {"value", {{"stringValue", value}}}});
-            spans.push_back({{"traceId", span.traceId},
-                             {"spanId", span.spanId},
-                             {"parentSpanId", span.parentId},
-                             {"name", span.name},
-                             {"startTimeUnixNano", std::to_string(span.startNanos)},
-                             {"endTimeUnixNano", std::to_string(span.endNanos)},
-                             {"attributes", attributes}});
+        for (const auto *kept : {&m_ended, &m_refused}) {
+            for (const Span &span : *kept)
+                spans.push_back(encodeSpan(span));
         }
     }
     const json resource = {
--- a/Libraries/Service/Tracer.h
+++ b/Libraries/Service/Tracer.h
@@ -34,6 +34,9 @@
     /** @return a random identifier of @p bytes bytes in hex. */
     std::string randomHex(std::size_t bytes);
 
+    /** @return what this service remembers of one trace, as JSON; refusals are kept longest. */
+    std::string traceJson(const std::string &traceId) const;
+
     /** @return the kept spans in OTLP's JSON form. */
     std::string exportJson() const;
 
@@ -41,6 +44,7 @@
     std::string m_service;
     mutable std::mutex m_mutex;
     std::deque<Span> m_ended;
+    std::deque<Span> m_refused;
 };
 
 } // namespace Cranberrymount
--- a/Tests/EndToEnd/WholePathTest.cpp
+++ b/Tests/EndToEnd/WholePathTest.cpp
@@ -100,6 +100,30 @@
     CHECK(deployment.submit("a-e1", "red", job("batch", 1, 100)).empty());
 }
 
+TEST_CASE_METHOD(ReadyDeployment, "Any entry explains a request by its id", "[path][explain]")
+{
+    REQUIRE(lookupsAreServed("b-e0"));
+    const auto hops = [&](const std::string &id) {
+        const HttpResult told = deployment.call("a-e0", "GET", "/requests/" + id);
+        return told.status == 200 ? Json::parse(told.body).at("hops") : Json::array();
+    };
+    const std::string trace = "0af7651916cd43dd8448eb211c80319c";
+    const std::string traceparent = "traceparent: 00-" + trace + "-b7ad6b7169203331-01";
+    REQUIRE(lookup("b-e0", "open", "{}", {traceparent}).status == 200);
+    const Json served = hops(trace);
+    REQUIRE(served.size() >= 2);
+    CHECK(served.front().at("facts").at("outcome") == "answered");
+    CHECK(served.back().at("facts").contains("worker"));
+    const std::string other = "1af7651916cd43dd8448eb211c80319c";
+    REQUIRE(
+        lookup("b-e0", "keyed", "{}", {"traceparent: 00-" + other + "-b7ad6b7169203331-01"}).status
+        == 401);
+    const Json refused = hops(other);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.front().at("facts").at("reason") == "the key is missing, unknown or withdrawn");
+    CHECK(hops("2af7651916cd43dd8448eb211c80319c").empty());
+}
+
 TEST_CASE_METHOD(ReadyDeployment, "Team's key reaches no other team's job", "[path][keys]")
 {
     const std::string batch = deployment.submit("a-e0", "red", job("batch", 4, 2000));
--- a/Utilities/cranberrymount/Commands.cpp
+++ b/Utilities/cranberrymount/Commands.cpp
@@ -31,6 +31,13 @@
     return fmt::format("{:.1f} cores", resources.value("cpu_millis", 0.0) / 1000.0);
 }
 
+/** A request's id is its trace's, as the answer's X-Request-Id has it. */
+bool isRequestId(const std::string &id)
+{
+    constexpr std::size_t Length = 32;
+    return id.size() == Length && id.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
 } // namespace
 
 Commands::Commands(Options options)
@@ -43,7 +50,7 @@
     return "  status                          all entries and shards\n"
            "  job submit FILE                 submit the job that a JSON file declares\n"
            "  job list | show ID | cancel ID\n"
-           "  explain ID                      why a job waits, moved or failed\n"
+           "  explain JOB|REQUEST             why a job waits or moved, what became of a request\n"
            "  request QUEUE BODY              send a lookup request\n"
            "  intent drain-zone ZONE | return-zone ZONE\n"
            "  intent grant-share TEAM --share N --cpu-millis N --memory-mb N --accelerators N\n"
@@ -210,8 +217,29 @@
     return Success;
 }
 
+int Commands::explainRequest(const std::string &id)
+{
+    const HttpResult result = send("GET", "/requests/" + id, {});
+    if (!result.isOk() || m_options.isJson) {
+        if (result.isOk())
+            std::cout << result.body << "\n";
+        return conclude(result);
+    }
+    std::cout << "request " << id << "\n";
+    for (const Json &hop : Json::parse(result.body).at("hops")) {
+        std::cout << "  " << hop.at("service").get<std::string>() << " "
+                  << hop.at("hop").get<std::string>() << ", " << hop.at("took_us") << " us";
+        for (const auto &[key, value] : hop.at("facts").items())
+            std::cout << "; " << key << ": " << value.get<std::string>();
+        std::cout << "\n";
+    }
+    return Success;
+}
+
 int Commands::explain(const std::string &id)
 {
+    if (isRequestId(id))
+        return explainRequest(id);
     const HttpResult result = send("GET", "/jobs/" + id, {});
     if (!result.isOk() || m_options.isJson) {
         if (result.isOk())
--- a/Utilities/cranberrymount/Commands.h
+++ b/Utilities/cranberrymount/Commands.h
@@ -52,7 +52,8 @@
     int intent(const std::vector<std::string> &words);
     int request(const std::vector<std::string> &words);
     int check(const std::vector<std::string> &words);
-    int explain(const std::string &job);
+    int explain(const std::string &id);
+    int explainRequest(const std::string &id);
     int status();
     int call(const std::string &method, const std::string &path, const std::string &body = {});
     HttpResult send(const std::string &method, const std::string &path, const std::string &body);
