Tests: Compare claims and escrow with one ledger in memory

Three entries claim two keys, and three shards with take-overs use one team's limit, over a store that loses requests and answers and delivers late; a naive ledger judges.

--- /dev/null
+++ b/Tests/Unit/DifferentialTest.cpp
@@ -0,0 +1,174 @@
+// Parts that work over the store, against naive versions that keep one ledger in memory.
+
+#include "MemoryStore.h"
+
+#include "Coordination/ClaimBook.h"
+#include "Coordination/EscrowKeeper.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace Cranberrymount;
+
+namespace {
+
+/** Several entries that claim a few idempotency keys; the naive version counts what ran. */
+class ClaimHistory
+{
+public:
+    explicit ClaimHistory(uint64_t seed)
+        : m_timers(m_events)
+        , m_store(m_events, seed)
+    {
+        for (const char *entry : {"a-e0", "a-e1", "b-e0"}) {
+            m_books.push_back(std::make_unique<ClaimBook>(m_store, m_timers, entry));
+            m_books.back()->start();
+        }
+    }
+
+    void tryOnce()
+    {
+        const auto book = *rc::gen::inRange<std::size_t>(0, m_books.size());
+        const std::string key = *rc::gen::element<std::string>("k0", "k1");
+        const std::string digest = *rc::gen::element<std::string>("d0", "d0", "d0", "d1");
+        const auto outcome =
+            *rc::gen::element(LookupReply::Answered, LookupReply::NotRun, LookupReply::Unknown);
+        m_ledgers[key].tried.insert(digest);
+        const std::string nonce = "n" + std::to_string(m_tries++);
+        m_books[book]->claim(key, digest, nonce, [=, this](const ClaimResult &claim) {
+            claimed(book, key, digest, nonce, outcome, claim);
+        });
+        run(Duration(*rc::gen::inRange(0, 400)));
+    }
+
+    void run(Duration time) { m_events.runUntil(m_events.now() + time); }
+
+private:
+    struct Ledger
+    {
+        std::string digest;
+        std::set<std::string> tried;
+        std::size_t runs = 0;
+        std::string answer;
+    };
+
+    void claimed(std::size_t book, const std::string &key, const std::string &digest,
+                 const std::string &nonce, LookupReply::Outcome outcome, const ClaimResult &claim)
+    {
+        Ledger &ledger = m_ledgers[key];
+        if (claim.outcome == ClaimResult::Replayed) {
+            RC_ASSERT(claim.reply.body == ledger.answer);
+            RC_ASSERT(digest == ledger.digest);
+        }
+        // A claim that lands late bars other bodies too, though its own try was told "not run".
+        if (claim.outcome == ClaimResult::Mismatch)
+            RC_ASSERT(ledger.tried.size() > 1U);
+        if (claim.outcome != ClaimResult::Claimed)
+            return;
+        // What was not run may be tried again; all else runs at most once.
+        RC_ASSERT(ledger.runs == 0U);
+        ledger.digest = digest;
+        if (outcome != LookupReply::NotRun)
+            ++ledger.runs;
+        LookupReply reply;
+        reply.outcome = outcome;
+        reply.body = nonce;
+        if (outcome == LookupReply::Answered)
+            ledger.answer = nonce;
+        m_books[book]->settle(key, reply, [] {});
+    }
+
+    EventQueue m_events;
+    QueueTimers m_timers;
+    MemoryStore m_store;
+    std::vector<std::unique_ptr<ClaimBook>> m_books;
+    std::map<std::string, Ledger> m_ledgers;
+    int m_tries = 0;
+};
+
+/** Shards that use one team's limit; the naive version adds up what they use. */
+class EscrowHistory
+{
+public:
+    explicit EscrowHistory(uint64_t seed)
+        : m_timers(m_events)
+        , m_store(m_events, seed)
+    {
+        m_configuration.revision = Revision(1);
+        m_configuration.teams[Red] = {1.0, cores(Limit), {}};
+        for (std::size_t shard = 0; shard < Shards; ++shard)
+            takeOver(shard);
+    }
+
+    void step()
+    {
+        const auto shard = *rc::gen::inRange<std::size_t>(0, Shards);
+        if (*rc::gen::inRange(0, 20) == 0)
+            takeOver(shard);
+        const int64_t need = *rc::gen::inRange<int64_t>(0, Limit + 1);
+        m_keepers[shard]->update(Red, cores(m_used[shard]), cores(std::max(need, m_used[shard])));
+        m_events.runUntil(m_events.now() + Duration(*rc::gen::inRange(0, 1500)));
+        // Tasks start only within the slice; they may end at any time.
+        const int64_t wanted = *rc::gen::inRange<int64_t>(0, Limit + 1);
+        const int64_t slice = m_keepers[shard]->slice(Red).cpu.value() / 1000;
+        if (wanted < m_used[shard] || wanted <= slice)
+            m_used[shard] = wanted;
+        int64_t sum = 0;
+        for (const int64_t used : m_used)
+            sum += used;
+        RC_ASSERT(sum <= Limit);
+        m_most = std::max(m_most, sum);
+    }
+
+    int64_t most() const { return m_most; }
+
+private:
+    static constexpr std::size_t Shards = 3;
+    static constexpr int64_t Limit = 8;
+
+    static Resources cores(int64_t count)
+    {
+        return {CpuMillis(1000 * count), MemoryMb(1000 * count), AcceleratorCount(0)};
+    }
+
+    void takeOver(std::size_t shard)
+    {
+        m_keepers[shard] = std::make_unique<EscrowKeeper>(
+            m_store, m_timers, ShardId("s" + std::to_string(shard)), EscrowKeeper::Settings());
+        m_keepers[shard]->setLimits(m_configuration);
+    }
+
+    const TeamId Red{"red"};
+    EventQueue m_events;
+    QueueTimers m_timers;
+    MemoryStore m_store;
+    Configuration m_configuration;
+    std::array<std::unique_ptr<EscrowKeeper>, Shards> m_keepers;
+    std::array<int64_t, Shards> m_used{};
+    int64_t m_most = 0;
+};
+
+} // namespace
+
+TEST_CASE("Claims agree with one ledger under lost and late answers", "[differential]")
+{
+    CHECK(rc::check([] {
+        ClaimHistory history(*rc::gen::arbitrary<uint64_t>());
+        for (int step = 0; step < 40; ++step)
+            history.tryOnce();
+        history.run(Duration(2000));
+    }));
+}
+
+TEST_CASE("Escrow agrees with one ledger under lost and late answers", "[differential]")
+{
+    int64_t most = 0;
+    CHECK(rc::check([&most] {
+        EscrowHistory history(*rc::gen::arbitrary<uint64_t>());
+        for (int step = 0; step < 150; ++step)
+            history.step();
+        most = std::max(most, history.most());
+    }));
+    // A ledger that nobody fills would prove nothing.
+    CHECK(most == 8);
+}
