Meta: Remove each shared guard from the code and ask the histories

The specification's variants showed that the model's guards matter, not that the code's do. 'guards' takes 16 guards out of a scratch copy, one at a time, and fails unless the random histories notice; it checks first that they pass with all.

Two findings of the linter mended.

--- a/Meta/cranberrymount.sh
+++ b/Meta/cranberrymount.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs, builds, tests and shows cranberrymount: demo | test | check | bench | lint | build
+# Installs, builds, tests and shows cranberrymount: demo | test | check | guards | bench | lint | build
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-Build}
@@ -26,6 +26,10 @@
     Meta/install.sh
     exec bash Meta/check.sh
     ;;
+guards)
+    Meta/install.sh
+    exec bash Meta/guards.sh
+    ;;
 bench)
     build
     exec "$BUILD/bench" "${@:2}"
@@ -35,7 +39,7 @@
     exec bash Meta/lint.sh "$BUILD"
     ;;
 *)
-    echo "usage: Meta/cranberrymount.sh demo|test|check|bench|lint|build" >&2
+    echo "usage: Meta/cranberrymount.sh demo|test|check|guards|bench|lint|build" >&2
     exit 2
     ;;
 esac
--- /dev/null
+++ b/Meta/guards.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Removes each guard that the code shares with the specification, one at a time in a scratch copy,
+# and fails unless the random histories find it out.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+SCRATCH=$(mktemp -d)
+trap 'rm -rf "$SCRATCH"' EXIT
+HISTORIES=${HISTORIES:-600}
+
+# guard of the specification @ file @ text of the code @ text without the guard
+GUARDS='
+Core 1@ShardKeeper.cpp@m_isActive = m_pool.isResolved();@m_isActive = true;
+Core 2@RecordWriter.cpp@if (!m_ownEpochs.contains(stored.epoch))@if (false)
+Core 3@ShardKeeper.cpp@task.phase == TaskPhase::Open && !live.contains(task.index))\n            indexes@task.phase == TaskPhase::Open)\n            indexes
+Core 4, evidence@ShardKeeper.cpp@!isZoneOut() && m_context.isConfigurationFresh()@!isZoneOut()
+Core 4, zone@ShardKeeper.cpp@!isZoneOut() && m_context.isConfigurationFresh()@m_context.isConfigurationFresh()
+Core 5@ShardKeeper.cpp@if (recorded && !alive.expired())\n            m_pool.acknowledge@if (!alive.expired())\n            m_pool.acknowledge
+Capacity 1@WorkerPool.cpp@room.free -= attempt.resources;@room.free -= attempt.isSure ? attempt.resources : Resources();
+Capacity 3@WorkerPool.cpp@++worker.subEpoch;\n    LeaseRequest@worker.subEpoch += 0;\n    LeaseRequest
+Capacity 4@WorkerPool.cpp@attempt.resources = running.resources;@attempt.resources = Resources();
+Escrow 1@ShardKeeper.cpp@m_escrow.slice(id)};@team.limit};
+Escrow 2@EscrowKeeper.cpp@const Resources granted = slices[m_shard];@const Resources granted = slices[m_shard]; slice.usable = granted;
+Escrow 3@EscrowKeeper.cpp@slice.need.cappedAt(room);@slice.need;
+Escrow 4@EscrowKeeper.cpp@slice.usable = slice.usable.cappedAt(granted);@;
+Configuration 4@ConfigurationKeeper.cpp@if (configuration.revision <= m_configuration->revision)@if (false)
+Configuration 1@VouchBook.cpp@if (isPromised || !m_registeredSince)@if (!m_registeredSince)
+Configuration 2@VouchBook.cpp@return entry == m_self || m_acknowledged.contains(entry);@return true;
+'
+
+mkdir "$SCRATCH/tree"
+git ls-files -z | tar --create --null --files-from - | tar --extract --directory "$SCRATCH/tree"
+cmake -S "$SCRATCH/tree" -B "$SCRATCH/build" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+build() { cmake --build "$SCRATCH/build" --target unit-tests >"$SCRATCH/build.log" 2>&1; }
+judge() { HISTORY_COUNT=$HISTORIES "$SCRATCH/build/unit-tests" '[history]' >"$SCRATCH/out" 2>/dev/null; }
+build
+if ! judge; then
+    echo "the code fails with all its guards: $(grep -oE 'seed [0-9]+' "$SCRATCH/out" | head -1)"
+    exit 1
+fi
+
+failed=0
+while IFS='@' read -r guard file from to; do
+    [[ -n $guard ]] || continue
+    source="$SCRATCH/tree/Libraries/Coordination/$file"
+    cp "$source" "$SCRATCH/kept"
+    FROM=$from TO=$to perl -0pi -e '
+        my ($from, $to) = map { s/\\n/\n/gr } @ENV{qw(FROM TO)};
+        s/\Q$from\E/$to/ or die "guard not found\n"' "$source"
+    if ! build; then
+        echo "$guard: NOT CHECKED (does not compile)"
+        tail -5 "$SCRATCH/build.log"
+        failed=$((failed + 1))
+    elif judge; then
+        echo "$guard: NOT FOUND OUT by $HISTORIES histories"
+        failed=$((failed + 1))
+    else
+        seed=$(grep -oE 'seed [0-9]+' "$SCRATCH/out" | head -1 || true)
+        broken=$(grep -oE '(overcommitted|two places|above the limit|ordered after|start in|not settled)[^",]*|isSettled' "$SCRATCH/out" | head -1 || true)
+        echo "$guard: found out (${seed:-crash}, ${broken:-see the test})"
+    fi
+    cp "$SCRATCH/kept" "$source"
+done <<<"$GUARDS"
+if ((failed > 0)); then
+    echo "guards: $failed not found out"
+    exit 1
+fi
+echo "guards: the histories find each of them out"
--- a/Tests/Unit/DifferentialTest.cpp
+++ b/Tests/Unit/DifferentialTest.cpp
@@ -95,7 +95,7 @@
         , m_store(m_events, seed)
     {
         m_configuration.revision = Revision(1);
-        m_configuration.teams[Red] = {1.0, cores(Limit), {}};
+        m_configuration.teams[m_red] = {1.0, cores(Limit), {}};
         for (std::size_t shard = 0; shard < Shards; ++shard)
             takeOver(shard);
     }
@@ -106,11 +106,11 @@
         if (*rc::gen::inRange(0, 20) == 0)
             takeOver(shard);
         const int64_t need = *rc::gen::inRange<int64_t>(0, Limit + 1);
-        m_keepers[shard]->update(Red, cores(m_used[shard]), cores(std::max(need, m_used[shard])));
+        m_keepers[shard]->update(m_red, cores(m_used[shard]), cores(std::max(need, m_used[shard])));
         m_events.runUntil(m_events.now() + Duration(*rc::gen::inRange(0, 1500)));
         // Tasks start only within the slice; they may end at any time.
         const int64_t wanted = *rc::gen::inRange<int64_t>(0, Limit + 1);
-        const int64_t slice = m_keepers[shard]->slice(Red).cpu.value() / 1000;
+        const int64_t slice = m_keepers[shard]->slice(m_red).cpu.value() / 1000;
         if (wanted < m_used[shard] || wanted <= slice)
             m_used[shard] = wanted;
         int64_t sum = 0;
@@ -138,7 +138,7 @@
         m_keepers[shard]->setLimits(m_configuration);
     }
 
-    const TeamId Red{"red"};
+    const TeamId m_red{"red"};
     EventQueue m_events;
     QueueTimers m_timers;
     MemoryStore m_store;
--- a/Tests/Unit/HttpServerTest.cpp
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -50,7 +50,7 @@
         HttpCall call;
         call.url = "http://127.0.0.1:" + std::to_string(Port) + "/watch";
         call.timeout = Duration(20'000);
-        client.send(std::move(call), [&result](HttpResult told) { result.set_value(told); });
+        client.send(std::move(call), [&result](const HttpResult &told) { result.set_value(told); });
     }
     while (held->count() < Requests)
         std::this_thread::yield();
