Coordination: Guard an object's timers in one place

Seen on reading the whole change: 'call this later unless I am gone' stood in ShardKeeper, WorkerPool and RecordWriter as the same function, and written out in ConfigurationKeeper and RotatingLease. Now GuardedTimers does it for all five. Callers that must be answered even then (ClaimBook) keep the plain service.

--- a/Libraries/Coordination/ConfigurationKeeper.cpp
+++ b/Libraries/Coordination/ConfigurationKeeper.cpp
@@ -49,8 +49,8 @@
                          return;
                      if (read.answered)
                          takeRegister(read, askedAt);
-                     m_timers.after(m_settings.registerPeriod, [this, alive] {
-                         if (!alive.expired() && !m_hasLeft)
+                     m_timers.after(m_settings.registerPeriod, [this] {
+                         if (!m_hasLeft)
                              readRegister();
                      });
                  });
@@ -134,10 +134,8 @@
                       takeRead(read, askedAt);
                       // A read that answers at once must not become a busy loop.
                       const bool early = m_timers.now() - askedAt < m_settings.retryDelay;
-                      m_timers.after(early ? m_settings.retryDelay : Duration(1), [this, alive] {
-                          if (!alive.expired())
-                              watch();
-                      });
+                      m_timers.after(early ? m_settings.retryDelay : Duration(1),
+                                     [this] { watch(); });
                   });
 }
 
@@ -209,12 +207,9 @@
     if (m_hasLeft || now >= deadline)
         return done({ChangeResult::NotSent, *m_configuration});
     if (!m_vouches.mayChange(now)) {
-        m_timers.after(
-            m_settings.retryDelay,
-            [this, alive = std::weak_ptr(m_alive), change, done = std::move(done), deadline] {
-                if (!alive.expired())
-                    beginChange(change, done, deadline);
-            });
+        m_timers.after(m_settings.retryDelay, [this, change, done = std::move(done), deadline] {
+            beginChange(change, done, deadline);
+        });
         return;
     }
     m_vouches.changeBegins();
--- a/Libraries/Coordination/ConfigurationKeeper.h
+++ b/Libraries/Coordination/ConfigurationKeeper.h
@@ -3,7 +3,7 @@
 #include "Coordination/VouchBook.h"
 #include "Protocol/Store.h"
 #include "State/Configuration.h"
-#include "Transport/TimerService.h"
+#include "Transport/GuardedTimers.h"
 
 #include <functional>
 #include <map>
@@ -107,7 +107,7 @@
                        const std::function<void(ChangeResult)> &done, unsigned attempts);
 
     Store &m_store;
-    TimerService &m_timers;
+    GuardedTimers m_timers;
     EntryId m_self;
     Settings m_settings;
     VouchBook m_vouches;
--- a/Libraries/Coordination/RecordWriter.cpp
+++ b/Libraries/Coordination/RecordWriter.cpp
@@ -88,9 +88,7 @@
     if (m_scheduled || m_busy || m_lost)
         return;
     m_scheduled = true;
-    m_timers.after(GroupingDelay, [this, alive = std::weak_ptr(m_alive)] {
-        if (alive.expired())
-            return;
+    m_timers.after(GroupingDelay, [this] {
         m_scheduled = false;
         flush();
     });
@@ -178,11 +176,7 @@
 
 void RecordWriter::retry(std::function<void()> action)
 {
-    m_timers.after(m_settings.retryDelay,
-                   [alive = std::weak_ptr(m_alive), action = std::move(action)] {
-                       if (!alive.expired())
-                           action();
-                   });
+    m_timers.after(m_settings.retryDelay, std::move(action));
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Coordination/RotatingLease.cpp
+++ b/Libraries/Coordination/RotatingLease.cpp
@@ -27,10 +27,7 @@
             return;
         if (lease.alive)
             m_current = lease.id;
-        m_timers.after(lease.alive ? m_ttl / 2 : RetryDelay, [this, alive] {
-            if (!alive.expired())
-                create();
-        });
+        m_timers.after(lease.alive ? m_ttl / 2 : RetryDelay, [this] { create(); });
     });
 }
 
--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -88,14 +88,6 @@
     });
 }
 
-void ShardKeeper::later(Duration delay, std::function<void()> action)
-{
-    m_timers.after(delay, [alive = std::weak_ptr(m_alive), action = std::move(action)] {
-        if (!alive.expired())
-            action();
-    });
-}
-
 void ShardKeeper::takeOver(Epoch epoch)
 {
     m_epoch = epoch;
@@ -177,7 +169,7 @@
         offerMoves();
         forgetEnded();
     }
-    later(TickPeriod, [this] { tick(); });
+    m_timers.after(TickPeriod, [this] { tick(); });
 }
 
 void ShardKeeper::becomeActiveIfResolved()
@@ -505,7 +497,7 @@
     if (m_scheduleSoon || !m_isActive)
         return;
     m_scheduleSoon = true;
-    later(Duration(1), [this] {
+    m_timers.after(Duration(1), [this] {
         m_scheduleSoon = false;
         updateEscrow();
         schedule();
@@ -687,7 +679,7 @@
 void ShardKeeper::moveAnswered(const ShardId &target, uint64_t sequence, MoveAnswer answer)
 {
     if (answer == MoveAnswer::Unknown) {
-        later(Duration(500), [this, target] { m_offering.erase(target); });
+        m_timers.after(Duration(500), [this, target] { m_offering.erase(target); });
         return;
     }
     m_offering.erase(target);
@@ -762,7 +754,7 @@
         if (!alive.expired())
             poolChanged();
     });
-    later(m_settings.admissionTimeout, [once] { once(AdmissionOutcome::Unknown); });
+    m_timers.after(m_settings.admissionTimeout, [once] { once(AdmissionOutcome::Unknown); });
 }
 
 bool ShardKeeper::isCancelled(const JobId &job) const
--- a/Libraries/Coordination/ShardKeeper.h
+++ b/Libraries/Coordination/ShardKeeper.h
@@ -7,6 +7,7 @@
 #include "Decision/ShardChoice.h"
 #include "Decision/ShardScheduler.h"
 #include "State/Configuration.h"
+#include "Transport/GuardedTimers.h"
 
 #include <deque>
 #include <functional>
@@ -209,9 +210,8 @@
     std::vector<uint32_t> waitingIndexes(const Portion &portion) const;
     std::size_t countWaiting(const Portion &portion) const;
     void stopTask(const TaskId &id, bool checkpoint);
-    void later(Duration delay, std::function<void()> action);
 
-    TimerService &m_timers;
+    GuardedTimers m_timers;
     ShardContext &m_context;
     ShardId m_shard;
     ZoneId m_zone;
--- a/Libraries/Coordination/WorkerPool.cpp
+++ b/Libraries/Coordination/WorkerPool.cpp
@@ -95,14 +95,6 @@
     return Epoch((m_shardEpoch.value() << SubEpochBits) + worker.subEpoch);
 }
 
-void WorkerPool::later(Duration delay, std::function<void()> action)
-{
-    m_timers.after(delay, [alive = std::weak_ptr(m_alive), action = std::move(action)] {
-        if (!alive.expired())
-            action();
-    });
-}
-
 void WorkerPool::renew(const WorkerId &id)
 {
     const auto found = m_workers.find(id);
@@ -155,7 +147,7 @@
 
 void WorkerPool::retryLater(const WorkerId &id)
 {
-    later(m_settings.retryDelay, [this, id] { renew(id); });
+    m_timers.after(m_settings.retryDelay, [this, id] { renew(id); });
 }
 
 void WorkerPool::leaseAnswered(const WorkerId &id, Instant askedAt, const LeaseRequest &request,
@@ -197,7 +189,7 @@
         pause = m_settings.retryDelay;
     else if (answersAtOnce)
         pause = renewalWait() / 2;
-    later(pause, [this, id] { renew(id); });
+    m_timers.after(pause, [this, id] { renew(id); });
 }
 
 void WorkerPool::takeReport(const WorkerId &id, const WorkerReport &report)
--- a/Libraries/Coordination/WorkerPool.h
+++ b/Libraries/Coordination/WorkerPool.h
@@ -2,7 +2,7 @@
 
 #include "Decision/ShardView.h"
 #include "Protocol/WorkerLink.h"
-#include "Transport/TimerService.h"
+#include "Transport/GuardedTimers.h"
 
 #include <functional>
 #include <map>
@@ -162,10 +162,9 @@
     Epoch epochOf(const Worker &worker) const;
     /** @return how long a worker holds a renewal back unless a task ends. */
     Duration renewalWait() const { return m_settings.leaseTtl / 4; }
-    void later(Duration delay, std::function<void()> action);
 
     WorkerLink &m_link;
-    TimerService &m_timers;
+    GuardedTimers m_timers;
     EntryId m_self;
     Settings m_settings;
     WorkerPoolObserver &m_observer;
--- /dev/null
+++ b/Libraries/Transport/GuardedTimers.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Transport/TimerService.h"
+
+#include <memory>
+
+namespace Cranberrymount {
+
+/** Timers of one object: what it asked for does not run any more once it is gone. */
+class GuardedTimers
+{
+public:
+    explicit GuardedTimers(TimerService &timers)
+        : m_timers(timers)
+    {
+    }
+
+    Instant now() const { return m_timers.now(); }
+    void after(Duration delay, std::function<void()> callback)
+    {
+        m_timers.after(delay, [alive = std::weak_ptr(m_alive), callback = std::move(callback)] {
+            if (!alive.expired())
+                callback();
+        });
+    }
+
+private:
+    TimerService &m_timers;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Cranberrymount
