Decision: Look workers and reservations up in one way each

Seen on reading the whole change: the worker's place by name was built in the scheduler and in the reservation, and WorkerChoice looked a reservation up by bisection in one place and from the first in another, and wrote taking and giving back twice. Now positionsByName serves both, reservations are a map, and one function changes room. describe(WaitReason) stands beside its declaration.

--- a/Libraries/Decision/GangReservation.cpp
+++ b/Libraries/Decision/GangReservation.cpp
@@ -1,8 +1,6 @@
 #include "Decision/GangReservation.h"
 
 #include <algorithm>
-#include <string_view>
-#include <unordered_map>
 
 namespace Cranberrymount {
 
@@ -39,18 +37,16 @@
 std::vector<ExpectedEnd> expectedEnds(const std::vector<WorkerRoom> &workers,
                                       const std::vector<RunningTask> &running, Instant now)
 {
-    std::unordered_map<std::string_view, std::size_t> positions;
+    const auto positions = positionsByName(workers);
     std::vector<Resources> unexplained(workers.size());
     for (std::size_t position = 0; position < workers.size(); ++position) {
-        if (!workers[position].usable)
-            continue;
-        positions[workers[position].id.value()] = position;
-        unexplained[position] = workers[position].capacity - workers[position].free;
+        if (workers[position].usable)
+            unexplained[position] = workers[position].capacity - workers[position].free;
     }
     std::vector<ExpectedEnd> ends;
     for (const RunningTask &task : running) {
         const auto position = positions.find(task.worker.value());
-        if (position == positions.end())
+        if (position == positions.end() || !workers[position->second].usable)
             continue;
         unexplained[position->second] -= task.resources;
         if (!task.isService)
--- a/Libraries/Decision/ShardScheduler.cpp
+++ b/Libraries/Decision/ShardScheduler.cpp
@@ -4,8 +4,6 @@
 #include <functional>
 #include <limits>
 #include <queue>
-#include <string_view>
-#include <unordered_map>
 
 namespace Cranberrymount {
 
@@ -251,9 +249,7 @@
 const std::vector<const RunningTask *> &SchedulingPass::runningOn(std::size_t position)
 {
     if (m_running.empty()) {
-        std::unordered_map<std::string_view, std::size_t> positions;
-        for (std::size_t at = 0; at < m_choice.workers().size(); ++at)
-            positions[m_choice.workers()[at].id.value()] = at;
+        const auto positions = positionsByName(m_choice.workers());
         m_running.resize(m_choice.workers().size());
         for (const RunningTask &task : m_view.running) {
             const auto found = positions.find(task.worker.value());
@@ -367,21 +363,6 @@
 
 } // namespace
 
-const char *describe(WaitReason reason)
-{
-    switch (reason) {
-    case WaitReason::NoRoom:
-        return "no worker of the shard has enough free room for one task";
-    case WaitReason::TeamLimit:
-        return "the team is at its upper limit, or at the part of it that this shard holds";
-    case WaitReason::GangIncomplete:
-        return "the shard has not yet room for all tasks of the gang at once";
-    case WaitReason::BehindReservation:
-        return "the free room is reserved for a gang that has waited longer";
-    }
-    return "unknown";
-}
-
 ShardScheduler::ShardScheduler()
     : ShardScheduler(Settings())
 {
--- /dev/null
+++ b/Libraries/Decision/ShardView.cpp
@@ -0,0 +1,29 @@
+#include "Decision/ShardView.h"
+
+namespace Cranberrymount {
+
+std::unordered_map<std::string_view, std::size_t>
+positionsByName(const std::vector<WorkerRoom> &workers)
+{
+    std::unordered_map<std::string_view, std::size_t> positions;
+    for (std::size_t position = 0; position < workers.size(); ++position)
+        positions[workers[position].id.value()] = position;
+    return positions;
+}
+
+const char *describe(WaitReason reason)
+{
+    switch (reason) {
+    case WaitReason::NoRoom:
+        return "no worker of the shard has enough free room for one task";
+    case WaitReason::TeamLimit:
+        return "the team is at its upper limit, or at the part of it that this shard holds";
+    case WaitReason::GangIncomplete:
+        return "the shard has not yet room for all tasks of the gang at once";
+    case WaitReason::BehindReservation:
+        return "the free room is reserved for a gang that has waited longer";
+    }
+    return "unknown";
+}
+
+} // namespace Cranberrymount
--- a/Libraries/Decision/ShardView.h
+++ b/Libraries/Decision/ShardView.h
@@ -6,6 +6,8 @@
 
 #include <map>
 #include <optional>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Cranberrymount {
@@ -21,6 +23,10 @@
     bool usable = true;
 };
 
+/** @return where each worker stands in @p workers, by its name; valid as long as they are. */
+std::unordered_map<std::string_view, std::size_t>
+positionsByName(const std::vector<WorkerRoom> &workers);
+
 /** Waiting tasks of one job; all have the same size. */
 struct WaitingGroup
 {
--- a/Libraries/Decision/WorkerChoice.cpp
+++ b/Libraries/Decision/WorkerChoice.cpp
@@ -1,6 +1,5 @@
 #include "Decision/WorkerChoice.h"
 
-#include <algorithm>
 #include <limits>
 
 namespace Cranberrymount {
@@ -97,43 +96,35 @@
     const WorkerRoom &worker = m_workers[position];
     if (!worker.usable || !group.perTask.fitsIn(worker.free))
         return false;
-    const auto reserved =
-        std::lower_bound(m_reserved.begin(), m_reserved.end(), position,
-                         [](const auto &entry, auto wanted) { return entry.position < wanted; });
-    if (reserved == m_reserved.end() || reserved->position != position)
-        return true;
-    return !outlasts(*reserved, group) || group.perTask.fitsIn(reserved->spare);
+    const auto reserved = m_reserved.find(position);
+    return reserved == m_reserved.end() || !outlasts(reserved->second, group)
+        || group.perTask.fitsIn(reserved->second.spare);
 }
 
-ReservedWorker *WorkerChoice::reservationOf(std::size_t position)
+void WorkerChoice::changeRoom(std::size_t position, const WaitingGroup &group,
+                              const Resources &change)
 {
-    const auto found =
-        std::find_if(m_reserved.begin(), m_reserved.end(),
-                     [position](const auto &entry) { return entry.position == position; });
-    return found == m_reserved.end() ? nullptr : &*found;
+    m_workers[position].free += change;
+    const auto reserved = m_reserved.find(position);
+    if (reserved != m_reserved.end() && outlasts(reserved->second, group))
+        reserved->second.spare += change;
 }
 
 void WorkerChoice::take(std::size_t position, const WaitingGroup &group)
 {
-    m_workers[position].free -= group.perTask;
-    ReservedWorker *reserved = reservationOf(position);
-    if (reserved && outlasts(*reserved, group))
-        reserved->spare -= group.perTask;
+    changeRoom(position, group, Resources() - group.perTask);
 }
 
 void WorkerChoice::giveBack(std::size_t position, const WaitingGroup &group)
 {
-    m_workers[position].free += group.perTask;
-    ReservedWorker *reserved = reservationOf(position);
-    if (reserved && outlasts(*reserved, group))
-        reserved->spare += group.perTask;
+    changeRoom(position, group, group.perTask);
 }
 
 void WorkerChoice::reserve(const std::vector<ReservedWorker> &reserved)
 {
-    m_reserved = reserved;
-    std::sort(m_reserved.begin(), m_reserved.end(),
-              [](const auto &left, const auto &right) { return left.position < right.position; });
+    m_reserved.clear();
+    for (const ReservedWorker &worker : reserved)
+        m_reserved.emplace(worker.position, worker);
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Decision/WorkerChoice.h
+++ b/Libraries/Decision/WorkerChoice.h
@@ -3,6 +3,7 @@
 #include "Decision/GangReservation.h"
 #include "Decision/ShardView.h"
 
+#include <map>
 #include <optional>
 
 namespace Cranberrymount {
@@ -39,12 +40,12 @@
     /** @return true if a task of @p group needs room that a reservation keeps. */
     bool outlasts(const ReservedWorker &reserved, const WaitingGroup &group) const;
     bool hasRoom(std::size_t position, const WaitingGroup &group) const;
-    ReservedWorker *reservationOf(std::size_t position);
+    void changeRoom(std::size_t position, const WaitingGroup &group, const Resources &change);
 
     std::vector<WorkerRoom> m_workers;
     Instant m_now;
-    /** In order of position. */
-    std::vector<ReservedWorker> m_reserved;
+    /** By position of the worker. */
+    std::map<std::size_t, ReservedWorker> m_reserved;
     Resources m_capacity;
 };
 
