--- a/Libraries/Coordination/ClaimBook.cpp
+++ b/Libraries/Coordination/ClaimBook.cpp
@@ -1,14 +1,15 @@
 #include "Coordination/ClaimBook.h"
 
 #include "Protocol/Json.h"
+#include "Transport/OnlyFirst.h"
 
 namespace Cranberrymount {
 
 namespace {
 
-/** Claims outlive any client's retries. */
 /** The answer is not held back longer than this until a repeat would see it. */
 constexpr Duration SettleLimit{300};
+/** Claims outlive any client's retries. */
 constexpr Duration ClaimTtl{1'200'000};
 
 std::string claimKey(const std::string &scope)
@@ -77,11 +78,7 @@
 {
     if (reply.outcome == LookupReply::Unknown)
         return done();
-    auto isDone = std::make_shared<bool>(false);
-    const auto once = [isDone, done = std::move(done)] {
-        if (!std::exchange(*isDone, true))
-            done();
-    };
+    const auto once = onlyFirst(std::move(done));
     m_timers.after(SettleLimit, once);
     const std::string key = claimKey(scope);
     m_store.read(key, [this, key, reply, once](const StoreRead &read) {
--- a/Libraries/Coordination/ShardKeeper.cpp
+++ b/Libraries/Coordination/ShardKeeper.cpp
@@ -2,6 +2,7 @@
 
 #include "Protocol/Json.h"
 #include "State/StateError.h"
+#include "Transport/OnlyFirst.h"
 
 #include <glog/logging.h>
 
@@ -47,7 +48,8 @@
 
 bool hasOpenTask(const Portion &portion)
 {
-    return countOpen(portion) > 0;
+    return std::any_of(portion.tasks.begin(), portion.tasks.end(),
+                       [](const TaskRecord &task) { return task.phase == TaskPhase::Open; });
 }
 
 const char *phaseName(TaskPhase phase)
@@ -224,9 +226,8 @@
 std::size_t ShardKeeper::countWaiting(const Portion &portion) const
 {
     const LiveTasks::OfJob &live = m_live.of(portion.spec.id);
-    const auto isLive = [&live](const TaskRecord &task) { return live.contains(task.index); };
     return std::count_if(portion.tasks.begin(), portion.tasks.end(), [&](const TaskRecord &task) {
-        return task.phase == TaskPhase::Open && !isLive(task);
+        return task.phase == TaskPhase::Open && !live.contains(task.index);
     });
 }
 
@@ -744,11 +745,7 @@
         record.admitted.erase(record.admitted.begin());
     m_memory[spec.id].waitingSince = m_timers.now();
     note(spec.id, "admitted by " + m_self.value() + " to shard " + m_shard.value());
-    auto answered = std::make_shared<bool>(false);
-    const auto once = [answered, done = std::move(done)](AdmissionOutcome outcome) {
-        if (!std::exchange(*answered, true))
-            done(outcome);
-    };
+    const auto once = onlyFirst(std::move(done));
     m_record.whenRecorded([this, once, alive = std::weak_ptr(m_alive)](bool recorded) {
         once(recorded ? AdmissionOutcome::Recorded : AdmissionOutcome::Unknown);
         if (!alive.expired())
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -119,9 +119,8 @@
             send(held.request, answer, *closing);
             --*inFlight;
         };
-        if (request->body().size() > maxBody) {
+        if (request->body().size() > maxBody)
             return refuseLarge(request, maxBody);
-        }
         ++*inFlight;
         try {
             handler(convert(request), respond);
--- /dev/null
+++ b/Libraries/Transport/OnlyFirst.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace Cranberrymount {
+
+/** @return a callback whose first call, through any copy, goes to @p done; later ones do nothing.
+ */
+template <typename... Arguments>
+std::function<void(Arguments...)> onlyFirst(std::function<void(Arguments...)> done)
+{
+    return
+        [isOver = std::make_shared<bool>(false), done = std::move(done)](Arguments... arguments) {
+            if (!std::exchange(*isOver, true))
+                done(std::move(arguments)...);
+        };
+}
+
+} // namespace Cranberrymount
