Tests: Share the ready deployment, the judge of histories and the store's calls

Three fixtures began alike and two files made the same job; World wrote the same exchange with the store twice; two tests judged their histories in the same lines.

--- a/Tests/EndToEnd/CallerTest.cpp
+++ b/Tests/EndToEnd/CallerTest.cpp
@@ -11,16 +11,10 @@
 
 namespace {
 
-class CallersDeployment
+class CallersDeployment : public ReadyDeployment
 {
 protected:
-    CallersDeployment()
-    {
-        deployment.awaitReady();
-        deployment.configure();
-    }
-
-    bool isServed() { return deployment.call("a-e0", "POST", "/lookup/open", "{}").status == 200; }
+    bool isServed() { return lookup("a-e0").status == 200; }
 
     /** @return a connection to a-e0 that has sent @p text. */
     asio::ip::tcp::socket &connectAndSend(const std::string &text)
@@ -42,8 +36,6 @@
         return answer;
     }
 
-    Deployment deployment;
-
 private:
     asio::io_context m_context;
     std::list<asio::ip::tcp::socket> m_sockets;
@@ -56,7 +48,7 @@
 
 TEST_CASE_METHOD(CallersDeployment, "Half-closed caller gets its whole answer", "[callers]")
 {
-    REQUIRE(eventually([&] { return isServed(); }));
+    REQUIRE(lookupsAreServed("a-e0"));
     asio::ip::tcp::socket &socket = connectAndSend(WholeRequest);
     socket.shutdown(asio::ip::tcp::socket::shutdown_send);
     CHECK(readAll(socket).starts_with("HTTP/1.1 200"));
@@ -64,7 +56,7 @@
 
 TEST_CASE_METHOD(CallersDeployment, "Callers that stall in a request hold up no other", "[callers]")
 {
-    REQUIRE(eventually([&] { return isServed(); }));
+    REQUIRE(lookupsAreServed("a-e0"));
     constexpr std::size_t Stalled = 200;
     for (std::size_t number = 0; number < Stalled; ++number)
         connectAndSend(WholeRequest.substr(0, WholeRequest.size() - 1));
@@ -78,7 +70,7 @@
 
 TEST_CASE_METHOD(CallersDeployment, "Malformed request ends its connection alone", "[callers]")
 {
-    REQUIRE(eventually([&] { return isServed(); }));
+    REQUIRE(lookupsAreServed("a-e0"));
     asio::ip::tcp::socket &socket = connectAndSend("no such protocol\r\n\r\n");
     CHECK_FALSE(readAll(socket).starts_with("HTTP/1.1 200"));
     CHECK(isServed());
--- a/Tests/EndToEnd/Deployment.cpp
+++ b/Tests/EndToEnd/Deployment.cpp
@@ -54,6 +54,28 @@
 
 } // namespace
 
+ReadyDeployment::ReadyDeployment()
+{
+    deployment.awaitReady();
+    deployment.configure();
+}
+
+HttpResult ReadyDeployment::lookup(const std::string &entry, const std::string &queue,
+                                   const std::string &body, std::vector<std::string> headers)
+{
+    return deployment.call(entry, "POST", "/lookup/" + queue, body, std::move(headers));
+}
+
+bool ReadyDeployment::lookupsAreServed(const std::string &entry)
+{
+    return eventually([&] { return lookup(entry).status == 200; });
+}
+
+Json job(const std::string &kind, int tasks, int runMillis)
+{
+    return {{"kind", kind}, {"tasks", tasks}, {"payload", Json{{"run_ms", runMillis}}.dump()}};
+}
+
 bool eventually(const std::function<bool()> &condition, Duration limit)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
--- a/Tests/EndToEnd/Deployment.h
+++ b/Tests/EndToEnd/Deployment.h
@@ -143,6 +143,24 @@
     std::map<std::string, Json> m_fleets;
 };
 
+/** A deployment that is ready and has the tests' configuration. */
+class ReadyDeployment
+{
+protected:
+    ReadyDeployment();
+
+    HttpResult lookup(const std::string &entry, const std::string &queue = "open",
+                      const std::string &body = "{}", std::vector<std::string> headers = {});
+    /** Waits until @p entry serves lookups: slots of a new owner open once a former owner's
+     *  requests must have ended. @return false if it did not. */
+    bool lookupsAreServed(const std::string &entry);
+
+    Deployment deployment;
+};
+
+/** @return a job whose tasks run for @p runMillis. */
+Json job(const std::string &kind, int tasks, int runMillis);
+
 /** Waits until @p condition holds. @return false if it did not within @p limit. */
 bool eventually(const std::function<bool()> &condition, Duration limit = Duration(30'000));
 
--- a/Tests/EndToEnd/FailureTest.cpp
+++ b/Tests/EndToEnd/FailureTest.cpp
@@ -17,26 +17,9 @@
 /** A member vouches only once a write of its former life cannot arrive any more. */
 constexpr Duration VouchAfter{10'500};
 
-Json job(const std::string &kind, int tasks, int runMillis)
-{
-    return {{"kind", kind}, {"tasks", tasks}, {"payload", Json{{"run_ms", runMillis}}.dump()}};
-}
-
-class FailingDeployment
+class FailingDeployment : public ReadyDeployment
 {
 protected:
-    FailingDeployment()
-    {
-        deployment.awaitReady();
-        deployment.configure();
-    }
-
-    int lookup(const std::string &entry, const std::string &queue = "open",
-               const std::string &body = "{}", std::vector<std::string> headers = {})
-    {
-        return deployment.call(entry, "POST", "/lookup/" + queue, body, std::move(headers)).status;
-    }
-
     /** Submits tasks through zone a and waits until some run. */
     std::string startBatch(int tasks = 40, int runMillis = 1200)
     {
@@ -63,8 +46,6 @@
     {
         return owner == "a-e0" ? "a-e1" : "a-e0";
     }
-
-    Deployment deployment;
 };
 
 } // namespace
@@ -99,14 +80,15 @@
 {
     std::this_thread::sleep_for(VouchAfter);
     const std::string batch = startBatch(120, 3000);
-    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    REQUIRE(lookupsAreServed("a-e0"));
     deployment.platformFaults({{"down", true}});
     const int64_t downAt = unixMillis();
     // Longer than any evidence from before the outage lasts.
     std::this_thread::sleep_for(Duration(8000));
-    CHECK(lookup("a-e0") == 200);
-    CHECK(eventually([&] { return lookup("b-e0", "keyed", "{}", {"X-Team-Key: key-red"}) == 200; },
-                     Duration(5000)));
+    CHECK(lookup("a-e0").status == 200);
+    CHECK(eventually(
+        [&] { return lookup("b-e0", "keyed", "{}", {"X-Team-Key: key-red"}).status == 200; },
+        Duration(5000)));
     const Journal during = deployment.journal();
     CHECK(during.startsIn("a", downAt + 6000) + during.startsIn("b", downAt + 6000) > 0);
     CHECK(deployment.submit("b-e0", "red", job("batch", 1, 100)).empty());
@@ -131,15 +113,15 @@
 TEST_CASE_METHOD(FailingDeployment,
                  "Zone cut off from all serves its open queue and starts nothing", "[failure][cut]")
 {
-    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    REQUIRE(lookupsAreServed("a-e0"));
     const std::string batch = startBatch();
     deployment.cutZone("a", true);
     const int64_t cutAt = unixMillis();
     deployment.intend("b-e0", {{"type", "drain-zone"}, {"zone", "a"}});
     const int64_t outAt = unixMillis();
     std::this_thread::sleep_for(InForce);
-    CHECK(lookup("a-e0") == 200);
-    CHECK(lookup("a-e0", "keyed", "{}", {"X-Team-Key: key-red"}) == 503);
+    CHECK(lookup("a-e0").status == 200);
+    CHECK(lookup("a-e0", "keyed", "{}", {"X-Team-Key: key-red"}).status == 503);
     std::this_thread::sleep_for(Duration(2000));
     CHECK(deployment.journal().startsIn("a", std::max(cutAt, outAt) + InForce.count()) == 0);
     deployment.heal();
@@ -149,11 +131,11 @@
 TEST_CASE_METHOD(FailingDeployment, "Entry cut off from the store goes on by its peers' evidence",
                  "[failure][cut][relay]")
 {
-    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    REQUIRE(lookupsAreServed("a-e0"));
     // Zone b still reaches both the store and zone a.
     deployment.cutPlatform("a");
     std::this_thread::sleep_for(InForce);
-    CHECK(lookup("a-e0", "keyed", "{}", {"X-Team-Key: key-red"}) == 200);
+    CHECK(lookup("a-e0", "keyed", "{}", {"X-Team-Key: key-red"}).status == 200);
     deployment.intend("b-e0", {{"type", "drain-zone"}, {"zone", "b"}});
     CHECK(eventually([&] { return deployment.status("a-e0").at("zones_out") == Json{"b"}; },
                      InForce));
@@ -236,14 +218,14 @@
                  "Silent target leaves the outcome unknown and runs nothing twice",
                  "[failure][silent]")
 {
-    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    REQUIRE(lookupsAreServed("a-e0"));
     deployment.workerFaults("a", {{"silent_lookups", 1}});
     const HttpResult once = deployment.call("a-e0", "POST", "/lookup/open", R"({"id":"tally"})");
     CHECK(once.status == 504);
     CHECK(Json::parse(once.body).at("outcome") == "unknown");
     CHECK(deployment.journal().lookupRuns.at("tally") == 1);
     deployment.workerFaults("a", {{"silent_lookups", 0}});
-    CHECK(eventually([&] { return lookup("a-e0") == 200; }));
+    CHECK(lookupsAreServed("a-e0"));
 }
 
 TEST_CASE_METHOD(FailingDeployment,
@@ -251,7 +233,7 @@
                  "[failure][lookups]")
 {
     const std::string late = otherThan(deployment.ownerOf("a"));
-    REQUIRE(eventually([&] { return lookup(late) == 200; }));
+    REQUIRE(lookupsAreServed(late));
     deployment.cutEntryFromPlatform(late);
     std::atomic<bool> isStopping = false;
     std::atomic<int> answered = 0;
@@ -261,7 +243,7 @@
     for (int caller = 0; caller < 3; ++caller) {
         callers.emplace_back([&] {
             while (!isStopping)
-                ++(lookup(late) == 200 ? answered : refused);
+                ++(lookup(late).status == 200 ? answered : refused);
         });
     }
     const auto move = [&](const std::string &verb) {
@@ -281,7 +263,7 @@
 TEST_CASE_METHOD(FailingDeployment, "Leaving target gets no request after a few seconds",
                  "[failure][leaving]")
 {
-    REQUIRE(eventually([&] { return lookup("a-e0") == 200; }));
+    REQUIRE(lookupsAreServed("a-e0"));
     std::vector<Json> workers = deployment.workersOf("a");
     for (Json &worker : workers)
         worker["leaving"] = worker.at("id") != "a-w3";
--- a/Tests/EndToEnd/WholePathTest.cpp
+++ b/Tests/EndToEnd/WholePathTest.cpp
@@ -12,39 +12,6 @@
 
 using namespace Cranberrymount;
 
-namespace {
-
-class ReadyDeployment
-{
-protected:
-    ReadyDeployment()
-    {
-        deployment.awaitReady();
-        deployment.configure();
-    }
-
-    HttpResult lookup(const std::string &entry, const std::string &queue, const std::string &body,
-                      std::vector<std::string> headers = {})
-    {
-        return deployment.call(entry, "POST", "/lookup/" + queue, body, std::move(headers));
-    }
-
-    /** Slots of a new owner open once a former owner's requests must have ended. */
-    bool lookupsAreServed(const std::string &entry)
-    {
-        return eventually([&] { return lookup(entry, "open", "{}").status == 200; });
-    }
-
-    Deployment deployment;
-};
-
-Json job(const std::string &kind, int tasks, int runMillis)
-{
-    return {{"kind", kind}, {"tasks", tasks}, {"payload", Json{{"run_ms", runMillis}}.dump()}};
-}
-
-} // namespace
-
 TEST_CASE_METHOD(ReadyDeployment, "Lookup through any entry is answered whole", "[path]")
 {
     for (const std::string &entry : deployment.entries()) {
--- a/Tests/Unit/HistoryTest.cpp
+++ b/Tests/Unit/HistoryTest.cpp
@@ -158,6 +158,16 @@
     std::vector<JobSpec> m_cancelled;
 };
 
+/** Lets a history settle and judges it by what its workers ran. */
+void judge(History &history)
+{
+    const bool isSettled = history.settles();
+    INFO(Catch::Detail::stringify(history.world().violations())
+         << (isSettled ? "" : history.unfinished()));
+    CHECK(isSettled);
+    REQUIRE(history.world().violations().empty());
+}
+
 } // namespace
 
 TEST_CASE("Random histories keep every promise and lose no accepted job", "[history]")
@@ -168,6 +178,7 @@
     std::size_t starts = 0;
     std::size_t jobs = 0;
     for (uint64_t seed = first; seed < first + count; ++seed) {
+        INFO("seed " << seed);
         History history(seed);
         history.world().run(Duration(4000));
         for (int step = 0; step < 12; ++step) {
@@ -176,12 +187,7 @@
             history.oneFault();
             history.world().run(Duration(200 + history.world().below(6000)));
         }
-        const bool isSettled = history.settles();
-        INFO("seed " << seed << "\n"
-                     << Catch::Detail::stringify(history.world().violations())
-                     << (isSettled ? "" : history.unfinished()));
-        CHECK(isSettled);
-        REQUIRE(history.world().violations().empty());
+        judge(history);
         for (const JobSpec &spec : history.accepted())
             CHECK(history.world().doneAttempts(spec.id) == spec.tasks);
         events += history.world().eventCount();
@@ -199,6 +205,7 @@
     const uint64_t count = numberFrom("HISTORY_COUNT", 100);
     std::size_t cancelled = 0;
     for (uint64_t seed = first; seed < first + count; ++seed) {
+        INFO("seed " << seed);
         History history(seed);
         history.world().run(Duration(4000));
         for (int step = 0; step < 12; ++step) {
@@ -212,12 +219,7 @@
             history.world().run(Duration(history.world().below(3000)));
             history.cancelOne();
         }
-        const bool isSettled = history.settles();
-        INFO("seed " << seed << "\n"
-                     << Catch::Detail::stringify(history.world().violations())
-                     << (isSettled ? "" : history.unfinished()));
-        CHECK(isSettled);
-        REQUIRE(history.world().violations().empty());
+        judge(history);
         cancelled += history.cancelled().size();
     }
     std::cout << count << " histories from seed " << first << ": " << cancelled
--- a/Tests/Unit/MemoryStore.h
+++ b/Tests/Unit/MemoryStore.h
@@ -3,6 +3,7 @@
 #include "World.h"
 
 #include "Protocol/Store.h"
+#include "Transport/OnlyFirst.h"
 
 #include <pcg_random.hpp>
 
@@ -99,11 +100,7 @@
     {
         constexpr uint32_t OneIn = 10;
         constexpr Duration Timeout{200};
-        auto isOver = std::make_shared<bool>(false);
-        const auto finish = [isOver, done = std::move(done)](const Answer &answer) {
-            if (!std::exchange(*isOver, true))
-                done(answer);
-        };
+        const auto finish = onlyFirst(std::move(done));
         const Instant arrival = m_events.now() + delay();
         m_events.at(m_events.now() + Timeout, [finish] { finish(Answer()); });
         if (m_random(OneIn) == 0)
--- a/Tests/Unit/World.cpp
+++ b/Tests/Unit/World.cpp
@@ -167,33 +167,31 @@
                 done(isAnswered ? *read : StoreRead());
             });
     }
-    void mutate(std::function<void(StoreWrite)> done, std::function<StoreWrite()> serve)
+    /** @param notSent is answered if the call surely never left. */
+    template <typename Answer>
+    void serveByStore(std::function<void(Answer)> done, std::function<Answer()> serve,
+                      const Answer &notSent)
     {
-        auto result = std::make_shared<StoreWrite>();
+        auto result = std::make_shared<Answer>();
         m_world.exchange(
             m_node, isCut(), StoreTimeout,
             [this, result, serve = std::move(serve)] {
                 if (!m_world.m_storeDown)
                     *result = serve();
             },
-            [result, done = std::move(done)](bool isAnswered, bool isSent) {
+            [result, notSent, done = std::move(done)](bool isAnswered, bool isSent) {
                 if (!isSent)
-                    return done({StoreWrite::NotSent, {}});
-                done(isAnswered ? *result : StoreWrite());
+                    return done(notSent);
+                done(isAnswered ? *result : Answer());
             });
     }
+    void mutate(std::function<void(StoreWrite)> done, std::function<StoreWrite()> serve)
+    {
+        serveByStore<StoreWrite>(std::move(done), std::move(serve), {StoreWrite::NotSent, {}});
+    }
     void lease(std::function<void(StoreLease)> done, std::function<StoreLease()> serve)
     {
-        auto result = std::make_shared<StoreLease>();
-        m_world.exchange(
-            m_node, isCut(), StoreTimeout,
-            [this, result, serve = std::move(serve)] {
-                if (!m_world.m_storeDown)
-                    *result = serve();
-            },
-            [result, done = std::move(done)](bool isAnswered, bool) {
-                done(isAnswered ? *result : StoreLease());
-            });
+        serveByStore<StoreLease>(std::move(done), std::move(serve), {});
     }
 
     World &m_world;
