--- /dev/null
+++ b/Libraries/Coordination/AdviceDesk.cpp
@@ -0,0 +1,83 @@
+#include "Coordination/AdviceDesk.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** Calls above this cost are long: they are kept off the callers set aside for short ones. */
+constexpr Duration LongCall{250};
+/** Of this many callers one is set aside for short calls. */
+constexpr std::size_t CallersPerShortLane = 3;
+/** Two one-way trips through a peer, and a margin for a busy node. */
+constexpr Duration RelayTime{400};
+/** A caller that failed is charged this much, so that others are tried first. */
+constexpr Duration FailurePenalty{1500};
+/** Calls that may wait at one node; the advisor turns a machine away beyond 32. */
+constexpr std::size_t MostUnderWay = 8;
+
+} // namespace
+
+AdviceDesk::AdviceDesk(TimerService &timers)
+    : m_timers(timers)
+{
+}
+
+void AdviceDesk::addCaller(const EntryId &node, Ask ask)
+{
+    m_callers[node] = {std::move(ask), m_timers.now(), 0, 0};
+}
+
+void AdviceDesk::removeCaller(const EntryId &node)
+{
+    m_callers.erase(node);
+}
+
+std::size_t AdviceDesk::freeCallers() const
+{
+    std::size_t free = 0;
+    for (const auto &[node, caller] : m_callers)
+        free += MostUnderWay - std::min(MostUnderWay, caller.underWay);
+    return free;
+}
+
+void AdviceDesk::ask(AdviceCall call, Duration cost, std::function<void(AdviceReply)> done)
+{
+    const Instant now = m_timers.now();
+    const std::size_t shortLanes = m_callers.size() / CallersPerShortLane;
+    Caller *best = nullptr;
+    EntryId bestNode;
+    std::size_t position = 0;
+    for (auto &[node, caller] : m_callers) {
+        const bool isShortLane = position++ < shortLanes;
+        if (caller.underWay >= MostUnderWay || (isShortLane && cost > LongCall))
+            continue;
+        if (!best || std::max(caller.busyUntil, now) < std::max(best->busyUntil, now)) {
+            best = &caller;
+            bestNode = node;
+        }
+    }
+    if (!best)
+        return done({});
+    best->busyUntil = std::max(best->busyUntil, now) + cost;
+    ++best->underWay;
+    call.timeout = std::chrono::duration_cast<Duration>(best->busyUntil - now) + RelayTime;
+    best->ask(std::move(call),
+              [this, bestNode, done = std::move(done),
+               alive = std::weak_ptr(m_alive)](AdviceReply reply) {
+                  if (alive.expired())
+                      return;
+                  const auto found = m_callers.find(bestNode);
+                  if (found != m_callers.end()) {
+                      Caller &caller = found->second;
+                      caller.underWay -= std::min<std::size_t>(caller.underWay, 1);
+                      caller.failures = reply.answered ? 0 : caller.failures + 1;
+                      if (!reply.answered)
+                          caller.busyUntil = m_timers.now() + FailurePenalty;
+                  }
+                  done(std::move(reply));
+              });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/AdviceDesk.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Protocol/PlacementAdvisor.h"
+#include "State/Ids.h"
+#include "Transport/GuardedTimers.h"
+
+#include <deque>
+#include <map>
+
+namespace Cranberrymount {
+
+/**
+ * Spreads calls for advice over the nodes of the cell. The advisor serves one call at a time for
+ * each calling machine, so that a short call must not queue behind a long one.
+ */
+class AdviceDesk
+{
+public:
+    using Ask = std::function<void(AdviceCall, std::function<void(AdviceReply)>)>;
+
+    explicit AdviceDesk(TimerService &timers);
+
+    /** Adds a node that can call the advisor. */
+    void addCaller(const EntryId &node, Ask ask);
+    void removeCaller(const EntryId &node);
+
+    /** Calls the advisor through the node that will be free first. */
+    void ask(AdviceCall call, Duration cost, std::function<void(AdviceReply)> done);
+    /** @return calls that could begin without waiting long. */
+    std::size_t freeCallers() const;
+
+private:
+    struct Caller
+    {
+        Ask ask;
+        /** When the calls given to this node will have been served. */
+        Instant busyUntil{};
+        /** Calls in a row that brought no answer. */
+        uint32_t failures = 0;
+        std::size_t underWay = 0;
+    };
+
+    TimerService &m_timers;
+    std::map<EntryId, Caller> m_callers;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -0,0 +1,173 @@
+#include "Coordination/CellScheduler.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** When callers come back after a refusal for want of the store; it is away for seconds. */
+constexpr Duration RetryWithoutStore{2000};
+/** A leader that the store has not confirmed for this long answers nothing from memory. */
+constexpr Duration LongestUnconfirmed{3000};
+/** A team may save up what it is owed for this long; bursts shorter than it are not held back. */
+constexpr std::chrono::duration<double> ShareWindow{2.0};
+constexpr std::size_t JobIdLength = 16;
+
+ClientReply unavailable(const char *detail)
+{
+    ClientReply reply;
+    reply.outcome = ClientReply::Unavailable;
+    reply.retryAfter = RetryWithoutStore;
+    reply.detail = detail;
+    return reply;
+}
+
+ClientReply plain(ClientReply::Outcome outcome, const char *detail = "")
+{
+    ClientReply reply;
+    reply.outcome = outcome;
+    reply.detail = detail;
+    return reply;
+}
+
+bool isJobId(const std::string &text)
+{
+    return text.size() == JobIdLength && std::ranges::all_of(text, [](unsigned char character) {
+               return std::isxdigit(character) != 0;
+           });
+}
+
+} // namespace
+
+bool CellScheduler::isStoreLost() const
+{
+    return storeAge() > LongestUnconfirmed;
+}
+
+void CellScheduler::handle(ClientCall call, ClientRespond respond)
+{
+    if (!m_isReady || m_isOver || m_isQuiescing)
+        return respond(unavailable("the cell has no scheduler at the moment"));
+    if (isStoreLost())
+        return respond(unavailable("the store cannot be reached"));
+    const std::string host = call.host.substr(0, call.host.find(':'));
+    const QueueSettings *queue = m_configuration.route(host, call.path);
+    if (!queue)
+        return respond(plain(ClientReply::NoSuchQueue, "no queue has this host and path"));
+    const TeamSettings *team = m_configuration.teamOfKey(call.key);
+    if (!team && !queue->isOpenToAll) {
+        LOG_EVENT(m_parts.log, "call_unauthorized")
+            << "path=" << call.path << " configuration=" << m_configuration.version;
+        return respond(plain(ClientReply::UnknownKey, "the key belongs to no team"));
+    }
+    const std::string name = call.path.substr(queue->pathPrefix.size());
+    if (name.empty() && call.kind == ClientCall::Status) {
+        ClientReply reply = plain(ClientReply::QueueShown);
+        reply.pending = m_jobs.pendingCount(queue->id);
+        return respond(reply);
+    }
+    if (!isJobId(name))
+        return respond(plain(ClientReply::Malformed, "a job's id has 16 hexadecimal digits"));
+    const JobId id(name);
+    switch (call.kind) {
+    case ClientCall::Submit:
+        return submit(*queue, team ? team->id : TeamId(), id, std::move(call), std::move(respond));
+    case ClientCall::Cancel:
+        return cancel(id, std::move(respond));
+    case ClientCall::Status:
+        break;
+    }
+    const JobRecord *job = m_jobs.find(id);
+    if (!job) {
+        // A job whose record is on its way to the store may exist by the time of the answer.
+        if (m_accepting.contains(id))
+            return respond(unavailable("the job is being stored"));
+        return respond(plain(ClientReply::NoSuchJob, "no such job"));
+    }
+    ClientReply reply = plain(ClientReply::JobShown);
+    reply.state = job->state;
+    respond(reply);
+}
+
+void CellScheduler::submit(const QueueSettings &queue, const TeamId &team, const JobId &id,
+                           ClientCall call, ClientRespond respond)
+{
+    if (m_jobs.find(id))
+        return respond(plain(ClientReply::Accepted));
+    const auto waiting = m_accepting.find(id);
+    if (waiting != m_accepting.end()) {
+        waiting->second.push_back(std::move(respond));
+        return;
+    }
+    if (!m_isStoreReachable)
+        return respond(unavailable("the store cannot be reached; the job was not stored"));
+    JobAccepted record;
+    record.job = id;
+    record.queue = queue.id;
+    record.team = team;
+    record.pool = queue.pool;
+    record.acceptedAt = m_parts.wallClock();
+    record.maxAttempts = queue.maxAttempts;
+    record.isBeyondShare = isBeyondShare(team);
+    record.spec = std::move(call.spec);
+    m_accepting[id].push_back(std::move(respond));
+    LOG_EVENT(m_parts.log, "job_received")
+        << "job=" << id.value() << " queue=" << queue.id.value() << " team=" << team.value()
+        << " steps=" << record.spec.steps.size()
+        << " first_step_tasks=" << record.spec.steps.front().taskCount
+        << " beyond_share=" << record.isBeyondShare << " configuration=" << m_configuration.version
+        << " epoch=" << m_epoch.value();
+    m_journal->append(record, [this, record] {
+        m_jobs.apply(record, m_parts.wallClock());
+        LOG_EVENT(m_parts.log, "job_accepted") << "job=" << record.job.value();
+        m_parts.count("jobs_accepted", 1);
+        const auto node = m_accepting.extract(record.job);
+        for (const ClientRespond &waiter : node.mapped())
+            waiter(plain(ClientReply::Accepted));
+        scheduleDispatch();
+    });
+}
+
+void CellScheduler::cancel(const JobId &id, ClientRespond respond)
+{
+    const JobRecord *job = m_jobs.find(id);
+    if (!job)
+        return respond(m_accepting.contains(id) ? unavailable("the job is being stored")
+                                                : plain(ClientReply::NoSuchJob, "no such job"));
+    if (job->isOver())
+        return respond(plain(ClientReply::Cancelled));
+    if (!m_isStoreReachable)
+        return respond(unavailable("the store cannot be reached"));
+    m_journal->append(JobCancelled{id}, [this, id, respond = std::move(respond)] {
+        m_jobs.apply(JobCancelled{id}, m_parts.wallClock());
+        LOG_EVENT(m_parts.log, "job_cancelled") << "job=" << id.value();
+        m_adviceBook.forget(id);
+        respond(plain(ClientReply::Cancelled));
+        stopRunsOfEndedJobs();
+        scheduleDispatch();
+    });
+}
+
+bool CellScheduler::isBeyondShare(const TeamId &team)
+{
+    const TeamSettings *settings = m_configuration.findTeam(team);
+    if (!settings || settings->jobsPerSecond <= 0)
+        return false;
+    const Instant now = m_timers.now();
+    const double most = settings->jobsPerSecond * ShareWindow.count();
+    const auto [position, isNew] = m_shares.try_emplace(team, ShareBucket{most, now});
+    ShareBucket &bucket = position->second;
+    const std::chrono::duration<double> passed = now - bucket.filledAt;
+    bucket.tokens = std::min(most, bucket.tokens + settings->jobsPerSecond * passed.count());
+    bucket.filledAt = now;
+    if (bucket.tokens < 1)
+        return true;
+    bucket.tokens -= 1;
+    return false;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -0,0 +1,443 @@
+#include "Coordination/CellScheduler.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** A worker lists this many ends in one answer; a list of this length may be cut short. */
+constexpr std::size_t EndsPerReport = 500;
+/** Between two tries to stop a run. */
+constexpr Duration StopRetry{300};
+/** A few commits of the journal. */
+constexpr Duration ConflictPause{100};
+/** Progress comes in whole percent and in reports a second apart; a run that shows none for this
+ * long stands still, also on a worker that is several times slower than usual. */
+constexpr Duration StallTime{3000};
+
+const char *outcomeName(RunOutcome outcome)
+{
+    switch (outcome) {
+    case RunOutcome::Done:
+        return "done";
+    case RunOutcome::Failed:
+        return "failed";
+    case RunOutcome::Stopped:
+        return "stopped";
+    case RunOutcome::Lapsed:
+        return "lapsed";
+    case RunOutcome::GangBroken:
+        return "gang_broken";
+    case RunOutcome::GangIncomplete:
+        return "gang_incomplete";
+    case RunOutcome::Lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
+std::string taskText(const TaskKey &key)
+{
+    return key.job.value() + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step)
+        + "." + std::to_string(key.index);
+}
+
+} // namespace
+
+/** Takes over what earlier leaders started; workers will tell how it stands. */
+void CellScheduler::adoptRuns()
+{
+    for (const auto &[id, job] : m_jobs.jobs()) {
+        if (job.activeRuns == 0)
+            continue;
+        for (uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+            for (uint32_t step = 0; step < job.occurrences[occurrence].size(); ++step) {
+                const auto &tasks = job.occurrences[occurrence][step].tasks;
+                for (uint32_t index = 0; index < tasks.size(); ++index) {
+                    if (!tasks[index].isActive)
+                        continue;
+                    LiveRun run = makeRun(job, step);
+                    run.attempt = tasks[index].lastAttempt;
+                    run.worker = tasks[index].worker;
+                    run.phase = RunPhase::Inherited;
+                    run.checkpoint = tasks[index].checkpoint;
+                    addRun({id, occurrence, step, index}, std::move(run));
+                }
+            }
+        }
+    }
+}
+
+/** Takes room for a run at once; the order follows when the assignment is in the journal. */
+void CellScheduler::recordStart(const StartDecision &decision, const WorkerLife &worker)
+{
+    const JobRecord &job = *m_jobs.find(decision.task.job);
+    const StepSpec &spec = job.accepted.spec.steps[decision.task.step];
+    TaskKey checkpointOwner = decision.task;
+    // All members of a gang resume from the same point.
+    if (spec.isGang)
+        checkpointOwner.index = 0;
+    LiveRun run = makeRun(job, decision.task.step);
+    run.attempt = decision.attempt;
+    run.worker = worker;
+    run.ticket = decision.ticket;
+    run.checkpoint = m_jobs.findTask(checkpointOwner)->checkpoint;
+    addRun(decision.task, std::move(run));
+    const RunAssigned record{decision.task, decision.attempt, worker};
+    m_jobs.apply(record, m_parts.wallClock());
+    m_journal->append(record, [this, key = decision.task, attempt = decision.attempt] {
+        sendStart(key, attempt);
+    });
+}
+
+CellScheduler::LiveRun CellScheduler::makeRun(const JobRecord &job, uint32_t step) const
+{
+    const StepSpec &spec = job.accepted.spec.steps[step];
+    const QueueSettings *queue = m_configuration.findQueue(job.accepted.queue);
+    LiveRun run;
+    run.beganAt = run.percentChangedAt = run.settledAt = m_timers.now();
+    run.need = spec.need;
+    run.team = job.accepted.team;
+    run.priority = queue ? queue->priority : 0;
+    run.isResumable = spec.savesProgress;
+    run.isGang = spec.isGang;
+    run.estimate = spec.estimate;
+    return run;
+}
+
+void CellScheduler::addRun(const TaskKey &key, LiveRun run)
+{
+    m_teamUse[run.team] += run.need;
+    m_runsOn[run.worker].insert(key);
+    m_runs.insert_or_assign(key, std::move(run));
+}
+
+CellScheduler::LiveRun CellScheduler::removeRun(std::map<TaskKey, LiveRun>::iterator position)
+{
+    LiveRun run = std::move(position->second);
+    m_teamUse[run.team] -= run.need;
+    const auto onWorker = m_runsOn.find(run.worker);
+    onWorker->second.erase(position->first);
+    if (onWorker->second.empty())
+        m_runsOn.erase(onWorker);
+    m_runs.erase(position);
+    return run;
+}
+
+void CellScheduler::sendStart(const TaskKey &key, uint32_t attempt)
+{
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end() || found->second.attempt != attempt)
+        return;
+    LiveRun &run = found->second;
+    const JobRecord *job = m_jobs.find(key.job);
+    WorkerSession *session = sessionOf(run.worker);
+    const bool isStillWanted = job && !job->isOver() && !run.isStopWanted;
+    if (!isStillWanted || !session || !accepts(*session))
+        return recordEnd(key, run, RunOutcome::Lost, run.checkpoint, {});
+    StartCall call;
+    call.to = session->orderAddress();
+    call.task = key;
+    call.attempt = attempt;
+    call.payload = job->accepted.spec.payload;
+    call.leaseUntil = session->leaseEnd();
+    call.checkpoint = run.checkpoint;
+    call.ticket = run.ticket;
+    run.phase = RunPhase::Ordered;
+    m_parts.count("starts_sent", 1);
+    m_parts.orders.start(
+        std::move(call),
+        [this, key, attempt, alive = std::weak_ptr(m_alive)](const StartReply &reply) {
+            if (!alive.expired() && !m_isOver)
+                handleStartReply(key, attempt, reply);
+        });
+}
+
+void CellScheduler::handleStartReply(const TaskKey &key, uint32_t attempt, const StartReply &reply)
+{
+    if (reply.outcome == StartReply::Fenced)
+        return m_superseded();
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end() || found->second.attempt != attempt || found->second.isEnding)
+        return;
+    LiveRun &run = found->second;
+    run.settledAt = m_timers.now();
+    switch (reply.outcome) {
+    case StartReply::Started:
+        run.phase = RunPhase::Confirmed;
+        run.beganAt = run.percentChangedAt = run.settledAt;
+        if (run.isStopWanted)
+            sendStop(key, run);
+        return;
+    case StartReply::Unknown:
+        // The next report shows the run, or it is stopped to rule out that it starts later.
+        run.phase = RunPhase::Unsure;
+        LOG_EVENT(m_parts.log, "start_unanswered")
+            << "task=" << taskText(key) << " attempt=" << attempt
+            << " worker=" << run.worker.id.value();
+        return;
+    case StartReply::BadTicket:
+        m_adviceBook.dropTicket({key.job, key.occurrence, key.step}, run.worker);
+        break;
+    default:
+        break;
+    }
+    LOG_EVENT(m_parts.log, "start_refused")
+        << "task=" << taskText(key) << " attempt=" << attempt << " worker=" << run.worker.id.value()
+        << " reason=" << static_cast<int>(reply.outcome);
+    m_parts.count("starts_refused", 1);
+    recordEnd(key, run, RunOutcome::Lost, run.checkpoint, {});
+}
+
+void CellScheduler::requestStop(const TaskKey &key, LiveRun &run, const char *why)
+{
+    if (run.isStopWanted || run.isEnding)
+        return;
+    run.isStopWanted = true;
+    LOG_EVENT(m_parts.log, "run_stopping") << "task=" << taskText(key) << " attempt=" << run.attempt
+                                           << " worker=" << run.worker.id.value() << " why=" << why;
+    // An order that is on its way is stopped once its fate is known.
+    if (run.phase != RunPhase::Recording && run.phase != RunPhase::Ordered)
+        sendStop(key, run);
+}
+
+void CellScheduler::sendStop(const TaskKey &key, LiveRun &run)
+{
+    if (run.isStopUnderWay || run.isStopAccepted)
+        return;
+    WorkerSession *session = sessionOf(run.worker);
+    // Without contact the stop follows the next report, or the lease runs out.
+    if (!session || !session->isReachable())
+        return;
+    run.isStopUnderWay = true;
+    const uint32_t attempt = run.attempt;
+    m_parts.orders.stop(
+        {session->orderAddress(), key, attempt},
+        [this, key, attempt, alive = std::weak_ptr(m_alive)](const StopReply &reply) {
+            if (alive.expired() || m_isOver)
+                return;
+            if (reply.outcome == StopReply::Fenced)
+                return m_superseded();
+            const auto found = m_runs.find(key);
+            if (found == m_runs.end() || found->second.attempt != attempt)
+                return;
+            found->second.isStopUnderWay = false;
+            if (reply.outcome == StopReply::Accepted) {
+                found->second.isStopAccepted = true;
+                found->second.settledAt = m_timers.now();
+                return;
+            }
+            m_timers.after(StopRetry, [this, key, attempt] {
+                const auto again = m_runs.find(key);
+                if (again != m_runs.end() && again->second.attempt == attempt)
+                    sendStop(key, again->second);
+            });
+        });
+}
+
+void CellScheduler::handleReport(WorkerSession &session, const HoldReply &reply, Instant sentAt)
+{
+    for (const RunReport &report : reply.running)
+        applyRunningReport(session, report);
+    if (reply.ended.size() < EndsPerReport)
+        findVanished(session, reply, sentAt);
+    // Counts the ends that are not written yet, and this function itself.
+    const auto unwritten = std::make_shared<std::size_t>(1);
+    uint64_t lastNumber = 0;
+    for (const EndReport &report : reply.ended)
+        lastNumber = std::max(lastNumber, report.number);
+    const auto acknowledge = [this, life = session.life(), unwritten, lastNumber] {
+        if (--*unwritten > 0)
+            return;
+        if (WorkerSession *current = sessionOf(life)) {
+            current->acknowledge(lastNumber);
+            current->resume();
+        }
+    };
+    bool isConflicting = false;
+    for (const EndReport &report : reply.ended) {
+        const auto found = m_runs.find(report.task);
+        if (found == m_runs.end() || found->second.attempt != report.attempt
+            || found->second.worker != session.life())
+            continue;
+        LiveRun &run = found->second;
+        if (run.isEnding) {
+            isConflicting = true;
+            continue;
+        }
+        m_health.noteEnd(session.life(), report.task.job, report.outcome, m_timers.now());
+        ++*unwritten;
+        recordEnd(report.task, run, report.outcome,
+                  report.checkpoint.empty() ? run.checkpoint : report.checkpoint, acknowledge);
+    }
+    if (isConflicting) {
+        // Another end of the run is on its way to the store; nothing is acknowledged before that.
+        ++*unwritten;
+        m_timers.after(ConflictPause, [this, life = session.life()] {
+            if (WorkerSession *current = sessionOf(life))
+                current->resume();
+        });
+    }
+    acknowledge();
+}
+
+void CellScheduler::applyRunningReport(WorkerSession &session, const RunReport &report)
+{
+    const auto found = m_runs.find(report.task);
+    const bool isKnown = found != m_runs.end() && found->second.attempt == report.attempt
+        && found->second.worker == session.life();
+    if (!isKnown) {
+        // Nobody waits for this run any more: its end was recorded, or its job is unknown.
+        LOG_EVENT(m_parts.log, "stray_run_stopped")
+            << "task=" << taskText(report.task) << " attempt=" << report.attempt
+            << " worker=" << session.life().id.value();
+        m_parts.orders.stop({session.orderAddress(), report.task, report.attempt},
+                            [](const StopReply &) {});
+        return;
+    }
+    LiveRun &run = found->second;
+    if (run.phase == RunPhase::Inherited || run.phase == RunPhase::Unsure)
+        run.phase = RunPhase::Confirmed;
+    if (!report.checkpoint.empty())
+        run.checkpoint = report.checkpoint;
+    if (report.percent != run.percent) {
+        run.percent = report.percent;
+        run.percentChangedAt = m_timers.now();
+    }
+    if (run.isStopWanted)
+        sendStop(report.task, run);
+}
+
+/** Ends runs that a report asked for after they were settled does not show. */
+void CellScheduler::findVanished(WorkerSession &session, const HoldReply &reply, Instant sentAt)
+{
+    const auto onWorker = m_runsOn.find(session.life());
+    if (onWorker == m_runsOn.end())
+        return;
+    std::vector<TaskKey> vanished;
+    for (const TaskKey &key : onWorker->second) {
+        const LiveRun &run = m_runs.at(key);
+        const bool mayBeMissing = run.phase == RunPhase::Confirmed
+            || run.phase == RunPhase::Inherited || run.phase == RunPhase::Unsure;
+        if (run.isEnding || !mayBeMissing || run.settledAt >= sentAt)
+            continue;
+        const auto shows = [&key, &run](const auto &report) {
+            return report.task == key && report.attempt == run.attempt;
+        };
+        if (std::ranges::none_of(reply.running, shows) && std::ranges::none_of(reply.ended, shows))
+            vanished.push_back(key);
+    }
+    for (const TaskKey &key : vanished) {
+        LiveRun &run = m_runs.at(key);
+        if (run.phase == RunPhase::Unsure && !run.isStopAccepted) {
+            // Still unsettled: only a stop rules out that the order is carried out later.
+            sendStop(key, run);
+            continue;
+        }
+        recordEnd(key, run, RunOutcome::Lost, run.checkpoint, {});
+    }
+}
+
+void CellScheduler::recordEnd(const TaskKey &key, LiveRun &run, RunOutcome outcome,
+                              const std::string &checkpoint, std::function<void()> written)
+{
+    if (run.isEnding)
+        return;
+    run.isEnding = true;
+    const RunEnded record{key, run.attempt, outcome, checkpoint};
+    m_journal->append(record, [this, record, written = std::move(written)] {
+        finishRun(record);
+        if (written)
+            written();
+    });
+}
+
+/** Applies a recorded end: frees the room, and breaks or completes the run's gang. */
+void CellScheduler::finishRun(const RunEnded &record)
+{
+    const auto found = m_runs.find(record.task);
+    if (found == m_runs.end() || found->second.attempt != record.attempt)
+        return;
+    const LiveRun run = removeRun(found);
+    const JobRecord *job = m_jobs.find(record.task.job);
+    const bool wasOver = !job || job->isOver();
+    m_jobs.apply(record, m_parts.wallClock());
+    LOG_EVENT(m_parts.log, "run_ended")
+        << "task=" << taskText(record.task) << " attempt=" << record.attempt
+        << " worker=" << run.worker.id.value() << " outcome=" << outcomeName(record.outcome)
+        << " ran_ms=" << std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt).count();
+    m_parts.count(std::string("runs_") + outcomeName(record.outcome), 1);
+    if (run.isGang) {
+        const TaskKey first{record.task.job, record.task.occurrence, record.task.step, 0};
+        for (auto member = m_runs.lower_bound(first);
+             member != m_runs.end() && member->first.job == first.job
+             && member->first.occurrence == first.occurrence && member->first.step == first.step;
+             ++member) {
+            // After a successful end the others end with it by themselves.
+            if (member->second.attempt == record.attempt && record.outcome != RunOutcome::Done)
+                requestStop(member->first, member->second, "gang_broken");
+        }
+    }
+    if (job && job->isOver() && !wasOver) {
+        LOG_EVENT(m_parts.log, "job_ended")
+            << "job=" << record.task.job.value() << " state=" << static_cast<int>(job->state)
+            << " after_ms="
+            << std::chrono::duration_cast<Duration>(m_parts.wallClock() - job->accepted.acceptedAt)
+                   .count();
+        m_adviceBook.forget(record.task.job);
+        stopRunsOfEndedJobs();
+    }
+    scheduleDispatch();
+}
+
+void CellScheduler::loseRunsOn(const WorkerLife &life, const char *why)
+{
+    const auto onWorker = m_runsOn.find(life);
+    if (onWorker == m_runsOn.end())
+        return;
+    for (const TaskKey &key : onWorker->second) {
+        LiveRun &run = m_runs.at(key);
+        if (run.isEnding || run.phase == RunPhase::Recording)
+            continue;
+        LOG_EVENT(m_parts.log, "run_lost") << "task=" << taskText(key) << " attempt=" << run.attempt
+                                           << " worker=" << life.id.value() << " why=" << why;
+        recordEnd(key, run, RunOutcome::Lost, run.checkpoint, {});
+    }
+}
+
+void CellScheduler::stopRunsOfEndedJobs()
+{
+    for (const JobId &id : m_jobs.endedWithRuns()) {
+        for (auto run = m_runs.lower_bound({id, 0, 0, 0});
+             run != m_runs.end() && run->first.job == id; ++run)
+            requestStop(run->first, run->second, "job_ended");
+    }
+}
+
+/** Stops runs that make no progress on a reachable worker, so that they go elsewhere. */
+void CellScheduler::checkStalledRuns()
+{
+    const Instant now = m_timers.now();
+    for (auto &[key, run] : m_runs) {
+        if (run.phase != RunPhase::Confirmed || run.isEnding || run.isStopWanted
+            || now - run.percentChangedAt < StallTime)
+            continue;
+        const WorkerSession *session = sessionOf(run.worker);
+        if (!session || !session->isReachable())
+            continue;
+        m_health.noteStall(run.worker, now);
+        requestStop(key, run, "no_progress");
+    }
+}
+
+WorkerSession *CellScheduler::sessionOf(const WorkerLife &life)
+{
+    const auto found = m_sessions.find(life.id);
+    return found != m_sessions.end() && found->second->life() == life ? found->second.get()
+                                                                      : nullptr;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -0,0 +1,425 @@
+#include "Coordination/CellScheduler.h"
+
+#include "Protocol/JournalCodec.h"
+#include "Protocol/ProtocolError.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** Operators' changes hold within 2 s, and workers that leave get nothing after 2 s: both lists
+ * are read well within that, 1.4 calls a second each. */
+constexpr Duration ViewInterval{700};
+constexpr Duration ViewRetry{250};
+/** Views older than this decide nothing: the strictest bound on them is 2 s. */
+constexpr Duration OldestView{1800};
+constexpr Duration TickInterval{100};
+/** Changes that come within this time are decided together. */
+constexpr Duration DispatchDelay{10};
+/** A leader that was not confirmed for this long extends no lease, so that a successor knows
+ * when the last one ends. */
+constexpr Duration LongestUnconfirmedExtension{6000};
+/** The claim is confirmed at least this often while nothing else is written. */
+constexpr Duration TouchInterval{400};
+constexpr Duration RecoveryRetry{200};
+/** After a failed call for advice. */
+constexpr Duration AdvicePause{150};
+/** Ticket life counted from the call's end; the advisor began to count when it answered. */
+constexpr Duration TicketSlack{100};
+/** Segments kept before old ones are rewritten: several minutes of a busy cell. */
+constexpr std::size_t MostSegments = 6000;
+constexpr Duration CleanInterval{500};
+/** Ended jobs are forgotten somewhat after they need no longer be shown. */
+constexpr Duration ForgetSlack{30'000};
+
+} // namespace
+
+CellScheduler::CellScheduler(Parts parts, CellTerms terms, Revision claim,
+                             std::function<void()> superseded)
+    : m_parts(std::move(parts))
+    , m_terms(terms)
+    , m_epoch(claim.value())
+    , m_superseded([this, superseded = std::move(superseded)] {
+        if (!m_isOver) {
+            m_isOver = true;
+            superseded();
+        }
+    })
+    , m_timers(m_parts.timers)
+{
+    m_inheritedUntil = m_timers.now() + LongestUnconfirmedExtension;
+}
+
+Duration CellScheduler::storeAge() const
+{
+    if (!m_journal)
+        return Duration(0);
+    return std::chrono::duration_cast<Duration>(m_timers.now() - m_journal->lastCommit());
+}
+
+void CellScheduler::recover()
+{
+    LOG(INFO) << "event=recovery_began epoch=" << m_epoch.value();
+    readJournal();
+}
+
+void CellScheduler::readJournal()
+{
+    m_parts.store.list(
+        SegmentPrefix, [this, alive = std::weak_ptr(m_alive)](const StoreRead &read) {
+            if (alive.expired() || m_isOver)
+                return;
+            if (!read.answered)
+                return m_timers.after(RecoveryRetry, [this] { readJournal(); });
+            uint64_t last = 0;
+            std::vector<std::pair<uint64_t, std::set<JobId>>> segments;
+            std::size_t records = 0;
+            for (const StoreEntry &entry : read.entries) {
+                const uint64_t number = segmentNumber(entry.key);
+                last = std::max(last, number);
+                std::set<JobId> jobs;
+                try {
+                    for (const JournalRecord &record : decodeJournal(entry.value)) {
+                        m_jobs.apply(record, m_parts.wallClock());
+                        jobs.insert(jobOf(record));
+                        ++records;
+                    }
+                } catch (const ProtocolError &error) {
+                    LOG(ERROR) << "event=segment_unreadable key=" << entry.key
+                               << " error=" << error.what();
+                }
+                segments.emplace_back(number, std::move(jobs));
+            }
+            Journal::Observer observer;
+            observer.superseded = m_superseded;
+            observer.reachability = [this](bool isReachable) {
+                m_isStoreReachable = isReachable;
+                if (isReachable)
+                    scheduleDispatch();
+            };
+            m_journal =
+                std::make_unique<Journal>(m_parts.store, m_parts.timers, Revision(m_epoch.value()),
+                                          last + 1, std::move(observer));
+            for (auto &[number, jobs] : segments)
+                m_journal->adoptSegment(number, std::move(jobs));
+            LOG(INFO) << "event=journal_read epoch=" << m_epoch.value()
+                      << " segments=" << segments.size() << " records=" << records
+                      << " jobs=" << m_jobs.jobs().size() << " open=" << m_jobs.openJobs().size();
+            pollOperators();
+            pollWorkers();
+        });
+}
+
+void CellScheduler::pollOperators()
+{
+    const Instant sentAt = m_timers.now();
+    m_parts.operators.readOperators(
+        [this, sentAt, alive = std::weak_ptr(m_alive)](OperatorView view) {
+            if (alive.expired() || m_isOver)
+                return;
+            if (!view.answered)
+                return m_timers.after(ViewRetry, [this] { pollOperators(); });
+            m_operatorsReadAt = sentAt;
+            if (view.configuration && view.configuration->version > m_configuration.version) {
+                LOG(INFO) << "event=configuration_applied version=" << view.configuration->version
+                          << " before=" << m_configuration.version
+                          << " queues=" << view.configuration->queues.size()
+                          << " teams=" << view.configuration->teams.size();
+                m_configuration = std::move(*view.configuration);
+            }
+            if (view.evacuated != m_evacuated) {
+                LOG(INFO) << "event=evacuations_changed zones=" << view.evacuated.size();
+                m_evacuated = std::move(view.evacuated);
+            }
+            finishRecovery();
+            scheduleDispatch();
+            m_timers.after(ViewInterval, [this] { pollOperators(); });
+        });
+}
+
+void CellScheduler::pollWorkers()
+{
+    const Instant sentAt = m_timers.now();
+    m_parts.operators.readWorkers(
+        [this, sentAt, alive = std::weak_ptr(m_alive)](const WorkerDirectory &directory) {
+            if (alive.expired() || m_isOver)
+                return;
+            if (!directory.answered)
+                return m_timers.after(ViewRetry, [this] { pollWorkers(); });
+            m_workersReadAt = sentAt;
+            applyDirectory(directory);
+            finishRecovery();
+            scheduleDispatch();
+            m_timers.after(ViewInterval, [this] { pollWorkers(); });
+        });
+}
+
+void CellScheduler::finishRecovery()
+{
+    const bool isComplete = m_operatorsReadAt != Instant() && m_workersReadAt != Instant()
+        && m_configuration.version > 0;
+    if (m_isReady || !isComplete)
+        return;
+    m_isReady = true;
+    adoptRuns();
+    stopRunsOfEndedJobs();
+    LOG(INFO) << "event=recovery_ended epoch=" << m_epoch.value() << " runs=" << m_runs.size()
+              << " workers=" << m_sessions.size() << " configuration=" << m_configuration.version;
+    for (auto &[id, session] : m_sessions)
+        session->begin();
+    m_journal->touch();
+    m_timers.after(TickInterval, [this] { tick(); });
+    m_timers.after(CleanInterval, [this] { cleanJournal(); });
+}
+
+void CellScheduler::applyDirectory(const WorkerDirectory &directory)
+{
+    std::set<WorkerId> listed;
+    for (const CellWorker &worker : directory.workers) {
+        listed.insert(worker.life.id);
+        const auto found = m_sessions.find(worker.life.id);
+        if (found == m_sessions.end()) {
+            beginSession(worker);
+            continue;
+        }
+        WorkerSession &session = *found->second;
+        if (session.life() == worker.life) {
+            if (session.worker().isLeaving != worker.isLeaving)
+                LOG(INFO) << "event=worker_state worker=" << worker.life.id.value()
+                          << " leaving=" << worker.isLeaving;
+            session.update(worker);
+        } else if (session.life().bornMs < worker.life.bornMs) {
+            LOG(INFO) << "event=worker_reborn worker=" << worker.life.id.value()
+                      << " born=" << worker.life.bornMs;
+            const WorkerLife old = session.life();
+            m_sessions.erase(found);
+            loseRunsOn(old, "worker_reborn");
+            m_health.forget(old);
+            beginSession(worker);
+        }
+    }
+    std::erase_if(m_sessions, [&](const auto &entry) {
+        const WorkerSession &session = *entry.second;
+        const bool isGone = !listed.contains(entry.first) && !session.isReachable()
+            && m_timers.now() > session.leasesOverAt();
+        if (isGone)
+            LOG(INFO) << "event=worker_gone worker=" << entry.first.value();
+        return isGone && !m_runsOn.contains(session.life());
+    });
+}
+
+void CellScheduler::beginSession(const CellWorker &worker)
+{
+    WorkerSession::Observer observer;
+    observer.report = [this](WorkerSession &session, const HoldReply &reply, Instant sentAt) {
+        if (!m_isOver)
+            handleReport(session, reply, sentAt);
+    };
+    observer.reachability = [this](WorkerSession &session, bool isReachable) {
+        LOG(INFO) << "event=worker_" << (isReachable ? "reached" : "unreachable")
+                  << " worker=" << session.life().id.value()
+                  << " zone=" << session.worker().zone.value() << " epoch=" << m_epoch.value();
+        scheduleDispatch();
+    };
+    observer.ended = [this](WorkerSession &session) {
+        const auto found = m_sessions.find(session.life().id);
+        if (m_isOver || found == m_sessions.end() || found->second.get() != &session)
+            return;
+        LOG(INFO) << "event=worker_life_ended worker=" << session.life().id.value();
+        loseRunsOn(session.life(), "worker_life_ended");
+        // The session is still on the stack.
+        m_endedSessions.push_back(std::move(found->second));
+        m_sessions.erase(found);
+        scheduleDispatch();
+    };
+    observer.fenced = m_superseded;
+    observer.mayExtend = [this] { return storeAge() < LongestUnconfirmedExtension; };
+    const LeaseTerms terms{m_epoch, m_terms.leaseLength, m_inheritedUntil};
+    auto &session = m_sessions[worker.life.id];
+    session = std::make_unique<WorkerSession>(m_parts.orders, m_parts.timers, worker, terms,
+                                              std::move(observer));
+    if (m_isReady)
+        session->begin();
+}
+
+void CellScheduler::tick()
+{
+    if (m_isOver)
+        return;
+    m_endedSessions.clear();
+    const Instant now = m_timers.now();
+    if (storeAge() > TouchInterval)
+        m_journal->touch();
+    for (const auto &[id, session] : m_sessions) {
+        if (!session->isReachable() && now > session->leasesOverAt())
+            loseRunsOn(session->life(), "lease_over");
+    }
+    const Instant inheritedOver = m_inheritedUntil + m_terms.leaseLength * 2;
+    std::vector<WorkerLife> unknown;
+    for (const auto &[life, keys] : m_runsOn) {
+        if (!sessionOf(life) && now > inheritedOver)
+            unknown.push_back(life);
+    }
+    for (const WorkerLife &life : unknown)
+        loseRunsOn(life, "worker_unknown");
+    checkStalledRuns();
+    scheduleDispatch();
+    m_timers.after(TickInterval, [this] { tick(); });
+}
+
+bool CellScheduler::accepts(const WorkerSession &session) const
+{
+    return session.isReachable() && !session.worker().isLeaving
+        && !m_evacuated.contains(session.worker().zone)
+        && !m_health.isSuspected(session.life(), m_timers.now());
+}
+
+void CellScheduler::distrustViews()
+{
+    m_operatorsReadAt = m_workersReadAt = Instant() + Duration(1);
+}
+
+void CellScheduler::scheduleDispatch()
+{
+    if (m_isDispatchScheduled || !m_isReady || m_isOver || m_isQuiescing)
+        return;
+    m_isDispatchScheduled = true;
+    m_timers.after(DispatchDelay, [this] {
+        m_isDispatchScheduled = false;
+        dispatch();
+    });
+}
+
+void CellScheduler::dispatch()
+{
+    const Instant now = m_timers.now();
+    const bool isFresh = now - m_operatorsReadAt < OldestView && now - m_workersReadAt < OldestView;
+    if (m_isOver || m_isQuiescing || !isFresh || !m_isStoreReachable)
+        return;
+    DispatchInput input = makeInput();
+    std::vector<WorkerLife> lives;
+    lives.reserve(input.workers.size());
+    for (const DispatchWorker &worker : input.workers)
+        lives.push_back(worker.info.life);
+    const DispatchResult result = Dispatcher(std::move(input)).decide();
+    for (const StartDecision &decision : result.starts) {
+        LOG_EVENT(m_parts.log, "start_decided")
+            << "job=" << decision.task.job.value() << " step=" << decision.task.step
+            << " index=" << decision.task.index << " attempt=" << decision.attempt
+            << " worker=" << lives[decision.worker].id.value() << " workers_age_ms="
+            << std::chrono::duration_cast<Duration>(now - m_workersReadAt).count()
+            << " configuration=" << m_configuration.version;
+        recordStart(decision, lives[decision.worker]);
+    }
+    for (const AdviceDecision &decision : result.advice)
+        ask(decision);
+}
+
+DispatchInput CellScheduler::makeInput() const
+{
+    DispatchInput input;
+    input.now = m_timers.now();
+    input.wallNow = m_parts.wallClock();
+    input.jobs = &m_jobs;
+    input.configuration = &m_configuration;
+    input.advice = &m_adviceBook;
+    input.teamUse = m_teamUse;
+    input.adviceSlots = m_parts.advice.freeCallers();
+    for (const auto &[id, session] : m_sessions) {
+        DispatchWorker worker;
+        worker.info = session->worker();
+        worker.acceptsWork = accepts(*session);
+        const auto runs = m_runsOn.find(session->life());
+        if (runs != m_runsOn.end()) {
+            for (const TaskKey &key : runs->second) {
+                const LiveRun &run = m_runs.at(key);
+                worker.used += run.need;
+                RoomHolder holder{key,
+                                  run.need,
+                                  run.priority,
+                                  run.isResumable,
+                                  run.isStopWanted,
+                                  run.beganAt + std::max(run.estimate, Duration(100))};
+                // Progress tells more than the submitter's estimate once some of it is made.
+                if (run.percent >= 10) {
+                    const auto ran = run.percentChangedAt - run.beganAt;
+                    holder.expectedEnd = run.beganAt + ran * 100 / run.percent;
+                }
+                worker.holders.push_back(std::move(holder));
+            }
+        }
+        input.workers.push_back(std::move(worker));
+    }
+    return input;
+}
+
+void CellScheduler::ask(const AdviceDecision &decision)
+{
+    m_adviceBook.beginAsking(decision.step);
+    AdviceCall call;
+    call.step = decision.step;
+    for (const WorkerLife &worker : decision.workers)
+        call.workers.push_back(worker.id);
+    const Instant sentAt = m_timers.now();
+    m_parts.count("advice_calls", 1);
+    m_parts.advice.ask(
+        std::move(call), decision.cost,
+        [this, decision, sentAt, alive = std::weak_ptr(m_alive)](const AdviceReply &reply) {
+            if (alive.expired() || m_isOver)
+                return;
+            const Instant now = m_timers.now();
+            LOG_EVENT(m_parts.log, "advice")
+                << "job=" << decision.step.job.value() << " step=" << decision.step.step
+                << " asked=" << decision.workers.size() << " allowed=" << reply.allowed.size()
+                << " answered=" << reply.answered
+                << " took_ms=" << std::chrono::duration_cast<Duration>(now - sentAt).count();
+            const JobRecord *job = m_jobs.find(decision.step.job);
+            if (!job || job->isOver())
+                return m_adviceBook.forget(decision.step.job);
+            if (!reply.answered) {
+                m_adviceBook.fail(decision.step, now + AdvicePause);
+            } else {
+                std::map<WorkerId, std::string> tickets;
+                for (const AdviceTicket &ticket : reply.allowed)
+                    tickets.emplace(ticket.worker, ticket.ticket);
+                m_adviceBook.answer(decision.step, decision.workers, tickets,
+                                    now + decision.ticketLife - TicketSlack);
+            }
+            scheduleDispatch();
+        });
+}
+
+void CellScheduler::quiesce(std::function<void()> done)
+{
+    m_isQuiescing = true;
+    constexpr Duration Poll{10};
+    if (!m_journal || m_journal->isIdle() || m_isOver)
+        return done();
+    m_timers.after(Poll, [this, done = std::move(done)] { quiesce(done); });
+}
+
+void CellScheduler::cleanJournal()
+{
+    if (m_isOver)
+        return;
+    const auto limit = m_terms.statusLife + ForgetSlack;
+    m_jobs.forgetEndedBefore(m_parts.wallClock() - limit);
+    while (m_journal->segmentCount() > MostSegments) {
+        const std::set<JobId> *jobs = m_journal->oldestSegmentJobs();
+        if (!jobs)
+            break;
+        std::vector<JournalRecord> snapshots;
+        for (const JobId &id : *jobs) {
+            if (const JobRecord *job = m_jobs.find(id))
+                snapshots.emplace_back(m_jobs.snapshot(*job));
+        }
+        m_journal->replaceOldestSegment(std::move(snapshots));
+    }
+    m_timers.after(CleanInterval, [this] { cleanJournal(); });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/CellScheduler.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "Coordination/AdviceDesk.h"
+#include "Coordination/Journal.h"
+#include "Coordination/WorkerHealth.h"
+#include "Coordination/WorkerSession.h"
+#include "Decision/Dispatcher.h"
+#include "Protocol/ClientCall.h"
+#include "Protocol/OperatorSource.h"
+#include "Transport/LogBudget.h"
+
+namespace Cranberrymount {
+
+/** Figures of the cell that come from the platform's settings. */
+struct CellTerms
+{
+    /** Longest lease that a worker grants. */
+    Duration leaseLength{6000};
+    /** How long an ended job is still shown. */
+    Duration statusLife{120'000};
+};
+
+/** Reads the wall clock. */
+using WallClock = std::function<WallTime()>;
+
+/**
+ * The leader's scheduler: takes calls, keeps the journal, gives orders to workers.
+ *
+ * It lives as long as one claim. All that it must not forget goes through the journal before it
+ * takes effect; the rest is learned again from the workers by the next leader.
+ */
+class CellScheduler
+{
+public:
+    struct Parts
+    {
+        TransactionalStore &store;
+        OperatorSource &operators;
+        WorkerOrders &orders;
+        AdviceDesk &advice;
+        TimerService &timers;
+        WallClock wallClock;
+        LogBudget &log;
+        std::function<void(const std::string &name, double by)> count;
+    };
+
+    /** @p superseded runs once another leader's claim is seen; the scheduler then does nothing. */
+    CellScheduler(Parts parts, CellTerms terms, Revision claim, std::function<void()> superseded);
+
+    /** Reads the journal, the operators' wishes and the workers; then begins to work. */
+    void recover();
+    bool isReady() const { return m_isReady; }
+    /** @return time since the store last confirmed this claim. */
+    Duration storeAge() const;
+
+    /** Answers a submitter's call, at once unless it has to be written first. */
+    void handle(ClientCall call, ClientRespond respond);
+
+    /** Decides nothing more; @p done runs once everything begun is in the journal. */
+    void quiesce(std::function<void()> done);
+    /** What operators and workers said before now may be out of date, as after a suspension. */
+    void distrustViews();
+
+    std::size_t openJobs() const { return m_jobs.openJobs().size(); }
+
+private:
+    /** How far an order has come. */
+    enum class RunPhase : uint8_t {
+        /** The assignment is being written. */
+        Recording,
+        /** The order was sent. */
+        Ordered,
+        /** The worker has taken it. */
+        Confirmed,
+        /** It is unknown whether the worker has it. */
+        Unsure,
+        /** Taken over from an earlier leader and not yet seen. */
+        Inherited,
+    };
+    struct LiveRun
+    {
+        uint32_t attempt = 0;
+        WorkerLife worker;
+        RunPhase phase = RunPhase::Recording;
+        /** Reports asked for after this point show the run if it exists. */
+        Instant settledAt{};
+        Instant beganAt{};
+        std::string ticket;
+        std::string checkpoint;
+        int percent = 0;
+        Instant percentChangedAt{};
+        bool isStopWanted = false;
+        bool isStopAccepted = false;
+        bool isStopUnderWay = false;
+        /** Its end is being written. */
+        bool isEnding = false;
+        Resources need;
+        TeamId team;
+        int priority = 0;
+        bool isResumable = false;
+        bool isGang = false;
+        Duration estimate{0};
+    };
+
+    void readJournal();
+    void finishRecovery();
+    void pollOperators();
+    void pollWorkers();
+    void applyDirectory(const WorkerDirectory &directory);
+    void beginSession(const CellWorker &worker);
+    void tick();
+
+    // Client calls; in CellCalls.cpp.
+    void submit(const QueueSettings &queue, const TeamId &team, const JobId &id, ClientCall call,
+                ClientRespond respond);
+    void cancel(const JobId &id, ClientRespond respond);
+    bool isBeyondShare(const TeamId &team);
+    bool isStoreLost() const;
+
+    // Runs; in CellRuns.cpp.
+    void adoptRuns();
+    void recordStart(const StartDecision &decision, const WorkerLife &worker);
+    LiveRun makeRun(const JobRecord &job, uint32_t step) const;
+    void addRun(const TaskKey &key, LiveRun run);
+    LiveRun removeRun(std::map<TaskKey, LiveRun>::iterator position);
+    void sendStart(const TaskKey &key, uint32_t attempt);
+    void handleStartReply(const TaskKey &key, uint32_t attempt, const StartReply &reply);
+    void requestStop(const TaskKey &key, LiveRun &run, const char *why);
+    void sendStop(const TaskKey &key, LiveRun &run);
+    void handleReport(WorkerSession &session, const HoldReply &reply, Instant sentAt);
+    void applyRunningReport(WorkerSession &session, const RunReport &report);
+    void findVanished(WorkerSession &session, const HoldReply &reply, Instant sentAt);
+    void recordEnd(const TaskKey &key, LiveRun &run, RunOutcome outcome,
+                   const std::string &checkpoint, std::function<void()> written);
+    void finishRun(const RunEnded &record);
+    void loseRunsOn(const WorkerLife &life, const char *why);
+    void stopRunsOfEndedJobs();
+    void checkStalledRuns();
+    WorkerSession *sessionOf(const WorkerLife &life);
+
+    void scheduleDispatch();
+    void dispatch();
+    DispatchInput makeInput() const;
+    bool accepts(const WorkerSession &session) const;
+    void ask(const AdviceDecision &decision);
+    void cleanJournal();
+
+    Parts m_parts;
+    CellTerms m_terms;
+    Epoch m_epoch;
+    std::function<void()> m_superseded;
+    GuardedTimers m_timers;
+    std::unique_ptr<Journal> m_journal;
+    JobTable m_jobs;
+    AdviceBook m_adviceBook;
+    WorkerHealth m_health;
+    CellConfiguration m_configuration;
+    std::set<ZoneId> m_evacuated;
+    std::map<WorkerId, std::unique_ptr<WorkerSession>> m_sessions;
+    /** Sessions that ended during one of their own callbacks. */
+    std::vector<std::unique_ptr<WorkerSession>> m_endedSessions;
+    std::map<TaskKey, LiveRun> m_runs;
+    std::map<WorkerLife, std::set<TaskKey>> m_runsOn;
+    std::map<TeamId, Resources> m_teamUse;
+    std::map<JobId, std::vector<ClientRespond>> m_accepting;
+    struct ShareBucket
+    {
+        double tokens = 0;
+        Instant filledAt{};
+    };
+    std::map<TeamId, ShareBucket> m_shares;
+    Instant m_operatorsReadAt{};
+    Instant m_workersReadAt{};
+    Instant m_inheritedUntil{};
+    bool m_isReady = false;
+    bool m_isOver = false;
+    bool m_isQuiescing = false;
+    bool m_isDispatchScheduled = false;
+    bool m_isStoreReachable = true;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/Journal.cpp
@@ -0,0 +1,249 @@
+#include "Coordination/Journal.h"
+
+#include "Protocol/JournalCodec.h"
+
+#include <fmt/format.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Cranberrymount {
+
+const std::string LeaderKey = "cell/leader";
+const std::string SegmentPrefix = "cell/journal/";
+
+namespace {
+
+/** Shortest time between the starts of two commits: 40 calls a second of the store's 400. */
+constexpr Duration CommitInterval{25};
+/** Pauses before a commit is repeated; doubled up to the longest. */
+constexpr Duration FirstRetryPause{50};
+constexpr Duration LongestRetryPause{400};
+/** A transaction holds 32 rows, three of them for the segment itself. */
+constexpr std::size_t MaxRemovals = 24;
+/** Half of the 1 MB that the platform takes for one value. */
+constexpr std::size_t MaxSegmentBytes = 500'000;
+/** Encoded size of a record without its payload and tasks, and of one task in a snapshot. */
+constexpr std::size_t RecordBytes = 200;
+constexpr std::size_t TaskBytes = 80;
+
+/** @return an upper estimate of the bytes that @p record takes in a segment. */
+std::size_t estimateBytes(const JournalRecord &record)
+{
+    struct Visitor
+    {
+        std::size_t operator()(const JobAccepted &one) const
+        {
+            return RecordBytes + one.spec.payload.size() + TaskBytes * one.spec.steps.size();
+        }
+        std::size_t operator()(const JobCancelled &) const { return RecordBytes; }
+        std::size_t operator()(const RunAssigned &) const { return RecordBytes; }
+        std::size_t operator()(const RunEnded &one) const
+        {
+            return RecordBytes + one.checkpoint.size();
+        }
+        std::size_t operator()(const JobSnapshot &one) const
+        {
+            std::size_t bytes = (*this)(one.accepted);
+            for (const auto &steps : one.tasks) {
+                for (const auto &tasks : steps) {
+                    for (const TaskProgress &task : tasks)
+                        bytes += TaskBytes + task.checkpoint.size();
+                }
+            }
+            return bytes;
+        }
+    };
+    return std::visit(Visitor(), record);
+}
+
+} // namespace
+
+std::string segmentKey(uint64_t number)
+{
+    return fmt::format("{}{:016}", SegmentPrefix, number);
+}
+
+uint64_t segmentNumber(const std::string &key)
+{
+    uint64_t number = 0;
+    if (key.starts_with(SegmentPrefix))
+        std::from_chars(key.data() + SegmentPrefix.size(), key.data() + key.size(), number);
+    return number;
+}
+
+const JobId &jobOf(const JournalRecord &record)
+{
+    struct Visitor
+    {
+        const JobId &operator()(const JobAccepted &one) const { return one.job; }
+        const JobId &operator()(const JobCancelled &one) const { return one.job; }
+        const JobId &operator()(const RunAssigned &one) const { return one.task.job; }
+        const JobId &operator()(const RunEnded &one) const { return one.task.job; }
+        const JobId &operator()(const JobSnapshot &one) const { return one.accepted.job; }
+    };
+    return std::visit(Visitor(), record);
+}
+
+Journal::Journal(TransactionalStore &store, TimerService &timers, Revision claim,
+                 uint64_t nextSegment, Observer observer)
+    : m_store(store)
+    , m_timers(timers)
+    , m_claim(claim)
+    , m_observer(std::move(observer))
+    , m_nextSegment(nextSegment)
+    , m_lastCommit(timers.now())
+    , m_lastStart(timers.now() - CommitInterval)
+{
+}
+
+void Journal::append(JournalRecord record, std::function<void()> written)
+{
+    m_waiting.push_back({std::move(record), std::move(written)});
+    scheduleCommit();
+}
+
+void Journal::adoptSegment(uint64_t segment, std::set<JobId> jobs)
+{
+    m_segments.push_back({segment, std::move(jobs)});
+}
+
+void Journal::replaceOldestSegment(std::vector<JournalRecord> snapshots)
+{
+    m_removals.push_back(m_segments.front().number);
+    m_segments.pop_front();
+    for (JournalRecord &snapshot : snapshots)
+        append(std::move(snapshot), {});
+    scheduleCommit();
+}
+
+const std::set<JobId> *Journal::oldestSegmentJobs() const
+{
+    return m_segments.size() < 2 || m_removals.size() >= MaxRemovals ? nullptr
+                                                                     : &m_segments.front().jobs;
+}
+
+void Journal::touch()
+{
+    if (!m_isCommitting)
+        commitNext();
+}
+
+void Journal::scheduleCommit()
+{
+    if (m_isCommitting || m_isScheduled || m_isSuperseded)
+        return;
+    m_isScheduled = true;
+    const auto sinceLast = std::chrono::duration_cast<Duration>(m_timers.now() - m_lastStart);
+    m_timers.after(std::max(Duration(0), CommitInterval - sinceLast), [this] {
+        m_isScheduled = false;
+        if (!m_isCommitting)
+            commitNext();
+    });
+}
+
+void Journal::commitNext()
+{
+    if (m_isSuperseded)
+        return;
+    m_isCommitting = true;
+    m_lastStart = m_timers.now();
+    std::size_t taken = 0;
+    for (std::size_t bytes = 0; taken < m_waiting.size(); ++taken) {
+        bytes += estimateBytes(m_waiting[taken].record);
+        if (taken > 0 && bytes > MaxSegmentBytes)
+            break;
+    }
+    m_inFlight.assign(std::make_move_iterator(m_waiting.begin()),
+                      std::make_move_iterator(m_waiting.begin() + static_cast<long>(taken)));
+    m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<long>(taken));
+    std::vector<JournalRecord> records;
+    Segment segment{m_nextSegment++, {}};
+    for (const Pending &pending : m_inFlight) {
+        segment.jobs.insert(jobOf(pending.record));
+        records.push_back(pending.record);
+    }
+    m_transaction = {};
+    m_transaction.conditions = {{LeaderKey, m_claim}, {segmentKey(segment.number), Revision(0)}};
+    m_transaction.puts = {{segmentKey(segment.number), encodeJournal(records), {}}};
+    // Snapshots that replace a segment have to be written before it goes.
+    if (m_waiting.empty()) {
+        for (const uint64_t number : m_removals)
+            m_transaction.removals.push_back(segmentKey(number));
+        m_removals.clear();
+    }
+    m_segments.push_back(std::move(segment));
+    m_retries = 0;
+    sendCommit();
+}
+
+void Journal::sendCommit()
+{
+    m_store.commit(m_transaction,
+                   [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                       if (!alive.expired())
+                           handleResult(result);
+                   });
+}
+
+void Journal::handleResult(const CommitResult &result)
+{
+    const std::string &key = m_transaction.puts.front().key;
+    if (result.outcome == CommitResult::Committed)
+        return finishCommit();
+    if (result.outcome == CommitResult::Conflict) {
+        const auto has = [&result](const std::string &name, auto matches) {
+            return std::ranges::any_of(result.current, [&](const StoreEntry &entry) {
+                return entry.key == name && matches(entry);
+            });
+        };
+        const bool isLeader =
+            has(LeaderKey, [this](const StoreEntry &entry) { return entry.revision == m_claim; });
+        const bool isWritten = has(key, [this](const StoreEntry &entry) {
+            return entry.value == m_transaction.puts.front().value;
+        });
+        // Only this leader writes under its claim: an earlier try of the same commit took effect.
+        if (isLeader && isWritten)
+            return finishCommit();
+        LOG(WARNING) << "event=journal_superseded claim=" << m_claim.value() << " segment=" << key
+                     << " records=" << m_inFlight.size();
+        m_isSuperseded = true;
+        return m_observer.superseded();
+    }
+    setReachable(false);
+    ++m_retries;
+    const Duration pause =
+        std::min(FirstRetryPause * (1 << std::min(m_retries, 4U)), LongestRetryPause);
+    m_timers.after(pause, [this] { sendCommit(); });
+}
+
+void Journal::finishCommit()
+{
+    m_isCommitting = false;
+    m_lastCommit = m_timers.now();
+    setReachable(true);
+    const std::vector<Pending> done = std::move(m_inFlight);
+    m_inFlight.clear();
+    const std::weak_ptr<bool> alive = m_alive;
+    for (const Pending &pending : done) {
+        if (pending.written)
+            pending.written();
+        if (alive.expired())
+            return;
+    }
+    if (!m_waiting.empty() || !m_removals.empty())
+        scheduleCommit();
+}
+
+void Journal::setReachable(bool isReachable)
+{
+    if (m_isReachable == isReachable)
+        return;
+    m_isReachable = isReachable;
+    LOG(INFO) << "event=store_" << (isReachable ? "regained" : "lost")
+              << " claim=" << m_claim.value() << " waiting=" << m_waiting.size();
+    m_observer.reachability(isReachable);
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/Journal.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "Protocol/TransactionalStore.h"
+#include "State/Workload.h"
+#include "Transport/GuardedTimers.h"
+
+#include <deque>
+#include <set>
+
+namespace Cranberrymount {
+
+/** Key of the leader's claim; its revision is the leader's epoch. */
+extern const std::string LeaderKey;
+
+/**
+ * The cell's journal: segments of records in the platform's store, appended by the leader alone.
+ *
+ * Every commit depends on the leader's claim, so that a superseded leader can write nothing. One
+ * commit is under way at a time; records that come meanwhile share the next one. A commit whose
+ * answer is lost is repeated with the same content and the same key until its fate is known.
+ */
+class Journal
+{
+public:
+    struct Observer
+    {
+        /** The claim is gone; nothing that was not yet confirmed may be assumed. */
+        std::function<void()> superseded;
+        /** The store began or ceased to take commits. */
+        std::function<void(bool isReachable)> reachability;
+    };
+
+    Journal(TransactionalStore &store, TimerService &timers, Revision claim, uint64_t nextSegment,
+            Observer observer);
+
+    /** Adds a record; @p written runs once the store has it. */
+    void append(JournalRecord record, std::function<void()> written);
+
+    /** Adopts a segment found at recovery, for cleaning. */
+    void adoptSegment(uint64_t segment, std::set<JobId> jobs);
+
+    /**
+     * Deletes the oldest segment with the next commit, once @p snapshots of the jobs in it that
+     * still matter are written by that same commit.
+     */
+    void replaceOldestSegment(std::vector<JournalRecord> snapshots);
+    /** Jobs that the oldest segment names; null if there is none but the newest. */
+    const std::set<JobId> *oldestSegmentJobs() const;
+    std::size_t segmentCount() const { return m_segments.size(); }
+
+    /** @return when the store last confirmed a commit. */
+    Instant lastCommit() const { return m_lastCommit; }
+    /** Writes an empty segment if nothing else is under way, to confirm the claim. */
+    void touch();
+    bool isIdle() const { return m_inFlight.empty() && m_waiting.empty(); }
+    std::size_t waitingCount() const { return m_waiting.size(); }
+
+private:
+    struct Pending
+    {
+        JournalRecord record;
+        std::function<void()> written;
+    };
+    struct Segment
+    {
+        uint64_t number;
+        std::set<JobId> jobs;
+    };
+
+    void scheduleCommit();
+    void commitNext();
+    void sendCommit();
+    void handleResult(const CommitResult &result);
+    void finishCommit();
+    void setReachable(bool isReachable);
+
+    TransactionalStore &m_store;
+    GuardedTimers m_timers;
+    Revision m_claim;
+    Observer m_observer;
+    uint64_t m_nextSegment;
+    std::deque<Segment> m_segments;
+    std::vector<Pending> m_waiting;
+    std::vector<Pending> m_inFlight;
+    StoreTransaction m_transaction;
+    std::vector<uint64_t> m_removals;
+    bool m_isCommitting = false;
+    bool m_isScheduled = false;
+    bool m_isSuperseded = false;
+    bool m_isReachable = true;
+    uint32_t m_retries = 0;
+    Instant m_lastCommit;
+    Instant m_lastStart;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+/** @return the store's key of a segment; keys sort in the order of numbers. */
+std::string segmentKey(uint64_t number);
+/** @return the number in a segment's key, or 0 if it is none. */
+uint64_t segmentNumber(const std::string &key);
+/** Prefix of all segment keys. */
+extern const std::string SegmentPrefix;
+
+/** @return the job that @p record tells of. */
+const JobId &jobOf(const JournalRecord &record);
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/Leadership.cpp
@@ -0,0 +1,280 @@
+#include "Coordination/Leadership.h"
+
+#include "Coordination/Journal.h"
+#include "Protocol/ProtocolError.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const std::string MemberPrefix = "cell/member/";
+
+constexpr Duration TickInterval{100};
+/** Heartbeats come five times a second; three in a row are missing after this. */
+constexpr Duration HeartbeatTimeout{700};
+/** A leader that the store has not confirmed for this long can accept and start nothing. Above
+ * twice the time-out of a store call, so that two lost answers do not cost a claim. */
+constexpr Duration UnconfirmedLimit{1500};
+/** Time for a new link to bring its first heartbeat. */
+constexpr Duration LinkGrace{500};
+/** Members that died disappear from the list after this. */
+constexpr Duration MemberLease{8000};
+constexpr Duration MemberRenewal{2500};
+/** Random part of the pause before an election, so that followers do not vote all at once. */
+constexpr double ElectionJitterMs = 150;
+constexpr Duration ElectionPause{250};
+
+std::string encodeMember(const CellMember &member, uint64_t nonce)
+{
+    return Json{{"node", member.node.value()},
+                {"host", member.address.host},
+                {"port", member.address.port},
+                {"nonce", nonce}}
+        .dump();
+}
+
+/** @throws nlohmann's exceptions if @p value is not what encodeMember() makes. */
+CellMember decodeMember(const std::string &value)
+{
+    const Json json = Json::parse(value);
+    return {EntryId(json.at("node")), {json.at("host"), json.at("port")}};
+}
+
+} // namespace
+
+Leadership::Leadership(TransactionalStore &store, TimerService &timers, PeerHub &peers,
+                       CellMember self, std::function<double()> random, Observer observer)
+    : m_store(store)
+    , m_timers(timers)
+    , m_peers(peers)
+    , m_self(std::move(self))
+    , m_random(std::move(random))
+    , m_observer(std::move(observer))
+    , m_claimCount(static_cast<uint64_t>(m_random() * 1e15))
+{
+}
+
+void Leadership::begin()
+{
+    registerMember();
+    tick();
+}
+
+void Leadership::registerMember()
+{
+    m_store.createLease(MemberLease, [this](const StoreLease &lease) {
+        if (!lease.answered || !lease.alive)
+            return m_timers.after(MemberRenewal, [this] { registerMember(); });
+        m_lease = lease.id;
+        StoreTransaction transaction;
+        transaction.puts = {{MemberPrefix + m_self.node.value(), encodeMember(m_self, 0), m_lease}};
+        m_store.commit(std::move(transaction), [this](const CommitResult &result) {
+            if (result.outcome != CommitResult::Committed)
+                return m_timers.after(MemberRenewal, [this] { registerMember(); });
+            m_timers.after(MemberRenewal, [this] { keepMember(); });
+        });
+    });
+}
+
+void Leadership::keepMember()
+{
+    m_store.renewLease(m_lease, [this](const StoreLease &lease) {
+        if (lease.answered && !lease.alive)
+            return registerMember();
+        m_timers.after(MemberRenewal, [this] { keepMember(); });
+    });
+}
+
+bool Leadership::isLeaderSound() const
+{
+    const auto &beat = m_peers.heartbeat();
+    if (!m_peers.isLinked() || !beat)
+        return m_timers.now() - m_followedAt < LinkGrace;
+    return beat->claim == m_leader.revision
+        && m_timers.now() - m_peers.heartbeatAt() < HeartbeatTimeout
+        && beat->storeAge < UnconfirmedLimit;
+}
+
+bool Leadership::votesAgainst(Revision claim) const
+{
+    if (m_leader.revision > claim)
+        return false;
+    if (m_isLeading)
+        return false;
+    return !isLeaderSound() || !m_peers.isLinked();
+}
+
+void Leadership::tick()
+{
+    if (!m_isLeading && !m_isElecting && !m_isRetired && m_timers.now() >= m_quietUntil
+        && (m_leader.revision == Revision() || !isLeaderSound())) {
+        m_isElecting = true;
+        m_timers.after(Duration(static_cast<int64_t>(m_random() * ElectionJitterMs)),
+                       [this] { readLeader(); });
+    }
+    m_timers.after(TickInterval, [this] { tick(); });
+}
+
+void Leadership::readLeader()
+{
+    if (m_isLeading)
+        return endElection(Duration(0));
+    m_store.list(LeaderKey, [this](const StoreRead &read) { handleLeader(read); });
+}
+
+void Leadership::handleLeader(const StoreRead &read)
+{
+    if (!read.answered || m_isLeading || m_isRetired)
+        return endElection(ElectionPause);
+    const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
+    if (entry == read.entries.end())
+        return claimLeadership(Revision());
+    if (entry->revision != m_leader.revision) {
+        try {
+            adopt(*entry);
+        } catch (const std::exception &error) {
+            LOG(ERROR) << "event=leader_entry_unreadable error=" << error.what();
+            return claimLeadership(entry->revision);
+        }
+        // An earlier process of this very node cannot lead any more.
+        if (m_leader.node == m_self.node)
+            return claimLeadership(m_leader.revision);
+        m_followedAt = m_timers.now();
+        m_peers.follow(m_leader.address);
+        return endElection(LinkGrace);
+    }
+    if (!m_peers.isLinked() || m_timers.now() - m_peers.heartbeatAt() > HeartbeatTimeout) {
+        // The link may have gone silent; a new one tells whether the leader has.
+        m_peers.follow(m_leader.address);
+        return m_timers.after(LinkGrace, [this] { callElection(); });
+    }
+    callElection();
+}
+
+void Leadership::adopt(const StoreEntry &entry)
+{
+    const CellMember member = decodeMember(entry.value);
+    m_leader = {entry.revision, member.node, member.address, entry.value};
+    LOG(INFO) << "event=leader_seen node=" << member.node.value()
+              << " claim=" << entry.revision.value();
+}
+
+void Leadership::callElection()
+{
+    if (m_isLeading || m_isRetired
+        || (m_peers.isLinked() && isLeaderSound() && m_peers.heartbeat()))
+        return endElection(Duration(0));
+    LOG(INFO) << "event=leader_suspected node=" << m_leader.node.value()
+              << " claim=" << m_leader.revision.value() << " linked=" << m_peers.isLinked();
+    m_store.list(MemberPrefix, [this](const StoreRead &read) {
+        if (!read.answered || m_isLeading)
+            return endElection(ElectionPause);
+        countVotes(read);
+    });
+}
+
+void Leadership::countVotes(const StoreRead &members)
+{
+    struct Count
+    {
+        std::size_t members = 1;
+        std::size_t agreeing = 1;
+        std::size_t awaited = 0;
+    };
+    const auto count = std::make_shared<Count>();
+    const Revision claim = m_leader.revision;
+    const auto decide = [this, count, claim] {
+        if (--count->awaited > 0)
+            return;
+        LOG(INFO) << "event=election claim=" << claim.value() << " members=" << count->members
+                  << " agreeing=" << count->agreeing;
+        if (2 * count->agreeing >= count->members && m_leader.revision == claim && !m_isRetired)
+            return claimLeadership(claim);
+        endElection(ElectionPause);
+    };
+    ++count->awaited;
+    for (const StoreEntry &entry : members.entries) {
+        CellMember member;
+        try {
+            member = decodeMember(entry.value);
+        } catch (const std::exception &error) {
+            LOG(ERROR) << "event=member_entry_unreadable key=" << entry.key
+                       << " error=" << error.what();
+            continue;
+        }
+        if (member.node == m_self.node || member.node == m_leader.node)
+            continue;
+        ++count->members;
+        ++count->awaited;
+        m_peers.askVote(member.address, claim, [count, decide](std::optional<bool> vote) {
+            count->agreeing += vote.value_or(false);
+            decide();
+        });
+    }
+    decide();
+}
+
+void Leadership::takeOver(Revision claim)
+{
+    if (m_isLeading || m_isRetired || claim != m_leader.revision)
+        return;
+    m_isElecting = true;
+    LOG(INFO) << "event=leadership_offered claim=" << claim.value();
+    claimLeadership(claim);
+}
+
+void Leadership::claimLeadership(Revision expected)
+{
+    m_claimValue = encodeMember(m_self, ++m_claimCount);
+    StoreTransaction transaction;
+    transaction.conditions = {{LeaderKey, expected}};
+    transaction.puts = {{LeaderKey, m_claimValue, {}}};
+    m_store.commit(std::move(transaction), [this](const CommitResult &result) {
+        if (result.outcome == CommitResult::Committed)
+            return win(result.revision);
+        if (result.outcome != CommitResult::Unknown)
+            return endElection(ElectionPause);
+        // The claim may have been written; the value tells.
+        m_store.list(LeaderKey, [this](const StoreRead &read) {
+            const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
+            if (entry != read.entries.end() && entry->value == m_claimValue)
+                return win(entry->revision);
+            endElection(ElectionPause);
+        });
+    });
+}
+
+void Leadership::win(Revision revision)
+{
+    m_leader = {revision, m_self.node, m_self.address, m_claimValue};
+    m_isLeading = true;
+    m_isElecting = false;
+    m_peers.follow(std::nullopt);
+    LOG(INFO) << "event=leadership_won claim=" << revision.value();
+    m_observer.won(revision);
+}
+
+void Leadership::giveUp()
+{
+    if (!m_isLeading)
+        return;
+    m_isLeading = false;
+    LOG(INFO) << "event=leadership_lost claim=" << m_leader.revision.value();
+    m_quietUntil = m_timers.now();
+    m_observer.lost();
+}
+
+void Leadership::endElection(Duration pause)
+{
+    m_isElecting = false;
+    m_quietUntil = m_timers.now() + pause;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/Leadership.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "Coordination/PeerHub.h"
+#include "Protocol/TransactionalStore.h"
+
+namespace Cranberrymount {
+
+/** A node of the cell, as it enters itself into the store. */
+struct CellMember
+{
+    EntryId node;
+    Endpoint address;
+};
+
+/**
+ * Decides which node leads. The claim is one key of the store: whoever writes it last leads, and
+ * its revision fences all that earlier holders try. A follower takes the claim over when it and
+ * most of its peers hear nothing sound of the holder, so that no lease has to run out.
+ */
+class Leadership
+{
+public:
+    struct Observer
+    {
+        std::function<void(Revision claim)> won;
+        /** Another node holds the claim now. */
+        std::function<void()> lost;
+    };
+
+    Leadership(TransactionalStore &store, TimerService &timers, PeerHub &peers, CellMember self,
+               std::function<double()> random, Observer observer);
+
+    void begin();
+    bool isLeading() const { return m_isLeading; }
+    Revision claim() const { return m_leader.revision; }
+
+    /** The scheduler has seen a later claim. */
+    void giveUp();
+    /** @return true if this node hears nothing sound of the holder of @p claim. */
+    bool votesAgainst(Revision claim) const;
+    /** The holder of @p claim stops and asks this node to follow it. */
+    void takeOver(Revision claim);
+    /** Claims nothing any more. */
+    void retire() { m_isRetired = true; }
+
+private:
+    struct Leader
+    {
+        Revision revision;
+        EntryId node;
+        Endpoint address;
+        std::string value;
+    };
+
+    void registerMember();
+    void keepMember();
+    void tick();
+    bool isLeaderSound() const;
+    void readLeader();
+    void handleLeader(const StoreRead &read);
+    void adopt(const StoreEntry &entry);
+    void callElection();
+    void countVotes(const StoreRead &members);
+    void claimLeadership(Revision expected);
+    void win(Revision revision);
+    void endElection(Duration pause);
+
+    TransactionalStore &m_store;
+    GuardedTimers m_timers;
+    PeerHub &m_peers;
+    CellMember m_self;
+    std::function<double()> m_random;
+    Observer m_observer;
+    Leader m_leader;
+    StoreLeaseId m_lease;
+    std::string m_claimValue;
+    Instant m_followedAt{};
+    Instant m_quietUntil{};
+    bool m_isLeading = false;
+    bool m_isElecting = false;
+    bool m_isRetired = false;
+    uint64_t m_claimCount = 0;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -0,0 +1,255 @@
+#include "Coordination/PeerHub.h"
+
+#include "Protocol/ProtocolError.h"
+
+#include <asio/post.hpp>
+#include <glog/logging.h>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** Nodes are milliseconds apart; a connection that takes longer leads nowhere. */
+constexpr Duration ConnectTimeout{300};
+constexpr Duration VoteTimeout{300};
+constexpr Duration ExpiryInterval{50};
+
+} // namespace
+
+PeerHub::PeerHub(asio::io_context &context, TimerService &timers, EntryId self,
+                 const Endpoint &address, Handlers handlers)
+    : m_context(context)
+    , m_timers(timers)
+    , m_self(std::move(self))
+    , m_handlers(std::move(handlers))
+    , m_listener(context, address, [this](const Link &link) { accept(link); })
+{
+    expire();
+}
+
+void PeerHub::accept(const Link &link)
+{
+    m_inbound.emplace(link, EntryId());
+    link->start([this](const Link &from, const Frame &frame) { handleInbound(from, frame); },
+                [this](const Link &closed) { dropInbound(closed); });
+}
+
+void PeerHub::handleInbound(const Link &link, const Frame &frame)
+{
+    CellEnvelope envelope;
+    try {
+        envelope = decodeCellEnvelope(frame);
+    } catch (const ProtocolError &error) {
+        LOG(WARNING) << "event=peer_message_unreadable error=" << error.what();
+        return link->close();
+    }
+    const uint64_t correlation = envelope.correlation;
+    if (const auto *hello = std::get_if<HelloMessage>(&envelope.message)) {
+        m_inbound[link] = hello->node;
+        m_followers[hello->node] = link;
+        return m_handlers.followerJoined(hello->node);
+    }
+    if (auto *call = std::get_if<ClientCall>(&envelope.message)) {
+        return m_handlers.clientCall(std::move(*call),
+                                     [this, link, correlation](ClientReply reply) {
+                                         send(link, correlation, std::move(reply));
+                                     });
+    }
+    if (const auto *vote = std::get_if<VoteRequest>(&envelope.message))
+        return send(link, correlation, VoteResponse{m_handlers.vote(vote->claim)});
+    settle(correlation, envelope.message);
+}
+
+void PeerHub::dropInbound(const Link &link)
+{
+    const auto found = m_inbound.find(link);
+    if (found == m_inbound.end())
+        return;
+    const EntryId node = found->second;
+    m_inbound.erase(found);
+    abandon(link);
+    const auto follower = m_followers.find(node);
+    if (follower != m_followers.end() && follower->second == link) {
+        m_followers.erase(follower);
+        m_handlers.followerLeft(node);
+    }
+}
+
+void PeerHub::follow(std::optional<Endpoint> leader)
+{
+    const uint64_t generation = ++m_followGeneration;
+    if (m_leaderLink)
+        m_leaderLink->close();
+    m_heartbeat.reset();
+    if (!leader)
+        return;
+    connectFrameLink(m_context, *leader, ConnectTimeout,
+                     [this, generation, alive = std::weak_ptr(m_alive)](const Link &link) {
+                         if (alive.expired() || !link)
+                             return;
+                         if (generation != m_followGeneration)
+                             return link->close();
+                         m_leaderLink = link;
+                         link->start([this](const Link &from,
+                                            const Frame &frame) { handleFromLeader(from, frame); },
+                                     [this](const Link &closed) { dropLeader(closed); });
+                         send(link, 0, HelloMessage{m_self});
+                     });
+}
+
+void PeerHub::dropLeader(const Link &link)
+{
+    if (m_leaderLink == link) {
+        m_leaderLink.reset();
+        m_heartbeat.reset();
+    }
+    abandon(link);
+}
+
+void PeerHub::handleFromLeader(const Link &link, const Frame &frame)
+{
+    CellEnvelope envelope;
+    try {
+        envelope = decodeCellEnvelope(frame);
+    } catch (const ProtocolError &error) {
+        LOG(WARNING) << "event=peer_message_unreadable error=" << error.what();
+        return link->close();
+    }
+    const uint64_t correlation = envelope.correlation;
+    if (const auto *beat = std::get_if<HeartbeatMessage>(&envelope.message)) {
+        if (link == m_leaderLink) {
+            m_heartbeat = *beat;
+            m_heartbeatAt = m_timers.now();
+        }
+        return;
+    }
+    if (auto *advice = std::get_if<AdviceCall>(&envelope.message)) {
+        return m_handlers.advice(std::move(*advice), [this, link, correlation](AdviceReply reply) {
+            send(link, correlation, std::move(reply));
+        });
+    }
+    if (const auto *handOver = std::get_if<HandOverMessage>(&envelope.message))
+        return m_handlers.handOver(handOver->claim);
+    settle(correlation, envelope.message);
+}
+
+void PeerHub::send(const Link &link, uint64_t correlation, CellMessage message)
+{
+    link->send(encodeCellEnvelope({correlation, std::move(message)}));
+}
+
+uint64_t PeerHub::expect(const Link &link, Duration timeout, Pending done)
+{
+    const uint64_t correlation = m_nextCorrelation++;
+    m_waiting.emplace(correlation, Waiting{link, m_timers.now() + timeout, std::move(done)});
+    return correlation;
+}
+
+void PeerHub::settle(uint64_t correlation, const CellMessage &message)
+{
+    const auto node = m_waiting.extract(correlation);
+    if (!node.empty())
+        node.mapped().done(&message);
+}
+
+void PeerHub::abandon(const Link &link)
+{
+    std::vector<Pending> given;
+    std::erase_if(m_waiting, [&](auto &entry) {
+        if (entry.second.link != link)
+            return false;
+        given.push_back(std::move(entry.second.done));
+        return true;
+    });
+    for (const Pending &done : given)
+        done(nullptr);
+}
+
+void PeerHub::expire()
+{
+    const Instant now = m_timers.now();
+    std::vector<Pending> given;
+    std::erase_if(m_waiting, [&](auto &entry) {
+        if (entry.second.deadline > now)
+            return false;
+        given.push_back(std::move(entry.second.done));
+        return true;
+    });
+    for (const Pending &done : given)
+        done(nullptr);
+    m_timers.after(ExpiryInterval, [this] { expire(); });
+}
+
+void PeerHub::callLeader(const ClientCall &call, Duration patience, ClientRespond respond)
+{
+    const uint64_t correlation =
+        expect(m_leaderLink, patience, [respond = std::move(respond)](const CellMessage *message) {
+            const auto *reply = message ? std::get_if<ClientReply>(message) : nullptr;
+            if (reply)
+                return respond(*reply);
+            ClientReply undetermined;
+            undetermined.outcome = ClientReply::Undetermined;
+            undetermined.detail = "the scheduler did not answer";
+            respond(undetermined);
+        });
+    send(m_leaderLink, correlation, call);
+}
+
+void PeerHub::broadcast(const HeartbeatMessage &heartbeat)
+{
+    for (const auto &[node, link] : m_followers)
+        send(link, 0, heartbeat);
+}
+
+void PeerHub::askAdvice(const EntryId &node, AdviceCall call, std::function<void(AdviceReply)> done)
+{
+    const auto found = m_followers.find(node);
+    if (found == m_followers.end())
+        return done({});
+    const uint64_t correlation =
+        expect(found->second, call.timeout, [done = std::move(done)](const CellMessage *message) {
+            const auto *reply = message ? std::get_if<AdviceReply>(message) : nullptr;
+            done(reply ? *reply : AdviceReply());
+        });
+    send(found->second, correlation, std::move(call));
+}
+
+void PeerHub::sendHandOver(const EntryId &node, Revision claim)
+{
+    const auto found = m_followers.find(node);
+    if (found != m_followers.end())
+        send(found->second, 0, HandOverMessage{claim});
+}
+
+std::vector<EntryId> PeerHub::followers() const
+{
+    std::vector<EntryId> nodes;
+    for (const auto &[node, link] : m_followers)
+        nodes.push_back(node);
+    return nodes;
+}
+
+void PeerHub::askVote(const Endpoint &peer, Revision claim,
+                      std::function<void(std::optional<bool>)> done)
+{
+    connectFrameLink(
+        m_context, peer, ConnectTimeout,
+        [this, claim, done = std::move(done), alive = std::weak_ptr(m_alive)](const Link &link) {
+            if (alive.expired())
+                return;
+            if (!link)
+                return done({});
+            link->start(
+                [this](const Link &from, const Frame &frame) { handleFromLeader(from, frame); },
+                [this](const Link &closed) { abandon(closed); });
+            const uint64_t correlation =
+                expect(link, VoteTimeout, [link, done](const CellMessage *message) {
+                    const auto *vote = message ? std::get_if<VoteResponse>(message) : nullptr;
+                    done(vote ? std::optional(vote->agrees) : std::nullopt);
+                    link->close();
+                });
+            send(link, correlation, VoteRequest{claim});
+        });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/PeerHub.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Protocol/CellMessages.h"
+#include "Transport/GuardedTimers.h"
+
+#include <asio/io_context.hpp>
+
+#include <map>
+#include <optional>
+
+namespace Cranberrymount {
+
+/**
+ * Links between the nodes of a cell. Every follower keeps one link to the leader; calls and
+ * heartbeats share it. Votes use links of their own, opened for the occasion.
+ *
+ * Everything runs on the control thread.
+ */
+class PeerHub
+{
+public:
+    struct Handlers
+    {
+        std::function<void(ClientCall, ClientRespond)> clientCall;
+        std::function<void(AdviceCall, std::function<void(AdviceReply)>)> advice;
+        /** @return true if this node, too, hears nothing sound of the holder of the claim. */
+        std::function<bool(Revision claim)> vote;
+        std::function<void(Revision claim)> handOver;
+        std::function<void(const EntryId &node)> followerJoined;
+        std::function<void(const EntryId &node)> followerLeft;
+    };
+
+    /** @throws TransportError if @p address cannot be bound. */
+    PeerHub(asio::io_context &context, TimerService &timers, EntryId self, const Endpoint &address,
+            Handlers handlers);
+
+    // Towards the leader.
+    /** Opens a link to @p leader, in place of any other; unset to have none. */
+    void follow(std::optional<Endpoint> leader);
+    bool isLinked() const { return m_leaderLink != nullptr; }
+    /** @return the last heartbeat on the present link, if one came. */
+    const std::optional<HeartbeatMessage> &heartbeat() const { return m_heartbeat; }
+    Instant heartbeatAt() const { return m_heartbeatAt; }
+    /**
+     * Sends a call to the leader; a call whose link breaks is answered Undetermined.
+     * Must only be called while isLinked().
+     */
+    void callLeader(const ClientCall &call, Duration patience, ClientRespond respond);
+
+    // Towards followers.
+    void broadcast(const HeartbeatMessage &heartbeat);
+    void askAdvice(const EntryId &node, AdviceCall call, std::function<void(AdviceReply)> done);
+    void sendHandOver(const EntryId &node, Revision claim);
+    std::vector<EntryId> followers() const;
+
+    /** Asks @p peer for its vote; @p done gets nothing if it does not answer in time. */
+    void askVote(const Endpoint &peer, Revision claim,
+                 std::function<void(std::optional<bool>)> done);
+
+private:
+    using Link = std::shared_ptr<FrameLink>;
+    using Pending = std::function<void(const CellMessage *)>;
+
+    void accept(const Link &link);
+    void handleInbound(const Link &link, const Frame &frame);
+    void handleFromLeader(const Link &link, const Frame &frame);
+    void dropInbound(const Link &link);
+    void dropLeader(const Link &link);
+    void send(const Link &link, uint64_t correlation, CellMessage message);
+    /** Remembers a request; @p done gets null when it is given up. */
+    uint64_t expect(const Link &link, Duration timeout, Pending done);
+    void settle(uint64_t correlation, const CellMessage &message);
+    void abandon(const Link &link);
+    void expire();
+
+    struct Waiting
+    {
+        Link link;
+        Instant deadline;
+        Pending done;
+    };
+
+    asio::io_context &m_context;
+    GuardedTimers m_timers;
+    EntryId m_self;
+    Handlers m_handlers;
+    Link m_leaderLink;
+    uint64_t m_followGeneration = 0;
+    std::optional<HeartbeatMessage> m_heartbeat;
+    Instant m_heartbeatAt{};
+    std::map<Link, EntryId> m_inbound;
+    std::map<EntryId, Link> m_followers;
+    std::map<uint64_t, Waiting> m_waiting;
+    uint64_t m_nextCorrelation = 1;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    FrameListener m_listener;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Coordination/WorkerHealth.cpp
@@ -0,0 +1,43 @@
+#include "Coordination/WorkerHealth.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** Tasks of healthy workers fail in up to 5% of runs on the users' sheets: three jobs in a row
+ * fail by chance once in 8,000 runs. */
+constexpr uint32_t JobsUntilSuspected = 3;
+/** A suspected worker is tried again with new work after this. */
+constexpr Duration SuspicionLength{3000};
+
+} // namespace
+
+void WorkerHealth::noteEnd(const WorkerLife &worker, const JobId &job, RunOutcome outcome,
+                           Instant now)
+{
+    Record &record = m_records[worker];
+    if (outcome == RunOutcome::Done) {
+        record = {};
+        return;
+    }
+    if (outcome != RunOutcome::Failed || record.lastFailed == job)
+        return;
+    record.lastFailed = job;
+    if (++record.failedJobs >= JobsUntilSuspected)
+        record.suspectedUntil = now + SuspicionLength;
+}
+
+void WorkerHealth::noteStall(const WorkerLife &worker, Instant now)
+{
+    m_records[worker].suspectedUntil = now + SuspicionLength;
+}
+
+bool WorkerHealth::isSuspected(const WorkerLife &worker, Instant now) const
+{
+    const auto found = m_records.find(worker);
+    return found != m_records.end() && found->second.suspectedUntil > now;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Decision/AdviceBook.cpp
@@ -0,0 +1,67 @@
+#include "Decision/AdviceBook.h"
+
+namespace Cranberrymount {
+
+const AdviceBook::StepAdvice *AdviceBook::find(const StepKey &step) const
+{
+    const auto found = m_steps.find(step);
+    return found == m_steps.end() ? nullptr : &found->second;
+}
+
+const AdviceBook::Verdict *AdviceBook::find(const StepKey &step, const WorkerLife &worker) const
+{
+    const StepAdvice *advice = find(step);
+    if (!advice)
+        return nullptr;
+    const auto found = advice->verdicts.find(worker);
+    return found == advice->verdicts.end() ? nullptr : &found->second;
+}
+
+void AdviceBook::beginAsking(const StepKey &step)
+{
+    m_steps[step].isAsking = true;
+}
+
+void AdviceBook::answer(const StepKey &step, const std::vector<WorkerLife> &asked,
+                        const std::map<WorkerId, std::string> &tickets, Instant expires)
+{
+    StepAdvice &advice = m_steps[step];
+    advice.isAsking = false;
+    advice.failures = 0;
+    for (const WorkerLife &worker : asked) {
+        const auto ticket = tickets.find(worker.id);
+        if (ticket == tickets.end())
+            advice.verdicts[worker] = {};
+        else
+            advice.verdicts[worker] = {true, ticket->second, expires};
+    }
+}
+
+void AdviceBook::fail(const StepKey &step, Instant notBefore)
+{
+    StepAdvice &advice = m_steps[step];
+    advice.isAsking = false;
+    advice.notBefore = notBefore;
+    ++advice.failures;
+}
+
+void AdviceBook::dropTicket(const StepKey &step, const WorkerLife &worker)
+{
+    const auto found = m_steps.find(step);
+    if (found == m_steps.end())
+        return;
+    const auto verdict = found->second.verdicts.find(worker);
+    if (verdict != found->second.verdicts.end())
+        verdict->second.expires = Instant{};
+}
+
+void AdviceBook::forget(const JobId &job)
+{
+    const auto begin = m_steps.lower_bound({job, 0, 0});
+    auto end = begin;
+    while (end != m_steps.end() && end->first.job == job)
+        ++end;
+    m_steps.erase(begin, end);
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Decision/AdviceBook.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "State/JobTable.h"
+
+#include <map>
+
+namespace Cranberrymount {
+
+/**
+ * What the advisor has said about steps and workers. Whether a worker may run a step never
+ * changes; only the ticket that proves it lapses.
+ */
+class AdviceBook
+{
+public:
+    struct Verdict
+    {
+        bool isAllowed = false;
+        std::string ticket;
+        Instant expires{};
+    };
+    struct StepAdvice
+    {
+        std::map<WorkerLife, Verdict> verdicts;
+        /** A call is under way. */
+        bool isAsking = false;
+        /** No call before this time, after one that brought nothing. */
+        Instant notBefore{};
+        uint32_t failures = 0;
+    };
+
+    /** @return what is known of @p step; null if nothing is. */
+    const StepAdvice *find(const StepKey &step) const;
+    /** @return the verdict, or null if the advisor was not asked about @p worker. */
+    const Verdict *find(const StepKey &step, const WorkerLife &worker) const;
+
+    void beginAsking(const StepKey &step);
+    /** Takes in an answer about @p asked; workers not in @p tickets may not run the step. */
+    void answer(const StepKey &step, const std::vector<WorkerLife> &asked,
+                const std::map<WorkerId, std::string> &tickets, Instant expires);
+    /** The call failed; the next one waits until @p notBefore. */
+    void fail(const StepKey &step, Instant notBefore);
+    /** A worker refused the ticket: it is not used again. */
+    void dropTicket(const StepKey &step, const WorkerLife &worker);
+    void forget(const JobId &job);
+
+private:
+    std::map<StepKey, StepAdvice> m_steps;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -0,0 +1,453 @@
+#include "Decision/Dispatcher.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace Cranberrymount {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** A job earns something until this many times its objective; from the users' rules on credit. */
+constexpr int WorthlessAfterObjectives = 3;
+/** A start is under way for about this long: journal commit, order, worker. */
+constexpr Duration StartDelay{60};
+/** Most workers named in one call for advice; the objective of a job counts one such call. */
+constexpr std::size_t MaxWorkersPerAdvice = 30;
+/** Room asked for as a multiple of what is wanted, since some workers will be denied. */
+constexpr double AdviceSurplus = 3.0;
+/** Fewest workers named while it is unknown which are allowed. */
+constexpr std::size_t FewestUnknownWorkers = 8;
+/** Gangs that keep workers free at a time; more would idle too much of the pool. */
+constexpr std::size_t MaxReservations = 2;
+/** Part of a pool kept free for immediate work, in percent. */
+constexpr int64_t ImmediateReservePercent = 4;
+/** Least duration assumed of a task; submitters' estimates may be 0. */
+constexpr Duration MinEstimate{50};
+
+/** @return the longest chain of estimates from @p step to the end of the job. */
+Duration chainFrom(const WorkflowSpec &spec, std::size_t step)
+{
+    std::vector<Duration> longest(spec.steps.size(), Duration(0));
+    for (std::size_t index = spec.steps.size(); index-- > step;) {
+        longest[index] += std::max(spec.steps[index].estimate, MinEstimate);
+        for (const uint32_t earlier : spec.steps[index].after)
+            longest[earlier] = std::max(longest[earlier], longest[index]);
+    }
+    return longest[step];
+}
+
+Duration longestChain(const WorkflowSpec &spec)
+{
+    Duration longest{0};
+    for (std::size_t step = 0; step < spec.steps.size(); ++step)
+        longest = std::max(longest, chainFrom(spec, step));
+    return longest;
+}
+
+bool hasLabel(const CellWorker &worker, const std::string &label)
+{
+    return std::ranges::find(worker.labels, label) != worker.labels.end();
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatchInput input)
+    : m_input(std::move(input))
+    , m_reservedFor(m_input.workers.size(), nullptr)
+    , m_stepRuns(m_input.workers.size())
+{
+    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
+        for (const RoomHolder &holder : m_input.workers[worker].holders)
+            ++m_stepRuns[worker][{holder.task.job, holder.task.occurrence, holder.task.step}];
+    }
+}
+
+StepUrgency Dispatcher::urgencyOf(const JobRecord &job, const StepKey &key,
+                                  const QueueSettings &queue, WallTime now)
+{
+    const WorkflowSpec &spec = job.accepted.spec;
+    Duration chain = longestChain(spec);
+    Duration remaining = chainFrom(spec, key.step) + StartDelay;
+    if (queue.advice) {
+        chain += queue.advice->costOf(MaxWorkersPerAdvice);
+        remaining += queue.advice->base;
+    }
+    const WallTime begin = std::max(job.accepted.acceptedAt, job.dueAt(key.occurrence));
+    const auto objective =
+        Duration(static_cast<int64_t>(static_cast<double>(chain.count()) * queue.stretchFactor))
+        + queue.startTarget;
+    StepUrgency urgency;
+    urgency.slack = std::chrono::duration_cast<Duration>(begin + objective - now) - remaining;
+    urgency.rank = urgency.slack.count();
+    const auto worthless = begin + objective * WorthlessAfterObjectives - now - remaining;
+    if (job.accepted.isBeyondShare || worthless < Duration(0)) {
+        urgency.urgencyClass = StepUrgency::Leftover;
+    } else if (urgency.slack < Duration(0)) {
+        urgency.urgencyClass = StepUrgency::Late;
+        urgency.rank = remaining.count();
+    } else {
+        urgency.urgencyClass = queue.priority == 0 ? StepUrgency::Immediate : StepUrgency::InTime;
+    }
+    return urgency;
+}
+
+std::vector<Dispatcher::Candidate> Dispatcher::sortedCandidates() const
+{
+    std::vector<Candidate> result;
+    for (StepKey &key : m_input.jobs->startableSteps(m_input.wallNow)) {
+        const JobRecord *job = m_input.jobs->find(key.job);
+        const QueueSettings *queue = m_input.configuration->findQueue(job->accepted.queue);
+        // A queue that was taken away leaves its accepted jobs to be finished in their old pool.
+        static const QueueSettings RemovedQueue;
+        const QueueSettings &settings = queue ? *queue : RemovedQueue;
+        const StepUrgency urgency = urgencyOf(*job, key, settings, m_input.wallNow);
+        result.push_back({std::move(key), job, &settings, urgency});
+    }
+    std::ranges::sort(result, [](const Candidate &left, const Candidate &right) {
+        return std::tie(left.urgency.urgencyClass, left.urgency.rank, left.key)
+            < std::tie(right.urgency.urgencyClass, right.urgency.rank, right.key);
+    });
+    return result;
+}
+
+DispatchResult Dispatcher::decide()
+{
+    m_candidates = sortedCandidates();
+    for (const Candidate &candidate : m_candidates)
+        placeStep(candidate);
+    return std::move(m_result);
+}
+
+void Dispatcher::placeStep(const Candidate &candidate)
+{
+    const StepSpec &spec = candidate.job->accepted.spec.steps[candidate.key.step];
+    const StepRun &step = *m_input.jobs->findStep(candidate.key);
+    if (spec.isGang)
+        placeGang(candidate, spec, step);
+    else
+        placeSingles(candidate, spec, step);
+}
+
+void Dispatcher::placeSingles(const Candidate &candidate, const StepSpec &spec, const StepRun &step)
+{
+    int64_t allowed = std::min(teamHeadroom(candidate.job->accepted.team, spec.need),
+                               poolHeadroom(candidate, spec.need));
+    const int64_t wanted = std::min<int64_t>(allowed, step.waitingCount());
+    if (wanted <= 0)
+        return;
+    allowed = wanted;
+    std::vector<std::size_t> usable;
+    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
+        if (isEligible(candidate, spec, worker) && ticketFor(candidate, worker))
+            usable.push_back(worker);
+    }
+    for (uint32_t index = 0; index < step.tasks.size() && allowed > 0; ++index) {
+        const TaskProgress &task = step.tasks[index];
+        if (task.isDone || task.isActive)
+            continue;
+        const std::size_t none = m_input.workers.size();
+        std::size_t best = none;
+        int64_t bestScore = 0;
+        for (const std::size_t worker : usable) {
+            const DispatchWorker &candidateWorker = m_input.workers[worker];
+            if (!spec.need.fitsIn(candidateWorker.room()))
+                continue;
+            if (spec.maxPerWorker > 0 && runsOfStepOn(candidate.key, worker) >= spec.maxPerWorker)
+                continue;
+            // Tightest fit first; far from the data or where it failed before only as a last
+            // choice.
+            int64_t score = candidateWorker.room().cpu.value();
+            const int64_t penalty = candidateWorker.info.capacity.cpu.value();
+            if (!spec.dataRack.isEmpty() && candidateWorker.info.rack != spec.dataRack)
+                score += penalty;
+            if (task.failures > 0 && task.worker == candidateWorker.info.life)
+                score += 2 * penalty;
+            if (best == none || score < bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        if (best == none)
+            break;
+        start(candidate, spec, index, task.lastAttempt + 1, best, *ticketFor(candidate, best));
+        --allowed;
+    }
+    if (allowed <= 0)
+        return;
+    const auto missing = static_cast<uint32_t>(allowed);
+    if (candidate.queue->advice)
+        askAdvice(candidate, spec, missing);
+}
+
+void Dispatcher::placeGang(const Candidate &candidate, const StepSpec &spec, const StepRun &step)
+{
+    // A gang starts again only once every member of its last run has ended.
+    if (step.activeCount > 0)
+        return;
+    const auto members = static_cast<uint32_t>(step.tasks.size());
+    if (teamHeadroom(candidate.job->accepted.team, spec.need) < members
+        || poolHeadroom(candidate, spec.need) < members)
+        return;
+    std::vector<std::size_t> order;
+    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
+        if (isEligible(candidate, spec, worker) && ticketFor(candidate, worker)
+            && spec.need.fitsIn(m_input.workers[worker].room()))
+            order.push_back(worker);
+    }
+    const auto placesOn = [&](std::size_t worker) {
+        int64_t places = spec.need.countIn(m_input.workers[worker].room());
+        if (spec.maxPerWorker > 0)
+            places = std::min<int64_t>(places, spec.maxPerWorker);
+        return places;
+    };
+    // Workers that hold most members go first, so that the gang breaks up few of them.
+    std::ranges::sort(order, [&](std::size_t left, std::size_t right) {
+        return placesOn(left) > placesOn(right);
+    });
+    const auto tryPlace = [&](const RackId *rack) {
+        std::vector<std::size_t> chosen;
+        for (const std::size_t worker : order) {
+            if (rack && m_input.workers[worker].info.rack != *rack)
+                continue;
+            const int64_t places = placesOn(worker);
+            for (int64_t place = 0; place < places && chosen.size() < members; ++place)
+                chosen.push_back(worker);
+        }
+        return chosen.size() == members ? chosen : std::vector<std::size_t>();
+    };
+    std::vector<std::size_t> chosen;
+    if (spec.wantsOneRack) {
+        for (const std::size_t worker : order) {
+            chosen = tryPlace(&m_input.workers[worker].info.rack);
+            if (!chosen.empty())
+                break;
+        }
+    }
+    // FIXME: A gang that asks for one rack should wait for one while its objective allows it.
+    if (chosen.empty())
+        chosen = tryPlace(nullptr);
+    if (chosen.empty()) {
+        if (candidate.queue->advice)
+            askAdvice(candidate, spec, members);
+        reserveForGang(candidate, spec, members);
+        return;
+    }
+    uint32_t attempt = 0;
+    for (const TaskProgress &task : step.tasks)
+        attempt = std::max(attempt, task.lastAttempt + 1);
+    for (uint32_t index = 0; index < members; ++index)
+        start(candidate, spec, index, attempt, chosen[index], *ticketFor(candidate, chosen[index]));
+}
+
+const std::string *Dispatcher::ticketFor(const Candidate &candidate, std::size_t worker) const
+{
+    static const std::string NoTicketNeeded;
+    if (!candidate.queue->advice)
+        return &NoTicketNeeded;
+    const AdviceBook::Verdict *verdict =
+        m_input.advice->find(candidate.key, m_input.workers[worker].info.life);
+    if (!verdict || !verdict->isAllowed || verdict->expires <= m_input.now + StartDelay)
+        return nullptr;
+    return &verdict->ticket;
+}
+
+bool Dispatcher::isDenied(const Candidate &candidate, std::size_t worker) const
+{
+    if (!candidate.queue->advice)
+        return false;
+    const AdviceBook::Verdict *verdict =
+        m_input.advice->find(candidate.key, m_input.workers[worker].info.life);
+    return verdict && !verdict->isAllowed;
+}
+
+bool Dispatcher::isEligible(const Candidate &candidate, const StepSpec &spec,
+                            std::size_t worker) const
+{
+    const DispatchWorker &one = m_input.workers[worker];
+    const std::string &pool =
+        candidate.queue->pool.empty() ? candidate.job->accepted.pool : candidate.queue->pool;
+    if (!one.acceptsWork || one.info.pool != pool)
+        return false;
+    if (!spec.requiredLabel.empty() && !hasLabel(one.info, spec.requiredLabel))
+        return false;
+    return mayUseReserved(candidate, worker);
+}
+
+bool Dispatcher::mayUseReserved(const Candidate &candidate, std::size_t worker) const
+{
+    const Candidate *holder = m_reservedFor[worker];
+    return !holder || holder->key == candidate.key
+        || candidate.urgency.urgencyClass == StepUrgency::Immediate;
+}
+
+uint32_t Dispatcher::runsOfStepOn(const StepKey &key, std::size_t worker) const
+{
+    const auto found = m_stepRuns[worker].find(key);
+    return found == m_stepRuns[worker].end() ? 0 : found->second;
+}
+
+int64_t Dispatcher::teamHeadroom(const TeamId &team, const Resources &need) const
+{
+    const TeamSettings *settings = m_input.configuration->findTeam(team);
+    // A team that was taken away may not start anything more.
+    if (!settings)
+        return 0;
+    const auto use = m_input.teamUse.find(team);
+    const Resources used = use == m_input.teamUse.end() ? Resources() : use->second;
+    int64_t count = INT32_MAX;
+    const auto narrow = [&count](int64_t cap, int64_t inUse, int64_t wanted) {
+        if (cap > 0 && wanted > 0)
+            count = std::min(count, std::max<int64_t>(0, cap - inUse) / wanted);
+    };
+    narrow(settings->cap.cpu.value(), used.cpu.value(), need.cpu.value());
+    narrow(settings->cap.memory.value(), used.memory.value(), need.memory.value());
+    narrow(settings->cap.accelerators.value(), used.accelerators.value(),
+           need.accelerators.value());
+    return count;
+}
+
+/** Room that the pool has left beyond what is kept for immediate work, in tasks. */
+int64_t Dispatcher::poolHeadroom(const Candidate &candidate, const Resources &need) const
+{
+    if (candidate.urgency.urgencyClass == StepUrgency::Immediate || need.cpu.value() <= 0)
+        return INT32_MAX;
+    int64_t capacity = 0;
+    int64_t used = 0;
+    for (const DispatchWorker &worker : m_input.workers) {
+        if (worker.info.pool != candidate.job->accepted.pool || !worker.acceptsWork)
+            continue;
+        capacity += worker.info.capacity.cpu.value();
+        used += worker.used.cpu.value();
+    }
+    const int64_t room = capacity * (100 - ImmediateReservePercent) / 100 - used;
+    return std::max<int64_t>(0, room) / need.cpu.value();
+}
+
+void Dispatcher::start(const Candidate &candidate, const StepSpec &spec, uint32_t index,
+                       uint32_t attempt, std::size_t worker, const std::string &ticket)
+{
+    m_result.starts.push_back(
+        {{candidate.key.job, candidate.key.occurrence, candidate.key.step, index},
+         attempt,
+         worker,
+         ticket});
+    m_input.workers[worker].used += spec.need;
+    m_input.teamUse[candidate.job->accepted.team] += spec.need;
+    ++m_stepRuns[worker][candidate.key];
+}
+
+/** Asks about workers that have room now, known allowed ones first. */
+void Dispatcher::askAdvice(const Candidate &candidate, const StepSpec &spec, uint32_t wanted)
+{
+    const AdviceBook::StepAdvice *known = m_input.advice->find(candidate.key);
+    if (m_result.advice.size() >= m_input.adviceSlots)
+        return;
+    if (known && (known->isAsking || known->notBefore > m_input.now))
+        return;
+    struct Choice
+    {
+        std::size_t worker;
+        bool isAllowed;
+        int64_t places;
+    };
+    std::vector<Choice> choices;
+    int64_t allowedPlaces = 0;
+    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
+        if (!isEligible(candidate, spec, worker) || isDenied(candidate, worker)
+            || ticketFor(candidate, worker))
+            continue;
+        int64_t places = spec.need.countIn(m_input.workers[worker].room());
+        if (spec.maxPerWorker > 0) {
+            places =
+                std::min<int64_t>(places, spec.maxPerWorker) - runsOfStepOn(candidate.key, worker);
+        }
+        const bool isAllowed =
+            m_input.advice->find(candidate.key, m_input.workers[worker].info.life);
+        // A gang learns early which workers it may wait for, whether or not they have room.
+        const bool isLearning = spec.isGang && !isAllowed;
+        if (places <= 0 && !isLearning)
+            continue;
+        choices.push_back({worker, isAllowed, places});
+        if (isAllowed)
+            allowedPlaces += places;
+    }
+    const bool hasEnoughKnown = allowedPlaces >= wanted;
+    // A gang that has learned enough asks again only when all of it fits.
+    if (spec.isGang && known && !hasEnoughKnown
+        && std::ranges::all_of(choices, [](const Choice &choice) { return choice.isAllowed; }))
+        return;
+    std::ranges::stable_sort(choices, [](const Choice &left, const Choice &right) {
+        if (left.isAllowed != right.isAllowed)
+            return left.isAllowed;
+        return left.places > right.places;
+    });
+    AdviceDecision decision;
+    decision.step = candidate.key;
+    double expected = 0;
+    for (const Choice &choice : choices) {
+        if (decision.workers.size() >= MaxWorkersPerAdvice)
+            break;
+        if (choice.isAllowed && expected >= wanted)
+            break;
+        if (!choice.isAllowed && hasEnoughKnown)
+            break;
+        if (!choice.isAllowed && !spec.isGang && expected >= AdviceSurplus * wanted
+            && decision.workers.size() >= FewestUnknownWorkers)
+            break;
+        decision.workers.push_back(m_input.workers[choice.worker].info.life);
+        expected += static_cast<double>(choice.places);
+    }
+    if (decision.workers.empty())
+        return;
+    decision.cost = candidate.queue->advice->costOf(decision.workers.size());
+    decision.ticketLife = candidate.queue->advice->ticketLife;
+    m_result.advice.push_back(std::move(decision));
+}
+
+/** Keeps the workers free that will have room for the gang first. */
+void Dispatcher::reserveForGang(const Candidate &candidate, const StepSpec &spec, uint32_t wanted)
+{
+    if (m_reservations >= MaxReservations || candidate.urgency.urgencyClass > StepUrgency::InTime)
+        return;
+    struct Choice
+    {
+        std::size_t worker;
+        Instant freeAt;
+        int64_t places;
+    };
+    std::vector<Choice> choices;
+    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
+        if (!isEligible(candidate, spec, worker) || isDenied(candidate, worker))
+            continue;
+        if (candidate.queue->advice
+            && !m_input.advice->find(candidate.key, m_input.workers[worker].info.life))
+            continue;
+        // FIXME: Only whole-worker room is counted; a gang may fit beside long runs earlier.
+        DispatchWorker copy = m_input.workers[worker];
+        std::ranges::sort(copy.holders, {}, &RoomHolder::expectedEnd);
+        Choice choice{worker, m_input.now, spec.need.countIn(copy.room())};
+        for (const RoomHolder &holder : copy.holders) {
+            if (choice.places > 0)
+                break;
+            copy.used -= holder.need;
+            choice.freeAt = holder.expectedEnd;
+            choice.places = spec.need.countIn(copy.room());
+        }
+        if (choice.places > 0)
+            choices.push_back(choice);
+    }
+    std::ranges::sort(choices, {}, &Choice::freeAt);
+    int64_t places = 0;
+    std::size_t used = 0;
+    while (used < choices.size() && places < wanted)
+        places += choices[used++].places;
+    if (places < wanted)
+        return;
+    ++m_reservations;
+    for (std::size_t index = 0; index < used; ++index)
+        m_reservedFor[choices[index].worker] = &candidate;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Decision/Dispatcher.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "Decision/AdviceBook.h"
+#include "State/CellConfiguration.h"
+
+#include <map>
+
+namespace Cranberrymount {
+
+/** A run that holds room on a worker. */
+struct RoomHolder
+{
+    TaskKey task;
+    Resources need;
+    int priority = 0;
+    /** The run can be stopped and later resumed without losing much. */
+    bool isResumable = false;
+    bool isStopping = false;
+    /** When the run is expected to end. */
+    Instant expectedEnd{};
+};
+
+/** A worker as the dispatcher sees it. */
+struct DispatchWorker
+{
+    CellWorker info;
+    Resources used;
+    /** New work may start here: in contact, staying, its zone not taken out, not suspected. */
+    bool acceptsWork = false;
+    std::vector<RoomHolder> holders;
+
+    Resources room() const { return info.capacity - used; }
+};
+
+/** All that a round of decisions depends on. */
+struct DispatchInput
+{
+    Instant now{};
+    WallTime wallNow{};
+    const JobTable *jobs = nullptr;
+    const CellConfiguration *configuration = nullptr;
+    const AdviceBook *advice = nullptr;
+    std::vector<DispatchWorker> workers;
+    /** What each team has running. */
+    std::map<TeamId, Resources> teamUse;
+    /** Advice calls that may begin now. */
+    std::size_t adviceSlots = 0;
+};
+
+struct StartDecision
+{
+    TaskKey task;
+    uint32_t attempt = 0;
+    /** Index into DispatchInput::workers. */
+    std::size_t worker = 0;
+    std::string ticket;
+};
+
+struct AdviceDecision
+{
+    StepKey step;
+    std::vector<WorkerLife> workers;
+    Duration cost{0};
+    Duration ticketLife{0};
+};
+
+struct DispatchResult
+{
+    std::vector<StartDecision> starts;
+    std::vector<AdviceDecision> advice;
+};
+
+/** How urgent a step is; smaller goes first. */
+struct StepUrgency
+{
+    enum Class {
+        /** Owed, may displace others, and still in time. */
+        Immediate,
+        /** Owed and still in time. */
+        InTime,
+        /** Can only be late. */
+        Late,
+        /** So late that nobody is served by it, or more than its team is owed. */
+        Leftover,
+    };
+    Class urgencyClass = InTime;
+    /** Within a class: what the order goes by, in milliseconds. */
+    int64_t rank = 0;
+    /** Time left before the objective is lost. */
+    Duration slack{0};
+};
+
+/**
+ * Decides who starts where. Pure: all that it knows comes in with DispatchInput.
+ *
+ * Steps are taken in the order of their urgency. A gang starts whole or not at all; the most
+ * urgent gangs that find no room keep workers free until they fit.
+ */
+class Dispatcher
+{
+public:
+    explicit Dispatcher(DispatchInput input);
+
+    DispatchResult decide();
+
+    /** @return the urgency of a step of @p job. */
+    static StepUrgency urgencyOf(const JobRecord &job, const StepKey &key,
+                                 const QueueSettings &queue, WallTime now);
+
+private:
+    struct Candidate
+    {
+        StepKey key;
+        const JobRecord *job;
+        const QueueSettings *queue;
+        StepUrgency urgency;
+    };
+
+    std::vector<Candidate> sortedCandidates() const;
+    void placeStep(const Candidate &candidate);
+    void placeSingles(const Candidate &candidate, const StepSpec &spec, const StepRun &step);
+    void placeGang(const Candidate &candidate, const StepSpec &spec, const StepRun &step);
+    /** @return the ticket if the step may start on the worker now, or null. */
+    const std::string *ticketFor(const Candidate &candidate, std::size_t worker) const;
+    bool isEligible(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
+    bool mayUseReserved(const Candidate &candidate, std::size_t worker) const;
+    uint32_t runsOfStepOn(const StepKey &key, std::size_t worker) const;
+    /** @return how many more tasks of @p need the team may run. */
+    int64_t teamHeadroom(const TeamId &team, const Resources &need) const;
+    int64_t poolHeadroom(const Candidate &candidate, const Resources &need) const;
+    void start(const Candidate &candidate, const StepSpec &spec, uint32_t index, uint32_t attempt,
+               std::size_t worker, const std::string &ticket);
+    void askAdvice(const Candidate &candidate, const StepSpec &spec, uint32_t wanted);
+    void reserveForGang(const Candidate &candidate, const StepSpec &spec, uint32_t wanted);
+    bool isDenied(const Candidate &candidate, std::size_t worker) const;
+
+    DispatchInput m_input;
+    DispatchResult m_result;
+    /** Step whose gang keeps the worker free, by worker. */
+    std::vector<const Candidate *> m_reservedFor;
+    std::vector<std::map<StepKey, uint32_t>> m_stepRuns;
+    std::vector<Candidate> m_candidates;
+    std::size_t m_reservations = 0;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -0,0 +1,206 @@
+#include "Protocol/CellMessages.h"
+
+#include "Protocol/Generated/Cell_generated.h"
+#include "Protocol/JournalCodec.h"
+#include "Protocol/ProtocolError.h"
+
+namespace Cranberrymount {
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+std::string text(const flatbuffers::String *string)
+{
+    return string ? string->str() : std::string();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const HelloMessage &message)
+{
+    return CellWire::CreateHelloDirect(builder, message.node.value().c_str()).Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const HeartbeatMessage &message)
+{
+    return CellWire::CreateHeartbeat(builder, message.claim.value(),
+                                     static_cast<uint32_t>(message.storeAge.count()),
+                                     message.isReady)
+        .Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const ClientCall &message)
+{
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> workflow;
+    if (message.kind == ClientCall::Submit) {
+        JobAccepted carrier;
+        carrier.spec = message.spec;
+        const std::string bytes = encodeJournal({carrier});
+        workflow =
+            builder.CreateVector(reinterpret_cast<const uint8_t *>(bytes.data()), bytes.size());
+    }
+    const auto host = builder.CreateString(message.host);
+    const auto path = builder.CreateString(message.path);
+    const auto key = builder.CreateString(message.key);
+    return CellWire::CreateClientRequest(builder, message.kind, host, path, key, workflow).Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const ClientReply &message)
+{
+    return CellWire::CreateClientResponseDirect(
+               builder, message.outcome, static_cast<uint8_t>(message.state), message.pending,
+               static_cast<uint32_t>(message.retryAfter.count()), message.detail.c_str())
+        .Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const AdviceCall &message)
+{
+    std::vector<flatbuffers::Offset<flatbuffers::String>> workers;
+    workers.reserve(message.workers.size());
+    for (const WorkerId &worker : message.workers)
+        workers.push_back(builder.CreateString(worker.value()));
+    return CellWire::CreateAdviceRequestDirect(builder, message.step.job.value().c_str(),
+                                               message.step.occurrence, message.step.step, &workers,
+                                               static_cast<uint32_t>(message.timeout.count()))
+        .Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const AdviceReply &message)
+{
+    std::vector<flatbuffers::Offset<flatbuffers::String>> workers;
+    std::vector<flatbuffers::Offset<flatbuffers::String>> tickets;
+    for (const AdviceTicket &ticket : message.allowed) {
+        workers.push_back(builder.CreateString(ticket.worker.value()));
+        tickets.push_back(builder.CreateString(ticket.ticket));
+    }
+    return CellWire::CreateAdviceResponseDirect(builder, message.answered, &workers, &tickets)
+        .Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const VoteRequest &message)
+{
+    return CellWire::CreateVoteRequest(builder, message.claim.value()).Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const VoteResponse &message)
+{
+    return CellWire::CreateVoteResponse(builder, message.agrees).Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const HandOverMessage &message)
+{
+    return CellWire::CreateHandOver(builder, message.claim.value()).Union();
+}
+
+/** The wire's union lists its members in the order of @c CellMessage, after "none". */
+CellWire::Message kindOf(const CellMessage &message)
+{
+    return static_cast<CellWire::Message>(message.index() + 1);
+}
+
+ClientCall unpack(const CellWire::ClientRequest &wire)
+{
+    ClientCall call;
+    call.kind = static_cast<ClientCall::Kind>(wire.kind());
+    call.host = text(wire.host());
+    call.path = text(wire.path());
+    call.key = text(wire.key());
+    if (wire.workflow()) {
+        const std::string bytes(reinterpret_cast<const char *>(wire.workflow()->data()),
+                                wire.workflow()->size());
+        for (JournalRecord &record : decodeJournal(bytes)) {
+            if (auto *carrier = std::get_if<JobAccepted>(&record))
+                call.spec = std::move(carrier->spec);
+        }
+    }
+    return call;
+}
+
+ClientReply unpack(const CellWire::ClientResponse &wire)
+{
+    return {static_cast<ClientReply::Outcome>(wire.outcome()), static_cast<JobState>(wire.state()),
+            wire.pending(), Duration(wire.retry_after_ms()), text(wire.detail())};
+}
+
+AdviceCall unpack(const CellWire::AdviceRequest &wire)
+{
+    AdviceCall call;
+    call.step = {JobId(text(wire.job())), wire.occurrence(), wire.step()};
+    call.timeout = Duration(wire.timeout_ms());
+    if (wire.workers()) {
+        for (const auto *worker : *wire.workers())
+            call.workers.emplace_back(worker->str());
+    }
+    return call;
+}
+
+AdviceReply unpack(const CellWire::AdviceResponse &wire)
+{
+    AdviceReply reply;
+    reply.answered = wire.answered();
+    if (wire.workers() && wire.tickets() && wire.workers()->size() == wire.tickets()->size()) {
+        for (flatbuffers::uoffset_t index = 0; index < wire.workers()->size(); ++index)
+            reply.allowed.push_back(
+                {WorkerId(wire.workers()->Get(index)->str()), wire.tickets()->Get(index)->str()});
+    }
+    return reply;
+}
+
+} // namespace
+
+Frame encodeCellEnvelope(const CellEnvelope &envelope)
+{
+    Builder builder(256);
+    const auto message =
+        std::visit([&builder](const auto &one) { return pack(builder, one); }, envelope.message);
+    builder.Finish(
+        CellWire::CreateEnvelope(builder, envelope.correlation, kindOf(envelope.message), message));
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+CellEnvelope decodeCellEnvelope(const Frame &frame)
+{
+    const auto *bytes = reinterpret_cast<const uint8_t *>(frame.data());
+    flatbuffers::Verifier verifier(bytes, frame.size());
+    if (!CellWire::VerifyEnvelopeBuffer(verifier))
+        throw ProtocolError("a peer's message cannot be read");
+    const CellWire::Envelope *wire = CellWire::GetEnvelope(bytes);
+    CellEnvelope envelope;
+    envelope.correlation = wire->correlation();
+    switch (wire->message_type()) {
+    case CellWire::Message::Hello:
+        envelope.message = HelloMessage{EntryId(text(wire->message_as_Hello()->node()))};
+        break;
+    case CellWire::Message::Heartbeat: {
+        const auto *beat = wire->message_as_Heartbeat();
+        envelope.message = HeartbeatMessage{Revision(beat->claim()), Duration(beat->store_age_ms()),
+                                            beat->is_ready()};
+        break;
+    }
+    case CellWire::Message::ClientRequest:
+        envelope.message = unpack(*wire->message_as_ClientRequest());
+        break;
+    case CellWire::Message::ClientResponse:
+        envelope.message = unpack(*wire->message_as_ClientResponse());
+        break;
+    case CellWire::Message::AdviceRequest:
+        envelope.message = unpack(*wire->message_as_AdviceRequest());
+        break;
+    case CellWire::Message::AdviceResponse:
+        envelope.message = unpack(*wire->message_as_AdviceResponse());
+        break;
+    case CellWire::Message::VoteRequest:
+        envelope.message = VoteRequest{Revision(wire->message_as_VoteRequest()->claim())};
+        break;
+    case CellWire::Message::VoteResponse:
+        envelope.message = VoteResponse{wire->message_as_VoteResponse()->agrees()};
+        break;
+    case CellWire::Message::HandOver:
+        envelope.message = HandOverMessage{Revision(wire->message_as_HandOver()->claim())};
+        break;
+    case CellWire::Message::NONE:
+        throw ProtocolError("a peer's message is of no known kind");
+    }
+    return envelope;
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Protocol/CellMessages.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Protocol/ClientCall.h"
+#include "Protocol/PlacementAdvisor.h"
+#include "State/Ids.h"
+#include "Transport/FrameLink.h"
+
+#include <variant>
+
+namespace Cranberrymount {
+
+struct HelloMessage
+{
+    EntryId node;
+};
+
+/** How the leader stands, as it tells its followers. */
+struct HeartbeatMessage
+{
+    Revision claim;
+    /** Time since the store last confirmed a commit of the leader. */
+    Duration storeAge{0};
+    /** False while the leader still reads the journal. */
+    bool isReady = false;
+};
+
+/** Asks whether the receiver, too, hears nothing sound of the holder of a claim. */
+struct VoteRequest
+{
+    Revision claim;
+};
+
+struct VoteResponse
+{
+    bool agrees = false;
+};
+
+/** The receiver is to take over the sender's claim. */
+struct HandOverMessage
+{
+    Revision claim;
+};
+
+using CellMessage =
+    std::variant<HelloMessage, HeartbeatMessage, ClientCall, ClientReply, AdviceCall, AdviceReply,
+                 VoteRequest, VoteResponse, HandOverMessage>;
+
+struct CellEnvelope
+{
+    /** Ties a response to its request; 0 for messages without one. */
+    uint64_t correlation = 0;
+    CellMessage message;
+};
+
+Frame encodeCellEnvelope(const CellEnvelope &envelope);
+
+/** @throws ProtocolError if @p frame is not what encodeCellEnvelope() makes. */
+CellEnvelope decodeCellEnvelope(const Frame &frame);
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Protocol/TransactionalStore.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Protocol/Store.h"
+
+namespace Cranberrymount {
+
+/** A change of several keys that takes effect whole or not at all. */
+struct StoreTransaction
+{
+    struct Condition
+    {
+        std::string key;
+        /** The revision that the key must have; 0 for "must not exist". */
+        Revision revision;
+    };
+    struct Put
+    {
+        std::string key;
+        std::string value;
+        /** Deletes the key when this lease ends; 0 for none. */
+        StoreLeaseId lease = {};
+    };
+    std::vector<Condition> conditions;
+    std::vector<Put> puts;
+    std::vector<std::string> removals;
+};
+
+/** What became of a transaction. */
+struct CommitResult
+{
+    enum Outcome {
+        Committed,
+        /** A condition did not hold; @c current has the keys of the conditions as they stand. */
+        Conflict,
+        /** The store refused the call or it never left; nothing changed. */
+        NotDone,
+        /** The transaction may take effect, also later while its conditions hold. */
+        Unknown,
+        /** A lease named in the transaction has ended; nothing changed. */
+        LeaseEnded,
+    };
+    Outcome outcome = Unknown;
+    /** Revision of the keys written, after @c Committed. */
+    Revision revision;
+    std::vector<StoreEntry> current;
+};
+
+/** A key-value service with transactions over several keys; callbacks run on the control thread. */
+class TransactionalStore
+{
+public:
+    virtual ~TransactionalStore() = default;
+
+    /** Reads all keys that begin with @p prefix; the pages of a long list are not one snapshot. */
+    virtual void list(const std::string &prefix, std::function<void(StoreRead)> done) = 0;
+    virtual void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) = 0;
+    virtual void createLease(Duration ttl, std::function<void(StoreLease)> done) = 0;
+    virtual void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) = 0;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/CellNode.cpp
@@ -0,0 +1,254 @@
+#include "Service/CellNode.h"
+
+#include <glog/logging.h>
+
+#include <ctime>
+#include <random>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr Duration TickInterval{50};
+constexpr Duration HeartbeatInterval{200};
+/** A call waits this long for a leader: a quarter of the objective of the quickest queue on the
+ * users' sheets. A leader that hands over is followed within this time. */
+constexpr Duration LeaderWait{350};
+/** When callers come back after a refusal for want of a leader: an election takes about a second.
+ * Spread over a second, so that they do not come as one. */
+constexpr Duration RetryWithoutLeader{1000};
+constexpr double RetrySpreadMs = 1000;
+/** Patience of a caller that names none. */
+constexpr Duration DefaultPatience{3000};
+/** An entry whose calls found no leader for this long asks for no new connections. */
+constexpr Duration SuspensionThreshold{300};
+constexpr Duration HandOverWait{800};
+constexpr Duration HandOverPoll{20};
+
+std::chrono::nanoseconds readClock(clockid_t clock)
+{
+    timespec time{};
+    clock_gettime(clock, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace
+
+CellNode::CellNode(asio::io_context &context, CellSettings settings, Platform platform)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_platform(platform)
+    , m_timers(context)
+    , m_log(m_timers)
+    , m_random(pcg_extras::seed_seq_from<std::random_device>())
+    , m_advice(m_timers)
+    , m_peers(context, m_timers, m_settings.node, m_settings.peer,
+              {.clientCall =
+                   [this](ClientCall call, ClientRespond respond) {
+                       if (m_scheduler)
+                           return m_scheduler->handle(std::move(call), std::move(respond));
+                       ClientReply reply;
+                       reply.retryAfter = RetryWithoutLeader;
+                       reply.detail = "this node leads no more";
+                       respond(reply);
+                   },
+               .advice =
+                   [this](AdviceCall call, std::function<void(AdviceReply)> done) {
+                       m_platform.advisor.ask(std::move(call), std::move(done));
+                   },
+               .vote = [this](Revision claim) { return m_leadership.votesAgainst(claim); },
+               .handOver = [this](Revision claim) { m_leadership.takeOver(claim); },
+               .followerJoined =
+                   [this](const EntryId &node) {
+                       LOG(INFO) << "event=follower_joined node=" << node.value();
+                       m_advice.addCaller(
+                           node,
+                           [this, node](AdviceCall call, std::function<void(AdviceReply)> done) {
+                               m_peers.askAdvice(node, std::move(call), std::move(done));
+                           });
+                   },
+               .followerLeft =
+                   [this](const EntryId &node) {
+                       LOG(INFO) << "event=follower_left node=" << node.value();
+                       m_advice.removeCaller(node);
+                   }})
+    , m_leadership(m_platform.store, m_timers, m_peers, {m_settings.node, m_settings.peer},
+                   [this] { return random(); },
+                   {[this](Revision claim) { lead(claim); }, [this] { follow(); }})
+{
+    m_advice.addCaller(m_settings.node,
+                       [this](AdviceCall call, std::function<void(AdviceReply)> done) {
+                           m_platform.advisor.ask(std::move(call), std::move(done));
+                       });
+}
+
+void CellNode::start()
+{
+    suspendedTime();
+    m_leadership.begin();
+    tick();
+    beat();
+}
+
+double CellNode::random()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+WallTime CellNode::wallNow() const
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+}
+
+Duration CellNode::suspendedTime()
+{
+    // The boot clock counts the time in which the machine was suspended, the steady clock doesn't.
+    const auto suspended = readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC);
+    const auto since = suspended - m_suspendedBefore;
+    m_suspendedBefore = suspended;
+    return std::chrono::duration_cast<Duration>(since);
+}
+
+void CellNode::lead(Revision claim)
+{
+    CellScheduler::Parts parts{
+        m_platform.store,
+        m_platform.operators,
+        m_platform.orders,
+        m_advice,
+        m_timers,
+        [this] { return wallNow(); },
+        m_log,
+        [this](const std::string &name, double by) { m_metrics.count(name, by); }};
+    m_scheduler = std::make_unique<CellScheduler>(
+        std::move(parts), CellTerms{m_settings.workerLease, m_settings.statusLife}, claim,
+        [this] { m_leadership.giveUp(); });
+    m_scheduler->recover();
+}
+
+void CellNode::follow()
+{
+    // The scheduler may be on the stack.
+    m_retired.push_back(std::move(m_scheduler));
+}
+
+bool CellNode::hasLeader() const
+{
+    if (m_scheduler)
+        return m_scheduler->isReady();
+    return m_peers.isLinked() && m_peers.heartbeat() && m_peers.heartbeat()->isReady;
+}
+
+bool CellNode::isReady() const
+{
+    return !m_isRetiring && hasLeader();
+}
+
+void CellNode::handle(ClientCall call, Duration patience, ClientRespond respond)
+{
+    const Instant now = m_timers.now();
+    m_metrics.count("calls", 1);
+    const auto observed = [this, now, respond = std::move(respond)](ClientReply reply) {
+        m_metrics.observe("call_seconds", m_timers.now() - now);
+        m_metrics.count("replies_" + std::to_string(reply.outcome), 1);
+        respond(std::move(reply));
+    };
+    const Duration limit = patience.count() > 0 ? patience : DefaultPatience;
+    route({std::move(call), observed, now + LeaderWait, now + limit, false});
+}
+
+void CellNode::route(WaitingCall waiting)
+{
+    if (m_scheduler && m_scheduler->isReady())
+        return m_scheduler->handle(std::move(waiting.call), std::move(waiting.respond));
+    if (!m_scheduler && hasLeader())
+        return sendToLeader(std::move(waiting));
+    m_waiting.push_back(std::move(waiting));
+}
+
+void CellNode::sendToLeader(WaitingCall waiting)
+{
+    const Instant now = m_timers.now();
+    const auto patience =
+        std::max(std::chrono::duration_cast<Duration>(waiting.deadline - now), Duration(1));
+    const auto shared = std::make_shared<WaitingCall>(std::move(waiting));
+    m_peers.callLeader(shared->call, patience, [this, shared](ClientReply reply) {
+        if (reply.outcome != ClientReply::Undetermined)
+            return shared->respond(std::move(reply));
+        // The same call can go to the next leader: a job's id makes it take effect once.
+        shared->wasSent = true;
+        const Instant later = m_timers.now();
+        if (later >= shared->deadline)
+            return refuse(*shared);
+        shared->leaderDeadline = later + LeaderWait;
+        m_waiting.push_back(std::move(*shared));
+    });
+}
+
+void CellNode::refuse(const WaitingCall &waiting)
+{
+    ClientReply reply;
+    const bool mayHaveRun = waiting.wasSent && waiting.call.kind != ClientCall::Status;
+    reply.outcome = mayHaveRun ? ClientReply::Undetermined : ClientReply::Unavailable;
+    if (!mayHaveRun)
+        reply.retryAfter =
+            RetryWithoutLeader + Duration(static_cast<int64_t>(random() * RetrySpreadMs));
+    reply.detail = mayHaveRun ? "the scheduler did not answer" : "no scheduler can be reached";
+    LOG_EVENT(m_log, "call_refused")
+        << "path=" << waiting.call.path << " kind=" << static_cast<int>(waiting.call.kind)
+        << " may_have_run=" << mayHaveRun << " linked=" << m_peers.isLinked()
+        << " claim=" << m_leadership.claim().value();
+    waiting.respond(std::move(reply));
+}
+
+void CellNode::tick()
+{
+    m_retired.clear();
+    if (suspendedTime() > SuspensionThreshold) {
+        LOG(WARNING) << "event=suspended";
+        if (m_scheduler)
+            m_scheduler->distrustViews();
+    }
+    std::deque<WaitingCall> waiting;
+    waiting.swap(m_waiting);
+    const Instant now = m_timers.now();
+    for (WaitingCall &one : waiting) {
+        if (hasLeader())
+            route(std::move(one));
+        else if (now >= std::min(one.leaderDeadline, one.deadline))
+            refuse(one);
+        else
+            m_waiting.push_back(std::move(one));
+    }
+    m_timers.after(TickInterval, [this] { tick(); });
+}
+
+void CellNode::beat()
+{
+    if (m_scheduler)
+        m_peers.broadcast({m_leadership.claim(), m_scheduler->storeAge(), m_scheduler->isReady()});
+    m_timers.after(HeartbeatInterval, [this] { beat(); });
+}
+
+void CellNode::retire(std::function<void()> done)
+{
+    m_isRetiring = true;
+    m_leadership.retire();
+    if (!m_scheduler)
+        return done();
+    m_scheduler->quiesce([this, done = std::move(done)] {
+        const std::vector<EntryId> followers = m_peers.followers();
+        if (!followers.empty()) {
+            const auto index =
+                static_cast<std::size_t>(random() * static_cast<double>(followers.size()));
+            LOG(INFO) << "event=leadership_handed_over to=" << followers[index].value();
+            m_peers.sendHandOver(followers[index], m_leadership.claim());
+        }
+        m_timers.after(HandOverWait, [this, done] {
+            m_leadership.giveUp();
+            done();
+        });
+    });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/CellNode.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Coordination/CellScheduler.h"
+#include "Coordination/Leadership.h"
+#include "Coordination/PeerHub.h"
+#include "Service/CellSettings.h"
+#include "Service/Metrics.h"
+#include "Transport/AsioTimerService.h"
+
+#include <pcg_random.hpp>
+
+#include <deque>
+
+namespace Cranberrymount {
+
+/**
+ * One node of a cell: takes submitters' calls, passes them to the leader, and leads while it
+ * holds the claim. Everything runs on the thread that runs the context.
+ */
+class CellNode
+{
+public:
+    /** The platform as the node sees it. */
+    struct Platform
+    {
+        TransactionalStore &store;
+        OperatorSource &operators;
+        WorkerOrders &orders;
+        PlacementAdvisor &advisor;
+    };
+
+    /** @throws TransportError if the peer address cannot be bound. */
+    CellNode(asio::io_context &context, CellSettings settings, Platform platform);
+
+    void start();
+
+    /** Answers a submitter's call within @p patience. */
+    void handle(ClientCall call, Duration patience, ClientRespond respond);
+
+    /** @return true while new connections should come here. */
+    bool isReady() const;
+
+    /** Hands leadership on, if it has it; @p done runs when this node leads no more. */
+    void retire(std::function<void()> done);
+
+    Metrics &metrics() { return m_metrics; }
+
+private:
+    /** A call that waits for a leader. */
+    struct WaitingCall
+    {
+        ClientCall call;
+        ClientRespond respond;
+        /** When it is refused for want of a leader. */
+        Instant leaderDeadline;
+        Instant deadline;
+        /** A leader may have taken it in. */
+        bool wasSent = false;
+    };
+
+    void route(WaitingCall waiting);
+    void sendToLeader(WaitingCall waiting);
+    void refuse(const WaitingCall &waiting);
+    bool hasLeader() const;
+    void tick();
+    void beat();
+    void lead(Revision claim);
+    void follow();
+    double random();
+    /** @return how far the process was suspended since the last call. */
+    Duration suspendedTime();
+    WallTime wallNow() const;
+
+    asio::io_context &m_context;
+    CellSettings m_settings;
+    Platform m_platform;
+    AsioTimerService m_timers;
+    LogBudget m_log;
+    Metrics m_metrics;
+    pcg32 m_random;
+    AdviceDesk m_advice;
+    PeerHub m_peers;
+    Leadership m_leadership;
+    std::unique_ptr<CellScheduler> m_scheduler;
+    /** Schedulers of lost claims, until their callbacks have returned. */
+    std::vector<std::unique_ptr<CellScheduler>> m_retired;
+    std::deque<WaitingCall> m_waiting;
+    std::chrono::nanoseconds m_suspendedBefore{0};
+    bool m_isRetiring = false;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/Service/CellSettings.cpp
@@ -0,0 +1,63 @@
+#include "Service/CellSettings.h"
+
+#include "Service/Settings.h"
+#include "Service/TomlChecker.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace Cranberrymount {
+
+CellSettings parseCellSettings(const std::string &text, const std::string &name)
+{
+    std::vector<std::string> faults;
+    TomlChecker checker(name, faults);
+    const toml::table root = checker.parse(text);
+    CellSettings settings;
+    if (faults.empty()) {
+        const toml::table &node = checker.section(root, "node", true);
+        settings.node = EntryId(checker.requiredText(node, "id"));
+        settings.zone = ZoneId(checker.requiredText(node, "zone"));
+        settings.front = checker.requiredEndpoint(node, "front");
+        settings.readiness = checker.requiredEndpoint(node, "readiness");
+        settings.peer = checker.requiredEndpoint(node, "peer");
+        settings.metrics = checker.requiredEndpoint(node, "metrics");
+        checker.rejectUnknown(node);
+        const toml::table &platform = checker.section(root, "platform", true);
+        settings.store = checker.requiredEndpoint(platform, "store");
+        if (platform.contains("advisor"))
+            settings.advisor = checker.requiredEndpoint(platform, "advisor");
+        checker.rejectUnknown(platform);
+        const toml::table &timing = checker.section(root, "timing", false);
+        const auto read = [&](const char *key, Duration fallback, int64_t low, int64_t high) {
+            return Duration(checker.number(timing, key, fallback.count(), low, high));
+        };
+        settings.workerLease = read("worker_lease_ms", settings.workerLease, 500, 600'000);
+        const int64_t status =
+            checker.number(timing, "status_s", settings.statusLife.count() / 1000, 1, 86'400);
+        settings.statusLife = std::chrono::seconds(status);
+        const int64_t grace =
+            checker.number(timing, "stop_grace_s", settings.stopGrace.count() / 1000, 1, 600);
+        settings.stopGrace = std::chrono::seconds(grace);
+        checker.rejectUnknown(timing);
+        checker.rejectUnknown(root);
+    }
+    if (faults.empty())
+        return settings;
+    std::string message;
+    for (const std::string &fault : faults)
+        message += (message.empty() ? "" : "\n") + fault;
+    throw SettingsError(message);
+}
+
+CellSettings readCellSettings(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file)
+        throw SettingsError(path + ": cannot be opened");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseCellSettings(text.str(), path);
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Libraries/State/JobTable.cpp
@@ -0,0 +1,252 @@
+#include "State/JobTable.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+TaskProgress *findIn(JobRecord &job, const TaskKey &key)
+{
+    if (key.occurrence >= job.occurrences.size())
+        return nullptr;
+    auto &steps = job.occurrences[key.occurrence];
+    if (key.step >= steps.size() || key.index >= steps[key.step].tasks.size())
+        return nullptr;
+    return &steps[key.step].tasks[key.index];
+}
+
+bool isWhollyDone(const JobRecord &job)
+{
+    for (const auto &steps : job.occurrences) {
+        for (const StepRun &step : steps) {
+            if (!step.isDone())
+                return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+WallTime JobRecord::dueAt(uint32_t occurrence) const
+{
+    return accepted.spec.firstDue + accepted.spec.period * occurrence;
+}
+
+bool JobRecord::isUnblocked(uint32_t occurrence, uint32_t step) const
+{
+    const auto &steps = occurrences[occurrence];
+    return std::ranges::all_of(accepted.spec.steps[step].after,
+                               [&steps](uint32_t earlier) { return steps[earlier].isDone(); });
+}
+
+void JobTable::apply(const JournalRecord &record, WallTime now)
+{
+    std::visit([this, now](const auto &one) { applyRecord(one, now); }, record);
+}
+
+void JobTable::applyRecord(const JobAccepted &record, WallTime)
+{
+    auto [position, isNew] = m_jobs.try_emplace(record.job);
+    if (!isNew)
+        return;
+    JobRecord &job = position->second;
+    job.accepted = record;
+    job.occurrences.resize(std::max(1U, record.spec.occurrences));
+    for (auto &steps : job.occurrences) {
+        steps.resize(record.spec.steps.size());
+        for (std::size_t step = 0; step < steps.size(); ++step)
+            steps[step].tasks.resize(record.spec.steps[step].taskCount);
+    }
+    refreshIndices(job);
+}
+
+void JobTable::applyRecord(const JobCancelled &record, WallTime now)
+{
+    JobRecord *job = find(record.job);
+    if (job && !job->isOver())
+        end(*job, JobState::Cancelled, now);
+}
+
+void JobTable::applyRecord(const RunAssigned &record, WallTime)
+{
+    JobRecord *job = find(record.task.job);
+    TaskProgress *task = job ? findIn(*job, record.task) : nullptr;
+    if (!task || record.attempt <= task->lastAttempt || task->isActive)
+        return;
+    task->lastAttempt = record.attempt;
+    task->isActive = true;
+    task->worker = record.worker;
+    ++job->occurrences[record.task.occurrence][record.task.step].activeCount;
+    ++job->activeRuns;
+    if (job->state == JobState::Queued)
+        job->state = JobState::Running;
+    refreshIndices(*job);
+}
+
+void JobTable::applyRecord(const RunEnded &record, WallTime now)
+{
+    JobRecord *job = find(record.task.job);
+    TaskProgress *task = job ? findIn(*job, record.task) : nullptr;
+    if (!task || record.attempt != task->lastAttempt || !task->isActive)
+        return;
+    StepRun &step = job->occurrences[record.task.occurrence][record.task.step];
+    const StepSpec &spec = job->accepted.spec.steps[record.task.step];
+    task->isActive = false;
+    --step.activeCount;
+    --job->activeRuns;
+    if (!record.checkpoint.empty())
+        task->checkpoint = record.checkpoint;
+    if (record.outcome == RunOutcome::Done && !spec.isService) {
+        if (!task->isDone) {
+            task->isDone = true;
+            ++step.doneCount;
+        }
+        if (spec.isGang)
+            finishGang(*job, step);
+        if (!job->isOver() && isWhollyDone(*job))
+            end(*job, JobState::Done, now);
+    } else if (record.outcome == RunOutcome::Failed && !spec.isService) {
+        // Members of a gang share the attempt number; the first member counts for all of them.
+        TaskProgress &counted = spec.isGang ? step.tasks.front() : *task;
+        if (record.attempt > counted.lastFailedAttempt) {
+            counted.lastFailedAttempt = record.attempt;
+            ++counted.failures;
+        }
+        if (!job->isOver() && counted.failures >= job->accepted.maxAttempts)
+            end(*job, JobState::Failed, now);
+    }
+    refreshIndices(*job);
+}
+
+void JobTable::applyRecord(const JobSnapshot &record, WallTime)
+{
+    JobRecord job;
+    job.accepted = record.accepted;
+    job.state = record.state;
+    job.endedAt = record.endedAt;
+    job.occurrences.resize(record.tasks.size());
+    for (std::size_t occurrence = 0; occurrence < record.tasks.size(); ++occurrence) {
+        for (const auto &tasks : record.tasks[occurrence]) {
+            StepRun &step = job.occurrences[occurrence].emplace_back();
+            step.tasks = tasks;
+            for (const TaskProgress &task : tasks) {
+                step.doneCount += task.isDone;
+                step.activeCount += task.isActive;
+            }
+            job.activeRuns += step.activeCount;
+        }
+    }
+    JobRecord &stored = m_jobs[record.accepted.job] = std::move(job);
+    refreshIndices(stored);
+}
+
+/** One member's successful end stands for the whole gang. */
+void JobTable::finishGang(JobRecord &job, StepRun &step)
+{
+    for (TaskProgress &member : step.tasks) {
+        if (member.isActive) {
+            member.isActive = false;
+            --step.activeCount;
+            --job.activeRuns;
+        }
+        if (!member.isDone) {
+            member.isDone = true;
+            ++step.doneCount;
+        }
+    }
+}
+
+void JobTable::end(JobRecord &job, JobState state, WallTime now)
+{
+    job.state = state;
+    job.endedAt = now;
+}
+
+void JobTable::refreshIndices(JobRecord &job)
+{
+    const JobId &id = job.accepted.job;
+    const auto keep = [&id](std::set<JobId> &set, bool isMember) {
+        if (isMember)
+            set.insert(id);
+        else
+            set.erase(id);
+    };
+    keep(m_open, !job.isOver());
+    keep(m_endedWithRuns, job.isOver() && job.activeRuns > 0);
+    keep(m_pending[job.accepted.queue], job.state == JobState::Queued);
+}
+
+const JobRecord *JobTable::find(const JobId &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+JobRecord *JobTable::find(const JobId &id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const TaskProgress *JobTable::findTask(const TaskKey &key) const
+{
+    const auto found = m_jobs.find(key.job);
+    // The lookup changes nothing; one helper serves both kinds of access.
+    return found == m_jobs.end() ? nullptr : findIn(const_cast<JobRecord &>(found->second), key);
+}
+
+const StepRun *JobTable::findStep(const StepKey &key) const
+{
+    const JobRecord *job = find(key.job);
+    if (!job || key.occurrence >= job->occurrences.size()
+        || key.step >= job->occurrences[key.occurrence].size())
+        return nullptr;
+    return &job->occurrences[key.occurrence][key.step];
+}
+
+std::vector<StepKey> JobTable::startableSteps(WallTime now) const
+{
+    std::vector<StepKey> result;
+    for (const JobId &id : m_open) {
+        const JobRecord &job = m_jobs.at(id);
+        for (uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+            if (job.dueAt(occurrence) > now)
+                break;
+            const auto &steps = job.occurrences[occurrence];
+            for (uint32_t step = 0; step < steps.size(); ++step) {
+                if (steps[step].waitingCount() > 0 && job.isUnblocked(occurrence, step))
+                    result.push_back({id, occurrence, step});
+            }
+        }
+    }
+    return result;
+}
+
+uint32_t JobTable::pendingCount(const QueueId &queue) const
+{
+    const auto found = m_pending.find(queue);
+    return found == m_pending.end() ? 0 : static_cast<uint32_t>(found->second.size());
+}
+
+JobSnapshot JobTable::snapshot(const JobRecord &job) const
+{
+    JobSnapshot result{job.accepted, job.state, job.endedAt, {}};
+    for (const auto &steps : job.occurrences) {
+        auto &occurrence = result.tasks.emplace_back();
+        for (const StepRun &step : steps)
+            occurrence.push_back(step.tasks);
+    }
+    return result;
+}
+
+std::size_t JobTable::forgetEndedBefore(WallTime limit)
+{
+    return std::erase_if(m_jobs, [limit](const auto &entry) {
+        const JobRecord &job = entry.second;
+        return job.isOver() && job.activeRuns == 0 && job.endedAt < limit;
+    });
+}
+
+} // namespace Cranberrymount
--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -162,13 +162,15 @@
     }
 }
 
-HttpClient::HttpClient()
+HttpClient::HttpClient(std::size_t maxHostConnections)
     : m_private(std::make_unique<Private>())
 {
     static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
     if (Initialized != CURLE_OK || !m_private->multi)
         throw TransportError("libcurl cannot be initialised");
     curl_multi_setopt(m_private->multi, CURLMOPT_MAXCONNECTS, 1024L);
+    curl_multi_setopt(m_private->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      static_cast<long>(maxHostConnections));
     m_private->thread = std::thread([this] { m_private->run(); });
 }
 
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -51,7 +51,8 @@
 public:
     using Callback = std::function<void(HttpResult)>;
 
-    HttpClient();
+    /** @p maxHostConnections bounds the open connections to one address; 0 for no bound. */
+    explicit HttpClient(std::size_t maxHostConnections = 0);
     ~HttpClient();
 
     /** Makes @p call; @p callback runs on the client's thread and must not block. */
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -107,12 +107,16 @@
     std::unique_ptr<restinio::on_pool_runner_t<RestinioServer>> runner;
 };
 
-HttpServer::HttpServer(const Endpoint &address, const HttpServerLimits &limits, Handler handler)
-    : m_private(std::make_unique<Private>())
+namespace {
+
+/** @return settings whose handler passes whole requests to @p handler. */
+restinio::server_settings_t<ServerTraits>
+makeSettings(const Endpoint &address, const HttpServerLimits &limits, HttpServer::Handler handler,
+             const std::shared_ptr<std::atomic<std::size_t>> &inFlight,
+             const std::shared_ptr<std::atomic<bool>> &closing,
+             const std::shared_ptr<std::weak_ptr<RestinioServer>> &self)
 {
-    const auto self = std::make_shared<std::weak_ptr<RestinioServer>>();
-    const auto handle = [handler = std::move(handler), inFlight = m_private->inFlight,
-                         closing = m_private->closing, self,
+    const auto handle = [handler = std::move(handler), inFlight, closing, self,
                          maxBody = limits.bodyBytes](const restinio::request_handle_t &request) {
         const auto respond = [held = HeldRequest{self->lock(), request}, inFlight,
                               closing](const HttpAnswer &answer) {
@@ -147,6 +151,17 @@
                                       .max_field_name_size(256)
                                       .max_field_value_size(8'192)
                                       .max_body_size(limits.bodyBytes * AnsweredBodyFactor));
+    return settings;
+}
+
+} // namespace
+
+HttpServer::HttpServer(const Endpoint &address, const HttpServerLimits &limits, Handler handler)
+    : m_private(std::make_unique<Private>())
+{
+    const auto self = std::make_shared<std::weak_ptr<RestinioServer>>();
+    auto settings = makeSettings(address, limits, std::move(handler), m_private->inFlight,
+                                 m_private->closing, self);
     try {
         m_private->server =
             std::make_shared<RestinioServer>(restinio::own_io_context(), std::move(settings));
@@ -163,12 +178,44 @@
     }
 }
 
+HttpServer::HttpServer(asio::io_context &context, const Endpoint &address,
+                       const HttpServerLimits &limits, Handler handler)
+    : m_private(std::make_unique<Private>())
+{
+    const auto self = std::make_shared<std::weak_ptr<RestinioServer>>();
+    auto settings = makeSettings(address, limits, std::move(handler), m_private->inFlight,
+                                 m_private->closing, self);
+    try {
+        m_private->server = std::make_shared<RestinioServer>(restinio::external_io_context(context),
+                                                             std::move(settings));
+        *self = m_private->server;
+        bool isOpen = false;
+        std::exception_ptr failure;
+        m_private->server->open_async(
+            [&isOpen]() noexcept { isOpen = true; },
+            [&failure](const std::exception_ptr &error) noexcept { failure = error; });
+        while (!isOpen && !failure)
+            context.run_one();
+        if (failure)
+            std::rethrow_exception(failure);
+    } catch (const std::exception &error) {
+        throw TransportError(fmt::format("cannot listen on {}: {}", address.text(), error.what()));
+    }
+}
+
 HttpServer::~HttpServer()
 {
+    if (!m_private->runner)
+        return;
     m_private->runner->stop();
     m_private->runner->wait();
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    *m_private->closing = true;
+}
+
 void HttpServer::stopAccepting()
 {
     *m_private->closing = true;
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -3,6 +3,8 @@
 #include "State/Time.h"
 #include "State/Worker.h"
 
+#include <asio/io_context.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -62,8 +64,16 @@
 
     /** @throws TransportError if the address cannot be bound. */
     HttpServer(const Endpoint &address, const HttpServerLimits &limits, Handler handler);
+    /**
+     * Serves on @p context, whose thread then also runs the handlers; limits.threads is not used.
+     * Runs the context until the address is open. @throws TransportError as above.
+     */
+    HttpServer(asio::io_context &context, const Endpoint &address, const HttpServerLimits &limits,
+               Handler handler);
     ~HttpServer();
 
+    /** Ends each connection with its next answer. */
+    void closeAfterAnswers();
     /** Accepts no further connection; requests on open ones still reach the handler. */
     void stopAccepting();
     /** @return requests that have been handed to the handler and not been answered. */
--- /dev/null
+++ b/Libraries/Transport/LogBudget.cpp
@@ -0,0 +1,30 @@
+#include "Transport/LogBudget.h"
+
+#include <glog/logging.h>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** Twice the jobs a second that the users' sheets name; a line costs about 10 us. */
+constexpr uint32_t LinesPerSecond = 100;
+constexpr std::chrono::seconds WindowLength{1};
+
+} // namespace
+
+bool LogBudget::take(std::string_view kind)
+{
+    Window &window = m_windows[kind];
+    const Instant now = m_timers.now();
+    if (now - window.begin >= WindowLength) {
+        if (window.leftOut > 0)
+            LOG(INFO) << "event=lines_left_out kind=" << kind << " count=" << window.leftOut;
+        window = {now, 0, 0};
+    }
+    if (++window.lines <= LinesPerSecond)
+        return true;
+    ++window.leftOut;
+    return false;
+}
+
+} // namespace Cranberrymount
--- a/Meta/generate.sh
+++ b/Meta/generate.sh
@@ -2,4 +2,6 @@
 # Regenerates the committed FlatBuffers code.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-flatc --cpp --scoped-enums -o Libraries/Protocol/Generated Libraries/Protocol/Peer.fbs
+for schema in Peer Cell; do
+    flatc --cpp --scoped-enums -o Libraries/Protocol/Generated "Libraries/Protocol/$schema.fbs"
+done
--- /dev/null
+++ b/Services/cranberrymount-cell/main.cpp
@@ -0,0 +1,179 @@
+#include "PlatformDocuments.h"
+#include "PlatformIngress.h"
+#include "PlatformStore.h"
+#include "PlatformWorkers.h"
+
+#include "Protocol/ProtocolError.h"
+#include "Service/CellNode.h"
+#include "Service/Settings.h"
+#include "Transport/TransportError.h"
+
+#include <asio/signal_set.hpp>
+#include <fcntl.h>
+#include <glog/logging.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+#include <unistd.h>
+
+namespace {
+
+using namespace Cranberrymount;
+
+enum ExitCode {
+    Success = 0,
+    BadUsage = 2,
+    BadSettings = 3,
+    CannotListen = 4,
+};
+
+/** The balancer probes once a second and gives up a node after two misses. */
+constexpr Duration BalancerNotice{2200};
+/** Kept of the stop's grace for the last answers and the process's end. */
+constexpr Duration ExitMargin{900};
+constexpr Duration DrainPoll{50};
+/** One for the pending report, the rest for orders; a worker takes 64 from all nodes. */
+constexpr std::size_t ConnectionsPerHost = 6;
+constexpr int ServiceUnavailable = 503;
+
+/** A node with its listeners. */
+class CellService
+{
+public:
+    CellService(asio::io_context &context, const CellSettings &settings)
+        : m_context(context)
+        , m_settings(settings)
+        , m_client(ConnectionsPerHost)
+        , m_store(m_client, context, settings.store)
+        , m_documents(m_store)
+        , m_workers(m_client, context, settings.advisor)
+        , m_node(context, settings, {m_store, m_documents, m_workers, m_workers})
+        , m_front(context, settings.front, {},
+                  [this](const HttpIncoming &request, const HttpRespond &respond) {
+                      handleClient(request, respond);
+                  })
+        , m_readiness(context, settings.readiness, {},
+                      [this](const HttpIncoming &request, const HttpRespond &respond) {
+                          const bool isReady =
+                              Platform::isReadinessProbe(request) && m_node.isReady();
+                          respond({isReady ? 200 : ServiceUnavailable, "{}"});
+                      })
+        , m_metrics(context, settings.metrics, {},
+                    [this](const HttpIncoming &, const HttpRespond &respond) {
+                        respond({200, m_node.metrics().page(), "text/plain; version=0.0.4"});
+                    })
+        , m_timers(context)
+        , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    {
+        awaitSignal();
+        m_node.start();
+    }
+
+private:
+    void handleClient(const HttpIncoming &request, const HttpRespond &respond)
+    {
+        ClientCall call;
+        try {
+            call = Platform::decodeClientCall(request);
+        } catch (const std::exception &error) {
+            ClientReply reply;
+            reply.outcome = ClientReply::Malformed;
+            reply.detail = error.what();
+            return respond(Platform::encodeClientReply(reply));
+        }
+        m_node.handle(
+            std::move(call), Platform::clientPatience(request),
+            [respond](const ClientReply &reply) { respond(Platform::encodeClientReply(reply)); });
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const asio::error_code &error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                LOG(INFO) << "event=reload"; // Settings that a node uses never change in its life.
+            else
+                stop();
+            awaitSignal();
+        });
+    }
+
+    /** Goes on serving until the balancer and the callers have left, then ends. */
+    void stop()
+    {
+        if (m_isStopping)
+            return;
+        m_isStopping = true;
+        LOG(INFO) << "event=shutdown_began in_flight=" << m_front.requestsInFlight();
+        m_node.retire([] {});
+        m_timers.after(BalancerNotice, [this] {
+            m_front.closeAfterAnswers();
+            const Instant limit =
+                m_timers.now() + m_settings.stopGrace - BalancerNotice - ExitMargin;
+            m_timers.after(m_settings.stopGrace - BalancerNotice - 2 * ExitMargin,
+                           [this, limit] { finish(limit); });
+        });
+    }
+
+    void finish(Instant limit)
+    {
+        if (m_front.requestsInFlight() > 0 && m_timers.now() < limit)
+            return m_timers.after(DrainPoll, [this, limit] { finish(limit); });
+        LOG(INFO) << "event=shutdown_ended in_flight=" << m_front.requestsInFlight();
+        m_context.stop();
+    }
+
+    asio::io_context &m_context;
+    CellSettings m_settings;
+    HttpClient m_client;
+    Platform::PlatformStore m_store;
+    Platform::PlatformDocuments m_documents;
+    Platform::PlatformWorkers m_workers;
+    CellNode m_node;
+    HttpServer m_front;
+    HttpServer m_readiness;
+    HttpServer m_metrics;
+    AsioTimerService m_timers;
+    asio::signal_set m_signals;
+    bool m_isStopping = false;
+};
+
+int run(const std::string &path)
+{
+    const CellSettings settings = readCellSettings(path);
+    std::signal(SIGPIPE, SIG_IGN);
+    // A reader of the log that stalls must not stall the node.
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    asio::io_context context(1);
+    CellService service(context, settings);
+    LOG(INFO) << "event=started node=" << settings.node.value() << " zone=" << settings.zone.value()
+              << " front=" << settings.front.text();
+    context.run();
+    return Success;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_logtostdout = true;
+    try {
+        TCLAP::CmdLine command("cranberrymount-cell: one node of a cell", ' ', "0.1");
+        const TCLAP::UnlabeledValueArg<std::string> settings("settings", "TOML settings file", true,
+                                                             "", "FILE", command);
+        command.parse(argc, argv);
+        return run(settings.getValue());
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << error.error() << " " << error.argId() << "\n";
+        return BadUsage;
+    } catch (const SettingsError &error) {
+        std::cerr << error.what() << "\n";
+        return BadSettings;
+    } catch (const TransportError &error) {
+        std::cerr << error.what() << "\n";
+        return CannotListen;
+    }
+}
