State: Take a cancelled job out of the open ones at once

Cause: JobTable::applyRecord(JobCancelled) changed the state and left the indices, so that a cancelled job was a candidate until its next run ended: its runs were stopped up to 3 s late (UNASKED), its advice was asked for again and again and its gang kept workers reserved.

--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -162,6 +162,7 @@
 {
     job.state = state;
     job.endedAt = now;
+    refreshIndices(job);
 }
 
 void JobTable::refreshIndices(JobRecord &job)
