--- a/Libraries/Coordination/AdviceDesk.cpp
+++ b/Libraries/Coordination/AdviceDesk.cpp
@@ -14,8 +14,10 @@
 constexpr Duration RelayTime{400};
 /** A caller that failed is charged this much, so that others are tried first. */
 constexpr Duration FailurePenalty{1500};
-/** Calls that may wait at one node; the advisor turns a machine away beyond 32. */
-constexpr std::size_t MostUnderWay = 8;
+/** A node takes its next call this long before it is free, which covers the way there. A short
+ * call may wait behind a few short ones, so that the node is not idle between them. */
+constexpr Duration LongOverlap{15};
+constexpr Duration ShortOverlap{60};
 
 } // namespace
 
@@ -34,15 +36,7 @@
     m_callers.erase(node);
 }
 
-std::size_t AdviceDesk::freeCallers() const
-{
-    std::size_t free = 0;
-    for (const auto &[node, caller] : m_callers)
-        free += MostUnderWay - std::min(MostUnderWay, caller.underWay);
-    return free;
-}
-
-void AdviceDesk::ask(AdviceCall call, Duration cost, std::function<void(AdviceReply)> done)
+bool AdviceDesk::tryAsk(AdviceCall call, Duration cost, std::function<void(AdviceReply)> done)
 {
     const Instant now = m_timers.now();
     const std::size_t shortLanes = m_callers.size() / CallersPerShortLane;
@@ -51,7 +45,10 @@
     std::size_t position = 0;
     for (auto &[node, caller] : m_callers) {
         const bool isShortLane = position++ < shortLanes;
-        if (caller.underWay >= MostUnderWay || (isShortLane && cost > LongCall))
+        const bool isLong = cost > LongCall;
+        if (caller.busyUntil > now + (isLong ? LongOverlap : ShortOverlap))
+            continue;
+        if (isShortLane && isLong)
             continue;
         if (!best || std::max(caller.busyUntil, now) < std::max(best->busyUntil, now)) {
             best = &caller;
@@ -59,7 +56,7 @@
         }
     }
     if (!best)
-        return done({});
+        return false;
     best->busyUntil = std::max(best->busyUntil, now) + cost;
     ++best->underWay;
     call.timeout = std::chrono::duration_cast<Duration>(best->busyUntil - now) + RelayTime;
@@ -78,6 +75,7 @@
                   }
                   done(std::move(reply));
               });
+    return true;
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Coordination/AdviceDesk.h
+++ b/Libraries/Coordination/AdviceDesk.h
@@ -24,10 +24,12 @@
     void addCaller(const EntryId &node, Ask ask);
     void removeCaller(const EntryId &node);
 
-    /** Calls the advisor through the node that will be free first. */
-    void ask(AdviceCall call, Duration cost, std::function<void(AdviceReply)> done);
-    /** @return calls that could begin without waiting long. */
-    std::size_t freeCallers() const;
+    /**
+     * Calls the advisor through the node that is free first.
+     * @return false if every node that may take a call of this cost is busy; @p done is then not
+     *         called, and the caller can choose anew what is most urgent once one is free
+     */
+    bool tryAsk(AdviceCall call, Duration cost, std::function<void(AdviceReply)> done);
 
 private:
     struct Caller
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -328,7 +328,6 @@
     input.configuration = &m_configuration;
     input.advice = &m_adviceBook;
     input.teamUse = m_teamUse;
-    input.adviceSlots = m_parts.advice.freeCallers();
     for (const auto &[id, session] : m_sessions) {
         DispatchWorker worker;
         worker.info = session->worker();
@@ -359,38 +358,43 @@
 
 void CellScheduler::ask(const AdviceDecision &decision)
 {
-    m_adviceBook.beginAsking(decision.step);
     AdviceCall call;
     call.step = decision.step;
     for (const WorkerLife &worker : decision.workers)
         call.workers.push_back(worker.id);
     const Instant sentAt = m_timers.now();
-    m_parts.count("advice_calls", 1);
-    m_parts.advice.ask(
+    const bool isUnderWay = m_parts.advice.tryAsk(
         std::move(call), decision.cost,
         [this, decision, sentAt, alive = std::weak_ptr(m_alive)](const AdviceReply &reply) {
-            if (alive.expired() || m_isOver)
-                return;
-            const Instant now = m_timers.now();
-            LOG_EVENT(m_parts.log, "advice")
-                << "job=" << decision.step.job.value() << " step=" << decision.step.step
-                << " asked=" << decision.workers.size() << " allowed=" << reply.allowed.size()
-                << " answered=" << reply.answered
-                << " took_ms=" << std::chrono::duration_cast<Duration>(now - sentAt).count();
-            const JobRecord *job = m_jobs.find(decision.step.job);
-            if (!job || job->isOver())
-                return m_adviceBook.forget(decision.step.job);
-            if (!reply.answered) {
-                m_adviceBook.fail(decision.step, now + AdvicePause);
-            } else {
-                std::map<WorkerId, std::string> tickets;
-                for (const AdviceTicket &ticket : reply.allowed)
-                    tickets.emplace(ticket.worker, ticket.ticket);
-                m_adviceBook.answer(decision.step, decision.workers, tickets,
-                                    now + decision.ticketLife - TicketSlack);
-            }
-            scheduleDispatch();
+            if (!alive.expired() && !m_isOver)
+                handleAdvice(decision, reply, sentAt);
         });
+    if (!isUnderWay)
+        return;
+    m_adviceBook.beginAsking(decision.step);
+    m_parts.count("advice_calls", 1);
+}
+
+void CellScheduler::handleAdvice(const AdviceDecision &decision, const AdviceReply &reply,
+                                 Instant sentAt)
+{
+    const Instant now = m_timers.now();
+    LOG_EVENT(m_parts.log, "advice")
+        << "job=" << decision.step.job.value() << " step=" << decision.step.step
+        << " asked=" << decision.workers.size() << " allowed=" << reply.allowed.size()
+        << " answered=" << reply.answered
+        << " took_ms=" << std::chrono::duration_cast<Duration>(now - sentAt).count();
+    scheduleDispatch();
+    const JobRecord *job = m_jobs.find(decision.step.job);
+    if (!job || job->isOver())
+        return m_adviceBook.forget(decision.step.job);
+    if (!reply.answered)
+        return m_adviceBook.fail(decision.step, now + AdvicePause);
+    std::map<WorkerId, std::string> tickets;
+    for (const AdviceTicket &ticket : reply.allowed)
+        tickets.emplace(ticket.worker, ticket.ticket);
+    m_adviceBook.answer(decision.step, decision.workers, tickets,
+                        now + decision.ticketLife - TicketSlack);
 }
 
 void CellScheduler::quiesce(std::function<void()> done)
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -143,6 +143,7 @@
     DispatchInput makeInput() const;
     bool accepts(const WorkerSession &session) const;
     void ask(const AdviceDecision &decision);
+    void handleAdvice(const AdviceDecision &decision, const AdviceReply &reply, Instant sentAt);
     void cleanJournal();
 
     Parts m_parts;
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t MaxWorkersPerAdvice = 30;
 /** Room asked for as a multiple of what is wanted, since some workers will be denied. */
 constexpr double AdviceSurplus = 3.0;
+/** Calls proposed in one round; a cell's nodes take fewer at a time. */
+constexpr std::size_t MostAdvice = 40;
 /** Fewest workers named while it is unknown which are allowed. */
 constexpr std::size_t FewestUnknownWorkers = 8;
 /** Gangs that keep workers free at a time; more would idle too much of the pool. */
@@ -342,7 +344,7 @@
 void Dispatcher::askAdvice(const Candidate &candidate, const StepSpec &spec, uint32_t wanted)
 {
     const AdviceBook::StepAdvice *known = m_input.advice->find(candidate.key);
-    if (m_result.advice.size() >= m_input.adviceSlots)
+    if (m_result.advice.size() >= MostAdvice)
         return;
     if (known && (known->isAsking || known->notBefore > m_input.now))
         return;
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -43,8 +43,6 @@
     std::vector<DispatchWorker> workers;
     /** What each team has running. */
     std::map<TeamId, Resources> teamUse;
-    /** Advice calls that may begin now. */
-    std::size_t adviceSlots = 0;
 };
 
 struct StartDecision
@@ -67,6 +65,7 @@
 struct DispatchResult
 {
     std::vector<StartDecision> starts;
+    /** Most urgent first; which of them can be made now depends on who is free to call. */
     std::vector<AdviceDecision> advice;
 };
 
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -159,6 +159,7 @@
 int main(int argc, char **argv)
 {
     google::InitGoogleLogging(argv[0]);
+    google::InstallFailureSignalHandler();
     FLAGS_logtostdout = true;
     try {
         TCLAP::CmdLine command("cranberrymount-cell: one node of a cell", ' ', "0.1");
