Coordination: Place jobs while they are stored, and let commits overlap

Cause: a lookup waited for two commits before its start, and each commit for the one before it; with the store 60 times slower that is 0.7 s of 0.65 s of slack. A job's tasks are placed while its record is on its way; its orders follow their own records, which follow it.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -81,13 +81,12 @@
     case ClientCall::Status:
         break;
     }
+    // A job whose record is on its way to the store may exist by the time of the answer.
+    if (m_accepting.contains(id))
+        return respond(unavailable("the job is being stored"));
     const JobRecord *job = m_jobs.find(id);
-    if (!job) {
-        // A job whose record is on its way to the store may exist by the time of the answer.
-        if (m_accepting.contains(id))
-            return respond(unavailable("the job is being stored"));
+    if (!job)
         return respond(plain(ClientReply::NoSuchJob, "no such job"));
-    }
     ClientReply reply = plain(ClientReply::JobShown);
     reply.state = job->state;
     respond(reply);
@@ -96,13 +95,13 @@
 void CellScheduler::submit(const QueueSettings &queue, const TeamId &team, const JobId &id,
                            ClientCall call, ClientRespond respond)
 {
-    if (m_jobs.find(id))
-        return respond(plain(ClientReply::Accepted));
     const auto waiting = m_accepting.find(id);
     if (waiting != m_accepting.end()) {
         waiting->second.push_back(std::move(respond));
         return;
     }
+    if (m_jobs.find(id))
+        return respond(plain(ClientReply::Accepted));
     if (!m_isStoreReachable)
         return respond(unavailable("the store cannot be reached; the job was not stored"));
     JobAccepted record;
@@ -121,23 +120,25 @@
         << " first_step_tasks=" << record.spec.steps.front().taskCount
         << " beyond_share=" << record.isBeyondShare << " configuration=" << m_configuration.version
         << " epoch=" << m_epoch.value();
-    m_journal->append(record, [this, record] {
-        m_jobs.apply(record, m_parts.wallClock());
-        LOG_EVENT(m_parts.log, "job_accepted") << "job=" << record.job.value();
+    // Its tasks are placed meanwhile: an order follows its record, and that follows this one.
+    m_jobs.apply(record, record.acceptedAt);
+    m_journal->append(record, [this, id] {
+        LOG_EVENT(m_parts.log, "job_accepted") << "job=" << id.value();
         m_parts.count("jobs_accepted", 1);
-        const auto node = m_accepting.extract(record.job);
+        const auto node = m_accepting.extract(id);
         for (const ClientRespond &waiter : node.mapped())
             waiter(plain(ClientReply::Accepted));
-        scheduleDispatch();
     });
+    scheduleDispatch();
 }
 
 void CellScheduler::cancel(const JobId &id, ClientRespond respond)
 {
+    if (m_accepting.contains(id))
+        return respond(unavailable("the job is being stored"));
     const JobRecord *job = m_jobs.find(id);
     if (!job)
-        return respond(m_accepting.contains(id) ? unavailable("the job is being stored")
-                                                : plain(ClientReply::NoSuchJob, "no such job"));
+        return respond(plain(ClientReply::NoSuchJob, "no such job"));
     if (job->isOver())
         return respond(plain(ClientReply::Cancelled));
     if (!m_isStoreReachable)
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -17,6 +17,8 @@
 
 /** Shortest time between the starts of two commits: 40 calls a second of the store's 400. */
 constexpr Duration CommitInterval{25};
+/** Commits under way at a time: with a slow store they overlap, with a quick one they do not. */
+constexpr std::size_t MostCommits = 6;
 /** Pauses before a commit is repeated; doubled up to the longest. */
 constexpr Duration FirstRetryPause{50};
 constexpr Duration LongestRetryPause{400};
@@ -126,20 +128,24 @@
 
 void Journal::touch()
 {
-    if (!m_isCommitting)
+    if (m_commits.empty())
         commitNext();
 }
 
+Duration Journal::interval() const
+{
+    return std::max(CommitInterval, m_latency / static_cast<int>(MostCommits));
+}
+
 void Journal::scheduleCommit()
 {
-    if (m_isCommitting || m_isScheduled || m_isSuperseded)
+    if (m_commits.size() >= MostCommits || m_isScheduled || m_isSuperseded || !m_isReachable)
         return;
     m_isScheduled = true;
     const auto sinceLast = std::chrono::duration_cast<Duration>(m_timers.now() - m_lastStart);
-    m_timers.after(std::max(Duration(0), CommitInterval - sinceLast), [this] {
+    m_timers.after(std::max(Duration(0), interval() - sinceLast), [this] {
         m_isScheduled = false;
-        if (!m_isCommitting)
-            commitNext();
+        commitNext();
     });
 }
 
@@ -147,51 +153,52 @@
 {
     if (m_isSuperseded)
         return;
-    m_isCommitting = true;
-    m_lastStart = m_timers.now();
+    const auto commit = std::make_shared<Commit>();
+    commit->begin = m_lastStart = m_timers.now();
     std::size_t taken = 0;
     for (std::size_t bytes = 0; taken < m_waiting.size(); ++taken) {
         bytes += estimateBytes(m_waiting[taken].record);
         if (taken > 0 && bytes > MaxSegmentBytes)
             break;
     }
-    m_inFlight.assign(std::make_move_iterator(m_waiting.begin()),
-                      std::make_move_iterator(m_waiting.begin() + static_cast<long>(taken)));
+    commit->records.assign(std::make_move_iterator(m_waiting.begin()),
+                           std::make_move_iterator(m_waiting.begin() + static_cast<long>(taken)));
     m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<long>(taken));
     std::vector<JournalRecord> records;
     Segment segment{m_nextSegment++, {}};
-    for (const Pending &pending : m_inFlight) {
+    for (const Pending &pending : commit->records) {
         segment.jobs.insert(jobOf(pending.record));
         records.push_back(pending.record);
     }
-    m_transaction = {};
-    m_transaction.conditions = {{LeaderKey, m_claim}, {segmentKey(segment.number), Revision(0)}};
-    m_transaction.puts = {{segmentKey(segment.number), encodeJournal(records), {}}};
+    StoreTransaction &transaction = commit->transaction;
+    transaction.conditions = {{LeaderKey, m_claim}, {segmentKey(segment.number), Revision(0)}};
+    transaction.puts = {{segmentKey(segment.number), encodeJournal(records), {}}};
     // Snapshots that replace a segment have to be written before it goes.
-    if (m_waiting.empty()) {
+    if (m_waiting.empty() && m_commits.empty()) {
         for (const uint64_t number : m_removals)
-            m_transaction.removals.push_back(segmentKey(number));
+            transaction.removals.push_back(segmentKey(number));
         m_removals.clear();
     }
     m_segments.push_back(std::move(segment));
-    m_retries = 0;
-    sendCommit();
+    m_commits.push_back(commit);
+    sendCommit(commit);
+    if (!m_waiting.empty())
+        scheduleCommit();
 }
 
-void Journal::sendCommit()
+void Journal::sendCommit(const std::shared_ptr<Commit> &commit)
 {
-    m_store.commit(m_transaction,
-                   [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
-                       if (!alive.expired())
-                           handleResult(result);
-                   });
+    m_store.commit(commit->transaction, [this, commit, alive = std::weak_ptr(m_alive)](
+                                            const CommitResult &result) {
+        if (!alive.expired() && !m_isSuperseded)
+            handleResult(commit, result);
+    });
 }
 
-void Journal::handleResult(const CommitResult &result)
+void Journal::handleResult(const std::shared_ptr<Commit> &commit, const CommitResult &result)
 {
-    const std::string &key = m_transaction.puts.front().key;
-    if (result.outcome == CommitResult::Committed)
-        return finishCommit();
+    const StoreTransaction::Put &segment = commit->transaction.puts.front();
+    bool isWritten = result.outcome == CommitResult::Committed;
     if (result.outcome == CommitResult::Conflict) {
         const auto has = [&result](const std::string &name, auto matches) {
             return std::ranges::any_of(result.current, [&](const StoreEntry &entry) {
@@ -200,37 +207,47 @@
         };
         const bool isLeader =
             has(LeaderKey, [this](const StoreEntry &entry) { return entry.revision == m_claim; });
-        const bool isWritten = has(key, [this](const StoreEntry &entry) {
-            return entry.value == m_transaction.puts.front().value;
-        });
         // Only this leader writes under its claim: an earlier try of the same commit took effect.
-        if (isLeader && isWritten)
-            return finishCommit();
-        LOG(WARNING) << "event=journal_superseded claim=" << m_claim.value() << " segment=" << key
-                     << " records=" << m_inFlight.size();
-        m_isSuperseded = true;
-        return m_observer.superseded();
+        isWritten = isLeader && has(segment.key, [&segment](const StoreEntry &entry) {
+                        return entry.value == segment.value;
+                    });
+        if (!isWritten) {
+            LOG(WARNING) << "event=journal_superseded claim=" << m_claim.value()
+                         << " segment=" << segment.key << " records=" << commit->records.size();
+            m_isSuperseded = true;
+            return m_observer.superseded();
+        }
+    }
+    if (isWritten) {
+        commit->isWritten = true;
+        m_latency = std::chrono::duration_cast<Duration>(m_timers.now() - commit->begin);
+        m_lastCommit = m_timers.now();
+        setReachable(true);
+        return finishCommits();
     }
     setReachable(false);
-    ++m_retries;
+    ++commit->retries;
     const Duration pause =
-        std::min(FirstRetryPause * (1 << std::min(m_retries, 4U)), LongestRetryPause);
-    m_timers.after(pause, [this] { sendCommit(); });
+        std::min(FirstRetryPause * (1 << std::min(commit->retries, 4U)), LongestRetryPause);
+    m_timers.after(pause, [this, commit] {
+        if (!m_isSuperseded)
+            sendCommit(commit);
+    });
 }
 
-void Journal::finishCommit()
+/** Confirms what is written without a gap before it. */
+void Journal::finishCommits()
 {
-    m_isCommitting = false;
-    m_lastCommit = m_timers.now();
-    setReachable(true);
-    const std::vector<Pending> done = std::move(m_inFlight);
-    m_inFlight.clear();
     const std::weak_ptr<bool> alive = m_alive;
-    for (const Pending &pending : done) {
-        if (pending.written)
-            pending.written();
-        if (alive.expired())
-            return;
+    while (!m_commits.empty() && m_commits.front()->isWritten) {
+        const auto commit = m_commits.front();
+        m_commits.pop_front();
+        for (const Pending &pending : commit->records) {
+            if (pending.written)
+                pending.written();
+            if (alive.expired())
+                return;
+        }
     }
     if (!m_waiting.empty() || !m_removals.empty())
         scheduleCommit();
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -15,9 +15,10 @@
 /**
  * The cell's journal: segments of records in the platform's store, appended by the leader alone.
  *
- * Every commit depends on the leader's claim, so that a superseded leader can write nothing. One
- * commit is under way at a time; records that come meanwhile share the next one. A commit whose
- * answer is lost is repeated with the same content and the same key until its fate is known.
+ * Every commit depends on the leader's claim, so that a superseded leader can write nothing.
+ * Several commits may be under way; each is confirmed only after all before it, so that nothing
+ * is acted upon behind a gap. A commit whose answer is lost is repeated with the same content and
+ * the same key until its fate is known.
  */
 class Journal
 {
@@ -52,7 +53,7 @@
     Instant lastCommit() const { return m_lastCommit; }
     /** Writes an empty segment if nothing else is under way, to confirm the claim. */
     void touch();
-    bool isIdle() const { return m_inFlight.empty() && m_waiting.empty(); }
+    bool isIdle() const { return m_commits.empty() && m_waiting.empty(); }
     std::size_t waitingCount() const { return m_waiting.size(); }
 
 private:
@@ -67,12 +68,23 @@
         std::set<JobId> jobs;
     };
 
+    /** One transaction under way. */
+    struct Commit
+    {
+        StoreTransaction transaction;
+        std::vector<Pending> records;
+        bool isWritten = false;
+        uint32_t retries = 0;
+        Instant begin{};
+    };
+
     void scheduleCommit();
     void commitNext();
-    void sendCommit();
-    void handleResult(const CommitResult &result);
-    void finishCommit();
+    void sendCommit(const std::shared_ptr<Commit> &commit);
+    void handleResult(const std::shared_ptr<Commit> &commit, const CommitResult &result);
+    void finishCommits();
     void setReachable(bool isReachable);
+    Duration interval() const;
 
     TransactionalStore &m_store;
     GuardedTimers m_timers;
@@ -81,14 +93,14 @@
     uint64_t m_nextSegment;
     std::deque<Segment> m_segments;
     std::vector<Pending> m_waiting;
-    std::vector<Pending> m_inFlight;
-    StoreTransaction m_transaction;
+    /** In the order of their segments. */
+    std::deque<std::shared_ptr<Commit>> m_commits;
     std::vector<uint64_t> m_removals;
-    bool m_isCommitting = false;
+    /** Time that the last confirmed commit took. */
+    Duration m_latency{0};
     bool m_isScheduled = false;
     bool m_isSuperseded = false;
     bool m_isReachable = true;
-    uint32_t m_retries = 0;
     Instant m_lastCommit;
     Instant m_lastStart;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
