--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -168,6 +168,7 @@
     switch (reply.outcome) {
     case StartReply::Started:
         run.phase = RunPhase::Confirmed;
+        m_jobs.noteStarted(key.job);
         run.beganAt = run.percentChangedAt = run.settledAt;
         if (run.isStopWanted)
             sendStop(key, run);
@@ -299,6 +300,7 @@
         return;
     }
     LiveRun &run = found->second;
+    m_jobs.noteStarted(report.task.job);
     if (run.phase == RunPhase::Inherited || run.phase == RunPhase::Unsure)
         run.phase = RunPhase::Confirmed;
     if (!report.checkpoint.empty())
--- a/Libraries/Protocol/ClientCall.h
+++ b/Libraries/Protocol/ClientCall.h
@@ -35,8 +35,10 @@
         Malformed,
         /** Not run: there is more work than can be served. */
         TooBusy,
-        /** Not run: nobody can take the call now. */
+        /** Not run: the cell cannot take the call now. */
         Unavailable,
+        /** Not run: this node reaches nobody who could take the call; another one may. */
+        Isolated,
         /** The call may have taken effect. */
         Undetermined,
     };
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -195,7 +195,7 @@
 {
     ClientReply reply;
     const bool mayHaveRun = waiting.wasSent && waiting.call.kind != ClientCall::Status;
-    reply.outcome = mayHaveRun ? ClientReply::Undetermined : ClientReply::Unavailable;
+    reply.outcome = mayHaveRun ? ClientReply::Undetermined : ClientReply::Isolated;
     if (!mayHaveRun)
         reply.retryAfter =
             RetryWithoutLeader + Duration(static_cast<int64_t>(random() * RetrySpreadMs));
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -80,8 +80,6 @@
     task->worker = record.worker;
     ++job->occurrences[record.task.occurrence][record.task.step].activeCount;
     ++job->activeRuns;
-    if (job->state == JobState::Queued)
-        job->state = JobState::Running;
     refreshIndices(*job);
 }
 
@@ -96,6 +94,8 @@
     task->isActive = false;
     --step.activeCount;
     --job->activeRuns;
+    if (record.outcome != RunOutcome::Lost && job->state == JobState::Queued)
+        job->state = JobState::Running;
     if (!record.checkpoint.empty())
         task->checkpoint = record.checkpoint;
     if (record.outcome == RunOutcome::Done && !spec.isService) {
@@ -179,6 +179,15 @@
     keep(m_pending[job.accepted.queue], job.state == JobState::Queued);
 }
 
+void JobTable::noteStarted(const JobId &id)
+{
+    JobRecord *job = find(id);
+    if (!job || job->state != JobState::Queued)
+        return;
+    job->state = JobState::Running;
+    refreshIndices(*job);
+}
+
 const JobRecord *JobTable::find(const JobId &id) const
 {
     const auto found = m_jobs.find(id);
--- a/Libraries/State/JobTable.h
+++ b/Libraries/State/JobTable.h
@@ -55,6 +55,9 @@
     /** Takes @p record in; records of unknown jobs and of superseded attempts change nothing. */
     void apply(const JournalRecord &record, WallTime now);
 
+    /** A worker has begun one of the job's tasks. An assignment alone proves nothing. */
+    void noteStarted(const JobId &id);
+
     /** @return the job, or null. */
     const JobRecord *find(const JobId &id) const;
     JobRecord *find(const JobId &id);
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -120,7 +120,7 @@
                          maxBody = limits.bodyBytes](const restinio::request_handle_t &request) {
         const auto respond = [held = HeldRequest{self->lock(), request}, inFlight,
                               closing](const HttpAnswer &answer) {
-            send(held.request, answer, *closing);
+            send(held.request, answer, *closing || answer.closesConnection);
             --*inFlight;
         };
         if (request->body().size() > maxBody)
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -39,6 +39,8 @@
     std::string body;
     std::string contentType = "application/json";
     std::map<std::string, std::string> headers = {};
+    /** Ends the connection, so that the client's next request may reach another server. */
+    bool closesConnection = false;
 };
 
 /** Sends the answer; may be called once, from any thread. */
--- a/Libraries/Transport/LogBudget.cpp
+++ b/Libraries/Transport/LogBudget.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Twice the jobs a second that the users' sheets name; a line costs about 10 us. */
-constexpr uint32_t LinesPerSecond = 100;
+/** Above the 190 starts a second that the users' sheets name; a line costs about 10 us. */
+constexpr uint32_t LinesPerSecond = 300;
 constexpr std::chrono::seconds WindowLength{1};
 
 } // namespace
--- a/Tests/Unit/JobTableTest.cpp
+++ b/Tests/Unit/JobTableTest.cpp
@@ -57,6 +57,19 @@
     CHECK(m_table.startableSteps(m_now).empty());
 }
 
+TEST_CASE_METHOD(JobTableFixture, "Job whose order came to nothing still waits", "[jobtable]")
+{
+    assign(0, 0, 1);
+    CHECK(m_table.pendingCount(QueueId("queue")) == 1);
+    end(0, 0, 1, RunOutcome::Lost);
+    CHECK(m_table.pendingCount(QueueId("queue")) == 1);
+    CHECK(state() == JobState::Queued);
+    assign(0, 0, 2);
+    m_table.noteStarted(m_job);
+    CHECK(m_table.pendingCount(QueueId("queue")) == 0);
+    CHECK(state() == JobState::Running);
+}
+
 TEST_CASE_METHOD(JobTableFixture, "Later step starts only when all earlier tasks are done",
                  "[jobtable]")
 {
