--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -62,6 +62,10 @@
                     LiveRun run = makeRun(job, step);
                     run.attempt = tasks[index].lastAttempt;
                     run.worker = tasks[index].worker;
+                    // An order to a life that has ended may have reached the next one.
+                    const auto session = m_sessions.find(run.worker.id);
+                    if (session != m_sessions.end() && run.worker < session->second->life())
+                        run.worker = session->second->life();
                     run.phase = RunPhase::Inherited;
                     run.checkpoint = tasks[index].checkpoint;
                     addRun({id, occurrence, step, index}, std::move(run));
@@ -300,6 +304,7 @@
         return;
     }
     LiveRun &run = found->second;
+    run.wasReported = true;
     m_jobs.noteStarted(report.task.job);
     if (run.phase == RunPhase::Inherited || run.phase == RunPhase::Unsure)
         run.phase = RunPhase::Confirmed;
@@ -419,6 +424,26 @@
     }
 }
 
+void CellScheduler::moveToNextLife(const WorkerLife &ended, const WorkerLife &next)
+{
+    const auto onWorker = m_runsOn.find(ended);
+    if (onWorker == m_runsOn.end())
+        return;
+    const std::set<TaskKey> keys = onWorker->second;
+    for (const TaskKey &key : keys) {
+        const auto found = m_runs.find(key);
+        LiveRun &run = found->second;
+        // Whoever took an order that no report has shown yet may have been the next life.
+        if (run.isEnding || run.wasReported || run.phase == RunPhase::Recording)
+            continue;
+        LiveRun moved = removeRun(found);
+        moved.worker = next;
+        moved.settledAt = m_timers.now();
+        addRun(key, std::move(moved));
+    }
+    loseRunsOn(ended, "worker_reborn");
+}
+
 /** Stops runs that make no progress on a reachable worker, so that they go elsewhere. */
 void CellScheduler::checkStalledRuns()
 {
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -105,7 +105,7 @@
             observer.superseded = m_superseded;
             observer.reachability = [this](bool isReachable) {
                 m_isStoreReachable = isReachable;
-            m_storeLostAt = m_timers.now();
+                m_storeLostAt = m_timers.now();
                 if (isReachable)
                     scheduleDispatch();
             };
@@ -205,7 +205,6 @@
                       << " born=" << worker.life.bornMs;
             const WorkerLife old = session.life();
             m_sessions.erase(found);
-            loseRunsOn(old, "worker_reborn");
             m_health.forget(old);
             beginSession(worker);
         }
@@ -238,7 +237,8 @@
         if (m_isOver || found == m_sessions.end() || found->second.get() != &session)
             return;
         LOG(INFO) << "event=worker_life_ended worker=" << session.life().id.value();
-        loseRunsOn(session.life(), "worker_life_ended");
+        // Orders that are on their way may reach the next life, which settles them.
+        m_orphanedUntil[session.life()] = session.leasesOverAt();
         // The session is still on the stack.
         m_endedSessions.push_back(std::move(found->second));
         m_sessions.erase(found);
@@ -246,6 +246,13 @@
     };
     observer.fenced = m_superseded;
     observer.mayExtend = [this] { return storeAge() < LongestUnconfirmedExtension; };
+    std::vector<WorkerLife> endedLives;
+    for (const auto &[life, keys] : m_runsOn) {
+        if (life.id == worker.life.id && life < worker.life)
+            endedLives.push_back(life);
+    }
+    for (const WorkerLife &life : endedLives)
+        moveToNextLife(life, worker.life);
     const LeaseTerms terms{m_epoch, m_terms.leaseLength, m_inheritedUntil};
     auto &session = m_sessions[worker.life.id];
     session = std::make_unique<WorkerSession>(m_parts.orders, m_parts.timers, worker, terms,
@@ -266,14 +273,19 @@
         if (!session->isReachable() && now > session->leasesOverAt())
             loseRunsOn(session->life(), "lease_over");
     }
-    const Instant inheritedOver = m_inheritedUntil + m_terms.leaseLength * 2;
-    std::vector<WorkerLife> unknown;
     for (const auto &[life, keys] : m_runsOn) {
-        if (!sessionOf(life) && now > inheritedOver)
-            unknown.push_back(life);
+        if (sessionOf(life))
+            continue;
+        // A worker that was never listed to this leader had its last lease from an earlier one.
+        const auto orphaned = m_orphanedUntil.find(life);
+        const Instant over = orphaned != m_orphanedUntil.end()
+            ? orphaned->second
+            : WorkerSession::leaseOver(m_inheritedUntil, m_terms.leaseLength);
+        if (now > over)
+            loseRunsOn(life, "worker_unknown");
     }
-    for (const WorkerLife &life : unknown)
-        loseRunsOn(life, "worker_unknown");
+    std::erase_if(m_orphanedUntil,
+                  [this](const auto &entry) { return !m_runsOn.contains(entry.first); });
     checkStalledRuns();
     scheduleDispatch();
     m_timers.after(TickInterval, [this] { tick(); });
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -91,6 +91,8 @@
         std::string checkpoint;
         int percent = 0;
         Instant percentChangedAt{};
+        /** A report of the present worker life has shown it. */
+        bool wasReported = false;
         bool isStopWanted = false;
         bool isStopAccepted = false;
         bool isStopUnderWay = false;
@@ -136,6 +138,8 @@
                    const std::string &checkpoint, std::function<void()> written);
     void finishRun(const RunEnded &record);
     void loseRunsOn(const WorkerLife &life, const char *why);
+    /** Settles the runs of a life that ended: an order may have reached the next one. */
+    void moveToNextLife(const WorkerLife &ended, const WorkerLife &next);
     void stopRunsOfEndedJobs();
     void checkStalledRuns();
     WorkerSession *sessionOf(const WorkerLife &life);
@@ -162,6 +166,8 @@
     std::map<WorkerId, std::unique_ptr<WorkerSession>> m_sessions;
     /** Sessions that ended during one of their own callbacks. */
     std::vector<std::unique_ptr<WorkerSession>> m_endedSessions;
+    /** Lives that ended with runs, and when their leases are over. */
+    std::map<WorkerLife, Instant> m_orphanedUntil;
     std::map<TaskKey, LiveRun> m_runs;
     std::map<WorkerLife, std::set<TaskKey>> m_runsOn;
     std::map<TeamId, Resources> m_teamUse;
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -188,11 +188,11 @@
 
 void Journal::sendCommit(const std::shared_ptr<Commit> &commit)
 {
-    m_store.commit(commit->transaction, [this, commit, alive = std::weak_ptr(m_alive)](
-                                            const CommitResult &result) {
-        if (!alive.expired() && !m_isSuperseded)
-            handleResult(commit, result);
-    });
+    m_store.commit(commit->transaction,
+                   [this, commit, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                       if (!alive.expired() && !m_isSuperseded)
+                           handleResult(commit, result);
+                   });
 }
 
 void Journal::handleResult(const std::shared_ptr<Commit> &commit, const CommitResult &result)
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -256,24 +256,25 @@
 void PeerHub::askOnce(const Endpoint &peer, CellMessage request,
                       std::function<void(std::optional<bool>)> done)
 {
-    connectFrameLink(
-        m_context, peer, ConnectTimeout,
-        [this, request = std::move(request), done = std::move(done), alive = std::weak_ptr(m_alive)](const Link &link) {
-            if (alive.expired())
-                return;
-            if (!link)
-                return done({});
-            link->start(
-                [this](const Link &from, const Frame &frame) { handleFromLeader(from, frame); },
-                [this](const Link &closed) { abandon(closed); });
-            const uint64_t correlation =
-                expect(link, VoteTimeout, [link, done](const CellMessage *message) {
-                    const auto *vote = message ? std::get_if<VoteResponse>(message) : nullptr;
-                    done(vote ? std::optional(vote->agrees) : std::nullopt);
-                    link->close();
-                });
-            send(link, correlation, request);
-        });
+    connectFrameLink(m_context, peer, ConnectTimeout,
+                     [this, request = std::move(request), done = std::move(done),
+                      alive = std::weak_ptr(m_alive)](const Link &link) {
+                         if (alive.expired())
+                             return;
+                         if (!link)
+                             return done({});
+                         link->start([this](const Link &from,
+                                            const Frame &frame) { handleFromLeader(from, frame); },
+                                     [this](const Link &closed) { abandon(closed); });
+                         const uint64_t correlation =
+                             expect(link, VoteTimeout, [link, done](const CellMessage *message) {
+                                 const auto *vote =
+                                     message ? std::get_if<VoteResponse>(message) : nullptr;
+                                 done(vote ? std::optional(vote->agrees) : std::nullopt);
+                                 link->close();
+                             });
+                         send(link, correlation, request);
+                     });
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -12,6 +12,8 @@
 constexpr double SlowClockFactor = 1.02;
 /** Time that an order may spend on its way before its lease is counted. */
 constexpr Duration LeaseSlack{300};
+/** A worker that ends takes longer than this to come back under its id. */
+constexpr Duration ShortestRestart{500};
 /** Pauses between calls to a worker that does not answer. */
 constexpr Duration FirstPause{100};
 constexpr Duration LongestPause{500};
@@ -38,11 +40,16 @@
     return {m_worker.address, m_worker.life.id, m_terms.epoch};
 }
 
+Instant WorkerSession::leaseOver(Instant given, Duration length)
+{
+    return given
+        + Duration(static_cast<int64_t>(static_cast<double>(length.count()) * SlowClockFactor))
+        + LeaseSlack;
+}
+
 Instant WorkerSession::leasesOverAt() const
 {
-    const auto lease = Duration(
-        static_cast<int64_t>(static_cast<double>(m_terms.length.count()) * SlowClockFactor));
-    return std::max(m_lastExtension, m_terms.inheritedUntil) + lease + LeaseSlack;
+    return leaseOver(std::max(m_lastExtension, m_terms.inheritedUntil), m_terms.length);
 }
 
 WorkerClock WorkerSession::leaseEnd()
@@ -64,7 +71,9 @@
     m_isHolding = true;
     HoldCall call;
     call.to = orderAddress();
-    call.acknowledgedEnds = m_acknowledged;
+    // After a break another life may answer, whose ends have numbers of their own.
+    const bool isSameLife = m_isReachable && m_timers.now() - m_clockReadAt < ShortestRestart;
+    call.acknowledgedEnds = isSameLife ? m_acknowledged : 0;
     // A call that is carried out late must not extend a lease that is counted as over.
     if (m_isReachable && m_observer.mayExtend()) {
         call.leaseUntil = leaseEnd();
--- a/Libraries/Coordination/WorkerSession.h
+++ b/Libraries/Coordination/WorkerSession.h
@@ -49,6 +49,9 @@
     bool isReachable() const { return m_isReachable; }
     /** @return when every lease that this or an earlier leader gave has run out. */
     Instant leasesOverAt() const;
+    /** @return when a lease of @p length that was given at @p given is over on the slowest clock.
+     */
+    static Instant leaseOver(Instant given, Duration length);
     OrderAddress orderAddress() const;
     /** @return a lease end for an order sent now, by the worker's clock. */
     WorkerClock leaseEnd();
--- a/Libraries/Protocol/CellMessages.cpp
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -207,7 +207,8 @@
         break;
     case CellWire::Message::Announcement: {
         const auto *news = wire->message_as_Announcement();
-        envelope.message = AnnouncementMessage{Revision(news->claim()), EntryId(text(news->node())),
+        envelope.message = AnnouncementMessage{Revision(news->claim()),
+                                               EntryId(text(news->node())),
                                                {text(news->host()), news->port()}};
         break;
     }
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -236,8 +236,8 @@
 void CellNode::offerClaim()
 {
     const Instant now = m_timers.now();
-    if (!m_scheduler || !m_scheduler->isReady() || m_scheduler->storeLostFor() < OfferAfter ||
-        now - m_offeredAt < OfferInterval)
+    if (!m_scheduler || !m_scheduler->isReady() || m_scheduler->storeLostFor() < OfferAfter
+        || now - m_offeredAt < OfferInterval)
         return;
     m_offeredAt = now;
     offerTo(m_nextOffer++);
--- /dev/null
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -0,0 +1,273 @@
+#include "CellWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+using namespace Cranberrymount;
+
+namespace {
+
+const Resources Small{CpuMillis(2'000), MemoryMb(4'000), AcceleratorCount(0)};
+const Resources Large{CpuMillis(9'000), MemoryMb(4'000), AcceleratorCount(0)};
+
+class CellFixture
+{
+protected:
+    CellFixture()
+    {
+        m_world.elect();
+        REQUIRE(m_world.runUntil([this] { return m_world.leader().isReady(); }, Duration(1000)));
+        m_world.run(Duration(200));
+    }
+    ~CellFixture()
+    {
+        for (const std::string &violation : m_world.violations)
+            FAIL_CHECK(violation);
+    }
+
+    bool ends(const JobId &id, JobState state, Duration limit = Duration(20'000))
+    {
+        return m_world.runUntil([&] { return m_world.stateOf(id) == state; }, limit);
+    }
+
+    CellWorld m_world{1};
+};
+
+uint64_t environmentNumber(const char *name, uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(CellFixture, "Accepted job runs once and is shown as done", "[cell]")
+{
+    const JobId job = m_world.submit(5, Small, Duration(500));
+    CHECK(ends(job, JobState::Done));
+    CHECK(m_world.accepted.contains(job));
+    CHECK(m_world.startCount == 5);
+}
+
+TEST_CASE_METHOD(CellFixture, "Job submitted again with its id stays one job", "[cell]")
+{
+    const JobId job = m_world.submit(2, Small, Duration(500));
+    m_world.run(Duration(100));
+    CHECK(m_world.call(ClientCall::Submit, job).outcome == ClientReply::Accepted);
+    CHECK(ends(job, JobState::Done));
+    CHECK(m_world.startCount == 2);
+}
+
+TEST_CASE_METHOD(CellFixture, "Unknown key and unknown job are refused for what they are", "[cell]")
+{
+    CHECK(m_world.call(ClientCall::Status, JobId("00000000000000ff")).outcome
+          == ClientReply::NoSuchJob);
+    CHECK(m_world.call(ClientCall::Status, JobId("00000000000000ff"), "stolen").outcome
+          == ClientReply::UnknownKey);
+    CHECK(m_world.call(ClientCall::Status, JobId("short")).outcome == ClientReply::Malformed);
+}
+
+TEST_CASE_METHOD(CellFixture, "Cancelled job stops and starts nothing more", "[cell]")
+{
+    m_world.taskLength = Duration(5000);
+    const JobId job = m_world.submit(80, Small, Duration(5000));
+    m_world.run(Duration(500));
+    CHECK(m_world.call(ClientCall::Cancel, job).outcome == ClientReply::Cancelled);
+    CHECK(m_world.runUntil(
+        [this] {
+            return std::ranges::all_of(m_world.workers, [](const CellTestWorker &worker) {
+                return worker.running.empty();
+            });
+        },
+        Duration(2000)));
+}
+
+TEST_CASE_METHOD(CellFixture, "New leader finishes what the killed one began", "[cell]")
+{
+    const JobId job = m_world.submit(30, Small, Duration(500));
+    m_world.run(Duration(250));
+    m_world.killLeader();
+    m_world.run(Duration(300));
+    m_world.elect();
+    CHECK(ends(job, JobState::Done));
+    CHECK(m_world.startCount == 30);
+}
+
+TEST_CASE_METHOD(CellFixture, "Superseded leader writes nothing and orders nothing", "[cell]")
+{
+    CellScheduler &old = m_world.leader();
+    m_world.elect();
+    m_world.run(Duration(1000));
+    const JobId job("00000000000000aa");
+    ClientCall call;
+    call.kind = ClientCall::Submit;
+    call.host = "host";
+    call.path = "/queue/" + job.value();
+    call.key = "key";
+    call.spec.steps.resize(1);
+    call.spec.steps[0].taskCount = 1;
+    bool isAccepted = false;
+    old.handle(call, [&](const ClientReply &reply) {
+        isAccepted = reply.outcome == ClientReply::Accepted;
+    });
+    m_world.run(Duration(3000));
+    CHECK_FALSE(isAccepted);
+    CHECK(m_world.call(ClientCall::Status, job).outcome == ClientReply::NoSuchJob);
+}
+
+TEST_CASE_METHOD(CellFixture, "Job is refused at once while the store is down", "[cell]")
+{
+    m_world.store.isDown = true;
+    // One job finds out; what follows is told at once.
+    m_world.submit(1, Small, Duration(100));
+    m_world.run(Duration(200));
+    const JobId job = m_world.submit(1, Small, Duration(100));
+    CHECK(m_world.refused.contains(job));
+    m_world.store.isDown = false;
+    m_world.run(Duration(3000));
+    CHECK(m_world.call(ClientCall::Status, job).outcome == ClientReply::NoSuchJob);
+}
+
+TEST_CASE_METHOD(CellFixture, "Tasks of a cut-off worker run elsewhere only after its leases",
+                 "[cell]")
+{
+    m_world.taskLength = Duration(20'000);
+    const JobId job = m_world.submit(12, Large, Duration(20'000));
+    m_world.run(Duration(500));
+    for (CellTestWorker &worker : m_world.workers)
+        worker.isCut = worker.info.zone == ZoneId("a");
+    m_world.run(Duration(5000));
+    const std::size_t before = m_world.startCount;
+    m_world.taskLength = Duration(500);
+    CHECK(ends(job, JobState::Done, Duration(60'000)));
+    CHECK(m_world.startCount > before);
+}
+
+TEST_CASE_METHOD(CellFixture, "Order without an answer is settled before its task goes elsewhere",
+                 "[cell]")
+{
+    for (CellTestWorker &worker : m_world.workers)
+        worker.isMute = true;
+    const JobId job = m_world.submit(4, Small, Duration(500));
+    m_world.run(Duration(300));
+    for (CellTestWorker &worker : m_world.workers)
+        worker.isMute = false;
+    CHECK(ends(job, JobState::Done));
+}
+
+TEST_CASE_METHOD(CellFixture, "Crashed worker's tasks run again in its next life", "[cell]")
+{
+    m_world.taskLength = Duration(2000);
+    const JobId job = m_world.submit(20, Small, Duration(2000));
+    m_world.run(Duration(500));
+    for (std::size_t index = 0; index < m_world.workers.size(); ++index)
+        m_world.crash(index);
+    CHECK(ends(job, JobState::Done));
+}
+
+TEST_CASE_METHOD(CellFixture, "Team's limit holds over all workers", "[cell]")
+{
+    m_world.configuration.version = 2;
+    m_world.configuration.teams.front().cap = {CpuMillis(10'000), MemoryMb(0), AcceleratorCount(0)};
+    m_world.run(Duration(1500));
+    const JobId job = m_world.submit(20, Small, Duration(500));
+    CHECK(ends(job, JobState::Done));
+}
+
+TEST_CASE_METHOD(CellFixture, "Zone that was taken out gets no start", "[cell]")
+{
+    m_world.evacuated = {ZoneId("a")};
+    m_world.run(Duration(1500));
+    const JobId job = m_world.submit(12, Small, Duration(500));
+    m_world.run(Duration(400));
+    for (const CellTestWorker &worker : m_world.workers)
+        CHECK((worker.info.zone == ZoneId("b") || worker.running.empty()));
+    CHECK(ends(job, JobState::Done));
+}
+
+TEST_CASE_METHOD(CellFixture, "Gang whose member cannot start is started whole again", "[cell]")
+{
+    m_world.workers[0].isCut = true;
+    const JobId job = m_world.submit(6, Large, Duration(500), true);
+    m_world.run(Duration(2000));
+    m_world.workers[0].isCut = false;
+    CHECK(ends(job, JobState::Done));
+}
+
+TEST_CASE("Random histories of a cell lose no job and run none twice", "[cell][cellhistory]")
+{
+    const uint64_t first = environmentNumber("HISTORY_SEED", 1);
+    const uint64_t count = environmentNumber("HISTORY_COUNT", 150);
+    for (uint64_t seed = first; seed < first + count; ++seed) {
+        CAPTURE(seed);
+        CellWorld world(seed);
+        world.configuration.teams.front().cap = {CpuMillis(60'000), MemoryMb(0),
+                                                 AcceleratorCount(0)};
+        world.elect();
+        world.runUntil([&] { return world.leader().isReady(); }, Duration(1000));
+        const auto pick = [&](uint32_t bound) { return world.random(bound); };
+        for (int step = 0; step < 60; ++step) {
+            world.taskLength = Duration(100 + pick(1500));
+            CellTestWorker &worker = world.workers[pick(6)];
+            switch (pick(12)) {
+            case 0:
+                worker.isCut = !worker.isCut;
+                break;
+            case 1:
+                worker.isMute = !worker.isMute;
+                break;
+            case 2: {
+                // A worker's next life begins some time after the last one ended.
+                const std::size_t index = pick(6);
+                world.crash(index);
+                world.workers[index].isCut = true;
+                world.run(Duration(600));
+                world.workers[index].isCut = false;
+                break;
+            }
+            case 3:
+                world.store.isDown = !world.store.isDown;
+                break;
+            case 4:
+                world.store.lostAnswers = pick(2) * 0.3;
+                break;
+            case 5:
+                if (pick(2) == 0)
+                    world.killLeader();
+                world.elect();
+                break;
+            case 6:
+                if (!world.accepted.empty())
+                    world.call(ClientCall::Cancel,
+                               *std::next(world.accepted.begin(),
+                                          pick(static_cast<uint32_t>(world.accepted.size()))));
+                break;
+            default:
+                // A gang of six large tasks is the widest that the team's limit allows.
+                world.submit(1 + pick(6), pick(3) == 0 ? Large : Small, world.taskLength,
+                             pick(4) == 0);
+                break;
+            }
+            world.run(Duration(pick(1500)));
+        }
+        // Everything is mended: all that was accepted has to end.
+        world.store.isDown = false;
+        world.store.lostAnswers = 0;
+        for (CellTestWorker &worker : world.workers)
+            worker.isCut = worker.isMute = false;
+        world.elect();
+        world.run(Duration(60'000));
+        for (const std::string &violation : world.violations)
+            FAIL_CHECK(violation);
+        for (const JobId &job : world.accepted) {
+            const JobState state = world.stateOf(job);
+            const bool mayBeCancelled = world.cancelTried.contains(job);
+            const bool mayBeDone = !world.cancelled.contains(job) || state != JobState::Cancelled;
+            const bool isExpected = (state == JobState::Done && mayBeDone)
+                || (state == JobState::Cancelled && mayBeCancelled);
+            if (!isExpected)
+                FAIL_CHECK("job " << job.value() << " ends in state " << static_cast<int>(state));
+        }
+    }
+}
--- /dev/null
+++ b/Tests/Unit/CellWorld.cpp
@@ -0,0 +1,473 @@
+#include "CellWorld.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+
+namespace Cranberrymount {
+
+namespace {
+
+constexpr Duration CallTimeout{500};
+constexpr Duration WorkerLatency{1};
+constexpr Duration LeaseLength{6000};
+/** From the users' page: nothing starts later than this after a cancellation was answered. */
+constexpr Duration CancelBound{3000};
+
+} // namespace
+
+CellStore::CellStore(EventQueue &events, uint64_t seed)
+    : m_events(events)
+    , m_random(seed)
+{
+}
+
+void CellStore::list(const std::string &prefix, std::function<void(StoreRead)> done)
+{
+    m_events.at(m_events.now() + latency, [this, prefix, done = std::move(done)] {
+        StoreRead read;
+        read.answered = !isDown;
+        for (const auto &[key, entry] : m_values) {
+            if (!isDown && key.starts_with(prefix))
+                read.entries.push_back(entry);
+        }
+        done(std::move(read));
+    });
+}
+
+void CellStore::commit(StoreTransaction transaction, std::function<void(CommitResult)> done)
+{
+    if (isDown) {
+        m_events.at(m_events.now() + latency, [done = std::move(done)] {
+            done({CommitResult::NotDone, {}, {}});
+        });
+        return;
+    }
+    const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < lostAnswers;
+    if (!isLost) {
+        m_events.at(m_events.now() + latency,
+                    [this, transaction = std::move(transaction), done = std::move(done)] {
+                        done(apply(transaction));
+                    });
+        return;
+    }
+    const Duration late(std::uniform_int_distribution<int>(0, 3000)(m_random));
+    m_events.at(m_events.now() + late,
+                [this, transaction = std::move(transaction)] { apply(transaction); });
+    m_events.at(m_events.now() + CallTimeout, [done = std::move(done)] {
+        done({CommitResult::Unknown, {}, {}});
+    });
+}
+
+CommitResult CellStore::apply(const StoreTransaction &transaction)
+{
+    CommitResult result{CommitResult::Committed, {}, {}};
+    for (const auto &condition : transaction.conditions) {
+        const auto found = m_values.find(condition.key);
+        const Revision present = found == m_values.end() ? Revision() : found->second.revision;
+        if (present != condition.revision)
+            result.outcome = CommitResult::Conflict;
+        if (found != m_values.end())
+            result.current.push_back(found->second);
+    }
+    if (result.outcome == CommitResult::Conflict)
+        return result;
+    ++commitCount;
+    result.revision = Revision(++m_revision);
+    for (const auto &put : transaction.puts)
+        m_values[put.key] = {put.key, put.value, result.revision};
+    for (const std::string &key : transaction.removals)
+        m_values.erase(key);
+    return result;
+}
+
+Revision CellStore::claim(const std::string &holder)
+{
+    m_values[LeaderKey] = {LeaderKey, holder, Revision(++m_revision)};
+    return Revision(m_revision);
+}
+
+std::size_t CellStore::keyCount(const std::string &prefix) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_values, [&prefix](const auto &entry) { return entry.first.starts_with(prefix); }));
+}
+
+void CellStore::createLease(Duration, std::function<void(StoreLease)> done)
+{
+    done({true, true, StoreLeaseId(1)});
+}
+
+void CellStore::renewLease(StoreLeaseId id, std::function<void(StoreLease)> done)
+{
+    done({true, true, id});
+}
+
+CellWorld::CellWorld(uint64_t seed, std::size_t workerCount)
+    : timers(events)
+    , store(events, seed)
+    , random(seed)
+    , m_log(timers)
+    , m_advice(timers)
+{
+    configuration.version = 1;
+    QueueSettings queue;
+    queue.id = QueueId("queue");
+    queue.host = "host";
+    queue.pathPrefix = "/queue/";
+    queue.pool = "pool";
+    queue.maxAttempts = 3;
+    queue.stretchFactor = 2;
+    queue.startTarget = Duration(1000);
+    configuration.queues.push_back(queue);
+    configuration.pools.push_back({"pool", false});
+    configuration.teams.push_back({TeamId("team"), {"key"}, 1000, {}});
+    for (std::size_t index = 0; index < workerCount; ++index) {
+        CellTestWorker worker;
+        worker.info.life = {WorkerId(fmt::format("w{}", index)), 1};
+        worker.info.address = {"10.0.0.1", static_cast<uint16_t>(1000 + index)};
+        worker.info.zone = ZoneId(index % 2 == 0 ? "a" : "b");
+        worker.info.pool = "pool";
+        worker.info.capacity = {CpuMillis(16'000), MemoryMb(64'000), AcceleratorCount(0)};
+        worker.info.labels = {"kind", "rack"};
+        worker.born = events.now();
+        workers.push_back(std::move(worker));
+    }
+    m_advice.addCaller(EntryId("self"),
+                       [this](AdviceCall call, std::function<void(AdviceReply)> done) {
+                           ask(std::move(call), std::move(done));
+                       });
+}
+
+CellWorld::~CellWorld() = default;
+
+CellScheduler &CellWorld::elect()
+{
+    const Revision claim = store.claim(fmt::format("leader-{}", ++m_claims));
+    CellScheduler::Parts parts{
+        store,
+        *this,
+        *this,
+        m_advice,
+        timers,
+        [this] {
+            return WallTime(std::chrono::duration_cast<Duration>(events.now().time_since_epoch()));
+        },
+        m_log,
+        [](const std::string &, double) {}};
+    m_schedulers.push_back(std::make_unique<CellScheduler>(
+        std::move(parts), CellTerms{LeaseLength, Duration(120'000)}, claim, [] {}));
+    leader().recover();
+    return leader();
+}
+
+void CellWorld::killLeader()
+{
+    m_schedulers.pop_back();
+}
+
+void CellWorld::run(Duration time)
+{
+    events.runUntil(events.now() + time);
+}
+
+bool CellWorld::runUntil(const std::function<bool()> &condition, Duration limit)
+{
+    const Instant end = events.now() + limit;
+    while (!condition()) {
+        if (events.now() >= end)
+            return false;
+        run(Duration(20));
+    }
+    return true;
+}
+
+JobId CellWorld::submit(uint32_t tasks, Resources need, Duration length, bool isGang)
+{
+    WorkflowSpec spec;
+    spec.steps.resize(1);
+    spec.steps[0].taskCount = tasks;
+    spec.steps[0].need = need;
+    spec.steps[0].estimate = length;
+    spec.steps[0].isGang = isGang;
+    return submit(std::move(spec));
+}
+
+JobId CellWorld::submit(WorkflowSpec spec)
+{
+    const JobId id(fmt::format("{:016x}", m_nextJob++));
+    m_specs[id] = spec;
+    ClientCall call;
+    call.kind = ClientCall::Submit;
+    call.host = "host";
+    call.path = "/queue/" + id.value();
+    call.key = "key";
+    call.spec = std::move(spec);
+    leader().handle(std::move(call), [this, id](const ClientReply &reply) {
+        if (reply.outcome == ClientReply::Accepted)
+            accepted.insert(id);
+        else
+            refused.insert(id);
+    });
+    return id;
+}
+
+ClientReply CellWorld::call(ClientCall::Kind kind, const JobId &id, const std::string &key)
+{
+    ClientCall call;
+    call.kind = kind;
+    call.host = "host";
+    call.path = "/queue/" + id.value();
+    call.key = key;
+    if (kind == ClientCall::Cancel)
+        cancelTried.insert(id);
+    auto reply = std::make_shared<std::optional<ClientReply>>();
+    leader().handle(std::move(call), [this, reply, kind, id](const ClientReply &answer) {
+        *reply = answer;
+        if (kind == ClientCall::Cancel && answer.outcome == ClientReply::Cancelled)
+            cancelled.emplace(id, events.now());
+    });
+    runUntil([reply] { return reply->has_value(); }, Duration(3000));
+    return reply->value_or(ClientReply());
+}
+
+JobState CellWorld::stateOf(const JobId &id)
+{
+    return call(ClientCall::Status, id).state;
+}
+
+void CellWorld::crash(std::size_t index)
+{
+    CellTestWorker &worker = workers[index];
+    worker.running.clear();
+    worker.ended.clear();
+    worker.highestAttempt.clear();
+    worker.endedAt.clear();
+    worker.nextEnd = 1;
+    worker.epoch = Epoch();
+    worker.born = events.now();
+    ++worker.info.life.bornMs;
+}
+
+Resources CellWorld::needOf(const TaskKey &task) const
+{
+    return m_specs.at(task.job).steps[task.step].need;
+}
+
+WorkerClock CellWorld::clockOf(const CellTestWorker &worker) const
+{
+    return WorkerClock(static_cast<uint64_t>(
+        std::chrono::duration_cast<Duration>(events.now() - worker.born).count()));
+}
+
+void CellWorld::violate(const std::string &what)
+{
+    violations.push_back(fmt::format(
+        "{} ms: {}", std::chrono::duration_cast<Duration>(events.now().time_since_epoch()).count(),
+        what));
+}
+
+CellTestWorker *CellWorld::find(const OrderAddress &to)
+{
+    const auto found = std::ranges::find(
+        workers, to.address, [](const CellTestWorker &worker) { return worker.info.address; });
+    return found == workers.end() ? nullptr : &*found;
+}
+
+/** Ends what is over by now. */
+void CellWorld::settle(CellTestWorker &worker)
+{
+    if (worker.leaseUntil <= events.now())
+        worker.lapsedAt = std::max(worker.lapsedAt, worker.leaseUntil);
+    std::vector<std::pair<TaskKey, RunOutcome>> over;
+    for (const auto &[task, run] : worker.running) {
+        if (worker.leaseUntil <= events.now())
+            over.emplace_back(task, RunOutcome::Lapsed);
+        else if (run.ends <= events.now())
+            over.emplace_back(task, run.outcome);
+    }
+    for (const auto &[task, outcome] : over)
+        finish(worker, task, outcome);
+}
+
+void CellWorld::finish(CellTestWorker &worker, const TaskKey &task, RunOutcome outcome)
+{
+    const auto run = worker.running.extract(task);
+    worker.endedAt[worker.nextEnd] = std::min(run.mapped().ends, events.now());
+    worker.ended.push_back({worker.nextEnd++, task, run.mapped().attempt, outcome, ""});
+}
+
+void CellWorld::hold(HoldCall call, std::function<void(HoldReply)> done)
+{
+    const Instant limit = events.now() + call.wait;
+    const auto poll = std::make_shared<std::function<void()>>();
+    const CellTestWorker *called = find(call.to);
+    const int64_t life = called ? called->info.life.bornMs : 0;
+    *poll = [this, call, limit, poll, life, done = std::move(done)] {
+        CellTestWorker *worker = find(call.to);
+        // A crash breaks the connections of the life that ended.
+        if (!worker || worker->isCut || worker->info.life.bornMs != life) {
+            events.at(events.now() + CallTimeout, [done] { done({}); });
+            *poll = {};
+            return;
+        }
+        settle(*worker);
+        HoldReply reply;
+        reply.clock = clockOf(*worker);
+        reply.bornMs = worker->info.life.bornMs;
+        if (call.to.epoch < worker->epoch) {
+            reply.outcome = HoldReply::Fenced;
+            events.at(events.now() + WorkerLatency, [done, reply] { done(reply); });
+            *poll = {};
+            return;
+        }
+        worker->epoch = call.to.epoch;
+        if (call.leaseUntil) {
+            const Instant until =
+                worker->born + Duration(static_cast<int64_t>(call.leaseUntil->value()));
+            worker->leaseUntil =
+                std::max(worker->leaseUntil, std::min(until, events.now() + LeaseLength));
+        }
+        while (!worker->ended.empty() && worker->ended.front().number <= call.acknowledgedEnds) {
+            // The users' rule leaves out ends with a lapse of the lease before the acknowledgement.
+            const EndReport &end = worker->ended.front();
+            if (end.outcome == RunOutcome::Done
+                && worker->lapsedAt < worker->endedAt.at(end.number))
+                m_done.insert(end.task);
+            worker->ended.pop_front();
+        }
+        if (worker->ended.empty() && events.now() < limit)
+            return events.at(events.now() + Duration(10), [poll] {
+                if (*poll)
+                    (*poll)();
+            });
+        for (const auto &[task, run] : worker->running)
+            reply.running.push_back({task, run.attempt, "", 50});
+        reply.ended.assign(worker->ended.begin(), worker->ended.end());
+        reply.outcome = HoldReply::Answered;
+        events.at(events.now() + WorkerLatency, [done, reply] { done(reply); });
+        *poll = {};
+    };
+    events.at(events.now() + WorkerLatency, [poll] { (*poll)(); });
+}
+
+void CellWorld::judgeStart(const CellTestWorker &worker, const StartCall &call,
+                           const Resources &need)
+{
+    const std::string name =
+        fmt::format("{}.{}.{} attempt {} on {}", call.task.job.value(), call.task.step,
+                    call.task.index, call.attempt, worker.info.life.id.value());
+    for (CellTestWorker &other : workers) {
+        settle(other);
+        if (other.running.contains(call.task))
+            violate(name + " starts while it runs on " + other.info.life.id.value());
+    }
+    if (m_done.contains(call.task))
+        violate(name + " starts after its end was acknowledged");
+    const auto cancelledAt = cancelled.find(call.task.job);
+    if (cancelledAt != cancelled.end() && events.now() > cancelledAt->second + CancelBound)
+        violate(name + " starts after its job was cancelled");
+    if (refused.contains(call.task.job) && !accepted.contains(call.task.job))
+        violate(name + " starts though its job was refused");
+    Resources used = need;
+    for (const auto &[task, run] : worker.running)
+        used += run.need;
+    if (!used.fitsIn(worker.info.capacity))
+        violate(name + " exceeds the capacity");
+    Resources team;
+    for (const CellTestWorker &other : workers) {
+        for (const auto &[task, run] : other.running)
+            team += run.need;
+    }
+    const Resources cap = configuration.teams.front().cap;
+    if (cap.cpu.value() > 0 && team.cpu + need.cpu > cap.cpu)
+        violate(name + " exceeds the team's limit");
+}
+
+void CellWorld::start(StartCall call, std::function<void(StartReply)> done)
+{
+    events.at(events.now() + WorkerLatency, [this, call, done = std::move(done)] {
+        CellTestWorker *worker = find(call.to);
+        const auto answer = [this, done](StartReply::Outcome outcome, Duration delay) {
+            events.at(events.now() + delay, [done, outcome] { done({outcome}); });
+        };
+        if (!worker || worker->isCut)
+            return answer(StartReply::Unknown, CallTimeout);
+        settle(*worker);
+        if (call.to.epoch < worker->epoch)
+            return answer(StartReply::Fenced, WorkerLatency);
+        worker->epoch = call.to.epoch;
+        if (call.leaseUntil <= clockOf(*worker))
+            return answer(StartReply::TooLate, WorkerLatency);
+        uint32_t &highest = worker->highestAttempt[call.task];
+        if (call.attempt <= highest)
+            return answer(StartReply::Outdated, WorkerLatency);
+        const Resources need = needOf(call.task);
+        judgeStart(*worker, call, need);
+        ++startCount;
+        highest = call.attempt;
+        const Instant until =
+            worker->born + Duration(static_cast<int64_t>(call.leaseUntil.value()));
+        worker->leaseUntil =
+            std::max(worker->leaseUntil, std::min(until, events.now() + LeaseLength));
+        worker->running[call.task] = {call.attempt, events.now() + taskLength, "",
+                                      worker->failsAll ? RunOutcome::Failed : RunOutcome::Done,
+                                      need};
+        answer(worker->isMute ? StartReply::Unknown : StartReply::Started,
+               worker->isMute ? CallTimeout : WorkerLatency);
+    });
+}
+
+void CellWorld::stop(StopCall call, std::function<void(StopReply)> done)
+{
+    events.at(events.now() + WorkerLatency, [this, call, done = std::move(done)] {
+        CellTestWorker *worker = find(call.to);
+        if (!worker || worker->isCut) {
+            events.at(events.now() + CallTimeout, [done] { done({}); });
+            return;
+        }
+        settle(*worker);
+        if (call.to.epoch < worker->epoch)
+            return done({StopReply::Fenced});
+        uint32_t &highest = worker->highestAttempt[call.task];
+        highest = std::max(highest, call.attempt);
+        const auto run = worker->running.find(call.task);
+        if (run != worker->running.end() && run->second.attempt == call.attempt) {
+            run->second.outcome = RunOutcome::Stopped;
+            run->second.ends = std::min(run->second.ends, events.now() + Duration(300));
+        }
+        done({StopReply::Accepted});
+    });
+}
+
+void CellWorld::ask(AdviceCall call, std::function<void(AdviceReply)> done)
+{
+    events.at(events.now() + Duration(20), [call, done = std::move(done)] {
+        AdviceReply reply;
+        reply.answered = true;
+        for (const WorkerId &worker : call.workers)
+            reply.allowed.push_back({worker, "ticket"});
+        done(reply);
+    });
+}
+
+void CellWorld::readOperators(std::function<void(OperatorView)> done)
+{
+    events.at(events.now() + store.latency, [this, done = std::move(done)] {
+        done({!store.isDown, configuration, evacuated});
+    });
+}
+
+void CellWorld::readWorkers(std::function<void(WorkerDirectory)> done)
+{
+    events.at(events.now() + store.latency, [this, done = std::move(done)] {
+        WorkerDirectory directory;
+        directory.answered = !store.isDown;
+        for (const CellTestWorker &worker : workers)
+            directory.workers.push_back(worker.info);
+        done(directory);
+    });
+}
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Tests/Unit/CellWorld.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "MemoryStore.h"
+#include "World.h"
+
+#include "Coordination/CellScheduler.h"
+#include "Protocol/WorkerOrders.h"
+
+namespace Cranberrymount {
+
+/** A transactional store of one map; it can refuse, lose answers and carry out calls late. */
+class CellStore : public TransactionalStore
+{
+public:
+    CellStore(EventQueue &events, uint64_t seed);
+
+    void list(const std::string &prefix, std::function<void(StoreRead)> done) override;
+    void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override;
+    void createLease(Duration ttl, std::function<void(StoreLease)> done) override;
+    void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) override;
+
+    /** Writes the leader's claim at once. @return its revision. */
+    Revision claim(const std::string &holder);
+
+    bool isDown = false;
+    double lostAnswers = 0;
+    Duration latency{4};
+
+    std::size_t keyCount(const std::string &prefix) const;
+    /** Transactions that were carried out. */
+    std::size_t commitCount = 0;
+
+private:
+    CommitResult apply(const StoreTransaction &transaction);
+
+    EventQueue &m_events;
+    pcg32 m_random;
+    std::map<std::string, StoreEntry> m_values;
+    uint64_t m_revision = 1;
+};
+
+/** One worker as the platform's pages describe it. */
+struct CellTestWorker
+{
+    struct Run
+    {
+        uint32_t attempt;
+        Instant ends;
+        std::string checkpoint;
+        RunOutcome outcome;
+        Resources need;
+        bool isStopping = false;
+    };
+
+    CellWorker info;
+    Epoch epoch;
+    Instant born{};
+    Instant leaseUntil{};
+    std::map<TaskKey, Run> running;
+    std::deque<EndReport> ended;
+    /** When each listed end came about, by its number. */
+    std::map<uint64_t, Instant> endedAt;
+    /** When the lease last ran out. */
+    Instant lapsedAt{};
+    std::map<TaskKey, uint32_t> highestAttempt;
+    uint64_t nextEnd = 1;
+    bool isCut = false;
+    bool failsAll = false;
+    /** Orders are carried out, and their answers lost. */
+    bool isMute = false;
+};
+
+/**
+ * A cell in virtual time: schedulers, one after another or two at once, over one store and fake
+ * workers. The judge looks at every start that a worker carries out.
+ */
+class CellWorld : public WorkerOrders, public PlacementAdvisor, public OperatorSource
+{
+public:
+    explicit CellWorld(uint64_t seed, std::size_t workers = 6);
+    ~CellWorld() override;
+
+    // The platform's side.
+    void hold(HoldCall call, std::function<void(HoldReply)> done) override;
+    void start(StartCall call, std::function<void(StartReply)> done) override;
+    void stop(StopCall call, std::function<void(StopReply)> done) override;
+    void ask(AdviceCall call, std::function<void(AdviceReply)> done) override;
+    void readOperators(std::function<void(OperatorView)> done) override;
+    void readWorkers(std::function<void(WorkerDirectory)> done) override;
+
+    /** Makes a new leader; earlier ones go on until they notice. */
+    CellScheduler &elect();
+    CellScheduler &leader() { return *m_schedulers.back(); }
+    /** Ends the process of the last leader without a word. */
+    void killLeader();
+
+    void run(Duration time);
+    /** @return true once @p condition holds, within @p limit. */
+    bool runUntil(const std::function<bool()> &condition, Duration limit);
+
+    /** Submits a job of one step. @return its id. */
+    JobId submit(uint32_t tasks, Resources need, Duration length, bool isGang = false);
+    JobId submit(WorkflowSpec spec);
+    ClientReply call(ClientCall::Kind kind, const JobId &id, const std::string &key = "key");
+    JobState stateOf(const JobId &id);
+    void crash(std::size_t worker);
+
+    EventQueue events;
+    QueueTimers timers;
+    CellStore store;
+    CellConfiguration configuration;
+    std::set<ZoneId> evacuated;
+    std::vector<CellTestWorker> workers;
+    pcg32 random;
+    /** Jobs whose submission was answered with success. */
+    std::set<JobId> accepted;
+    std::set<JobId> refused;
+    /** Jobs that somebody tried to cancel; without an answer it may have taken effect. */
+    std::set<JobId> cancelTried;
+    /** When each cancellation was answered with success. */
+    std::map<JobId, Instant> cancelled;
+    std::vector<std::string> violations;
+    std::size_t startCount = 0;
+    Duration taskLength{500};
+
+private:
+    CellTestWorker *find(const OrderAddress &to);
+    void settle(CellTestWorker &worker);
+    void finish(CellTestWorker &worker, const TaskKey &task, RunOutcome outcome);
+    void judgeStart(const CellTestWorker &worker, const StartCall &call, const Resources &need);
+    WorkerClock clockOf(const CellTestWorker &worker) const;
+    Resources needOf(const TaskKey &task) const;
+    void violate(const std::string &what);
+
+    LogBudget m_log;
+    AdviceDesk m_advice;
+    std::vector<std::unique_ptr<CellScheduler>> m_schedulers;
+    std::map<JobId, WorkflowSpec> m_specs;
+    std::set<TaskKey> m_done;
+    uint64_t m_nextJob = 1;
+    int m_claims = 0;
+};
+
+} // namespace Cranberrymount
--- a/Tests/Unit/JobTableTest.cpp
+++ b/Tests/Unit/JobTableTest.cpp
@@ -1,5 +1,5 @@
-#include "Protocol/JournalCodec.h"
 #include "State/JobTable.h"
+#include "Protocol/JournalCodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -47,8 +47,8 @@
 
 } // namespace
 
-TEST_CASE_METHOD(JobTableFixture, "Cancelled job leaves the open ones and its runs are to be stopped",
-                 "[jobtable]")
+TEST_CASE_METHOD(JobTableFixture,
+                 "Cancelled job leaves the open ones and its runs are to be stopped", "[jobtable]")
 {
     assign(0, 0, 1);
     apply(JobCancelled{m_job});
