Decision: Learn workers' speeds from runs of the same step

Cause: a third of the workers take 1.3 times as long (runs of one step on different workers: factors 0.81-1.00 and 1.07-1.29), half of a lookup's slack.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -146,7 +146,7 @@
     m_journal->append(JobCancelled{id}, [this, id, respond = std::move(respond)] {
         m_jobs.apply(JobCancelled{id}, m_parts.wallClock());
         LOG_EVENT(m_parts.log, "job_cancelled") << "job=" << id.value();
-        m_adviceBook.forget(id);
+        forgetDecisions(id);
         respond(plain(ClientReply::Cancelled));
         stopRunsOfEndedJobs();
         scheduleDispatch();
--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -67,6 +67,8 @@
                     if (session != m_sessions.end() && run.worker < session->second->life())
                         run.worker = session->second->life();
                     run.phase = RunPhase::Inherited;
+                    // Its begin is not known, so that its length tells nothing.
+                    run.hasResumed = true;
                     run.checkpoint = tasks[index].checkpoint;
                     addRun({id, occurrence, step, index}, std::move(run));
                 }
@@ -89,6 +91,7 @@
     run.worker = worker;
     run.ticket = decision.ticket;
     run.checkpoint = m_jobs.findTask(checkpointOwner)->checkpoint;
+    run.hasResumed = !run.checkpoint.empty();
     addRun(decision.task, std::move(run));
     const RunAssigned record{decision.task, decision.attempt, worker};
     m_jobs.apply(record, m_parts.wallClock());
@@ -377,6 +380,10 @@
         << " worker=" << run.worker.id.value() << " outcome=" << outcomeName(record.outcome)
         << " ran_ms=" << std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt).count();
     m_parts.count(std::string("runs_") + outcomeName(record.outcome), 1);
+    // A resumed run did only part of the work, and a gang is as slow as its slowest member.
+    if (record.outcome == RunOutcome::Done && !run.isGang && !run.hasResumed && job)
+        m_speeds.noteRun({record.task.job, record.task.occurrence, record.task.step}, run.worker,
+                         std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt));
     if (run.isGang) {
         const TaskKey first{record.task.job, record.task.occurrence, record.task.step, 0};
         for (auto member = m_runs.lower_bound(first);
@@ -394,7 +401,7 @@
             << " after_ms="
             << std::chrono::duration_cast<Duration>(m_parts.wallClock() - job->accepted.acceptedAt)
                    .count();
-        m_adviceBook.forget(record.task.job);
+        forgetDecisions(record.task.job);
         stopRunsOfEndedJobs();
     }
     scheduleDispatch();
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -206,6 +206,7 @@
             const WorkerLife old = session.life();
             m_sessions.erase(found);
             m_health.forget(old);
+            m_speeds.forget(old);
             beginSession(worker);
         }
     }
@@ -352,6 +353,7 @@
         DispatchWorker worker;
         worker.info = session->worker();
         worker.acceptsWork = accepts(*session);
+        worker.slowness = m_speeds.slownessOf(session->life());
         const auto runs = m_runsOn.find(session->life());
         if (runs != m_runsOn.end()) {
             for (const TaskKey &key : runs->second) {
@@ -407,7 +409,7 @@
     scheduleDispatch();
     const JobRecord *job = m_jobs.find(decision.step.job);
     if (!job || job->isOver())
-        return m_adviceBook.forget(decision.step.job);
+        return forgetDecisions(decision.step.job);
     if (!reply.answered)
         return m_adviceBook.fail(decision.step, now + AdvicePause);
     std::map<WorkerId, std::string> tickets;
@@ -426,6 +428,12 @@
     m_timers.after(Poll, [this, done = std::move(done)] { quiesce(done); });
 }
 
+void CellScheduler::forgetDecisions(const JobId &job)
+{
+    m_adviceBook.forget(job);
+    m_speeds.forget(job);
+}
+
 void CellScheduler::cleanJournal()
 {
     if (m_isOver)
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -5,6 +5,7 @@
 #include "Coordination/WorkerHealth.h"
 #include "Coordination/WorkerSession.h"
 #include "Decision/Dispatcher.h"
+#include "Decision/WorkerSpeeds.h"
 #include "Protocol/ClientCall.h"
 #include "Protocol/OperatorSource.h"
 #include "Transport/LogBudget.h"
@@ -89,6 +90,8 @@
         Instant beganAt{};
         std::string ticket;
         std::string checkpoint;
+        /** It began from a checkpoint, or began under an earlier leader. */
+        bool hasResumed = false;
         int percent = 0;
         Instant percentChangedAt{};
         /** A report of the present worker life has shown it. */
@@ -150,6 +153,8 @@
     bool accepts(const WorkerSession &session) const;
     void ask(const AdviceDecision &decision);
     void handleAdvice(const AdviceDecision &decision, const AdviceReply &reply, Instant sentAt);
+    /** Drops what was learned for a job that is over. */
+    void forgetDecisions(const JobId &job);
     void cleanJournal();
 
     Parts m_parts;
@@ -161,6 +166,7 @@
     JobTable m_jobs;
     AdviceBook m_adviceBook;
     WorkerHealth m_health;
+    WorkerSpeeds m_speeds;
     CellConfiguration m_configuration;
     std::set<ZoneId> m_evacuated;
     std::map<WorkerId, std::unique_ptr<WorkerSession>> m_sessions;
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t MaxReservations = 2;
 /** Part of a pool kept free for immediate work, in percent. */
 constexpr int64_t ImmediateReservePercent = 4;
+/** Workers of the slower kinds on the users' sheets take 1.25 to 1.3 times as long. */
+constexpr double Slow = 1.08;
+/** No kind is that slow: something is wrong with the worker. */
+constexpr double VerySlow = 1.8;
 /** Least duration assumed of a task; submitters' estimates may be 0. */
 constexpr Duration MinEstimate{50};
 
@@ -264,6 +268,23 @@
     return verdict && !verdict->isAllowed;
 }
 
+int64_t Dispatcher::reluctance(const Candidate &candidate, const StepSpec &spec,
+                               std::size_t worker) const
+{
+    const DispatchWorker &one = m_input.workers[worker];
+    const int64_t capacity = one.info.capacity.cpu.value();
+    // Tightest fit first.
+    int64_t score = one.room().cpu.value();
+    if (!spec.dataRack.isEmpty() && one.info.rack != spec.dataRack)
+        score += 2 * capacity;
+    // Fast workers are kept for what has no time to spare; very slow ones are nobody's choice.
+    if (one.slowness > VerySlow)
+        score += 2 * capacity;
+    else if (candidate.urgency.urgencyClass == StepUrgency::Immediate && one.slowness > Slow)
+        score += capacity;
+    return score;
+}
+
 bool Dispatcher::isEligible(const Candidate &candidate, const StepSpec &spec,
                             std::size_t worker) const
 {
@@ -353,9 +374,13 @@
         std::size_t worker;
         bool isAllowed;
         int64_t places;
+        /** Slow workers are asked about only if the others have no room. */
+        bool isSlow;
     };
     std::vector<Choice> choices;
     int64_t allowedPlaces = 0;
+    const double limit =
+        candidate.urgency.urgencyClass == StepUrgency::Immediate ? Slow : VerySlow;
     for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
         if (!isEligible(candidate, spec, worker) || isDenied(candidate, worker)
             || ticketFor(candidate, worker))
@@ -371,7 +396,8 @@
         const bool isLearning = spec.isGang && !isAllowed;
         if (places <= 0 && !isLearning)
             continue;
-        choices.push_back({worker, isAllowed, places});
+        const bool isSlow = m_input.workers[worker].slowness > limit;
+        choices.push_back({worker, isAllowed, places, isSlow});
         if (isAllowed)
             allowedPlaces += places;
     }
@@ -383,6 +409,8 @@
     std::ranges::stable_sort(choices, [](const Choice &left, const Choice &right) {
         if (left.isAllowed != right.isAllowed)
             return left.isAllowed;
+        if (left.isSlow != right.isSlow)
+            return right.isSlow;
         return left.places > right.places;
     });
     AdviceDecision decision;
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -27,6 +27,8 @@
     Resources used;
     /** New work may start here: in contact, staying, its zone not taken out, not suspected. */
     bool acceptsWork = false;
+    /** Time that work takes here, as a multiple of the average. */
+    double slowness = 1;
     std::vector<RoomHolder> holders;
 
     Resources room() const { return info.capacity - used; }
@@ -121,6 +123,8 @@
     void placeGang(const Candidate &candidate, const StepSpec &spec, const StepRun &step);
     /** @return the ticket if the step may start on the worker now, or null. */
     const std::string *ticketFor(const Candidate &candidate, std::size_t worker) const;
+    /** @return what speaks against the worker for a task of the step; smaller is better. */
+    int64_t reluctance(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
     bool isEligible(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
     bool mayUseReserved(const Candidate &candidate, std::size_t worker) const;
     uint32_t runsOfStepOn(const StepKey &key, std::size_t worker) const;
