--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -72,6 +72,8 @@
 {
     LOG(INFO) << "event=recovery_began epoch=" << m_epoch.value();
     readJournal();
+    pollOperators();
+    pollWorkers();
 }
 
 void CellScheduler::readJournal()
@@ -168,7 +170,7 @@
 
 void CellScheduler::finishRecovery()
 {
-    const bool isComplete = m_operatorsReadAt != Instant() && m_workersReadAt != Instant()
+    const bool isComplete = m_journal && m_operatorsReadAt != Instant() && m_workersReadAt != Instant()
         && m_configuration.version > 0;
     if (m_isReady || !isComplete)
         return;
--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -24,6 +24,7 @@
 constexpr Duration UnconfirmedLimit{1500};
 /** Time for a new link to bring its first heartbeat. */
 constexpr Duration LinkGrace{350};
+constexpr Duration RecoveryGrace{2000};
 constexpr Duration AwaitPoll{20};
 /** Members that come up or come back while the store refuses them hear of the leader after this. */
 constexpr Duration AnnounceInterval{1000};
@@ -98,8 +99,12 @@
 bool Leadership::isLeaderSound() const
 {
     const auto &beat = m_peers.heartbeat();
+    const auto followed = m_timers.now() - m_followedAt;
     if (!m_peers.isLinked() || !beat)
-        return m_timers.now() - m_followedAt < LinkGrace;
+        return followed < LinkGrace && !m_peers.hasFailedToLink();
+    // A new leader is busy with the journal; its link breaks if its process ends.
+    if (followed < RecoveryGrace && beat->claim == m_leader.revision)
+        return true;
     return beat->claim == m_leader.revision
         && m_timers.now() - m_peers.heartbeatAt() < HeartbeatTimeout
         && beat->storeAge < UnconfirmedLimit;
--- a/Libraries/Protocol/JournalCodec.cpp
+++ b/Libraries/Protocol/JournalCodec.cpp
@@ -1,205 +1,263 @@
 #include "Protocol/JournalCodec.h"
 
+#include "Protocol/Generated/Journal_generated.h"
 #include "Protocol/ProtocolError.h"
 
-#include <nlohmann/json.hpp>
-
 namespace Cranberrymount {
 
 namespace {
 
-using Json = nlohmann::json;
+namespace Wire = JournalWire;
+using Builder = flatbuffers::FlatBufferBuilder;
+template <typename T> using Offset = flatbuffers::Offset<T>;
 
-/** First element of an encoded record; part of the stored format, so values never change. */
-enum RecordKind : int { Accepted = 1, Cancelled = 2, Assigned = 3, Ended = 4, Snapshot = 5 };
+/** Upper bounds of what the verifier walks through in one segment. */
+constexpr flatbuffers::uoffset_t MaxDepth = 64;
+constexpr flatbuffers::uoffset_t MaxTables = 10'000'000;
 
 int64_t toMillis(WallTime time)
 {
     return time.time_since_epoch().count();
 }
 
-WallTime fromMillis(const Json &value)
+WallTime toWallTime(int64_t millis)
 {
-    return WallTime(std::chrono::milliseconds(value.get<int64_t>()));
+    return WallTime(Duration(millis));
 }
 
-Json toJson(const StepSpec &step)
+std::string text(const flatbuffers::String *string)
 {
-    const int flags = (step.savesProgress ? 1 : 0) | (step.isGang ? 2 : 0)
-        | (step.wantsOneRack ? 4 : 0) | (step.mayRunCopies ? 8 : 0) | (step.isService ? 16 : 0)
-        | (step.usesLeftover ? 32 : 0);
-    return Json::array({step.taskCount, step.need.cpu.value(), step.need.memory.value(),
-                        step.need.accelerators.value(), step.estimate.count(), step.after, flags,
-                        step.requiredLabel, step.dataRack.value(), step.maxPerWorker});
+    return string ? string->str() : std::string();
 }
 
-StepSpec stepFrom(const Json &json)
+/** Ids recur within a segment and are stored once. */
+Offset<flatbuffers::String> shared(Builder &builder, const std::string &string)
 {
-    StepSpec step;
-    step.taskCount = json.at(0);
-    step.need = {CpuMillis(json.at(1)), MemoryMb(json.at(2)), AcceleratorCount(json.at(3))};
-    step.estimate = Duration(json.at(4).get<int64_t>());
-    step.after = json.at(5).get<std::vector<uint32_t>>();
-    const int flags = json.at(6);
-    step.savesProgress = flags & 1;
-    step.isGang = flags & 2;
-    step.wantsOneRack = flags & 4;
-    step.mayRunCopies = flags & 8;
-    step.isService = flags & 16;
-    step.usesLeftover = flags & 32;
-    step.requiredLabel = json.at(7);
-    step.dataRack = RackId(json.at(8));
-    step.maxPerWorker = json.at(9);
-    return step;
+    return string.empty() ? Offset<flatbuffers::String>() : builder.CreateSharedString(string);
 }
 
-Json toJson(const TaskKey &task)
+Offset<Wire::Step> packStep(Builder &builder, const StepSpec &step)
 {
-    return Json::array({task.job.value(), task.occurrence, task.step, task.index});
+    const auto after = step.after.empty() ? Offset<flatbuffers::Vector<uint32_t>>()
+                                          : builder.CreateVector(step.after);
+    const auto label = shared(builder, step.requiredLabel);
+    const auto rack = shared(builder, step.dataRack.value());
+    return Wire::CreateStep(builder, step.taskCount, step.need.cpu.value(),
+                            step.need.memory.value(), step.need.accelerators.value(),
+                            step.estimate.count(), after, step.savesProgress, step.isGang,
+                            step.wantsOneRack, step.mayRunCopies, step.isService,
+                            step.usesLeftover, label, rack, step.maxPerWorker);
 }
 
-TaskKey taskFrom(const Json &json)
+StepSpec unpackStep(const Wire::Step &wire)
 {
-    return {JobId(json.at(0)), json.at(1), json.at(2), json.at(3)};
+    StepSpec step;
+    step.taskCount = wire.task_count();
+    step.need = {CpuMillis(wire.cpu()), MemoryMb(wire.memory()),
+                 AcceleratorCount(wire.accelerators())};
+    step.estimate = Duration(wire.estimate_ms());
+    if (wire.after())
+        step.after.assign(wire.after()->begin(), wire.after()->end());
+    step.savesProgress = wire.saves_progress();
+    step.isGang = wire.is_gang();
+    step.wantsOneRack = wire.wants_one_rack();
+    step.mayRunCopies = wire.may_run_copies();
+    step.isService = wire.is_service();
+    step.usesLeftover = wire.uses_leftover();
+    step.requiredLabel = text(wire.required_label());
+    step.dataRack = RackId(text(wire.data_rack()));
+    step.maxPerWorker = wire.max_per_worker();
+    return step;
 }
 
-Json toJson(const JobAccepted &record)
+Offset<Wire::Accepted> packAccepted(Builder &builder, const JobAccepted &record)
 {
-    Json steps = Json::array();
+    std::vector<Offset<Wire::Step>> steps;
     for (const StepSpec &step : record.spec.steps)
-        steps.push_back(toJson(step));
-    return Json::array({Accepted, record.job.value(), record.queue.value(), record.team.value(),
-                        record.pool, toMillis(record.acceptedAt), record.maxAttempts,
-                        record.spec.payload, steps, record.spec.occurrences,
-                        toMillis(record.spec.firstDue), record.spec.period.count(),
-                        record.isBeyondShare});
+        steps.push_back(packStep(builder, step));
+    const auto job = shared(builder, record.job.value());
+    const auto queue = shared(builder, record.queue.value());
+    const auto team = shared(builder, record.team.value());
+    const auto pool = shared(builder, record.pool);
+    const auto payload = builder.CreateString(record.spec.payload);
+    return Wire::CreateAccepted(builder, job, queue, team, pool, toMillis(record.acceptedAt),
+                                record.maxAttempts, record.isBeyondShare, payload,
+                                builder.CreateVector(steps), record.spec.occurrences,
+                                toMillis(record.spec.firstDue), record.spec.period.count());
 }
 
-JobAccepted acceptedFrom(const Json &json)
+JobAccepted unpackRecord(const Wire::Accepted &wire)
 {
     JobAccepted record;
-    record.job = JobId(json.at(1));
-    record.queue = QueueId(json.at(2));
-    record.team = TeamId(json.at(3));
-    record.pool = json.at(4);
-    record.acceptedAt = fromMillis(json.at(5));
-    record.maxAttempts = json.at(6);
-    record.spec.payload = json.at(7);
-    for (const Json &step : json.at(8))
-        record.spec.steps.push_back(stepFrom(step));
-    record.spec.occurrences = json.at(9);
-    record.spec.firstDue = fromMillis(json.at(10));
-    record.spec.period = Duration(json.at(11).get<int64_t>());
-    record.isBeyondShare = json.at(12);
+    record.job = JobId(text(wire.job()));
+    record.queue = QueueId(text(wire.queue()));
+    record.team = TeamId(text(wire.team()));
+    record.pool = text(wire.pool());
+    record.acceptedAt = toWallTime(wire.accepted_at_ms());
+    record.maxAttempts = wire.max_attempts();
+    record.isBeyondShare = wire.is_beyond_share();
+    record.spec.payload = text(wire.payload());
+    if (wire.steps()) {
+        for (const auto *step : *wire.steps())
+            record.spec.steps.push_back(unpackStep(*step));
+    }
+    record.spec.occurrences = wire.occurrences();
+    record.spec.firstDue = toWallTime(wire.first_due_ms());
+    record.spec.period = Duration(wire.period_ms());
     return record;
 }
 
-Json toJson(const JobCancelled &record)
+Offset<void> packRecord(Builder &builder, const JobAccepted &record)
 {
-    return Json::array({Cancelled, record.job.value()});
+    return packAccepted(builder, record).Union();
 }
 
-Json toJson(const RunAssigned &record)
+Offset<void> packRecord(Builder &builder, const JobCancelled &record)
 {
-    return Json::array({Assigned, toJson(record.task), record.attempt, record.worker.id.value(),
-                        record.worker.bornMs});
+    return Wire::CreateCancelled(builder, shared(builder, record.job.value())).Union();
 }
 
-Json toJson(const RunEnded &record)
+Offset<void> packRecord(Builder &builder, const RunAssigned &record)
 {
-    return Json::array({Ended, toJson(record.task), record.attempt,
-                        static_cast<int>(record.outcome), record.checkpoint});
+    const auto job = shared(builder, record.task.job.value());
+    const auto worker = shared(builder, record.worker.id.value());
+    return Wire::CreateAssigned(builder, job, record.task.occurrence, record.task.step,
+                                record.task.index, record.attempt, worker, record.worker.bornMs)
+        .Union();
 }
 
-Json toJson(const TaskProgress &task)
+Offset<void> packRecord(Builder &builder, const RunEnded &record)
 {
-    return Json::array({task.lastAttempt, task.failures, task.lastFailedAttempt, task.isDone,
-                        task.isActive, task.worker.id.value(), task.worker.bornMs,
-                        task.checkpoint});
+    const auto job = shared(builder, record.task.job.value());
+    const auto checkpoint = shared(builder, record.checkpoint);
+    return Wire::CreateEnded(builder, job, record.task.occurrence, record.task.step,
+                             record.task.index, record.attempt,
+                             static_cast<uint8_t>(record.outcome), checkpoint)
+        .Union();
 }
 
-TaskProgress progressFrom(const Json &json)
+Offset<Wire::Progress> packProgress(Builder &builder, const TaskProgress &task)
 {
-    return {json.at(0), json.at(1), json.at(2),
-            json.at(3), json.at(4), {WorkerId(json.at(5)), json.at(6)},
-            json.at(7)};
+    const auto worker = shared(builder, task.worker.id.value());
+    const auto checkpoint = shared(builder, task.checkpoint);
+    return Wire::CreateProgress(builder, task.lastAttempt, task.failures, task.lastFailedAttempt,
+                                task.isDone, task.isActive, worker, task.worker.bornMs, checkpoint);
 }
 
-Json toJson(const JobSnapshot &record)
+Offset<void> packRecord(Builder &builder, const JobSnapshot &record)
 {
-    Json occurrences = Json::array();
-    for (const auto &steps : record.tasks) {
-        Json stepList = Json::array();
-        for (const auto &tasks : steps) {
-            Json taskList = Json::array();
-            for (const TaskProgress &task : tasks)
-                taskList.push_back(toJson(task));
-            stepList.push_back(std::move(taskList));
+    std::vector<Offset<Wire::OccurrenceProgress>> occurrences;
+    for (const auto &occurrence : record.tasks) {
+        std::vector<Offset<Wire::StepProgress>> steps;
+        for (const auto &step : occurrence) {
+            std::vector<Offset<Wire::Progress>> tasks;
+            for (const TaskProgress &task : step)
+                tasks.push_back(packProgress(builder, task));
+            steps.push_back(Wire::CreateStepProgress(builder, builder.CreateVector(tasks)));
         }
-        occurrences.push_back(std::move(stepList));
+        occurrences.push_back(Wire::CreateOccurrenceProgress(builder, builder.CreateVector(steps)));
     }
-    return Json::array({Snapshot, toJson(record.accepted), static_cast<int>(record.state),
-                        toMillis(record.endedAt), std::move(occurrences)});
+    const auto accepted = packAccepted(builder, record.accepted);
+    return Wire::CreateSnapshot(builder, accepted, static_cast<uint8_t>(record.state),
+                                toMillis(record.endedAt), builder.CreateVector(occurrences))
+        .Union();
+}
+
+JournalRecord unpackRecord(const Wire::Assigned &wire)
+{
+    return RunAssigned{
+        {JobId(text(wire.job())), wire.occurrence(), wire.step(), wire.index()},
+        wire.attempt(),
+        {WorkerId(text(wire.worker())), wire.born_ms()}};
 }
 
-JobSnapshot snapshotFrom(const Json &json)
+JournalRecord unpackRecord(const Wire::Ended &wire)
+{
+    return RunEnded{{JobId(text(wire.job())), wire.occurrence(), wire.step(), wire.index()},
+                    wire.attempt(),
+                    static_cast<RunOutcome>(wire.outcome()),
+                    text(wire.checkpoint())};
+}
+
+JournalRecord unpackRecord(const Wire::Snapshot &wire)
 {
     JobSnapshot record;
-    record.accepted = acceptedFrom(json.at(1));
-    record.state = static_cast<JobState>(json.at(2).get<int>());
-    record.endedAt = fromMillis(json.at(3));
-    for (const Json &steps : json.at(4)) {
-        auto &stepList = record.tasks.emplace_back();
-        for (const Json &tasks : steps) {
-            auto &taskList = stepList.emplace_back();
-            for (const Json &task : tasks)
-                taskList.push_back(progressFrom(task));
+    if (!wire.accepted() || !wire.occurrences())
+        throw ProtocolError("a snapshot in the journal has no job");
+    record.accepted = unpackRecord(*wire.accepted());
+    record.state = static_cast<JobState>(wire.state());
+    record.endedAt = toWallTime(wire.ended_at_ms());
+    for (const auto *occurrence : *wire.occurrences()) {
+        auto &steps = record.tasks.emplace_back();
+        for (const auto *step : *occurrence->steps()) {
+            auto &tasks = steps.emplace_back();
+            for (const auto *task : *step->tasks())
+                tasks.push_back({task->last_attempt(),
+                                 task->failures(),
+                                 task->last_failed_attempt(),
+                                 task->is_done(),
+                                 task->is_active(),
+                                 {WorkerId(text(task->worker())), task->born_ms()},
+                                 text(task->checkpoint())});
         }
     }
     return record;
 }
 
-JournalRecord recordFrom(const Json &json)
-{
-    switch (json.at(0).get<int>()) {
-    case Accepted:
-        return acceptedFrom(json);
-    case Cancelled:
-        return JobCancelled{JobId(json.at(1))};
-    case Assigned:
-        return RunAssigned{taskFrom(json.at(1)), json.at(2), {WorkerId(json.at(3)), json.at(4)}};
-    case Ended:
-        return RunEnded{taskFrom(json.at(1)), json.at(2),
-                        static_cast<RunOutcome>(json.at(3).get<int>()), json.at(4)};
-    case Snapshot:
-        return snapshotFrom(json);
-    default:
-        throw ProtocolError("the journal holds a record of an unknown kind");
+JournalRecord unpackEntry(const Wire::Entry &entry)
+{
+    switch (entry.record_type()) {
+    case Wire::Record::Accepted:
+        return unpackRecord(*entry.record_as_Accepted());
+    case Wire::Record::Cancelled:
+        return JobCancelled{JobId(text(entry.record_as_Cancelled()->job()))};
+    case Wire::Record::Assigned:
+        return unpackRecord(*entry.record_as_Assigned());
+    case Wire::Record::Ended:
+        return unpackRecord(*entry.record_as_Ended());
+    case Wire::Record::Snapshot:
+        return unpackRecord(*entry.record_as_Snapshot());
+    case Wire::Record::NONE:
+        break;
     }
+    throw ProtocolError("the journal holds a record of an unknown kind");
+}
+
+/** The wire's union lists its members in the order of @c JournalRecord, after "none". */
+Wire::Record kindOf(const JournalRecord &record)
+{
+    return static_cast<Wire::Record>(record.index() + 1);
 }
 
 } // namespace
 
 std::string encodeJournal(const std::vector<JournalRecord> &records)
 {
-    Json list = Json::array();
-    for (const JournalRecord &record : records)
-        list.push_back(std::visit([](const auto &one) { return toJson(one); }, record));
-    std::string bytes;
-    Json::to_msgpack(list, bytes);
-    return bytes;
+    Builder builder;
+    std::vector<Offset<Wire::Entry>> entries;
+    for (const JournalRecord &record : records) {
+        const auto packed = std::visit(
+            [&builder](const auto &one) { return packRecord(builder, one); }, record);
+        entries.push_back(Wire::CreateEntry(builder, kindOf(record), packed));
+    }
+    builder.Finish(Wire::CreateSegment(builder, builder.CreateVector(entries)));
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
 std::vector<JournalRecord> decodeJournal(const std::string &bytes)
 {
-    try {
-        std::vector<JournalRecord> records;
-        for (const Json &record : Json::from_msgpack(bytes))
-            records.push_back(recordFrom(record));
+    const auto *data = reinterpret_cast<const uint8_t *>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size(), MaxDepth, MaxTables);
+    if (!Wire::VerifySegmentBuffer(verifier))
+        throw ProtocolError("the journal cannot be read");
+    std::vector<JournalRecord> records;
+    const auto *entries = Wire::GetSegment(data)->entries();
+    if (!entries)
         return records;
-    } catch (const Json::exception &error) {
-        throw ProtocolError(std::string("the journal cannot be read: ") + error.what());
-    }
+    records.reserve(entries->size());
+    for (const auto *entry : *entries)
+        records.push_back(unpackEntry(*entry));
+    return records;
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Protocol/JournalCodec.h
+++ b/Libraries/Protocol/JournalCodec.h
@@ -7,7 +7,7 @@
 
 namespace Cranberrymount {
 
-/** @return @p records as MessagePack, in order. */
+/** @return @p records as one FlatBuffer, in order. */
 std::string encodeJournal(const std::vector<JournalRecord> &records);
 
 /**
