--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -30,9 +30,10 @@
 constexpr Duration AdvicePause{150};
 /** Ticket life counted from the call's end; the advisor began to count when it answered. */
 constexpr Duration TicketSlack{100};
-/** Segments kept before old ones are rewritten: several minutes of a busy cell. */
-constexpr std::size_t MostSegments = 6000;
-constexpr Duration CleanInterval{500};
+/** Segments kept before old ones are rewritten: ten seconds of a busy cell, so that a new leader
+ * reads little more than the open jobs. */
+constexpr std::size_t MostSegments = 400;
+constexpr Duration CleanInterval{250};
 /** Ended jobs are forgotten somewhat after they need no longer be shown. */
 constexpr Duration ForgetSlack{30'000};
 
@@ -441,15 +442,23 @@
     if (m_isOver)
         return;
     const auto limit = m_terms.statusLife + ForgetSlack;
-    m_jobs.forgetEndedBefore(m_parts.wallClock() - limit);
+    if (m_jobs.forgetEndedBefore(m_parts.wallClock() - limit) > 0)
+        std::erase_if(m_snapshotBefore,
+                      [this](const auto &entry) { return !m_jobs.find(entry.first); });
     while (m_journal->segmentCount() > MostSegments) {
-        const std::set<JobId> *jobs = m_journal->oldestSegmentJobs();
-        if (!jobs)
+        const Journal::Segment *oldest = m_journal->oldestSegment();
+        // The table takes an end in once it is written: a snapshot before that would undo it.
+        if (!oldest || !m_journal->isSettled(oldest->jobs))
             break;
         std::vector<JournalRecord> snapshots;
-        for (const JobId &id : *jobs) {
-            if (const JobRecord *job = m_jobs.find(id))
-                snapshots.emplace_back(m_jobs.snapshot(*job));
+        for (const JobId &id : oldest->jobs) {
+            const JobRecord *job = m_jobs.find(id);
+            uint64_t &covered = m_snapshotBefore[id];
+            // A snapshot that was written later tells all that this segment does.
+            if (!job || covered > oldest->number)
+                continue;
+            covered = m_journal->nextSegment();
+            snapshots.emplace_back(m_jobs.snapshot(*job));
         }
         m_journal->replaceOldestSegment(std::move(snapshots));
     }
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -178,6 +178,8 @@
     std::map<WorkerLife, std::set<TaskKey>> m_runsOn;
     std::map<TeamId, Resources> m_teamUse;
     std::map<JobId, std::vector<ClientRespond>> m_accepting;
+    /** Segments before this number hold nothing of the job that a later snapshot lacks. */
+    std::unordered_map<JobId, uint64_t> m_snapshotBefore;
     struct ShareBucket
     {
         double tokens = 0;
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -120,10 +120,23 @@
     scheduleCommit();
 }
 
-const std::set<JobId> *Journal::oldestSegmentJobs() const
+const Journal::Segment *Journal::oldestSegment() const
 {
-    return m_segments.size() < 2 || m_removals.size() >= MaxRemovals ? nullptr
-                                                                     : &m_segments.front().jobs;
+    // Segments of commits under way stay: their records are not confirmed yet.
+    const bool isBusy = m_removals.size() >= MaxRemovals;
+    return isBusy || m_segments.size() <= m_commits.size() + 1 ? nullptr : &m_segments.front();
+}
+
+bool Journal::isSettled(const std::set<JobId> &jobs) const
+{
+    const auto concerns = [&jobs](const Pending &pending) {
+        return !std::holds_alternative<JobSnapshot>(pending.record) &&
+               jobs.contains(jobOf(pending.record));
+    };
+    return std::ranges::none_of(m_waiting, concerns) &&
+           std::ranges::none_of(m_commits, [&concerns](const std::shared_ptr<Commit> &commit) {
+               return std::ranges::any_of(commit->records, concerns);
+           });
 }
 
 void Journal::touch()
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -45,8 +45,18 @@
      * still matter are written by that same commit.
      */
     void replaceOldestSegment(std::vector<JournalRecord> snapshots);
-    /** Jobs that the oldest segment names; null if there is none but the newest. */
-    const std::set<JobId> *oldestSegmentJobs() const;
+    struct Segment
+    {
+        uint64_t number;
+        /** Jobs that its records tell of. */
+        std::set<JobId> jobs;
+    };
+    /** @return the segment to replace next; null if none may be replaced now. */
+    const Segment *oldestSegment() const;
+    /** @return true if no record but snapshots of any of @p jobs is on its way to the store. */
+    bool isSettled(const std::set<JobId> &jobs) const;
+    /** @return the number from which on records appended now are written. */
+    uint64_t nextSegment() const { return m_nextSegment; }
     std::size_t segmentCount() const { return m_segments.size(); }
 
     /** @return when the store last confirmed a commit. */
@@ -62,12 +72,6 @@
         JournalRecord record;
         std::function<void()> written;
     };
-    struct Segment
-    {
-        uint64_t number;
-        std::set<JobId> jobs;
-    };
-
     /** One transaction under way. */
     struct Commit
     {
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -177,6 +177,11 @@
     keep(m_open, !job.isOver());
     keep(m_endedWithRuns, job.isOver() && job.activeRuns > 0);
     keep(m_pending[job.accepted.queue], job.state == JobState::Queued);
+    if (job.isOver() && job.activeRuns == 0) {
+        // Only its state is asked for from now on.
+        job.accepted.spec = {};
+        job.occurrences.clear();
+    }
 }
 
 void JobTable::noteStarted(const JobId &id)
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -195,6 +195,48 @@
     CHECK(ends(job, JobState::Done));
 }
 
+TEST_CASE_METHOD(CellFixture, "Journal stays short and a new leader still knows every job", "[cell]")
+{
+    std::vector<JobId> jobs;
+    const JobId longJob = m_world.submit(1, Small, Duration(40'000));
+    for (int count = 0; count < 700; ++count) {
+        jobs.push_back(m_world.submit(1, Small, Duration(100)));
+        m_world.run(Duration(30));
+    }
+    m_world.run(Duration(1000));
+    CHECK(m_world.store.keyCount(SegmentPrefix) < 500);
+    m_world.killLeader();
+    m_world.elect();
+    REQUIRE(m_world.runUntil([this] { return m_world.leader().isReady(); }, Duration(1000)));
+    for (const JobId &job : jobs)
+        CHECK(m_world.stateOf(job) == JobState::Done);
+    CHECK(m_world.stateOf(longJob) == JobState::Running);
+    CHECK(ends(longJob, JobState::Done, Duration(60'000)));
+    CHECK(m_world.startCount == 701);
+}
+
+TEST_CASE_METHOD(CellFixture, "Snapshot taken while an end is being written does not undo it",
+                 "[cell]")
+{
+    // Commits take long, so that ends are often under way when segments are replaced.
+    m_world.store.latency = Duration(22);
+    for (int count = 0; count < 1200; ++count) {
+        // Short jobs fill segments; the long ones end when the first of theirs is replaced.
+        m_world.submit(1, Small, Duration(100));
+        if (count % 12 == 0)
+            m_world.submit(1, Small, Duration(9'000 + 10 * count));
+        m_world.run(Duration(40));
+        if (count % 150 == 149) {
+            m_world.killLeader();
+            m_world.elect();
+            m_world.runUntil([this] { return m_world.leader().isReady(); }, Duration(3000));
+        }
+    }
+    m_world.run(Duration(30'000));
+    for (const JobId &job : m_world.accepted)
+        CHECK(m_world.stateOf(job) == JobState::Done);
+}
+
 TEST_CASE("Random histories of a cell lose no job and run none twice", "[cell][cellhistory]")
 {
     const uint64_t first = environmentNumber("HISTORY_SEED", 1);
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -343,7 +343,9 @@
                     (*poll)();
             });
         for (const auto &[task, run] : worker->running)
-            reply.running.push_back({task, run.attempt, "", 50});
+            reply.running.push_back(
+                {task, run.attempt, "",
+                 static_cast<int>(100 * (events.now() - run.begins) / (run.ends - run.begins))});
         reply.ended.assign(worker->ended.begin(), worker->ended.end());
         reply.outcome = HoldReply::Answered;
         events.at(events.now() + WorkerLatency, [done, reply] { done(reply); });
@@ -411,7 +413,10 @@
             worker->born + Duration(static_cast<int64_t>(call.leaseUntil.value()));
         worker->leaseUntil =
             std::max(worker->leaseUntil, std::min(until, events.now() + LeaseLength));
-        worker->running[call.task] = {call.attempt, events.now() + taskLength, "",
+        const Duration length = taskLength.count() > 0
+            ? taskLength
+            : m_specs.at(call.task.job).steps[call.task.step].estimate;
+        worker->running[call.task] = {call.attempt, events.now(), events.now() + length, "",
                                       worker->failsAll ? RunOutcome::Failed : RunOutcome::Done,
                                       need};
         answer(worker->isMute ? StartReply::Unknown : StartReply::Started,
--- a/Tests/Unit/CellWorld.h
+++ b/Tests/Unit/CellWorld.h
@@ -45,6 +45,7 @@
     struct Run
     {
         uint32_t attempt;
+        Instant begins;
         Instant ends;
         std::string checkpoint;
         RunOutcome outcome;
@@ -121,7 +122,8 @@
     std::map<JobId, Instant> cancelled;
     std::vector<std::string> violations;
     std::size_t startCount = 0;
-    Duration taskLength{500};
+    /** How long tasks run; 0 for as long as their submitter estimated. */
+    Duration taskLength{0};
 
 private:
     CellTestWorker *find(const OrderAddress &to);
