Decision: Leave room for what is owed, and let gangs wait in a full pool

Excess leaves a fifth of the pool free and is refused (429, come back in 4 s) beyond 24 waiting jobs.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -15,6 +15,10 @@
 constexpr Duration LongestUnconfirmed{3000};
 /** A team may save up what it is owed for this long; bursts shorter than it are not held back. */
 constexpr std::chrono::duration<double> ShareWindow{2.0};
+/** Jobs beyond a team's share that may wait; a pool that has room takes them within seconds. */
+constexpr std::size_t MostBeyondShare = 24;
+/** When a team comes back whose excess is refused: the bursts on the sheets last 4 to 8 s. */
+constexpr Duration RetryBeyondShare{4000};
 constexpr std::size_t JobIdLength = 16;
 
 ClientReply unavailable(const char *detail)
@@ -112,6 +116,15 @@
     record.acceptedAt = m_parts.wallClock();
     record.maxAttempts = queue.maxAttempts;
     record.isBeyondShare = isBeyondShare(team);
+    if (record.isBeyondShare && m_jobs.pendingBeyondShare() >= MostBeyondShare) {
+        LOG_EVENT(m_parts.log, "job_refused")
+            << "job=" << id.value() << " team=" << team.value() << " why=beyond_share waiting="
+            << m_jobs.pendingBeyondShare() << " configuration=" << m_configuration.version;
+        m_parts.count("jobs_refused", 1);
+        ClientReply reply = plain(ClientReply::TooBusy, "the team sends more than it is owed");
+        reply.retryAfter = RetryBeyondShare;
+        return respond(reply);
+    }
     record.spec = std::move(call.spec);
     m_accepting[id].push_back(std::move(respond));
     LOG_EVENT(m_parts.log, "job_received")
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -23,8 +23,6 @@
 constexpr std::size_t FewestUnknownWorkers = 8;
 /** Gangs that keep workers free at a time; more would idle too much of the pool. */
 constexpr std::size_t MaxReservations = 2;
-/** Part of a pool kept free for immediate work, in percent. */
-constexpr int64_t ImmediateReservePercent = 4;
 /** Workers of the slower kinds on the users' sheets take 1.25 to 1.3 times as long. */
 constexpr double Slow = 1.08;
 /** No kind is that slow: something is wrong with the worker. */
@@ -52,6 +50,31 @@
     return longest;
 }
 
+/**
+ * Part of a pool that work of a class leaves free for what is more urgent, in percent. A burst of
+ * lookups doubles their 10 to 15% of the pool; what is not owed must not stand in its way.
+ */
+int64_t reservePercent(StepUrgency::Class urgencyClass)
+{
+    switch (urgencyClass) {
+    case StepUrgency::Immediate:
+        return 0;
+    case StepUrgency::InTime:
+        return 4;
+    case StepUrgency::Late:
+        return 8;
+    case StepUrgency::Leftover:
+        return 20;
+    }
+    return 0;
+}
+
+/** @return the slowness beyond which a worker is a bad choice for work of this urgency. */
+double slowLimit(const StepUrgency &urgency)
+{
+    return urgency.urgencyClass == StepUrgency::Immediate ? Slow : VerySlow;
+}
+
 bool hasLabel(const CellWorker &worker, const std::string &label)
 {
     return std::ranges::find(worker.labels, label) != worker.labels.end();
@@ -162,14 +185,10 @@
                 continue;
             if (spec.maxPerWorker > 0 && runsOfStepOn(candidate.key, worker) >= spec.maxPerWorker)
                 continue;
-            // Tightest fit first; far from the data or where it failed before only as a last
-            // choice.
-            int64_t score = candidateWorker.room().cpu.value();
-            const int64_t penalty = candidateWorker.info.capacity.cpu.value();
-            if (!spec.dataRack.isEmpty() && candidateWorker.info.rack != spec.dataRack)
-                score += penalty;
+            int64_t score = reluctance(candidate, spec, worker);
+            // Where it failed before only as a last choice.
             if (task.failures > 0 && task.worker == candidateWorker.info.life)
-                score += 2 * penalty;
+                score += 4 * candidateWorker.info.capacity.cpu.value();
             if (best == none || score < bestScore) {
                 best = worker;
                 bestScore = score;
@@ -193,9 +212,9 @@
     if (step.activeCount > 0)
         return;
     const auto members = static_cast<uint32_t>(step.tasks.size());
-    if (teamHeadroom(candidate.job->accepted.team, spec.need) < members
-        || poolHeadroom(candidate, spec.need) < members)
+    if (teamHeadroom(candidate.job->accepted.team, spec.need) < members)
         return;
+    const bool mayStart = poolHeadroom(candidate, spec.need) >= members;
     std::vector<std::size_t> order;
     for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
         if (isEligible(candidate, spec, worker) && ticketFor(candidate, worker)
@@ -208,8 +227,14 @@
             places = std::min<int64_t>(places, spec.maxPerWorker);
         return places;
     };
-    // Workers that hold most members go first, so that the gang breaks up few of them.
+    // Workers that hold most members go first, so that the gang breaks up few of them; a gang is
+    // as slow as its slowest member, so that one without time to spare takes fast workers first.
+    const double limit = slowLimit(candidate.urgency);
     std::ranges::sort(order, [&](std::size_t left, std::size_t right) {
+        const bool isLeftSlow = m_input.workers[left].slowness > limit;
+        const bool isRightSlow = m_input.workers[right].slowness > limit;
+        if (isLeftSlow != isRightSlow)
+            return isRightSlow;
         return placesOn(left) > placesOn(right);
     });
     const auto tryPlace = [&](const RackId *rack) {
@@ -224,7 +249,7 @@
         return chosen.size() == members ? chosen : std::vector<std::size_t>();
     };
     std::vector<std::size_t> chosen;
-    if (spec.wantsOneRack) {
+    if (mayStart && spec.wantsOneRack) {
         for (const std::size_t worker : order) {
             chosen = tryPlace(&m_input.workers[worker].info.rack);
             if (!chosen.empty())
@@ -232,7 +257,7 @@
         }
     }
     // FIXME: A gang that asks for one rack should wait for one while its objective allows it.
-    if (chosen.empty())
+    if (mayStart && chosen.empty())
         chosen = tryPlace(nullptr);
     if (chosen.empty()) {
         if (candidate.queue->advice)
@@ -331,7 +356,7 @@
     return count;
 }
 
-/** Room that the pool has left beyond what is kept for immediate work, in tasks. */
+/** Room that the pool has left beyond what is kept for more urgent work, in tasks. */
 int64_t Dispatcher::poolHeadroom(const Candidate &candidate, const Resources &need) const
 {
     if (candidate.urgency.urgencyClass == StepUrgency::Immediate || need.cpu.value() <= 0)
@@ -344,7 +369,8 @@
         capacity += worker.info.capacity.cpu.value();
         used += worker.used.cpu.value();
     }
-    const int64_t room = capacity * (100 - ImmediateReservePercent) / 100 - used;
+    const int64_t reserve = reservePercent(candidate.urgency.urgencyClass);
+    const int64_t room = capacity * (100 - reserve) / 100 - used;
     return std::max<int64_t>(0, room) / need.cpu.value();
 }
 
@@ -379,8 +405,7 @@
     };
     std::vector<Choice> choices;
     int64_t allowedPlaces = 0;
-    const double limit =
-        candidate.urgency.urgencyClass == StepUrgency::Immediate ? Slow : VerySlow;
+    const double limit = slowLimit(candidate.urgency);
     for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
         if (!isEligible(candidate, spec, worker) || isDenied(candidate, worker)
             || ticketFor(candidate, worker))
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -177,6 +177,7 @@
     keep(m_open, !job.isOver());
     keep(m_endedWithRuns, job.isOver() && job.activeRuns > 0);
     keep(m_pending[job.accepted.queue], job.state == JobState::Queued);
+    keep(m_pendingBeyondShare, job.state == JobState::Queued && job.accepted.isBeyondShare);
     if (job.isOver() && job.activeRuns == 0) {
         // Only its state is asked for from now on.
         job.accepted.spec = {};
--- a/Libraries/State/JobTable.h
+++ b/Libraries/State/JobTable.h
@@ -74,6 +74,8 @@
 
     /** @return accepted jobs of @p queue for which no task has started. */
     uint32_t pendingCount(const QueueId &queue) const;
+    /** @return waiting jobs that their teams sent beyond their share. */
+    std::size_t pendingBeyondShare() const { return m_pendingBeyondShare.size(); }
 
     JobSnapshot snapshot(const JobRecord &job) const;
     /** Forgets jobs that ended before @p limit and have no runs left. */
@@ -93,6 +95,7 @@
     std::set<JobId> m_open;
     std::set<JobId> m_endedWithRuns;
     std::map<QueueId, std::set<JobId>> m_pending;
+    std::set<JobId> m_pendingBeyondShare;
 };
 
 } // namespace Cranberrymount
--- /dev/null
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -0,0 +1,224 @@
+#include "Decision/Dispatcher.h"
+#include "Decision/WorkerSpeeds.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace Cranberrymount;
+
+namespace {
+
+/** A pool of equal workers and jobs of one step each, without a network. */
+class DispatcherFixture
+{
+protected:
+    DispatcherFixture()
+    {
+        m_configuration.version = 1;
+        addQueue("lookup", 0, {});
+        addQueue("batch", 2, {});
+        addQueue("advised", 2, AdviceCost{Duration(10), std::chrono::microseconds(100), Duration(1500)});
+        m_configuration.teams.push_back({TeamId("team"), {"key"}, 10, {}});
+    }
+
+    void addQueue(const char *name, int priority, std::optional<AdviceCost> advice)
+    {
+        QueueSettings queue;
+        queue.id = QueueId(name);
+        queue.pool = "pool";
+        queue.priority = priority;
+        queue.stretchFactor = 4;
+        queue.startTarget = Duration(1000);
+        queue.advice = advice;
+        m_configuration.queues.push_back(queue);
+    }
+
+    void addWorkers(std::size_t count, int64_t cpu)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            DispatchWorker worker;
+            worker.info.life = {WorkerId(fmt::format("w{}", m_workers.size())), 1};
+            worker.info.pool = "pool";
+            worker.info.capacity = {CpuMillis(cpu), MemoryMb(1'000'000), AcceleratorCount(0)};
+            worker.acceptsWork = true;
+            m_workers.push_back(worker);
+        }
+    }
+
+    JobId addJob(const char *queue, uint32_t tasks, int64_t cpu, Duration estimate,
+                 bool isGang = false, bool isBeyondShare = false)
+    {
+        JobAccepted job;
+        job.job = JobId(fmt::format("{:016x}", ++m_nextJob));
+        job.queue = QueueId(queue);
+        job.team = TeamId("team");
+        job.pool = "pool";
+        job.maxAttempts = 3;
+        job.acceptedAt = m_now;
+        job.isBeyondShare = isBeyondShare;
+        job.spec.steps.resize(1);
+        StepSpec &step = job.spec.steps[0];
+        step.taskCount = tasks;
+        step.need = {CpuMillis(cpu), MemoryMb(1), AcceleratorCount(0)};
+        step.estimate = estimate;
+        step.isGang = isGang;
+        m_jobs.apply(job, m_now);
+        return job.job;
+    }
+
+    DispatchResult decide()
+    {
+        DispatchInput input;
+        input.now = m_instant;
+        input.wallNow = m_now;
+        input.jobs = &m_jobs;
+        input.configuration = &m_configuration;
+        input.advice = &m_advice;
+        input.workers = m_workers;
+        input.teamUse = m_teamUse;
+        return Dispatcher(std::move(input)).decide();
+    }
+
+    static std::size_t startsOf(const DispatchResult &result, const JobId &job)
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(result.starts, [&job](const StartDecision &start) {
+                return start.task.job == job;
+            }));
+    }
+
+    WallTime m_now{Duration(1'000'000)};
+    Instant m_instant{Duration(1'000'000)};
+    JobTable m_jobs;
+    CellConfiguration m_configuration;
+    AdviceBook m_advice;
+    std::vector<DispatchWorker> m_workers;
+    std::map<TeamId, Resources> m_teamUse;
+    uint64_t m_nextJob = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(DispatcherFixture, "Lookups go first when a burst fills the pool", "[dispatcher]")
+{
+    addWorkers(2, 10'000);
+    const JobId batch = addJob("batch", 30, 1'000, Duration(2000));
+    const JobId lookup = addJob("lookup", 20, 1'000, Duration(500));
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, lookup) == 20);
+    CHECK(startsOf(result, batch) == 0);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Hot team's excess leaves room for the others' burst",
+                 "[dispatcher]")
+{
+    addWorkers(10, 10'000);
+    const JobId excess = addJob("lookup", 200, 1'000, Duration(500), false, true);
+    CHECK(startsOf(decide(), excess) == 80);
+    const JobId owed = addJob("lookup", 30, 1'000, Duration(500));
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, owed) == 30);
+    CHECK(startsOf(result, excess) == 50);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Work that can only be late yields to work in time",
+                 "[dispatcher]")
+{
+    addWorkers(1, 10'000);
+    const JobId late = addJob("batch", 10, 1'000, Duration(1000));
+    m_now += Duration(6000);
+    const JobId inTime = addJob("batch", 9, 1'000, Duration(1000));
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, inTime) == 9);
+    CHECK(startsOf(result, late) == 0);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Gang starts whole or not at all", "[dispatcher]")
+{
+    addWorkers(3, 10'000);
+    const JobId wide = addJob("batch", 4, 6'000, Duration(1000), true);
+    const JobId narrow = addJob("batch", 3, 6'000, Duration(1000), true);
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, wide) == 0);
+    CHECK(startsOf(result, narrow) == 3);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Gang that waits keeps its workers from other batch work",
+                 "[dispatcher]")
+{
+    addWorkers(2, 10'000);
+    // A run on each worker leaves too little for the gang until it ends.
+    for (DispatchWorker &worker : m_workers) {
+        worker.used = {CpuMillis(5'000), MemoryMb(0), AcceleratorCount(0)};
+        worker.holders.push_back({{JobId("x"), 0, 0, 0}, worker.used, 2, true, false,
+                                  m_instant + Duration(300)});
+    }
+    const JobId gang = addJob("batch", 2, 8'000, Duration(500), true);
+    const JobId other = addJob("batch", 6, 1'000, Duration(5000));
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, gang) == 0);
+    CHECK(startsOf(result, other) == 0);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Team's limit bounds what starts", "[dispatcher]")
+{
+    addWorkers(2, 10'000);
+    m_configuration.teams.front().cap = {CpuMillis(5'000), MemoryMb(0), AcceleratorCount(0)};
+    m_teamUse[TeamId("team")] = {CpuMillis(2'000), MemoryMb(0), AcceleratorCount(0)};
+    const JobId job = addJob("lookup", 10, 1'000, Duration(500));
+    CHECK(startsOf(decide(), job) == 3);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Advised step asks about workers with room, then starts there",
+                 "[dispatcher]")
+{
+    addWorkers(4, 10'000);
+    m_workers[0].used = m_workers[0].info.capacity;
+    const JobId job = addJob("advised", 4, 1'000, Duration(500));
+    DispatchResult result = decide();
+    CHECK(result.starts.empty());
+    REQUIRE(result.advice.size() == 1);
+    CHECK(std::ranges::find(result.advice[0].workers, m_workers[0].info.life) ==
+          result.advice[0].workers.end());
+    m_advice.answer(result.advice[0].step, result.advice[0].workers, {{WorkerId("w2"), "ticket"}},
+                    m_instant + Duration(1500));
+    result = decide();
+    CHECK(startsOf(result, job) == 4);
+    for (const StartDecision &start : result.starts)
+        CHECK(m_workers[start.worker].info.life.id == WorkerId("w2"));
+    // A ticket that has lapsed starts nothing; only the allowed worker is asked about again.
+    m_instant += Duration(2000);
+    result = decide();
+    CHECK(result.starts.empty());
+    REQUIRE(result.advice.size() == 1);
+    CHECK(result.advice[0].workers == std::vector{m_workers[2].info.life});
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Lookup prefers a fast worker, and no task a very slow one",
+                 "[dispatcher]")
+{
+    addWorkers(3, 10'000);
+    m_workers[0].slowness = 1.3;
+    m_workers[1].slowness = 5;
+    m_workers[0].used = m_workers[1].used = {CpuMillis(5'000), MemoryMb(0), AcceleratorCount(0)};
+    addJob("lookup", 1, 1'000, Duration(500));
+    addJob("batch", 1, 1'000, Duration(500));
+    const DispatchResult result = decide();
+    REQUIRE(result.starts.size() == 2);
+    CHECK(result.starts[0].worker == 2);
+    CHECK(result.starts[1].worker == 0);
+}
+
+TEST_CASE("Speeds of workers show in runs of the same step", "[dispatcher]")
+{
+    WorkerSpeeds speeds;
+    const WorkerLife fast{WorkerId("fast"), 1};
+    const WorkerLife slow{WorkerId("slow"), 1};
+    for (uint32_t job = 0; job < 40; ++job) {
+        const StepKey step{JobId(fmt::format("{:016x}", job)), 0, 0};
+        const Duration work(500 + 37 * (job % 11));
+        speeds.noteRun(step, job % 2 ? fast : slow, job % 2 ? work : work * 13 / 10);
+        speeds.noteRun(step, job % 2 ? slow : fast, job % 2 ? work * 13 / 10 : work);
+    }
+    CHECK(speeds.slownessOf(slow) / speeds.slownessOf(fast) == Approx(1.3).margin(0.05));
+}
