--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -54,15 +54,31 @@
 
 void CellScheduler::handle(ClientCall call, ClientRespond respond)
 {
-    if (!m_isReady || m_isOver || m_isQuiescing)
-        return respond(unavailable("the cell has no scheduler at the moment"));
-    if (isStoreLost())
-        return respond(unavailable("the store cannot be reached"));
+    if (!m_isReady || m_isOver) {
+        // Whether the job is known stands in the journal, which is not read.
+        const bool mayBeKnown = call.kind == ClientCall::Submit;
+        return respond(mayBeKnown
+                           ? plain(ClientReply::Undetermined, "the journal is not read yet")
+                           : unavailable("the cell has no scheduler at the moment"));
+    }
     const std::string host = call.host.substr(0, call.host.find(':'));
     const QueueSettings *queue = m_configuration.route(host, call.path);
+    const TeamSettings *team = m_configuration.teamOfKey(call.key);
+    if (queue && (team || queue->isOpenToAll) && call.kind == ClientCall::Submit) {
+        // A refusal says that the job never runs: not true of one that is on its way to the store.
+        const auto onItsWay =
+            m_accepting.find(JobId(call.path.substr(queue->pathPrefix.size())));
+        if (onItsWay != m_accepting.end()) {
+            onItsWay->second.push_back(std::move(respond));
+            return;
+        }
+    }
+    if (m_isQuiescing)
+        return respond(unavailable("the scheduler is moving to another node"));
+    if (isStoreLost())
+        return respond(unavailable("the store cannot be reached"));
     if (!queue)
         return respond(plain(ClientReply::NoSuchQueue, "no queue has this host and path"));
-    const TeamSettings *team = m_configuration.teamOfKey(call.key);
     if (!team && !queue->isOpenToAll) {
         LOG_EVENT(m_parts.log, "call_unauthorized")
             << "path=" << call.path << " configuration=" << m_configuration.version;
@@ -99,11 +115,6 @@
 void CellScheduler::submit(const QueueSettings &queue, const TeamId &team, const JobId &id,
                            ClientCall call, ClientRespond respond)
 {
-    const auto waiting = m_accepting.find(id);
-    if (waiting != m_accepting.end()) {
-        waiting->second.push_back(std::move(respond));
-        return;
-    }
     if (m_jobs.find(id))
         return respond(plain(ClientReply::Accepted));
     if (!m_isStoreReachable)
--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t EndsPerReport = 500;
 /** Between two tries to stop a run. */
 constexpr Duration StopRetry{300};
-/** A few commits of the journal. */
-constexpr Duration ConflictPause{100};
+/** Between two reports of a worker whose ends wait for the store; a fraction of a lease. */
+constexpr Duration RenewalPause{400};
 /** Progress comes in whole percent and in reports a second apart; a run that shows none for this
  * long stands still, also on a worker that is several times slower than usual. */
 constexpr Duration StallTime{3000};
@@ -144,7 +144,7 @@
     WorkerSession *session = sessionOf(run.worker);
     const bool isStillWanted = job && !job->isOver() && !run.isStopWanted;
     if (!isStillWanted || !session || !accepts(*session))
-        return recordEnd(key, run, RunOutcome::Lost, run.checkpoint, {});
+        return recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
     StartCall call;
     call.to = session->orderAddress();
     call.task = key;
@@ -197,7 +197,7 @@
         << "task=" << taskText(key) << " attempt=" << attempt << " worker=" << run.worker.id.value()
         << " reason=" << static_cast<int>(reply.outcome);
     m_parts.count("starts_refused", 1);
-    recordEnd(key, run, RunOutcome::Lost, run.checkpoint, {});
+    recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
 }
 
 void CellScheduler::requestStop(const TaskKey &key, LiveRun &run, const char *why)
@@ -252,44 +252,65 @@
         applyRunningReport(session, report);
     if (reply.ended.size() < EndsPerReport)
         findVanished(session, reply, sentAt);
-    // Counts the ends that are not written yet, and this function itself.
-    const auto unwritten = std::make_shared<std::size_t>(1);
-    uint64_t lastNumber = 0;
-    for (const EndReport &report : reply.ended)
-        lastNumber = std::max(lastNumber, report.number);
-    const auto acknowledge = [this, life = session.life(), unwritten, lastNumber] {
-        if (--*unwritten > 0)
-            return;
-        if (WorkerSession *current = sessionOf(life)) {
-            current->acknowledge(lastNumber);
-            current->resume();
-        }
-    };
-    bool isConflicting = false;
+    Acknowledgement &state = m_acknowledgements[session.life()];
     for (const EndReport &report : reply.ended) {
+        state.lastNumber = std::max(state.lastNumber, report.number);
+        const RunRef ref{report.task, report.attempt};
         const auto found = m_runs.find(report.task);
-        if (found == m_runs.end() || found->second.attempt != report.attempt
-            || found->second.worker != session.life())
-            continue;
-        LiveRun &run = found->second;
-        if (run.isEnding) {
-            isConflicting = true;
-            continue;
+        const bool isLive = found != m_runs.end() && found->second.attempt == report.attempt &&
+                            found->second.worker == session.life();
+        if (isLive && !found->second.isEnding) {
+            m_health.noteEnd(session.life(), report.task.job, report.outcome, m_timers.now());
+            recordEnd(report.task, found->second, report.outcome,
+                      report.checkpoint.empty() ? found->second.checkpoint : report.checkpoint);
         }
-        m_health.noteEnd(session.life(), report.task.job, report.outcome, m_timers.now());
-        ++*unwritten;
-        recordEnd(report.task, run, report.outcome,
-                  report.checkpoint.empty() ? run.checkpoint : report.checkpoint, acknowledge);
+        if (m_unwrittenEnds.contains(ref))
+            state.unwritten.insert(ref);
     }
-    if (isConflicting) {
-        // Another end of the run is on its way to the store; nothing is acknowledged before that.
-        ++*unwritten;
-        m_timers.after(ConflictPause, [this, life = session.life()] {
-            if (WorkerSession *current = sessionOf(life))
-                current->resume();
-        });
+    if (state.unwritten.empty())
+        return acknowledge(session.life());
+    // While the store takes nothing the leases are extended all the same.
+    m_timers.after(RenewalPause, [this, life = session.life()] {
+        if (WorkerSession *current = sessionOf(life))
+            current->resume();
+    });
+}
+
+/** Lets the worker forget the ends that it has listed, all of which are written. */
+void CellScheduler::acknowledge(const WorkerLife &life)
+{
+    const uint64_t number = m_acknowledgements[life].lastNumber;
+    m_acknowledgements.erase(life);
+    if (WorkerSession *session = sessionOf(life)) {
+        session->acknowledge(number);
+        session->resume();
+    }
+}
+
+void CellScheduler::noteWritten(const RunRef &ref)
+{
+    m_unwrittenEnds.erase(ref);
+    std::vector<WorkerLife> complete;
+    for (auto &[life, state] : m_acknowledgements) {
+        if (state.unwritten.erase(ref) > 0 && state.unwritten.empty())
+            complete.push_back(life);
+    }
+    for (const WorkerLife &life : complete)
+        acknowledge(life);
+}
+
+/**
+ * Applies the ends that wait for the store, so that callers see them. Should this leader end before
+ * they are written, the next one learns them again from the workers, which keep them.
+ */
+void CellScheduler::applyUnwrittenEnds()
+{
+    const std::map<RunRef, RunEnded> ends = m_unwrittenEnds;
+    for (const auto &[ref, record] : ends) {
+        // What no worker lists would be learned by nobody.
+        if (record.outcome != RunOutcome::Lost)
+            finishRun(record);
     }
-    acknowledge();
 }
 
 void CellScheduler::applyRunningReport(WorkerSession &session, const RunReport &report)
@@ -347,21 +368,21 @@
             sendStop(key, run);
             continue;
         }
-        recordEnd(key, run, RunOutcome::Lost, run.checkpoint, {});
+        recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
     }
 }
 
 void CellScheduler::recordEnd(const TaskKey &key, LiveRun &run, RunOutcome outcome,
-                              const std::string &checkpoint, std::function<void()> written)
+                              const std::string &checkpoint)
 {
     if (run.isEnding)
         return;
     run.isEnding = true;
     const RunEnded record{key, run.attempt, outcome, checkpoint};
-    m_journal->append(record, [this, record, written = std::move(written)] {
+    m_unwrittenEnds.emplace(RunRef{key, run.attempt}, record);
+    m_journal->append(record, [this, record] {
         finishRun(record);
-        if (written)
-            written();
+        noteWritten({record.task, record.attempt});
     });
 }
 
@@ -418,7 +439,7 @@
             continue;
         LOG_EVENT(m_parts.log, "run_lost") << "task=" << taskText(key) << " attempt=" << run.attempt
                                            << " worker=" << life.id.value() << " why=" << why;
-        recordEnd(key, run, RunOutcome::Lost, run.checkpoint, {});
+        recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
     }
 }
 
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -109,6 +109,9 @@
             observer.reachability = [this](bool isReachable) {
                 m_isStoreReachable = isReachable;
                 m_storeLostAt = m_timers.now();
+            // Not from within the journal's own callback.
+            if (!isReachable)
+                m_timers.after(Duration(0), [this] { applyUnwrittenEnds(); });
                 if (isReachable)
                     scheduleDispatch();
             };
@@ -273,6 +276,8 @@
     const Instant now = m_timers.now();
     if (storeAge() > TouchInterval)
         m_journal->touch();
+    if (!m_isStoreReachable)
+        applyUnwrittenEnds();
     for (const auto &[id, session] : m_sessions) {
         if (!session->isReachable() && now > session->leasesOverAt())
             loseRunsOn(session->life(), "lease_over");
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -109,6 +109,15 @@
         Duration estimate{0};
     };
 
+    /** One attempt of one task. */
+    using RunRef = std::pair<TaskKey, uint32_t>;
+    /** Ends that a worker has listed and that it may not forget yet. */
+    struct Acknowledgement
+    {
+        uint64_t lastNumber = 0;
+        std::set<RunRef> unwritten;
+    };
+
     void readJournal();
     void finishRecovery();
     void pollOperators();
@@ -138,7 +147,10 @@
     void applyRunningReport(WorkerSession &session, const RunReport &report);
     void findVanished(WorkerSession &session, const HoldReply &reply, Instant sentAt);
     void recordEnd(const TaskKey &key, LiveRun &run, RunOutcome outcome,
-                   const std::string &checkpoint, std::function<void()> written);
+                   const std::string &checkpoint);
+    void acknowledge(const WorkerLife &life);
+    void noteWritten(const RunRef &ref);
+    void applyUnwrittenEnds();
     void finishRun(const RunEnded &record);
     void loseRunsOn(const WorkerLife &life, const char *why);
     /** Settles the runs of a life that ended: an order may have reached the next one. */
@@ -177,6 +189,8 @@
     std::map<TaskKey, LiveRun> m_runs;
     std::map<WorkerLife, std::set<TaskKey>> m_runsOn;
     std::map<TeamId, Resources> m_teamUse;
+    std::map<RunRef, RunEnded> m_unwrittenEnds;
+    std::map<WorkerLife, Acknowledgement> m_acknowledgements;
     std::map<JobId, std::vector<ClientRespond>> m_accepting;
     /** Segments before this number hold nothing of the job that a later snapshot lacks. */
     std::unordered_map<JobId, uint64_t> m_snapshotBefore;
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -82,8 +82,10 @@
 void PeerHub::follow(std::optional<Endpoint> leader)
 {
     const uint64_t generation = ++m_followGeneration;
-    if (m_leaderLink)
-        m_leaderLink->close();
+    if (const Link old = std::exchange(m_leaderLink, nullptr)) {
+        abandon(old);
+        old->close();
+    }
     m_heartbeat.reset();
     m_hasFailedToLink = false;
     if (!leader)
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -14,6 +14,7 @@
 #include <tclap/CmdLine.h>
 
 #include <csignal>
+#include <cstdio>
 #include <iostream>
 #include <unistd.h>
 
@@ -158,6 +159,8 @@
 
 int main(int argc, char **argv)
 {
+    // Whole lines reach the log even if the process is killed right after.
+    setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
     google::InitGoogleLogging(argv[0]);
     google::InstallFailureSignalHandler();
     FLAGS_logtostdout = true;
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -129,6 +129,35 @@
     CHECK(m_world.call(ClientCall::Status, job).outcome == ClientReply::NoSuchJob);
 }
 
+TEST_CASE_METHOD(CellFixture, "Job on its way to the store is refused to no later try", "[cell]")
+{
+    // The store takes the call, but its answer is lost: the job may be stored at any moment.
+    m_world.store.lostAnswers = 1;
+    const JobId job = m_world.submit(1, Small, Duration(100));
+    m_world.run(Duration(4000));
+    CHECK(m_world.call(ClientCall::Submit, job).outcome != ClientReply::Unavailable);
+    m_world.store.lostAnswers = 0;
+    CHECK(ends(job, JobState::Done));
+}
+
+TEST_CASE_METHOD(CellFixture, "Job that ends while the store is down is shown, and runs once",
+                 "[cell]")
+{
+    const JobId job = m_world.submit(4, Small, Duration(1000));
+    const JobId longJob = m_world.submit(1, Small, Duration(9000));
+    m_world.run(Duration(500));
+    m_world.store.isDown = true;
+    CHECK(ends(job, JobState::Done, Duration(1500)));
+    // The workers keep the ends and their leases until the store is back.
+    m_world.run(Duration(5000));
+    m_world.killLeader();
+    m_world.store.isDown = false;
+    m_world.elect();
+    CHECK(ends(job, JobState::Done));
+    CHECK(ends(longJob, JobState::Done));
+    CHECK(m_world.startCount == 5);
+}
+
 TEST_CASE_METHOD(CellFixture, "Tasks of a cut-off worker run elsewhere only after its leases",
                  "[cell]")
 {
