--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -57,17 +57,15 @@
     if (!m_isReady || m_isOver) {
         // Whether the job is known stands in the journal, which is not read.
         const bool mayBeKnown = call.kind == ClientCall::Submit;
-        return respond(mayBeKnown
-                           ? plain(ClientReply::Undetermined, "the journal is not read yet")
-                           : unavailable("the cell has no scheduler at the moment"));
+        return respond(mayBeKnown ? plain(ClientReply::Undetermined, "the journal is not read yet")
+                                  : unavailable("the cell has no scheduler at the moment"));
     }
     const std::string host = call.host.substr(0, call.host.find(':'));
     const QueueSettings *queue = m_configuration.route(host, call.path);
     const TeamSettings *team = m_configuration.teamOfKey(call.key);
     if (queue && (team || queue->isOpenToAll) && call.kind == ClientCall::Submit) {
         // A refusal says that the job never runs: not true of one that is on its way to the store.
-        const auto onItsWay =
-            m_accepting.find(JobId(call.path.substr(queue->pathPrefix.size())));
+        const auto onItsWay = m_accepting.find(JobId(call.path.substr(queue->pathPrefix.size())));
         if (onItsWay != m_accepting.end()) {
             onItsWay->second.push_back(std::move(respond));
             return;
@@ -129,8 +127,9 @@
     record.isBeyondShare = isBeyondShare(team);
     if (record.isBeyondShare && m_jobs.pendingBeyondShare() >= MostBeyondShare) {
         LOG_EVENT(m_parts.log, "job_refused")
-            << "job=" << id.value() << " team=" << team.value() << " why=beyond_share waiting="
-            << m_jobs.pendingBeyondShare() << " configuration=" << m_configuration.version;
+            << "job=" << id.value() << " team=" << team.value()
+            << " why=beyond_share waiting=" << m_jobs.pendingBeyondShare()
+            << " configuration=" << m_configuration.version;
         m_parts.count("jobs_refused", 1);
         ClientReply reply = plain(ClientReply::TooBusy, "the team sends more than it is owed");
         reply.retryAfter = RetryBeyondShare;
--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -39,6 +39,41 @@
     return "unknown";
 }
 
+const char *refusalName(StartReply::Outcome outcome)
+{
+    switch (outcome) {
+    case StartReply::Outdated:
+        return "outdated_attempt";
+    case StartReply::TooLate:
+        return "lease_over";
+    case StartReply::NoRoom:
+        return "no_room";
+    case StartReply::BadTicket:
+        return "bad_ticket";
+    case StartReply::OtherLife:
+        return "other_life";
+    default:
+        return "refused";
+    }
+}
+
+const char *stateName(JobState state)
+{
+    switch (state) {
+    case JobState::Queued:
+        return "queued";
+    case JobState::Running:
+        return "running";
+    case JobState::Done:
+        return "done";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
 std::string taskText(const TaskKey &key)
 {
     return key.job.value() + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step)
@@ -195,7 +230,7 @@
     }
     LOG_EVENT(m_parts.log, "start_refused")
         << "task=" << taskText(key) << " attempt=" << attempt << " worker=" << run.worker.id.value()
-        << " reason=" << static_cast<int>(reply.outcome);
+        << " reason=" << refusalName(reply.outcome);
     m_parts.count("starts_refused", 1);
     recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
 }
@@ -257,8 +292,8 @@
         state.lastNumber = std::max(state.lastNumber, report.number);
         const RunRef ref{report.task, report.attempt};
         const auto found = m_runs.find(report.task);
-        const bool isLive = found != m_runs.end() && found->second.attempt == report.attempt &&
-                            found->second.worker == session.life();
+        const bool isLive = found != m_runs.end() && found->second.attempt == report.attempt
+            && found->second.worker == session.life();
         if (isLive && !found->second.isEnding) {
             m_health.noteEnd(session.life(), report.task.job, report.outcome, m_timers.now());
             recordEnd(report.task, found->second, report.outcome,
@@ -418,7 +453,7 @@
     }
     if (job && job->isOver() && !wasOver) {
         LOG_EVENT(m_parts.log, "job_ended")
-            << "job=" << record.task.job.value() << " state=" << static_cast<int>(job->state)
+            << "job=" << record.task.job.value() << " state=" << stateName(job->state)
             << " after_ms="
             << std::chrono::duration_cast<Duration>(m_parts.wallClock() - job->accepted.acceptedAt)
                    .count();
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -109,9 +109,9 @@
             observer.reachability = [this](bool isReachable) {
                 m_isStoreReachable = isReachable;
                 m_storeLostAt = m_timers.now();
-            // Not from within the journal's own callback.
-            if (!isReachable)
-                m_timers.after(Duration(0), [this] { applyUnwrittenEnds(); });
+                // Not from within the journal's own callback.
+                if (!isReachable)
+                    m_timers.after(Duration(0), [this] { applyUnwrittenEnds(); });
                 if (isReachable)
                     scheduleDispatch();
             };
@@ -174,8 +174,8 @@
 
 void CellScheduler::finishRecovery()
 {
-    const bool isComplete = m_journal && m_operatorsReadAt != Instant() && m_workersReadAt != Instant()
-        && m_configuration.version > 0;
+    const bool isComplete = m_journal && m_operatorsReadAt != Instant()
+        && m_workersReadAt != Instant() && m_configuration.version > 0;
     if (m_isReady || !isComplete)
         return;
     m_isReady = true;
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -130,11 +130,11 @@
 bool Journal::isSettled(const std::set<JobId> &jobs) const
 {
     const auto concerns = [&jobs](const Pending &pending) {
-        return !std::holds_alternative<JobSnapshot>(pending.record) &&
-               jobs.contains(jobOf(pending.record));
+        return !std::holds_alternative<JobSnapshot>(pending.record)
+            && jobs.contains(jobOf(pending.record));
     };
-    return std::ranges::none_of(m_waiting, concerns) &&
-           std::ranges::none_of(m_commits, [&concerns](const std::shared_ptr<Commit> &commit) {
+    return std::ranges::none_of(m_waiting, concerns)
+        && std::ranges::none_of(m_commits, [&concerns](const std::shared_ptr<Commit> &commit) {
                return std::ranges::any_of(commit->records, concerns);
            });
 }
--- a/Libraries/Protocol/JournalCodec.cpp
+++ b/Libraries/Protocol/JournalCodec.cpp
@@ -45,8 +45,8 @@
     return Wire::CreateStep(builder, step.taskCount, step.need.cpu.value(),
                             step.need.memory.value(), step.need.accelerators.value(),
                             step.estimate.count(), after, step.savesProgress, step.isGang,
-                            step.wantsOneRack, step.mayRunCopies, step.isService,
-                            step.usesLeftover, label, rack, step.maxPerWorker);
+                            step.wantsOneRack, step.mayRunCopies, step.isService, step.usesLeftover,
+                            label, rack, step.maxPerWorker);
 }
 
 StepSpec unpackStep(const Wire::Step &wire)
@@ -73,6 +73,7 @@
 Offset<Wire::Accepted> packAccepted(Builder &builder, const JobAccepted &record)
 {
     std::vector<Offset<Wire::Step>> steps;
+    steps.reserve(record.spec.steps.size());
     for (const StepSpec &step : record.spec.steps)
         steps.push_back(packStep(builder, step));
     const auto job = shared(builder, record.job.value());
@@ -147,10 +148,13 @@
 Offset<void> packRecord(Builder &builder, const JobSnapshot &record)
 {
     std::vector<Offset<Wire::OccurrenceProgress>> occurrences;
+    occurrences.reserve(record.tasks.size());
     for (const auto &occurrence : record.tasks) {
         std::vector<Offset<Wire::StepProgress>> steps;
+        steps.reserve(occurrence.size());
         for (const auto &step : occurrence) {
             std::vector<Offset<Wire::Progress>> tasks;
+            tasks.reserve(step.size());
             for (const TaskProgress &task : step)
                 tasks.push_back(packProgress(builder, task));
             steps.push_back(Wire::CreateStepProgress(builder, builder.CreateVector(tasks)));
@@ -165,10 +169,9 @@
 
 JournalRecord unpackRecord(const Wire::Assigned &wire)
 {
-    return RunAssigned{
-        {JobId(text(wire.job())), wire.occurrence(), wire.step(), wire.index()},
-        wire.attempt(),
-        {WorkerId(text(wire.worker())), wire.born_ms()}};
+    return RunAssigned{{JobId(text(wire.job())), wire.occurrence(), wire.step(), wire.index()},
+                       wire.attempt(),
+                       {WorkerId(text(wire.worker())), wire.born_ms()}};
 }
 
 JournalRecord unpackRecord(const Wire::Ended &wire)
@@ -235,9 +238,10 @@
 {
     Builder builder;
     std::vector<Offset<Wire::Entry>> entries;
+    entries.reserve(records.size());
     for (const JournalRecord &record : records) {
-        const auto packed = std::visit(
-            [&builder](const auto &one) { return packRecord(builder, one); }, record);
+        const auto packed =
+            std::visit([&builder](const auto &one) { return packRecord(builder, one); }, record);
         entries.push_back(Wire::CreateEntry(builder, kindOf(record), packed));
     }
     builder.Finish(Wire::CreateSegment(builder, builder.CreateVector(entries)));
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -135,7 +135,17 @@
     m_world.store.lostAnswers = 1;
     const JobId job = m_world.submit(1, Small, Duration(100));
     m_world.run(Duration(4000));
-    CHECK(m_world.call(ClientCall::Submit, job).outcome != ClientReply::Unavailable);
+    ClientCall again;
+    again.kind = ClientCall::Submit;
+    again.host = "host";
+    again.path = "/queue/" + job.value();
+    again.key = "key";
+    bool isRefused = false;
+    m_world.leader().handle(again, [&isRefused](const ClientReply &reply) {
+        isRefused = reply.outcome == ClientReply::Unavailable;
+    });
+    m_world.run(Duration(500));
+    CHECK_FALSE(isRefused);
     m_world.store.lostAnswers = 0;
     CHECK(ends(job, JobState::Done));
 }
@@ -224,7 +234,8 @@
     CHECK(ends(job, JobState::Done));
 }
 
-TEST_CASE_METHOD(CellFixture, "Journal stays short and a new leader still knows every job", "[cell]")
+TEST_CASE_METHOD(CellFixture, "Journal stays short and a new leader still knows every job",
+                 "[cell]")
 {
     std::vector<JobId> jobs;
     const JobId longJob = m_world.submit(1, Small, Duration(40'000));
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -196,7 +196,7 @@
 
 JobId CellWorld::submit(WorkflowSpec spec)
 {
-    const JobId id(fmt::format("{:016x}", m_nextJob++));
+    JobId id(fmt::format("{:016x}", m_nextJob++));
     m_specs[id] = spec;
     ClientCall call;
     call.kind = ClientCall::Submit;
@@ -416,7 +416,10 @@
         const Duration length = taskLength.count() > 0
             ? taskLength
             : m_specs.at(call.task.job).steps[call.task.step].estimate;
-        worker->running[call.task] = {call.attempt, events.now(), events.now() + length, "",
+        worker->running[call.task] = {call.attempt,
+                                      events.now(),
+                                      events.now() + length,
+                                      "",
                                       worker->failsAll ? RunOutcome::Failed : RunOutcome::Done,
                                       need};
         answer(worker->isMute ? StartReply::Unknown : StartReply::Started,
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -17,7 +17,8 @@
         m_configuration.version = 1;
         addQueue("lookup", 0, {});
         addQueue("batch", 2, {});
-        addQueue("advised", 2, AdviceCost{Duration(10), std::chrono::microseconds(100), Duration(1500)});
+        addQueue("advised", 2,
+                 AdviceCost{Duration(10), std::chrono::microseconds(100), Duration(1500)});
         m_configuration.teams.push_back({TeamId("team"), {"key"}, 10, {}});
     }
 
@@ -81,10 +82,8 @@
 
     static std::size_t startsOf(const DispatchResult &result, const JobId &job)
     {
-        return static_cast<std::size_t>(
-            std::ranges::count_if(result.starts, [&job](const StartDecision &start) {
-                return start.task.job == job;
-            }));
+        return static_cast<std::size_t>(std::ranges::count_if(
+            result.starts, [&job](const StartDecision &start) { return start.task.job == job; }));
     }
 
     WallTime m_now{Duration(1'000'000)};
@@ -150,8 +149,8 @@
     // A run on each worker leaves too little for the gang until it ends.
     for (DispatchWorker &worker : m_workers) {
         worker.used = {CpuMillis(5'000), MemoryMb(0), AcceleratorCount(0)};
-        worker.holders.push_back({{JobId("x"), 0, 0, 0}, worker.used, 2, true, false,
-                                  m_instant + Duration(300)});
+        worker.holders.push_back(
+            {{JobId("x"), 0, 0, 0}, worker.used, 2, true, false, m_instant + Duration(300)});
     }
     const JobId gang = addJob("batch", 2, 8'000, Duration(500), true);
     const JobId other = addJob("batch", 6, 1'000, Duration(5000));
@@ -178,8 +177,8 @@
     DispatchResult result = decide();
     CHECK(result.starts.empty());
     REQUIRE(result.advice.size() == 1);
-    CHECK(std::ranges::find(result.advice[0].workers, m_workers[0].info.life) ==
-          result.advice[0].workers.end());
+    CHECK(std::ranges::find(result.advice[0].workers, m_workers[0].info.life)
+          == result.advice[0].workers.end());
     m_advice.answer(result.advice[0].step, result.advice[0].workers, {{WorkerId("w2"), "ticket"}},
                     m_instant + Duration(1500));
     result = decide();
--- a/Tests/Unit/JobTableTest.cpp
+++ b/Tests/Unit/JobTableTest.cpp
@@ -158,3 +158,19 @@
     CHECK(table.find(job.job)->state == JobState::Done);
     CHECK(table.find(job.job)->activeRuns == 0);
 }
+
+TEST_CASE("Each occurrence starts no sooner than it is due", "[jobtable]")
+{
+    JobTable table;
+    JobAccepted job;
+    job.job = JobId("0123456789abcdef");
+    job.spec.steps.resize(1);
+    job.spec.steps[0].taskCount = 1;
+    job.spec.occurrences = 3;
+    job.spec.firstDue = WallTime(Duration(10'000));
+    job.spec.period = Duration(1000);
+    table.apply(job, WallTime(Duration(1)));
+    CHECK(table.startableSteps(WallTime(Duration(9'999))).empty());
+    CHECK(table.startableSteps(WallTime(Duration(10'000))).size() == 1);
+    CHECK(table.startableSteps(WallTime(Duration(12'000))).size() == 3);
+}
--- /dev/null
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -0,0 +1,128 @@
+#include "PlatformDocuments.h"
+#include "PlatformIngress.h"
+
+#include "Protocol/CellMessages.h"
+#include "Protocol/ProtocolError.h"
+#include "Service/CellSettings.h"
+#include "Service/Settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cranberrymount;
+using namespace Cranberrymount::Platform;
+
+namespace {
+
+const std::string Worker = R"({"service":"pool","addr":"10.128.0.9:8080","zone":"a","version":"v1",
+    "slots":8,"state":"ready","capacity":{"cpu":16000,"memMb":32768},"labels":["kind","r1-3"],
+    "born":1700000000000,"seqNo":4})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("Configuration on the wire becomes queues, pools and teams", "[platform]")
+{
+    const CellConfiguration configuration = decodeConfiguration(R"({"version":7,"routes":[
+        {"name":"r1","host":"h","prefix":"/a/","service":"pool","targetDurationMs":250,"priority":1,
+         "maxAttempts":2,"stretchFactor":2.2,
+         "hint":{"decisionMs":9.3,"perWorkerMs":0.13,"validMs":1500}},
+        {"name":"r2","host":"h","prefix":"/a/b/","service":"pool","public":true}],
+        "services":[{"name":"pool","admissionControl":true}],
+        "tenants":[{"name":"t","apiKeys":["k1","k2"],"weight":32,"cap":{"cpu":5000}}],
+        "limits":{"maxBodyBytes":1000},"unknown":1})");
+    CHECK(configuration.version == 7);
+    REQUIRE(configuration.route("h", "/a/x"));
+    CHECK(configuration.route("h", "/a/x")->id == QueueId("r1"));
+    CHECK(configuration.route("h", "/a/b/x")->id == QueueId("r2"));
+    CHECK(configuration.route("h", "/a/b/x")->isOpenToAll);
+    CHECK_FALSE(configuration.route("other", "/a/x"));
+    const QueueSettings &queue = configuration.queues.front();
+    REQUIRE(queue.advice);
+    CHECK(queue.advice->costOf(10) == Duration(10));
+    CHECK(queue.advice->ticketLife == Duration(1500));
+    CHECK(configuration.teamOfKey("k2")->id == TeamId("t"));
+    CHECK_FALSE(configuration.teamOfKey(""));
+    CHECK(configuration.teams.front().cap.cpu == CpuMillis(5000));
+}
+
+TEST_CASE("Worker's entry is read, and rubbish names no worker", "[platform]")
+{
+    const CellWorker worker = decodeWorker("i-1", Worker);
+    CHECK(worker.life == WorkerLife{WorkerId("i-1"), 1700000000000});
+    CHECK(worker.address.text() == "10.128.0.9:8080");
+    CHECK(worker.rack == RackId("r1-3"));
+    CHECK_FALSE(worker.isLeaving);
+    CHECK(decodeWorker("i-1", replaced(Worker, "ready", "draining")).isLeaving);
+    for (const std::string &rubbish :
+         {std::string("\xff\x00", 2), std::string("[]"), std::string("{}"),
+          replaced(Worker, "ready", "asleep"), replaced(Worker, ":8080", ""),
+          replaced(Worker, "\"10.128.0.9:8080\"", "7"), replaced(Worker, "16000", "\"many\"")})
+        CHECK_THROWS(decodeWorker("i-1", rubbish));
+}
+
+TEST_CASE("Submitted job is read, and a malformed one is told apart", "[platform]")
+{
+    const WorkflowSpec spec = decodeWorkflow(R"({"spec":"text","steps":[{"count":4,"cpu":500},
+        {"count":20,"cpu":2000,"after":[0],"checkpointing":true,"gang":true,"maxPerServer":3}],
+        "repeatCount":2,"startAtMs":1000,"periodMs":500})");
+    REQUIRE(spec.steps.size() == 2);
+    CHECK(spec.steps[1].after == std::vector<uint32_t>{0});
+    CHECK(spec.steps[1].savesProgress);
+    CHECK(spec.steps[1].isGang);
+    CHECK(spec.steps[1].maxPerWorker == 3);
+    CHECK(spec.occurrences == 2);
+    CHECK_THROWS_AS(decodeWorkflow("no json"), ProtocolError);
+    CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[]})"), ProtocolError);
+    CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[{"count":1,"after":[0]}]})"), ProtocolError);
+    CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[{"count":-1}]})"), ProtocolError);
+}
+
+TEST_CASE("Refusals say when to come back, in whole seconds", "[platform]")
+{
+    ClientReply reply;
+    reply.outcome = ClientReply::Isolated;
+    reply.retryAfter = Duration(1200);
+    const HttpAnswer answer = encodeClientReply(reply);
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.at("Retry-After") == "2");
+    CHECK(answer.closesConnection);
+}
+
+TEST_CASE("Messages between nodes survive the wire", "[platform]")
+{
+    ClientCall call;
+    call.kind = ClientCall::Submit;
+    call.path = "/a/0123456789abcdef";
+    call.spec = decodeWorkflow(R"({"spec":"text","steps":[{"count":4,"cpu":500}]})");
+    const CellEnvelope back = decodeCellEnvelope(encodeCellEnvelope({42, call}));
+    CHECK(back.correlation == 42);
+    REQUIRE(std::holds_alternative<ClientCall>(back.message));
+    CHECK(std::get<ClientCall>(back.message).path == call.path);
+    CHECK(std::get<ClientCall>(back.message).spec.steps.at(0).taskCount == 4);
+    const CellEnvelope news = decodeCellEnvelope(
+        encodeCellEnvelope({0, AnnouncementMessage{Revision(7), EntryId("n"), {"10.0.0.1", 80}}}));
+    CHECK(std::get<AnnouncementMessage>(news.message).address.port == 80);
+    CHECK_THROWS_AS(decodeCellEnvelope("rubbish"), ProtocolError);
+}
+
+TEST_CASE("Settings of a cell's node list every fault", "[platform]")
+{
+    const std::string good = R"([node]
+id = "n"
+zone = "a"
+front = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peer = "10.0.0.1:82"
+metrics = "10.0.0.1:83"
+[platform]
+store = "10.0.0.2:80"
+)";
+    CHECK(parseCellSettings(good, "cell.toml").peer.port == 82);
+    CHECK_FALSE(parseCellSettings(good, "cell.toml").advisor.isSet());
+    CHECK_THROWS_AS(parseCellSettings(good + "typo = 1\n", "cell.toml"), SettingsError);
+    CHECK_THROWS_AS(parseCellSettings("[node]\nid = 7\n", "cell.toml"), SettingsError);
+}
