Coordination: Take no run near its estimate's end for a stalled one

Ruled out: late reports (one a second). Tests 'Task that takes longer than estimated', 'Task that stands still'.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -17,6 +17,9 @@
 /** Progress comes in whole percent and in reports a second apart; a run that shows none for this
  * long stands still, also on a worker that is several times slower than usual. */
 constexpr Duration StallTime{3000};
+/** A worker's figure rests on the submitter's estimate and stays near 100 in a task that takes
+ * longer than that. */
+constexpr int SaturatedPercent = 90;
 
 const char *outcomeName(RunOutcome outcome)
 {
@@ -240,8 +243,9 @@
     if (run.isStopWanted || run.isEnding)
         return;
     run.isStopWanted = true;
-    LOG_EVENT(m_parts.log, "run_stopping") << "task=" << taskText(key) << " attempt=" << run.attempt
-                                           << " worker=" << run.worker.id.value() << " why=" << why;
+    LOG_EVENT(m_parts.log, "run_stopping")
+        << "task=" << taskText(key) << " attempt=" << run.attempt
+        << " worker=" << run.worker.id.value() << " percent=" << run.percent << " why=" << why;
     // An order that is on its way is stopped once its fate is known.
     if (run.phase != RunPhase::Recording && run.phase != RunPhase::Ordered)
         sendStop(key, run);
@@ -512,8 +516,9 @@
 {
     const Instant now = m_timers.now();
     for (auto &[key, run] : m_runs) {
-        if (run.phase != RunPhase::Confirmed || run.isEnding || run.isStopWanted
-            || now - run.percentChangedAt < StallTime)
+        const bool mayStall = run.phase == RunPhase::Confirmed && !run.isEnding && !run.isStopWanted
+            && run.percent < SaturatedPercent;
+        if (!mayStall || now - run.percentChangedAt < StallTime)
             continue;
         const WorkerSession *session = sessionOf(run.worker);
         if (!session || !session->isReachable())
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -225,6 +225,28 @@
     CHECK(ends(job, JobState::Done));
 }
 
+TEST_CASE_METHOD(CellFixture,
+                 "Task that takes longer than estimated is not taken for a stalled one", "[cell]")
+{
+    m_world.taskLength = Duration(12'000);
+    m_world.estimatedLength = Duration(4'000);
+    const JobId job = m_world.submit(2, Small, Duration(4'000));
+    CHECK(ends(job, JobState::Done));
+    CHECK(m_world.startCount == 2);
+}
+
+TEST_CASE_METHOD(CellFixture, "Task that stands still is started again", "[cell]")
+{
+    m_world.isStandingStill = true;
+    m_world.taskLength = Duration(60'000);
+    const JobId job = m_world.submit(1, Small, Duration(1'000));
+    m_world.run(Duration(5'000));
+    m_world.isStandingStill = false;
+    m_world.taskLength = Duration(1'000);
+    CHECK(ends(job, JobState::Done));
+    CHECK(m_world.startCount == 2);
+}
+
 TEST_CASE_METHOD(CellFixture, "Gang whose member cannot start is started whole again", "[cell]")
 {
     m_world.workers[0].isCut = true;
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -343,9 +343,7 @@
                     (*poll)();
             });
         for (const auto &[task, run] : worker->running)
-            reply.running.push_back(
-                {task, run.attempt, "",
-                 static_cast<int>(100 * (events.now() - run.begins) / (run.ends - run.begins))});
+            reply.running.push_back({task, run.attempt, "", percentOf(run)});
         reply.ended.assign(worker->ended.begin(), worker->ended.end());
         reply.outcome = HoldReply::Answered;
         events.at(events.now() + WorkerLatency, [done, reply] { done(reply); });
@@ -354,6 +352,15 @@
     events.at(events.now() + WorkerLatency, [poll] { (*poll)(); });
 }
 
+int CellWorld::percentOf(const CellTestWorker::Run &run) const
+{
+    if (isStandingStill)
+        return 30;
+    const auto length =
+        estimatedLength.count() > 0 ? Instant::duration(estimatedLength) : run.ends - run.begins;
+    return std::min<int>(99, static_cast<int>(100 * (events.now() - run.begins) / length));
+}
+
 void CellWorld::judgeStart(const CellTestWorker &worker, const StartCall &call,
                            const Resources &need)
 {
--- a/Tests/Unit/CellWorld.h
+++ b/Tests/Unit/CellWorld.h
@@ -124,9 +124,14 @@
     std::size_t startCount = 0;
     /** How long tasks run; 0 for as long as their submitter estimated. */
     Duration taskLength{0};
+    /** Runs show progress by their estimate, which may be shorter than they take. */
+    Duration estimatedLength{0};
+    /** Runs show no progress. */
+    bool isStandingStill = false;
 
 private:
     CellTestWorker *find(const OrderAddress &to);
+    int percentOf(const CellTestWorker::Run &run) const;
     void settle(CellTestWorker &worker);
     void finish(CellTestWorker &worker, const TaskKey &task, RunOutcome outcome);
     void judgeStart(const CellTestWorker &worker, const StartCall &call, const Resources &need);
