--- a/Libraries/Coordination/AdviceDesk.cpp
+++ b/Libraries/Coordination/AdviceDesk.cpp
@@ -28,7 +28,7 @@
 
 void AdviceDesk::addCaller(const EntryId &node, Ask ask)
 {
-    m_callers[node] = {std::move(ask), m_timers.now(), 0, 0};
+    m_callers[node] = {std::move(ask), m_timers.now(), 0};
 }
 
 void AdviceDesk::removeCaller(const EntryId &node)
@@ -69,7 +69,6 @@
                   if (found != m_callers.end()) {
                       Caller &caller = found->second;
                       caller.underWay -= std::min<std::size_t>(caller.underWay, 1);
-                      caller.failures = reply.answered ? 0 : caller.failures + 1;
                       if (!reply.answered)
                           caller.busyUntil = m_timers.now() + FailurePenalty;
                   }
--- a/Libraries/Coordination/AdviceDesk.h
+++ b/Libraries/Coordination/AdviceDesk.h
@@ -37,8 +37,6 @@
         Ask ask;
         /** When the calls given to this node will have been served. */
         Instant busyUntil{};
-        /** Calls in a row that brought no answer. */
-        uint32_t failures = 0;
         std::size_t underWay = 0;
     };
 
--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -141,13 +141,10 @@
 CellScheduler::LiveRun CellScheduler::makeRun(const JobRecord &job, uint32_t step) const
 {
     const StepSpec &spec = job.accepted.spec.steps[step];
-    const QueueSettings *queue = m_configuration.findQueue(job.accepted.queue);
     LiveRun run;
     run.beganAt = run.percentChangedAt = run.settledAt = m_timers.now();
     run.need = spec.need;
     run.team = job.accepted.team;
-    run.priority = queue ? queue->priority : 0;
-    run.isResumable = spec.savesProgress;
     run.isGang = spec.isGang;
     run.estimate = spec.estimate;
     return run;
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -26,6 +26,10 @@
 /** The claim is confirmed at least this often while nothing else is written. */
 constexpr Duration TouchInterval{400};
 constexpr Duration RecoveryRetry{200};
+/** Least time that a run is expected to take; submitters' estimates may be 0. */
+constexpr Duration ShortestRun{100};
+/** Progress in percent from which on it is used to foresee a run's end; less is too coarse. */
+constexpr int TellingPercent = 10;
 /** After a failed call for advice. */
 constexpr Duration AdvicePause{150};
 /** Ticket life counted from the call's end; the advisor began to count when it answered. */
@@ -367,14 +371,9 @@
             for (const TaskKey &key : runs->second) {
                 const LiveRun &run = m_runs.at(key);
                 worker.used += run.need;
-                RoomHolder holder{key,
-                                  run.need,
-                                  run.priority,
-                                  run.isResumable,
-                                  run.isStopWanted,
-                                  run.beganAt + std::max(run.estimate, Duration(100))};
+                RoomHolder holder{key, run.need, run.beganAt + std::max(run.estimate, ShortestRun)};
                 // Progress tells more than the submitter's estimate once some of it is made.
-                if (run.percent >= 10) {
+                if (run.percent >= TellingPercent) {
                     const auto ran = run.percentChangedAt - run.beganAt;
                     holder.expectedEnd = run.beganAt + ran * 100 / run.percent;
                 }
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -64,8 +64,6 @@
     /** What operators and workers said before now may be out of date, as after a suspension. */
     void distrustViews();
 
-    std::size_t openJobs() const { return m_jobs.openJobs().size(); }
-
 private:
     /** How far an order has come. */
     enum class RunPhase : uint8_t {
@@ -103,8 +101,6 @@
         bool isEnding = false;
         Resources need;
         TeamId team;
-        int priority = 0;
-        bool isResumable = false;
         bool isGang = false;
         Duration estimate{0};
     };
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -64,7 +64,6 @@
     /** Writes an empty segment if nothing else is under way, to confirm the claim. */
     void touch();
     bool isIdle() const { return m_commits.empty() && m_waiting.empty(); }
-    std::size_t waitingCount() const { return m_waiting.size(); }
 
 private:
     struct Pending
--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -180,7 +180,7 @@
 void Leadership::adopt(const StoreEntry &entry)
 {
     const CellMember member = decodeMember(entry.value);
-    m_leader = {entry.revision, member.node, member.address, entry.value};
+    m_leader = {entry.revision, member.node, member.address};
     LOG(INFO) << "event=leader_seen node=" << member.node.value()
               << " claim=" << entry.revision.value();
 }
@@ -272,7 +272,7 @@
 
 void Leadership::win(Revision revision)
 {
-    m_leader = {revision, m_self.node, m_self.address, m_claimValue};
+    m_leader = {revision, m_self.node, m_self.address};
     m_isLeading = true;
     m_isElecting = false;
     m_peers.follow(std::nullopt);
@@ -310,7 +310,7 @@
         return;
     LOG(INFO) << "event=leader_announced node=" << announcement.node.value()
               << " claim=" << announcement.claim.value();
-    m_leader = {announcement.claim, announcement.node, announcement.address, {}};
+    m_leader = {announcement.claim, announcement.node, announcement.address};
     if (m_isLeading)
         giveUp();
     m_followedAt = m_timers.now();
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -51,7 +51,6 @@
         Revision revision;
         EntryId node;
         Endpoint address;
-        std::string value;
     };
 
     void registerMember();
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -14,6 +14,19 @@
 constexpr Duration VoteTimeout{300};
 constexpr Duration ExpiryInterval{50};
 
+/** @return the message; nothing after closing the link of a peer that cannot be understood. */
+std::optional<CellEnvelope> decodeOrClose(const std::shared_ptr<FrameLink> &link,
+                                          const Frame &frame)
+{
+    try {
+        return decodeCellEnvelope(frame);
+    } catch (const ProtocolError &error) {
+        LOG(WARNING) << "event=peer_message_unreadable error=" << error.what();
+        link->close();
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 PeerHub::PeerHub(asio::io_context &context, TimerService &timers, EntryId self,
@@ -36,32 +49,28 @@
 
 void PeerHub::handleInbound(const Link &link, const Frame &frame)
 {
-    CellEnvelope envelope;
-    try {
-        envelope = decodeCellEnvelope(frame);
-    } catch (const ProtocolError &error) {
-        LOG(WARNING) << "event=peer_message_unreadable error=" << error.what();
-        return link->close();
-    }
-    const uint64_t correlation = envelope.correlation;
-    if (const auto *hello = std::get_if<HelloMessage>(&envelope.message)) {
+    std::optional<CellEnvelope> envelope = decodeOrClose(link, frame);
+    if (!envelope)
+        return;
+    const uint64_t correlation = envelope->correlation;
+    if (const auto *hello = std::get_if<HelloMessage>(&envelope->message)) {
         m_inbound[link] = hello->node;
         m_followers[hello->node] = link;
         return m_handlers.followerJoined(hello->node);
     }
-    if (auto *call = std::get_if<ClientCall>(&envelope.message)) {
+    if (auto *call = std::get_if<ClientCall>(&envelope->message)) {
         return m_handlers.clientCall(std::move(*call),
                                      [this, link, correlation](ClientReply reply) {
                                          send(link, correlation, std::move(reply));
                                      });
     }
-    if (const auto *vote = std::get_if<VoteRequest>(&envelope.message))
+    if (const auto *vote = std::get_if<VoteRequest>(&envelope->message))
         return send(link, correlation, VoteResponse{m_handlers.vote(vote->claim)});
-    if (const auto *announcement = std::get_if<AnnouncementMessage>(&envelope.message)) {
+    if (const auto *announcement = std::get_if<AnnouncementMessage>(&envelope->message)) {
         send(link, correlation, VoteResponse{true});
         return m_handlers.announced(*announcement);
     }
-    settle(correlation, envelope.message);
+    settle(correlation, envelope->message);
 }
 
 void PeerHub::dropInbound(const Link &link)
@@ -122,29 +131,25 @@
 
 void PeerHub::handleFromLeader(const Link &link, const Frame &frame)
 {
-    CellEnvelope envelope;
-    try {
-        envelope = decodeCellEnvelope(frame);
-    } catch (const ProtocolError &error) {
-        LOG(WARNING) << "event=peer_message_unreadable error=" << error.what();
-        return link->close();
-    }
-    const uint64_t correlation = envelope.correlation;
-    if (const auto *beat = std::get_if<HeartbeatMessage>(&envelope.message)) {
+    std::optional<CellEnvelope> envelope = decodeOrClose(link, frame);
+    if (!envelope)
+        return;
+    const uint64_t correlation = envelope->correlation;
+    if (const auto *beat = std::get_if<HeartbeatMessage>(&envelope->message)) {
         if (link == m_leaderLink) {
             m_heartbeat = *beat;
             m_heartbeatAt = m_timers.now();
         }
         return;
     }
-    if (auto *advice = std::get_if<AdviceCall>(&envelope.message)) {
+    if (auto *advice = std::get_if<AdviceCall>(&envelope->message)) {
         return m_handlers.advice(std::move(*advice), [this, link, correlation](AdviceReply reply) {
             send(link, correlation, std::move(reply));
         });
     }
-    if (const auto *handOver = std::get_if<HandOverMessage>(&envelope.message))
+    if (const auto *handOver = std::get_if<HandOverMessage>(&envelope->message))
         return m_handlers.handOver(handOver->claim);
-    settle(correlation, envelope.message);
+    settle(correlation, envelope->message);
 }
 
 void PeerHub::send(const Link &link, uint64_t correlation, CellMessage message)
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -12,10 +12,6 @@
 {
     TaskKey task;
     Resources need;
-    int priority = 0;
-    /** The run can be stopped and later resumed without losing much. */
-    bool isResumable = false;
-    bool isStopping = false;
     /** When the run is expected to end. */
     Instant expectedEnd{};
 };
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -38,8 +38,7 @@
 } // namespace
 
 CellNode::CellNode(asio::io_context &context, CellSettings settings, Platform platform)
-    : m_context(context)
-    , m_settings(std::move(settings))
+    : m_settings(std::move(settings))
     , m_platform(platform)
     , m_timers(context)
     , m_log(m_timers)
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -71,7 +71,6 @@
     Duration suspendedTime();
     WallTime wallNow() const;
 
-    asio::io_context &m_context;
     CellSettings m_settings;
     Platform m_platform;
     AsioTimerService m_timers;
--- a/Libraries/Service/CellSettings.cpp
+++ b/Libraries/Service/CellSettings.cpp
@@ -3,8 +3,7 @@
 #include "Service/Settings.h"
 #include "Service/TomlChecker.h"
 
-#include <fstream>
-#include <sstream>
+#include <fmt/format.h>
 
 namespace Cranberrymount {
 
@@ -44,20 +43,12 @@
     }
     if (faults.empty())
         return settings;
-    std::string message;
-    for (const std::string &fault : faults)
-        message += (message.empty() ? "" : "\n") + fault;
-    throw SettingsError(message);
+    throw SettingsError(fmt::format("{}", fmt::join(faults, "\n")));
 }
 
 CellSettings readCellSettings(const std::string &path)
 {
-    const std::ifstream file(path);
-    if (!file)
-        throw SettingsError(path + ": cannot be opened");
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parseCellSettings(text.str(), path);
+    return parseCellSettings(readSettingsFile(path), path);
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Service/Settings.cpp
+++ b/Libraries/Service/Settings.cpp
@@ -2,6 +2,8 @@
 
 #include "Service/TomlChecker.h"
 
+#include <fmt/format.h>
+
 #include <fstream>
 #include <sstream>
 
@@ -81,20 +83,22 @@
     }
     if (faults.empty())
         return settings;
-    std::string message;
-    for (const std::string &fault : faults)
-        message += (message.empty() ? "" : "\n") + fault;
-    throw SettingsError(message);
+    throw SettingsError(fmt::format("{}", fmt::join(faults, "\n")));
 }
 
-Settings readSettings(const std::string &path)
+std::string readSettingsFile(const std::string &path)
 {
     const std::ifstream file(path);
     if (!file)
         throw SettingsError(path + ": cannot be opened");
     std::ostringstream text;
     text << file.rdbuf();
-    return parseSettings(text.str(), path);
+    return text.str();
+}
+
+Settings readSettings(const std::string &path)
+{
+    return parseSettings(readSettingsFile(path), path);
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Service/Settings.h
+++ b/Libraries/Service/Settings.h
@@ -51,6 +51,9 @@
     Duration instanceListPeriod{1000};
 };
 
+/** @return the text of a settings file. @throws SettingsError if it cannot be read. */
+std::string readSettingsFile(const std::string &path);
+
 /**
  * Reads settings.
  * @throws SettingsError that names each unknown key, wrong type, value out of range and missing
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -149,8 +149,7 @@
     // A run on each worker leaves too little for the gang until it ends.
     for (DispatchWorker &worker : m_workers) {
         worker.used = {CpuMillis(5'000), MemoryMb(0), AcceleratorCount(0)};
-        worker.holders.push_back(
-            {{JobId("x"), 0, 0, 0}, worker.used, 2, true, false, m_instant + Duration(300)});
+        worker.holders.push_back({{JobId("x"), 0, 0, 0}, worker.used, m_instant + Duration(300)});
     }
     const JobId gang = addJob("batch", 2, 8'000, Duration(500), true);
     const JobId other = addJob("batch", 6, 1'000, Duration(5000));
