--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -26,6 +26,9 @@
 /** The claim is confirmed at least this often while nothing else is written. */
 constexpr Duration TouchInterval{400};
 constexpr Duration RecoveryRetry{200};
+/** Lets jobs and orders that are on their way through a commit be answered. What comes later is
+ * settled by the next leader, so that a busy journal need not run empty. */
+constexpr Duration QuiesceTime{60};
 /** Least time that a run is expected to take; submitters' estimates may be 0. */
 constexpr Duration ShortestRun{100};
 /** Progress in percent from which on it is used to foresee a run's end; less is too coarse. */
@@ -429,10 +432,7 @@
 void CellScheduler::quiesce(std::function<void()> done)
 {
     m_isQuiescing = true;
-    constexpr Duration Poll{10};
-    if (!m_journal || m_journal->isIdle() || m_isOver)
-        return done();
-    m_timers.after(Poll, [this, done = std::move(done)] { quiesce(done); });
+    m_timers.after(QuiesceTime, std::move(done));
 }
 
 void CellScheduler::forgetDecisions(const JobId &job)
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -59,7 +59,7 @@
     /** Answers a submitter's call, at once unless it has to be written first. */
     void handle(ClientCall call, ClientRespond respond);
 
-    /** Decides nothing more; @p done runs once everything begun is in the journal. */
+    /** Decides nothing more; @p done runs after a moment for what is on its way to the store. */
     void quiesce(std::function<void()> done);
     /** What operators and workers said before now may be out of date, as after a suspension. */
     void distrustViews();
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -63,7 +63,6 @@
     Instant lastCommit() const { return m_lastCommit; }
     /** Writes an empty segment if nothing else is under way, to confirm the claim. */
     void touch();
-    bool isIdle() const { return m_commits.empty() && m_waiting.empty(); }
 
 private:
     struct Pending
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -94,6 +94,24 @@
     CHECK(m_world.startCount == 30);
 }
 
+TEST_CASE_METHOD(CellFixture, "Busy leader on a slow store hands over without delay", "[cell]")
+{
+    m_world.store.latency = Duration(110);
+    for (int count = 0; count < 100; ++count) {
+        m_world.submit(1, Small, Duration(150));
+        m_world.run(Duration(20));
+    }
+    bool isDone = false;
+    m_world.leader().quiesce([&isDone] { isDone = true; });
+    // Ends go on coming in, so that the journal is never empty.
+    m_world.run(Duration(100));
+    CHECK(isDone);
+    m_world.elect();
+    REQUIRE(m_world.runUntil([this] { return m_world.leader().isReady(); }, Duration(2000)));
+    for (const JobId &job : m_world.accepted)
+        CHECK(ends(job, JobState::Done));
+}
+
 TEST_CASE_METHOD(CellFixture, "Superseded leader writes nothing and orders nothing", "[cell]")
 {
     CellScheduler &old = m_world.leader();
