Coordination: Read operators' and workers' lists once an interval

Cause: recover() begins both reads, and readJournal() began them a second time when it was done, so that a leader kept two loops for each list: 40 reads in 7 s where the interval of 0.7 s asks for 20. Ruled out: retries (the store answered every read of the test). Test 'Leader reads each list once an interval', 40 reads before, at most 20 after.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -130,8 +130,7 @@
             LOG(INFO) << "event=journal_read epoch=" << m_epoch.value()
                       << " segments=" << segments.size() << " records=" << records
                       << " jobs=" << m_jobs.jobs().size() << " open=" << m_jobs.openJobs().size();
-            pollOperators();
-            pollWorkers();
+            finishRecovery();
         });
 }
 
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -112,6 +112,15 @@
         CHECK(ends(job, JobState::Done));
 }
 
+TEST_CASE_METHOD(CellFixture, "Leader reads each list once an interval", "[cell]")
+{
+    m_world.viewReads = 0;
+    m_world.run(Duration(7'000));
+    // Two lists, each every 0.7 s.
+    CHECK(m_world.viewReads >= 18);
+    CHECK(m_world.viewReads <= 20);
+}
+
 TEST_CASE_METHOD(CellFixture, "Superseded leader writes nothing and orders nothing", "[cell]")
 {
     CellScheduler &old = m_world.leader();
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -469,6 +469,7 @@
 
 void CellWorld::readOperators(std::function<void(OperatorView)> done)
 {
+    ++viewReads;
     events.at(events.now() + store.latency, [this, done = std::move(done)] {
         done({!store.isDown, configuration, evacuated});
     });
@@ -476,6 +477,7 @@
 
 void CellWorld::readWorkers(std::function<void(WorkerDirectory)> done)
 {
+    ++viewReads;
     events.at(events.now() + store.latency, [this, done = std::move(done)] {
         WorkerDirectory directory;
         directory.answered = !store.isDown;
