Cell: Say repeated things once, and drop what nothing reads

Both services share runService(); votes and announcements share decodeMembers(); the three places that count a worker's room for a step share placesFor(); a step's chains are worked out once for its urgency, not once a step; findTask() rests on findStep() and needs no cast. AdviceDesk counted calls that nothing read.

--- a/Libraries/Coordination/AdviceDesk.cpp
+++ b/Libraries/Coordination/AdviceDesk.cpp
@@ -28,7 +28,7 @@
 
 void AdviceDesk::addCaller(const EntryId &node, Ask ask)
 {
-    m_callers[node] = {std::move(ask), m_timers.now(), 0};
+    m_callers[node] = {std::move(ask), m_timers.now()};
 }
 
 void AdviceDesk::removeCaller(const EntryId &node)
@@ -58,7 +58,6 @@
     if (!best)
         return false;
     best->busyUntil = std::max(best->busyUntil, now) + cost;
-    ++best->underWay;
     call.timeout = std::chrono::duration_cast<Duration>(best->busyUntil - now) + RelayTime;
     best->ask(std::move(call),
               [this, bestNode, done = std::move(done),
@@ -66,12 +65,8 @@
                   if (alive.expired())
                       return;
                   const auto found = m_callers.find(bestNode);
-                  if (found != m_callers.end()) {
-                      Caller &caller = found->second;
-                      caller.underWay -= std::min<std::size_t>(caller.underWay, 1);
-                      if (!reply.answered)
-                          caller.busyUntil = m_timers.now() + FailurePenalty;
-                  }
+                  if (found != m_callers.end() && !reply.answered)
+                      found->second.busyUntil = m_timers.now() + FailurePenalty;
                   done(std::move(reply));
               });
     return true;
--- a/Libraries/Coordination/AdviceDesk.h
+++ b/Libraries/Coordination/AdviceDesk.h
@@ -4,7 +4,6 @@
 #include "State/Ids.h"
 #include "Transport/GuardedTimers.h"
 
-#include <deque>
 #include <map>
 
 namespace Cranberrymount {
@@ -37,7 +36,6 @@
         Ask ask;
         /** When the calls given to this node will have been served. */
         Instant busyUntil{};
-        std::size_t underWay = 0;
     };
 
     TimerService &m_timers;
--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -441,14 +441,14 @@
     if (record.outcome == RunOutcome::Done && !run.isGang && !run.hasResumed && job)
         m_speeds.noteRun({record.task.job, record.task.occurrence, record.task.step}, run.worker,
                          std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt));
-    if (run.isGang) {
+    // After a successful end the others of a gang end with it by themselves.
+    if (run.isGang && record.outcome != RunOutcome::Done) {
         const TaskKey first{record.task.job, record.task.occurrence, record.task.step, 0};
         for (auto member = m_runs.lower_bound(first);
              member != m_runs.end() && member->first.job == first.job
              && member->first.occurrence == first.occurrence && member->first.step == first.step;
              ++member) {
-            // After a successful end the others end with it by themselves.
-            if (member->second.attempt == record.attempt && record.outcome != RunOutcome::Done)
+            if (member->second.attempt == record.attempt)
                 requestStop(member->first, member->second, "gang_broken");
         }
     }
--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -51,6 +51,21 @@
     return {EntryId(json.at("node")), {json.at("host"), json.at("port")}};
 }
 
+/** @return the members in @p read; entries that cannot be read are logged and left out. */
+std::vector<CellMember> decodeMembers(const StoreRead &read)
+{
+    std::vector<CellMember> members;
+    for (const StoreEntry &entry : read.entries) {
+        try {
+            members.push_back(decodeMember(entry.value));
+        } catch (const std::exception &error) {
+            LOG(ERROR) << "event=member_entry_unreadable key=" << entry.key
+                       << " error=" << error.what();
+        }
+    }
+    return members;
+}
+
 } // namespace
 
 Leadership::Leadership(TransactionalStore &store, TimerService &timers, PeerHub &peers,
@@ -219,15 +234,7 @@
         endElection(ElectionPause);
     };
     ++count->awaited;
-    for (const StoreEntry &entry : members.entries) {
-        CellMember member;
-        try {
-            member = decodeMember(entry.value);
-        } catch (const std::exception &error) {
-            LOG(ERROR) << "event=member_entry_unreadable key=" << entry.key
-                       << " error=" << error.what();
-            continue;
-        }
+    for (const CellMember &member : decodeMembers(members)) {
         if (member.node == m_self.node || member.node == m_leader.node)
             continue;
         ++count->members;
@@ -289,16 +296,9 @@
     m_store.list(MemberPrefix, [this](const StoreRead &read) {
         if (!m_isLeading)
             return;
-        for (const StoreEntry &entry : read.entries) {
-            try {
-                const CellMember member = decodeMember(entry.value);
-                if (member.node != m_self.node && !m_peers.hasFollower(member.node))
-                    m_peers.announce(member.address,
-                                     {m_leader.revision, m_self.node, m_self.address});
-            } catch (const std::exception &error) {
-                LOG(ERROR) << "event=member_entry_unreadable key=" << entry.key
-                           << " error=" << error.what();
-            }
+        for (const CellMember &member : decodeMembers(read)) {
+            if (member.node != m_self.node && !m_peers.hasFollower(member.node))
+                m_peers.announce(member.address, {m_leader.revision, m_self.node, m_self.address});
         }
         m_timers.after(read.answered ? AnnounceInterval : ElectionPause, [this] { announce(); });
     });
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -1,14 +1,11 @@
 #include "Decision/Dispatcher.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace Cranberrymount {
 
 namespace {
 
-using namespace std::chrono_literals;
-
 /** A job earns something until this many times its objective; from the users' rules on credit. */
 constexpr int WorthlessAfterObjectives = 3;
 /** A start is under way for about this long: journal commit, order, worker. */
@@ -30,23 +27,15 @@
 /** Least duration assumed of a task; submitters' estimates may be 0. */
 constexpr Duration MinEstimate{50};
 
-/** @return the longest chain of estimates from @p step to the end of the job. */
-Duration chainFrom(const WorkflowSpec &spec, std::size_t step)
+/** @return for each step the longest chain of estimates from it to the end of the job. */
+std::vector<Duration> longestChains(const WorkflowSpec &spec)
 {
     std::vector<Duration> longest(spec.steps.size(), Duration(0));
-    for (std::size_t index = spec.steps.size(); index-- > step;) {
+    for (std::size_t index = spec.steps.size(); index-- > 0;) {
         longest[index] += std::max(spec.steps[index].estimate, MinEstimate);
         for (const uint32_t earlier : spec.steps[index].after)
             longest[earlier] = std::max(longest[earlier], longest[index]);
     }
-    return longest[step];
-}
-
-Duration longestChain(const WorkflowSpec &spec)
-{
-    Duration longest{0};
-    for (std::size_t step = 0; step < spec.steps.size(); ++step)
-        longest = std::max(longest, chainFrom(spec, step));
     return longest;
 }
 
@@ -96,9 +85,9 @@
 StepUrgency Dispatcher::urgencyOf(const JobRecord &job, const StepKey &key,
                                   const QueueSettings &queue, WallTime now)
 {
-    const WorkflowSpec &spec = job.accepted.spec;
-    Duration chain = longestChain(spec);
-    Duration remaining = chainFrom(spec, key.step) + StartDelay;
+    const std::vector<Duration> chains = longestChains(job.accepted.spec);
+    Duration chain = std::ranges::max(chains);
+    Duration remaining = chains[key.step] + StartDelay;
     if (queue.advice) {
         chain += queue.advice->costOf(MaxWorkersPerAdvice);
         remaining += queue.advice->base;
@@ -181,9 +170,7 @@
         int64_t bestScore = 0;
         for (const std::size_t worker : usable) {
             const DispatchWorker &candidateWorker = m_input.workers[worker];
-            if (!spec.need.fitsIn(candidateWorker.room()))
-                continue;
-            if (spec.maxPerWorker > 0 && runsOfStepOn(candidate.key, worker) >= spec.maxPerWorker)
+            if (placesFor(candidate, spec, worker) <= 0)
                 continue;
             int64_t score = reluctance(candidate, spec, worker);
             // Where it failed before only as a last choice.
@@ -215,18 +202,13 @@
     if (teamHeadroom(candidate.job->accepted.team, spec.need) < members)
         return;
     const bool mayStart = poolHeadroom(candidate, spec.need) >= members;
+    const auto placesOn = [&](std::size_t worker) { return placesFor(candidate, spec, worker); };
     std::vector<std::size_t> order;
     for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
         if (isEligible(candidate, spec, worker) && ticketFor(candidate, worker)
-            && spec.need.fitsIn(m_input.workers[worker].room()))
+            && placesOn(worker) > 0)
             order.push_back(worker);
     }
-    const auto placesOn = [&](std::size_t worker) {
-        int64_t places = spec.need.countIn(m_input.workers[worker].room());
-        if (spec.maxPerWorker > 0)
-            places = std::min<int64_t>(places, spec.maxPerWorker);
-        return places;
-    };
     // Workers that hold most members go first, so that the gang breaks up few of them; a gang is
     // as slow as its slowest member, so that one without time to spare takes fast workers first.
     const double limit = slowLimit(candidate.urgency);
@@ -330,10 +312,15 @@
         || candidate.urgency.urgencyClass == StepUrgency::Immediate;
 }
 
-uint32_t Dispatcher::runsOfStepOn(const StepKey &key, std::size_t worker) const
+int64_t Dispatcher::placesFor(const Candidate &candidate, const StepSpec &spec,
+                              std::size_t worker) const
 {
-    const auto found = m_stepRuns[worker].find(key);
-    return found == m_stepRuns[worker].end() ? 0 : found->second;
+    const int64_t places = spec.need.countIn(m_input.workers[worker].room());
+    if (spec.maxPerWorker == 0)
+        return places;
+    const auto runs = m_stepRuns[worker].find(candidate.key);
+    const int64_t running = runs == m_stepRuns[worker].end() ? 0 : runs->second;
+    return std::min<int64_t>(places, int64_t(spec.maxPerWorker) - running);
 }
 
 int64_t Dispatcher::teamHeadroom(const TeamId &team, const Resources &need) const
@@ -410,11 +397,7 @@
         if (!isEligible(candidate, spec, worker) || isDenied(candidate, worker)
             || ticketFor(candidate, worker))
             continue;
-        int64_t places = spec.need.countIn(m_input.workers[worker].room());
-        if (spec.maxPerWorker > 0) {
-            places =
-                std::min<int64_t>(places, spec.maxPerWorker) - runsOfStepOn(candidate.key, worker);
-        }
+        const int64_t places = placesFor(candidate, spec, worker);
         const bool isAllowed =
             m_input.advice->find(candidate.key, m_input.workers[worker].info.life);
         // A gang learns early which workers it may wait for, whether or not they have room.
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -123,7 +123,9 @@
     int64_t reluctance(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
     bool isEligible(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
     bool mayUseReserved(const Candidate &candidate, std::size_t worker) const;
-    uint32_t runsOfStepOn(const StepKey &key, std::size_t worker) const;
+    /** @return how many more tasks of the step the worker may take, by room and by the step's limit
+     * for one worker. */
+    int64_t placesFor(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
     /** @return how many more tasks of @p need the team may run. */
     int64_t teamHeadroom(const TeamId &team, const Resources &need) const;
     int64_t poolHeadroom(const Candidate &candidate, const Resources &need) const;
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -26,7 +26,6 @@
 constexpr Duration OfferAfter{250};
 constexpr Duration OfferInterval{300};
 constexpr Duration HandOverWait{800};
-constexpr Duration HandOverPoll{20};
 
 std::chrono::nanoseconds readClock(clockid_t clock)
 {
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -208,9 +208,8 @@
 
 const TaskProgress *JobTable::findTask(const TaskKey &key) const
 {
-    const auto found = m_jobs.find(key.job);
-    // The lookup changes nothing; one helper serves both kinds of access.
-    return found == m_jobs.end() ? nullptr : findIn(const_cast<JobRecord &>(found->second), key);
+    const StepRun *step = findStep({key.job, key.occurrence, key.step});
+    return step && key.index < step->tasks.size() ? &step->tasks[key.index] : nullptr;
 }
 
 const StepRun *JobTable::findStep(const StepKey &key) const
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -5,30 +5,20 @@
 
 #include "Protocol/ProtocolError.h"
 #include "Service/CellNode.h"
-#include "Service/Settings.h"
-#include "Transport/TransportError.h"
+#include "Service/ServiceMain.h"
 
 #include <asio/signal_set.hpp>
 #include <fcntl.h>
 #include <glog/logging.h>
-#include <tclap/CmdLine.h>
 
 #include <csignal>
 #include <cstdio>
-#include <iostream>
 #include <unistd.h>
 
 namespace {
 
 using namespace Cranberrymount;
 
-enum ExitCode {
-    Success = 0,
-    BadUsage = 2,
-    BadSettings = 3,
-    CannotListen = 4,
-};
-
 /** The balancer probes once a second and gives up a node after two misses. */
 constexpr Duration BalancerNotice{2200};
 /** Kept of the stop's grace for the last answers and the process's end. */
@@ -152,7 +142,7 @@
     LOG(INFO) << "event=started node=" << settings.node.value() << " zone=" << settings.zone.value()
               << " front=" << settings.front.text();
     context.run();
-    return Success;
+    return ExitSuccess;
 }
 
 } // namespace
@@ -164,20 +154,5 @@
     google::InitGoogleLogging(argv[0]);
     google::InstallFailureSignalHandler();
     FLAGS_logtostdout = true;
-    try {
-        TCLAP::CmdLine command("cranberrymount-cell: one node of a cell", ' ', "0.1");
-        const TCLAP::UnlabeledValueArg<std::string> settings("settings", "TOML settings file", true,
-                                                             "", "FILE", command);
-        command.parse(argc, argv);
-        return run(settings.getValue());
-    } catch (const TCLAP::ArgException &error) {
-        std::cerr << error.error() << " " << error.argId() << "\n";
-        return BadUsage;
-    } catch (const SettingsError &error) {
-        std::cerr << error.what() << "\n";
-        return BadSettings;
-    } catch (const TransportError &error) {
-        std::cerr << error.what() << "\n";
-        return CannotListen;
-    }
+    return runService(argc, argv, "cranberrymount-cell: one node of a cell", run);
 }
--- a/Services/cranberrymountd/main.cpp
+++ b/Services/cranberrymountd/main.cpp
@@ -1,27 +1,18 @@
 #include "Service/EntryApi.h"
 #include "Service/EntryNode.h"
+#include "Service/ServiceMain.h"
 #include "Service/Settings.h"
-#include "Transport/TransportError.h"
 
 #include <glog/logging.h>
-#include <tclap/CmdLine.h>
 
 #include <csignal>
 #include <future>
-#include <iostream>
 #include <thread>
 
 namespace {
 
 using namespace Cranberrymount;
 
-enum ExitCode {
-    Success = 0,
-    BadUsage = 2,
-    BadSettings = 3,
-    CannotListen = 4,
-};
-
 constexpr std::chrono::seconds DrainLimit{20};
 constexpr std::chrono::milliseconds DrainPoll{20};
 /** Long enough for the balancer and the peers to see that this entry leaves. */
@@ -79,7 +70,7 @@
     int signal = 0;
     sigwait(&signals, &signal);
     shutDown(node, server);
-    return Success;
+    return ExitSuccess;
 }
 
 } // namespace
@@ -88,20 +79,5 @@
 {
     google::InitGoogleLogging(argv[0]);
     FLAGS_logtostderr = true;
-    try {
-        TCLAP::CmdLine command("cranberrymountd: one entry instance of the scheduler", ' ', "0.1");
-        const TCLAP::UnlabeledValueArg<std::string> settings("settings", "TOML settings file", true,
-                                                             "", "FILE", command);
-        command.parse(argc, argv);
-        return run(settings.getValue());
-    } catch (const TCLAP::ArgException &error) {
-        std::cerr << error.error() << " " << error.argId() << "\n";
-        return BadUsage;
-    } catch (const SettingsError &error) {
-        std::cerr << error.what() << "\n";
-        return BadSettings;
-    } catch (const TransportError &error) {
-        std::cerr << error.what() << "\n";
-        return CannotListen;
-    }
+    return runService(argc, argv, "cranberrymountd: one entry instance of the scheduler", run);
 }
