Coordination: Take a later try of an accepted job for what it is

A leader that the store had lost, or that was about to stop, refused a try of a job it had accepted before; and a node that had just started refused calls at once instead of waiting 1.5 s for a leader. Open: an entry without a leader for 1.5 s still refuses, and cannot know whether an earlier try was stored. Tests 'Accepted job is refused to no later try', 'Call to a node that has just started waits'.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -64,12 +64,16 @@
     const QueueSettings *queue = m_configuration.route(host, call.path);
     const TeamSettings *team = m_configuration.teamOfKey(call.key);
     if (queue && (team || queue->isOpenToAll) && call.kind == ClientCall::Submit) {
-        // A refusal says that the job never runs: not true of one that is on its way to the store.
-        const auto onItsWay = m_accepting.find(JobId(call.path.substr(queue->pathPrefix.size())));
+        // A refusal says that the job never runs: not true of one that an earlier try brought to
+        // the store, or on its way there.
+        const JobId id(call.path.substr(queue->pathPrefix.size()));
+        const auto onItsWay = m_accepting.find(id);
         if (onItsWay != m_accepting.end()) {
             onItsWay->second.push_back(std::move(respond));
             return;
         }
+        if (m_jobs.find(id))
+            return respond(plain(ClientReply::Accepted));
     }
     if (m_isQuiescing)
         return respond(unavailable("the scheduler is moving to another node"));
@@ -113,8 +117,6 @@
 void CellScheduler::submit(const QueueSettings &queue, const TeamId &team, const JobId &id,
                            ClientCall call, ClientRespond respond)
 {
-    if (m_jobs.find(id))
-        return respond(plain(ClientReply::Accepted));
     if (!m_isStoreReachable)
         return respond(unavailable("the store cannot be reached; the job was not stored"));
     JobAccepted record;
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -90,6 +90,7 @@
 void CellNode::start()
 {
     suspendedTime();
+    m_leaderSeenAt = m_timers.now();
     m_leadership.begin();
     tick();
     beat();
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -85,6 +85,7 @@
     std::vector<std::unique_ptr<CellScheduler>> m_retired;
     std::deque<WaitingCall> m_waiting;
     std::chrono::nanoseconds m_suspendedBefore{0};
+    /** When this node last had a leader; its start, if it had none yet. */
     Instant m_leaderSeenAt{};
     Instant m_offeredAt{};
     std::size_t m_nextOffer = 0;
--- /dev/null
+++ b/Tests/Unit/CellNodeTest.cpp
@@ -0,0 +1,48 @@
+#include "CellWorld.h"
+
+#include "Service/CellNode.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cranberrymount;
+
+namespace {
+
+CellSettings nodeSettings()
+{
+    CellSettings settings;
+    settings.node = EntryId("n");
+    settings.zone = ZoneId("a");
+    // Any free port: nobody connects.
+    settings.peer = {"127.0.0.1", 0};
+    return settings;
+}
+
+/** A node whose store never answers, since the world's virtual time stands still. */
+class LeaderlessNodeFixture
+{
+protected:
+    LeaderlessNodeFixture() { m_node.start(); }
+
+    void runFor(Duration time) { m_context.run_for(time); }
+
+    CellWorld m_world{1};
+    asio::io_context m_context{1};
+    CellNode m_node{m_context, nodeSettings(), {m_world.store, m_world, m_world, m_world}};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LeaderlessNodeFixture, "Call to a node that has just started waits for a leader",
+                 "[cellnode]")
+{
+    std::optional<ClientReply> reply;
+    m_node.handle({}, Duration(3000), [&reply](const ClientReply &answer) { reply = answer; });
+    runFor(Duration(500));
+    CHECK_FALSE(reply);
+    runFor(Duration(1500));
+    REQUIRE(reply);
+    CHECK(reply->outcome == ClientReply::Isolated);
+    CHECK(reply->retryAfter >= Duration(1000));
+    CHECK_FALSE(m_node.isReady());
+}
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -177,6 +177,20 @@
     CHECK(ends(job, JobState::Done));
 }
 
+TEST_CASE_METHOD(CellFixture, "Accepted job is refused to no later try, whatever the store does",
+                 "[cell]")
+{
+    const JobId job = m_world.submit(1, Small, Duration(60'000));
+    m_world.run(Duration(500));
+    m_world.store.isDown = true;
+    m_world.run(Duration(4000));
+    CHECK(m_world.call(ClientCall::Submit, job).outcome == ClientReply::Accepted);
+    m_world.store.isDown = false;
+    m_world.run(Duration(1000));
+    m_world.leader().quiesce([] {});
+    CHECK(m_world.call(ClientCall::Submit, job).outcome == ClientReply::Accepted);
+}
+
 TEST_CASE_METHOD(CellFixture, "Job that ends while the store is down is shown, and runs once",
                  "[cell]")
 {
