Dispatcher: Start jobs that belong to no team

Cause: a team that is not in the configuration had no headroom, so that jobs of an open queue, sent without a key, and accepted jobs of a removed team stayed queued for ever. The new test failed first (0 of 3 tasks and 0 of 2 members started).

--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -326,9 +326,9 @@
 int64_t Dispatcher::teamHeadroom(const TeamId &team, const Resources &need) const
 {
     const TeamSettings *settings = m_input.configuration->findTeam(team);
-    // A team that was taken away may not start anything more.
+    // Jobs of open queues have no team; those of a team that was taken away are finished.
     if (!settings)
-        return 0;
+        return INT32_MAX;
     const auto use = m_input.teamUse.find(team);
     const Resources used = use == m_input.teamUse.end() ? Resources() : use->second;
     int64_t count = INT32_MAX;
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -132,6 +132,18 @@
     CHECK(startsOf(result, late) == 0);
 }
 
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Job of an open queue or of a removed team starts without limit", "[dispatcher]")
+{
+    addWorkers(1, 10'000);
+    const JobId single = addJob("batch", 3, 1'000, Duration(1000));
+    const JobId gang = addJob("batch", 2, 1'000, Duration(1000), true);
+    m_configuration.teams.clear();
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, single) == 3);
+    CHECK(startsOf(result, gang) == 2);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Gang starts whole or not at all", "[dispatcher]")
 {
     addWorkers(3, 10'000);
