Cell: Call a submission undetermined once any leader may have stored it

Cause: an entry sends a call again after a leader fell silent. If the next leader refused it, the entry passed the refusal on, although the first may have the job, or still get it from a connection that was cut and healed. The new test failed first on all six kinds of refusal.

--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -165,8 +165,11 @@
 
 void CellNode::route(WaitingCall waiting)
 {
-    if (m_scheduler && m_scheduler->isReady())
-        return m_scheduler->handle(std::move(waiting.call), std::move(waiting.respond));
+    if (m_scheduler && m_scheduler->isReady()) {
+        const auto shared = std::make_shared<WaitingCall>(std::move(waiting));
+        return m_scheduler->handle(
+            shared->call, [shared](ClientReply reply) { shared->answer(std::move(reply)); });
+    }
     if (!m_scheduler && hasLeader())
         return sendToLeader(std::move(waiting));
     m_waiting.push_back(std::move(waiting));
@@ -180,7 +183,7 @@
     const auto shared = std::make_shared<WaitingCall>(std::move(waiting));
     m_peers.callLeader(shared->call, patience, [this, shared](ClientReply reply) {
         if (reply.outcome != ClientReply::Undetermined)
-            return shared->respond(std::move(reply));
+            return shared->answer(std::move(reply));
         // The same call can go to the next leader: a job's id makes it take effect once.
         shared->wasSent = true;
         const Instant later = m_timers.now();
@@ -193,7 +196,7 @@
 void CellNode::refuse(const WaitingCall &waiting)
 {
     ClientReply reply;
-    const bool mayHaveRun = waiting.wasSent && waiting.call.kind != ClientCall::Status;
+    const bool mayHaveRun = waiting.mayHaveRun();
     reply.outcome = mayHaveRun ? ClientReply::Undetermined : ClientReply::Isolated;
     if (!mayHaveRun)
         reply.retryAfter =
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -5,6 +5,7 @@
 #include "Coordination/PeerHub.h"
 #include "Service/CellSettings.h"
 #include "Service/Metrics.h"
+#include "Service/WaitingCall.h"
 #include "Transport/AsioTimerService.h"
 
 #include <pcg_random.hpp>
@@ -46,16 +47,6 @@
     Metrics &metrics() { return m_metrics; }
 
 private:
-    /** A call that waits for a leader. */
-    struct WaitingCall
-    {
-        ClientCall call;
-        ClientRespond respond;
-        Instant deadline;
-        /** A leader may have taken it in. */
-        bool wasSent = false;
-    };
-
     void route(WaitingCall waiting);
     void sendToLeader(WaitingCall waiting);
     void refuse(const WaitingCall &waiting);
--- /dev/null
+++ b/Libraries/Service/WaitingCall.cpp
@@ -0,0 +1,39 @@
+#include "Service/WaitingCall.h"
+
+namespace Cranberrymount {
+
+namespace {
+
+/** @return true if the outcome says that the call did not run. */
+bool isRefusal(ClientReply::Outcome outcome)
+{
+    switch (outcome) {
+    case ClientReply::NoSuchQueue:
+    case ClientReply::UnknownKey:
+    case ClientReply::Malformed:
+    case ClientReply::TooBusy:
+    case ClientReply::Unavailable:
+    case ClientReply::Isolated:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+bool WaitingCall::mayHaveRun() const
+{
+    return wasSent && call.kind != ClientCall::Status;
+}
+
+void WaitingCall::answer(ClientReply reply) const
+{
+    if (wasSent && call.kind == ClientCall::Submit && isRefusal(reply.outcome)) {
+        reply.outcome = ClientReply::Undetermined;
+        reply.detail = "an earlier leader may have stored the job; later: " + reply.detail;
+    }
+    respond(std::move(reply));
+}
+
+} // namespace Cranberrymount
--- a/Tests/Unit/CellNodeTest.cpp
+++ b/Tests/Unit/CellNodeTest.cpp
@@ -46,3 +46,26 @@
     CHECK(reply->retryAfter >= Duration(1000));
     CHECK_FALSE(m_node.isReady());
 }
+
+TEST_CASE("Submission that an earlier leader may have stored is not refused by a later one",
+          "[cellnode]")
+{
+    std::optional<ClientReply> reply;
+    WaitingCall waiting;
+    waiting.respond = [&reply](const ClientReply &answer) { reply = answer; };
+    const auto answerTo = [&](ClientCall::Kind kind, bool wasSent, ClientReply::Outcome outcome) {
+        waiting.call.kind = kind;
+        waiting.wasSent = wasSent;
+        ClientReply answer;
+        answer.outcome = outcome;
+        waiting.answer(answer);
+        return reply->outcome;
+    };
+    const auto refusal =
+        GENERATE(ClientReply::Unavailable, ClientReply::TooBusy, ClientReply::Isolated,
+                 ClientReply::NoSuchQueue, ClientReply::UnknownKey, ClientReply::Malformed);
+    CHECK(answerTo(ClientCall::Submit, true, refusal) == ClientReply::Undetermined);
+    CHECK(answerTo(ClientCall::Submit, false, refusal) == refusal);
+    CHECK(answerTo(ClientCall::Status, true, refusal) == refusal);
+    CHECK(answerTo(ClientCall::Submit, true, ClientReply::Accepted) == ClientReply::Accepted);
+}
