Dispatcher: Look at each worker once a step, and rest between rounds

A round copied each worker with its strings and looked each up in three maps for each waiting step, and sorted copies for each gang. Now a round holds pointers, one verdict is looked up a worker, and after a round the leader rests three times as long as it took.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -20,6 +20,9 @@
 constexpr Duration TickInterval{100};
 /** Changes that come within this time are decided together. */
 constexpr Duration DispatchDelay{10};
+/** Rest after a round of decisions, as a multiple of the time that it took: calls, orders and
+ * reports need most of the leader's processor. */
+constexpr int RestPerRound = 3;
 /** A leader that was not confirmed for this long extends no lease, so that a successor knows
  * when the last one ends. */
 constexpr Duration LongestUnconfirmedExtension{6000};
@@ -323,9 +326,13 @@
     if (m_isDispatchScheduled || !m_isReady || m_isOver || m_isQuiescing)
         return;
     m_isDispatchScheduled = true;
-    m_timers.after(DispatchDelay, [this] {
+    const auto rest = std::chrono::duration_cast<Duration>(m_restUntil - m_timers.now());
+    m_timers.after(std::max(DispatchDelay, rest), [this] {
         m_isDispatchScheduled = false;
+        const Instant begunAt = m_timers.now();
         dispatch();
+        const Instant endedAt = m_timers.now();
+        m_restUntil = endedAt + RestPerRound * (endedAt - begunAt);
     });
 }
 
@@ -339,7 +346,7 @@
     std::vector<WorkerLife> lives;
     lives.reserve(input.workers.size());
     for (const DispatchWorker &worker : input.workers)
-        lives.push_back(worker.info.life);
+        lives.push_back(worker.info->life);
     const DispatchResult result = Dispatcher(std::move(input)).decide();
     for (const StartDecision &decision : result.starts) {
         LOG_EVENT(m_parts.log, "start_decided")
@@ -365,7 +372,7 @@
     input.teamUse = m_teamUse;
     for (const auto &[id, session] : m_sessions) {
         DispatchWorker worker;
-        worker.info = session->worker();
+        worker.info = &session->worker();
         worker.acceptsWork = accepts(*session);
         worker.slowness = m_speeds.slownessOf(session->life());
         const auto runs = m_runsOn.find(session->life());
@@ -373,7 +380,8 @@
             for (const TaskKey &key : runs->second) {
                 const LiveRun &run = m_runs.at(key);
                 worker.used += run.need;
-                RoomHolder holder{key, run.need, run.beganAt + std::max(run.estimate, ShortestRun)};
+                RoomHolder holder{&key.job, key.occurrence, key.step, run.need,
+                                  run.beganAt + std::max(run.estimate, ShortestRun)};
                 // Progress tells more than the submitter's estimate once some of it is made.
                 if (run.percent >= TellingPercent) {
                     const auto ran = run.percentChangedAt - run.beganAt;
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -203,6 +203,8 @@
     bool m_isOver = false;
     bool m_isQuiescing = false;
     bool m_isDispatchScheduled = false;
+    /** No round of decisions before this time. */
+    Instant m_restUntil{};
     bool m_isStoreReachable = true;
     Instant m_storeLostAt{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/Libraries/Decision/AdviceBook.cpp
+++ b/Libraries/Decision/AdviceBook.cpp
@@ -8,13 +8,10 @@
     return found == m_steps.end() ? nullptr : &found->second;
 }
 
-const AdviceBook::Verdict *AdviceBook::find(const StepKey &step, const WorkerLife &worker) const
+const AdviceBook::Verdict *AdviceBook::StepAdvice::find(const WorkerLife &worker) const
 {
-    const StepAdvice *advice = find(step);
-    if (!advice)
-        return nullptr;
-    const auto found = advice->verdicts.find(worker);
-    return found == advice->verdicts.end() ? nullptr : &found->second;
+    const auto found = verdicts.find(worker);
+    return found == verdicts.end() ? nullptr : &found->second;
 }
 
 void AdviceBook::beginAsking(const StepKey &step)
--- a/Libraries/Decision/AdviceBook.h
+++ b/Libraries/Decision/AdviceBook.h
@@ -21,19 +21,19 @@
     };
     struct StepAdvice
     {
-        std::map<WorkerLife, Verdict> verdicts;
+        std::unordered_map<WorkerLife, Verdict> verdicts;
         /** A call is under way. */
         bool isAsking = false;
         /** No call before this time, after one that brought nothing. */
         Instant notBefore{};
         uint32_t failures = 0;
+
+        /** @return the verdict, or null if the advisor was not asked about @p worker. */
+        const Verdict *find(const WorkerLife &worker) const;
     };
 
     /** @return what is known of @p step; null if nothing is. */
     const StepAdvice *find(const StepKey &step) const;
-    /** @return the verdict, or null if the advisor was not asked about @p worker. */
-    const Verdict *find(const StepKey &step, const WorkerLife &worker) const;
-
     void beginAsking(const StepKey &step);
     /** Takes in an answer about @p asked; workers not in @p tickets may not run the step. */
     void answer(const StepKey &step, const std::vector<WorkerLife> &asked,
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -74,11 +74,15 @@
 Dispatcher::Dispatcher(DispatchInput input)
     : m_input(std::move(input))
     , m_reservedFor(m_input.workers.size(), nullptr)
-    , m_stepRuns(m_input.workers.size())
 {
-    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
-        for (const RoomHolder &holder : m_input.workers[worker].holders)
-            ++m_stepRuns[worker][{holder.task.job, holder.task.occurrence, holder.task.step}];
+    for (std::size_t index = 0; index < m_input.workers.size(); ++index) {
+        const DispatchWorker &worker = m_input.workers[index];
+        if (!worker.acceptsWork)
+            continue;
+        Pool &pool = m_pools[worker.info->pool];
+        pool.workers.push_back(index);
+        pool.capacity = pool.capacity + worker.info->capacity.cpu;
+        pool.used = pool.used + worker.used.cpu;
     }
 }
 
@@ -111,7 +115,7 @@
     return urgency;
 }
 
-std::vector<Dispatcher::Candidate> Dispatcher::sortedCandidates() const
+std::vector<Dispatcher::Candidate> Dispatcher::sortedCandidates()
 {
     std::vector<Candidate> result;
     for (StepKey &key : m_input.jobs->startableSteps(m_input.wallNow)) {
@@ -120,8 +124,11 @@
         // A queue that was taken away leaves its accepted jobs to be finished in their old pool.
         static const QueueSettings RemovedQueue;
         const QueueSettings &settings = queue ? *queue : RemovedQueue;
+        const auto pool = m_pools.find(settings.pool.empty() ? job->accepted.pool : settings.pool);
         const StepUrgency urgency = urgencyOf(*job, key, settings, m_input.wallNow);
-        result.push_back({std::move(key), job, &settings, urgency});
+        const AdviceBook::StepAdvice *known = settings.advice ? m_input.advice->find(key) : nullptr;
+        result.push_back({std::move(key), job, &settings,
+                          pool == m_pools.end() ? nullptr : &pool->second, known, urgency});
     }
     std::ranges::sort(result, [](const Candidate &left, const Candidate &right) {
         return std::tie(left.urgency.urgencyClass, left.urgency.rank, left.key)
@@ -140,118 +147,134 @@
 
 void Dispatcher::placeStep(const Candidate &candidate)
 {
-    const StepSpec &spec = candidate.job->accepted.spec.steps[candidate.key.step];
+    if (!candidate.pool)
+        return;
     const StepRun &step = *m_input.jobs->findStep(candidate.key);
-    if (spec.isGang)
-        placeGang(candidate, spec, step);
+    if (candidate.spec().isGang)
+        placeGang(candidate, step);
     else
-        placeSingles(candidate, spec, step);
+        placeSingles(candidate, step);
+}
+
+std::vector<Dispatcher::Place> Dispatcher::placesOf(const Candidate &candidate) const
+{
+    std::vector<Place> places;
+    // Nobody has a ticket before the advisor has answered.
+    if (candidate.queue->advice && !candidate.known)
+        return places;
+    for (const std::size_t worker : candidate.pool->workers) {
+        const int64_t count = placesOn(candidate, worker);
+        if (count <= 0 || !isEligible(candidate, worker))
+            continue;
+        if (const std::string *ticket = ticketFor(candidate, worker))
+            places.push_back({worker, ticket, count});
+    }
+    return places;
 }
 
-void Dispatcher::placeSingles(const Candidate &candidate, const StepSpec &spec, const StepRun &step)
+void Dispatcher::placeSingles(const Candidate &candidate, const StepRun &step)
 {
+    const StepSpec &spec = candidate.spec();
     int64_t allowed = std::min(teamHeadroom(candidate.job->accepted.team, spec.need),
                                poolHeadroom(candidate, spec.need));
-    const int64_t wanted = std::min<int64_t>(allowed, step.waitingCount());
-    if (wanted <= 0)
+    allowed = std::min<int64_t>(allowed, step.waitingCount());
+    if (allowed <= 0)
         return;
-    allowed = wanted;
-    std::vector<std::size_t> usable;
-    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
-        if (isEligible(candidate, spec, worker) && ticketFor(candidate, worker))
-            usable.push_back(worker);
-    }
+    std::vector<Place> usable = placesOf(candidate);
     for (uint32_t index = 0; index < step.tasks.size() && allowed > 0; ++index) {
         const TaskProgress &task = step.tasks[index];
         if (task.isDone || task.isActive)
             continue;
-        const std::size_t none = m_input.workers.size();
-        std::size_t best = none;
+        Place *best = nullptr;
         int64_t bestScore = 0;
-        for (const std::size_t worker : usable) {
-            const DispatchWorker &candidateWorker = m_input.workers[worker];
-            if (placesFor(candidate, spec, worker) <= 0)
+        for (Place &place : usable) {
+            if (place.count <= 0)
                 continue;
-            int64_t score = reluctance(candidate, spec, worker);
+            const DispatchWorker &worker = m_input.workers[place.worker];
+            int64_t score = reluctance(candidate, place.worker);
             // Where it failed before only as a last choice.
-            if (task.failures > 0 && task.worker == candidateWorker.info.life)
-                score += 4 * candidateWorker.info.capacity.cpu.value();
-            if (best == none || score < bestScore) {
-                best = worker;
+            if (task.failures > 0 && task.worker == worker.info->life)
+                score += 4 * worker.info->capacity.cpu.value();
+            if (!best || score < bestScore) {
+                best = &place;
                 bestScore = score;
             }
         }
-        if (best == none)
+        if (!best)
             break;
-        start(candidate, spec, index, task.lastAttempt + 1, best, *ticketFor(candidate, best));
+        start(candidate, index, task.lastAttempt + 1, best->worker, *best->ticket);
+        --best->count;
         --allowed;
     }
-    if (allowed <= 0)
-        return;
-    const auto missing = static_cast<uint32_t>(allowed);
-    if (candidate.queue->advice)
-        askAdvice(candidate, spec, missing);
+    if (allowed > 0 && candidate.queue->advice)
+        askAdvice(candidate, static_cast<uint32_t>(allowed));
 }
 
-void Dispatcher::placeGang(const Candidate &candidate, const StepSpec &spec, const StepRun &step)
+std::vector<const Dispatcher::Place *> Dispatcher::chooseForGang(const std::vector<Place> &order,
+                                                                 std::size_t members,
+                                                                 const RackId *rack) const
+{
+    std::vector<const Place *> chosen;
+    for (const Place &place : order) {
+        if (rack && m_input.workers[place.worker].info->rack != *rack)
+            continue;
+        for (int64_t taken = 0; taken < place.count && chosen.size() < members; ++taken)
+            chosen.push_back(&place);
+    }
+    if (chosen.size() < members)
+        chosen.clear();
+    return chosen;
+}
+
+void Dispatcher::placeGang(const Candidate &candidate, const StepRun &step)
 {
     // A gang starts again only once every member of its last run has ended.
     if (step.activeCount > 0)
         return;
+    const StepSpec &spec = candidate.spec();
     const auto members = static_cast<uint32_t>(step.tasks.size());
     if (teamHeadroom(candidate.job->accepted.team, spec.need) < members)
         return;
     const bool mayStart = poolHeadroom(candidate, spec.need) >= members;
-    const auto placesOn = [&](std::size_t worker) { return placesFor(candidate, spec, worker); };
-    std::vector<std::size_t> order;
-    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
-        if (isEligible(candidate, spec, worker) && ticketFor(candidate, worker)
-            && placesOn(worker) > 0)
-            order.push_back(worker);
-    }
+    std::vector<Place> order = placesOf(candidate);
     // Workers that hold most members go first, so that the gang breaks up few of them; a gang is
     // as slow as its slowest member, so that one without time to spare takes fast workers first.
     const double limit = slowLimit(candidate.urgency);
-    std::ranges::sort(order, [&](std::size_t left, std::size_t right) {
-        const bool isLeftSlow = m_input.workers[left].slowness > limit;
-        const bool isRightSlow = m_input.workers[right].slowness > limit;
+    std::ranges::stable_sort(order, [&](const Place &left, const Place &right) {
+        const bool isLeftSlow = m_input.workers[left.worker].slowness > limit;
+        const bool isRightSlow = m_input.workers[right.worker].slowness > limit;
         if (isLeftSlow != isRightSlow)
             return isRightSlow;
-        return placesOn(left) > placesOn(right);
+        return left.count > right.count;
     });
-    const auto tryPlace = [&](const RackId *rack) {
-        std::vector<std::size_t> chosen;
-        for (const std::size_t worker : order) {
-            if (rack && m_input.workers[worker].info.rack != *rack)
-                continue;
-            const int64_t places = placesOn(worker);
-            for (int64_t place = 0; place < places && chosen.size() < members; ++place)
-                chosen.push_back(worker);
-        }
-        return chosen.size() == members ? chosen : std::vector<std::size_t>();
-    };
-    std::vector<std::size_t> chosen;
+    std::vector<const Place *> chosen;
     if (mayStart && spec.wantsOneRack) {
-        for (const std::size_t worker : order) {
-            chosen = tryPlace(&m_input.workers[worker].info.rack);
+        for (const Place &place : order) {
+            chosen = chooseForGang(order, members, &m_input.workers[place.worker].info->rack);
             if (!chosen.empty())
                 break;
         }
     }
     // FIXME: A gang that asks for one rack should wait for one while its objective allows it.
     if (mayStart && chosen.empty())
-        chosen = tryPlace(nullptr);
+        chosen = chooseForGang(order, members, nullptr);
     if (chosen.empty()) {
         if (candidate.queue->advice)
-            askAdvice(candidate, spec, members);
-        reserveForGang(candidate, spec, members);
+            askAdvice(candidate, members);
+        reserveForGang(candidate, members);
         return;
     }
     uint32_t attempt = 0;
     for (const TaskProgress &task : step.tasks)
         attempt = std::max(attempt, task.lastAttempt + 1);
     for (uint32_t index = 0; index < members; ++index)
-        start(candidate, spec, index, attempt, chosen[index], *ticketFor(candidate, chosen[index]));
+        start(candidate, index, attempt, chosen[index]->worker, *chosen[index]->ticket);
+}
+
+const AdviceBook::Verdict *Dispatcher::verdictOn(const Candidate &candidate,
+                                                 std::size_t worker) const
+{
+    return candidate.known ? candidate.known->find(m_input.workers[worker].info->life) : nullptr;
 }
 
 const std::string *Dispatcher::ticketFor(const Candidate &candidate, std::size_t worker) const
@@ -259,30 +282,20 @@
     static const std::string NoTicketNeeded;
     if (!candidate.queue->advice)
         return &NoTicketNeeded;
-    const AdviceBook::Verdict *verdict =
-        m_input.advice->find(candidate.key, m_input.workers[worker].info.life);
+    const AdviceBook::Verdict *verdict = verdictOn(candidate, worker);
     if (!verdict || !verdict->isAllowed || verdict->expires <= m_input.now + StartDelay)
         return nullptr;
     return &verdict->ticket;
 }
 
-bool Dispatcher::isDenied(const Candidate &candidate, std::size_t worker) const
-{
-    if (!candidate.queue->advice)
-        return false;
-    const AdviceBook::Verdict *verdict =
-        m_input.advice->find(candidate.key, m_input.workers[worker].info.life);
-    return verdict && !verdict->isAllowed;
-}
-
-int64_t Dispatcher::reluctance(const Candidate &candidate, const StepSpec &spec,
-                               std::size_t worker) const
+int64_t Dispatcher::reluctance(const Candidate &candidate, std::size_t worker) const
 {
     const DispatchWorker &one = m_input.workers[worker];
-    const int64_t capacity = one.info.capacity.cpu.value();
+    const RackId &dataRack = candidate.spec().dataRack;
+    const int64_t capacity = one.info->capacity.cpu.value();
     // Tightest fit first.
     int64_t score = one.room().cpu.value();
-    if (!spec.dataRack.isEmpty() && one.info.rack != spec.dataRack)
+    if (!dataRack.isEmpty() && one.info->rack != dataRack)
         score += 2 * capacity;
     // Fast workers are kept for what has no time to spare; very slow ones are nobody's choice.
     if (one.slowness > VerySlow)
@@ -292,15 +305,10 @@
     return score;
 }
 
-bool Dispatcher::isEligible(const Candidate &candidate, const StepSpec &spec,
-                            std::size_t worker) const
+bool Dispatcher::isEligible(const Candidate &candidate, std::size_t worker) const
 {
-    const DispatchWorker &one = m_input.workers[worker];
-    const std::string &pool =
-        candidate.queue->pool.empty() ? candidate.job->accepted.pool : candidate.queue->pool;
-    if (!one.acceptsWork || one.info.pool != pool)
-        return false;
-    if (!spec.requiredLabel.empty() && !hasLabel(one.info, spec.requiredLabel))
+    const std::string &label = candidate.spec().requiredLabel;
+    if (!label.empty() && !hasLabel(*m_input.workers[worker].info, label))
         return false;
     return mayUseReserved(candidate, worker);
 }
@@ -312,14 +320,18 @@
         || candidate.urgency.urgencyClass == StepUrgency::Immediate;
 }
 
-int64_t Dispatcher::placesFor(const Candidate &candidate, const StepSpec &spec,
-                              std::size_t worker) const
+int64_t Dispatcher::placesOn(const Candidate &candidate, std::size_t worker) const
 {
-    const int64_t places = spec.need.countIn(m_input.workers[worker].room());
-    if (spec.maxPerWorker == 0)
+    const StepSpec &spec = candidate.spec();
+    const DispatchWorker &one = m_input.workers[worker];
+    const int64_t places = spec.need.countIn(one.room());
+    if (spec.maxPerWorker == 0 || places <= 0)
         return places;
-    const auto runs = m_stepRuns[worker].find(candidate.key);
-    const int64_t running = runs == m_stepRuns[worker].end() ? 0 : runs->second;
+    const StepKey &key = candidate.key;
+    const auto running = std::ranges::count_if(one.holders, [&key](const RoomHolder &holder) {
+        return holder.step == key.step && holder.occurrence == key.occurrence
+            && *holder.job == key.job;
+    });
     return std::min<int64_t>(places, int64_t(spec.maxPerWorker) - running);
 }
 
@@ -348,36 +360,32 @@
 {
     if (candidate.urgency.urgencyClass == StepUrgency::Immediate || need.cpu.value() <= 0)
         return INT32_MAX;
-    int64_t capacity = 0;
-    int64_t used = 0;
-    for (const DispatchWorker &worker : m_input.workers) {
-        if (worker.info.pool != candidate.job->accepted.pool || !worker.acceptsWork)
-            continue;
-        capacity += worker.info.capacity.cpu.value();
-        used += worker.used.cpu.value();
-    }
     const int64_t reserve = reservePercent(candidate.urgency.urgencyClass);
-    const int64_t room = capacity * (100 - reserve) / 100 - used;
+    const Pool &pool = *candidate.pool;
+    const int64_t room = pool.capacity.value() * (100 - reserve) / 100 - pool.used.value();
     return std::max<int64_t>(0, room) / need.cpu.value();
 }
 
-void Dispatcher::start(const Candidate &candidate, const StepSpec &spec, uint32_t index,
-                       uint32_t attempt, std::size_t worker, const std::string &ticket)
+void Dispatcher::start(const Candidate &candidate, uint32_t index, uint32_t attempt,
+                       std::size_t worker, const std::string &ticket)
 {
+    const StepKey &key = candidate.key;
+    const StepSpec &spec = candidate.spec();
     m_result.starts.push_back(
-        {{candidate.key.job, candidate.key.occurrence, candidate.key.step, index},
-         attempt,
-         worker,
-         ticket});
-    m_input.workers[worker].used += spec.need;
+        {{key.job, key.occurrence, key.step, index}, attempt, worker, ticket});
+    DispatchWorker &one = m_input.workers[worker];
+    one.used += spec.need;
+    one.holders.push_back({&key.job, key.occurrence, key.step, spec.need,
+                           m_input.now + std::max(spec.estimate, MinEstimate)});
+    candidate.pool->used = candidate.pool->used + spec.need.cpu;
     m_input.teamUse[candidate.job->accepted.team] += spec.need;
-    ++m_stepRuns[worker][candidate.key];
 }
 
 /** Asks about workers that have room now, known allowed ones first. */
-void Dispatcher::askAdvice(const Candidate &candidate, const StepSpec &spec, uint32_t wanted)
+void Dispatcher::askAdvice(const Candidate &candidate, uint32_t wanted)
 {
-    const AdviceBook::StepAdvice *known = m_input.advice->find(candidate.key);
+    const StepSpec &spec = candidate.spec();
+    const AdviceBook::StepAdvice *known = candidate.known;
     if (m_result.advice.size() >= MostAdvice)
         return;
     if (known && (known->isAsking || known->notBefore > m_input.now))
@@ -393,16 +401,15 @@
     std::vector<Choice> choices;
     int64_t allowedPlaces = 0;
     const double limit = slowLimit(candidate.urgency);
-    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
-        if (!isEligible(candidate, spec, worker) || isDenied(candidate, worker)
-            || ticketFor(candidate, worker))
-            continue;
-        const int64_t places = placesFor(candidate, spec, worker);
-        const bool isAllowed =
-            m_input.advice->find(candidate.key, m_input.workers[worker].info.life);
+    for (const std::size_t worker : candidate.pool->workers) {
+        const int64_t places = placesOn(candidate, worker);
         // A gang learns early which workers it may wait for, whether or not they have room.
-        const bool isLearning = spec.isGang && !isAllowed;
-        if (places <= 0 && !isLearning)
+        if ((places <= 0 && !spec.isGang) || !isEligible(candidate, worker))
+            continue;
+        const AdviceBook::Verdict *verdict = verdictOn(candidate, worker);
+        const bool isAllowed = verdict && verdict->isAllowed;
+        const bool isDenied = verdict && !verdict->isAllowed;
+        if (isDenied || (isAllowed && places <= 0) || ticketFor(candidate, worker))
             continue;
         const bool isSlow = m_input.workers[worker].slowness > limit;
         choices.push_back({worker, isAllowed, places, isSlow});
@@ -434,7 +441,7 @@
         if (!choice.isAllowed && !spec.isGang && expected >= AdviceSurplus * wanted
             && decision.workers.size() >= FewestUnknownWorkers)
             break;
-        decision.workers.push_back(m_input.workers[choice.worker].info.life);
+        decision.workers.push_back(m_input.workers[choice.worker].info->life);
         expected += static_cast<double>(choice.places);
     }
     if (decision.workers.empty())
@@ -445,10 +452,11 @@
 }
 
 /** Keeps the workers free that will have room for the gang first. */
-void Dispatcher::reserveForGang(const Candidate &candidate, const StepSpec &spec, uint32_t wanted)
+void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted)
 {
     if (m_reservations >= MaxReservations || candidate.urgency.urgencyClass > StepUrgency::InTime)
         return;
+    const StepSpec &spec = candidate.spec();
     struct Choice
     {
         std::size_t worker;
@@ -456,22 +464,23 @@
         int64_t places;
     };
     std::vector<Choice> choices;
-    for (std::size_t worker = 0; worker < m_input.workers.size(); ++worker) {
-        if (!isEligible(candidate, spec, worker) || isDenied(candidate, worker))
+    for (const std::size_t worker : candidate.pool->workers) {
+        if (!isEligible(candidate, worker))
             continue;
-        if (candidate.queue->advice
-            && !m_input.advice->find(candidate.key, m_input.workers[worker].info.life))
+        const AdviceBook::Verdict *verdict = verdictOn(candidate, worker);
+        if (candidate.queue->advice && (!verdict || !verdict->isAllowed))
             continue;
         // FIXME: Only whole-worker room is counted; a gang may fit beside long runs earlier.
-        DispatchWorker copy = m_input.workers[worker];
-        std::ranges::sort(copy.holders, {}, &RoomHolder::expectedEnd);
-        Choice choice{worker, m_input.now, spec.need.countIn(copy.room())};
-        for (const RoomHolder &holder : copy.holders) {
+        DispatchWorker &one = m_input.workers[worker];
+        std::ranges::sort(one.holders, {}, &RoomHolder::expectedEnd);
+        Resources room = one.room();
+        Choice choice{worker, m_input.now, spec.need.countIn(room)};
+        for (const RoomHolder &holder : one.holders) {
             if (choice.places > 0)
                 break;
-            copy.used -= holder.need;
+            room += holder.need;
             choice.freeAt = holder.expectedEnd;
-            choice.places = spec.need.countIn(copy.room());
+            choice.places = spec.need.countIn(room);
         }
         if (choice.places > 0)
             choices.push_back(choice);
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -10,7 +10,10 @@
 /** A run that holds room on a worker. */
 struct RoomHolder
 {
-    TaskKey task;
+    /** The run's job; owned by whoever filled DispatchInput in. */
+    const JobId *job = nullptr;
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
     Resources need;
     /** When the run is expected to end. */
     Instant expectedEnd{};
@@ -19,7 +22,8 @@
 /** A worker as the dispatcher sees it. */
 struct DispatchWorker
 {
-    CellWorker info;
+    /** Owned by whoever filled DispatchInput in. */
+    const CellWorker *info = nullptr;
     Resources used;
     /** New work may start here: in contact, staying, its zone not taken out, not suspected. */
     bool acceptsWork = false;
@@ -27,7 +31,7 @@
     double slowness = 1;
     std::vector<RoomHolder> holders;
 
-    Resources room() const { return info.capacity - used; }
+    Resources room() const { return info->capacity - used; }
 };
 
 /** All that a round of decisions depends on. */
@@ -105,41 +109,68 @@
                                  const QueueSettings &queue, WallTime now);
 
 private:
+    /** Workers of one pool that accept work. */
+    struct Pool
+    {
+        std::vector<std::size_t> workers;
+        CpuMillis capacity;
+        CpuMillis used;
+    };
     struct Candidate
     {
         StepKey key;
         const JobRecord *job;
         const QueueSettings *queue;
+        /** Null if no worker of the pool accepts work. */
+        Pool *pool;
+        /** Null if the advisor said nothing yet. */
+        const AdviceBook::StepAdvice *known;
         StepUrgency urgency;
+
+        const StepSpec &spec() const { return job->accepted.spec.steps[key.step]; }
+    };
+    /** A worker that may take tasks of a step now. */
+    struct Place
+    {
+        std::size_t worker = 0;
+        const std::string *ticket = nullptr;
+        /** Tasks that it may take. */
+        int64_t count = 0;
     };
 
-    std::vector<Candidate> sortedCandidates() const;
+    std::vector<Candidate> sortedCandidates();
     void placeStep(const Candidate &candidate);
-    void placeSingles(const Candidate &candidate, const StepSpec &spec, const StepRun &step);
-    void placeGang(const Candidate &candidate, const StepSpec &spec, const StepRun &step);
+    void placeSingles(const Candidate &candidate, const StepRun &step);
+    void placeGang(const Candidate &candidate, const StepRun &step);
+    /** @return workers with room, and a ticket if one is needed. */
+    std::vector<Place> placesOf(const Candidate &candidate) const;
+    /** @return a worker for each of @p members, all in @p rack if one is given; or nothing. */
+    std::vector<const Place *> chooseForGang(const std::vector<Place> &order, std::size_t members,
+                                             const RackId *rack) const;
     /** @return the ticket if the step may start on the worker now, or null. */
     const std::string *ticketFor(const Candidate &candidate, std::size_t worker) const;
+    /** @return what the advisor said of the worker, or null. */
+    const AdviceBook::Verdict *verdictOn(const Candidate &candidate, std::size_t worker) const;
     /** @return what speaks against the worker for a task of the step; smaller is better. */
-    int64_t reluctance(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
-    bool isEligible(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
+    int64_t reluctance(const Candidate &candidate, std::size_t worker) const;
+    bool isEligible(const Candidate &candidate, std::size_t worker) const;
     bool mayUseReserved(const Candidate &candidate, std::size_t worker) const;
     /** @return how many more tasks of the step the worker may take, by room and by the step's limit
      * for one worker. */
-    int64_t placesFor(const Candidate &candidate, const StepSpec &spec, std::size_t worker) const;
+    int64_t placesOn(const Candidate &candidate, std::size_t worker) const;
     /** @return how many more tasks of @p need the team may run. */
     int64_t teamHeadroom(const TeamId &team, const Resources &need) const;
     int64_t poolHeadroom(const Candidate &candidate, const Resources &need) const;
-    void start(const Candidate &candidate, const StepSpec &spec, uint32_t index, uint32_t attempt,
-               std::size_t worker, const std::string &ticket);
-    void askAdvice(const Candidate &candidate, const StepSpec &spec, uint32_t wanted);
-    void reserveForGang(const Candidate &candidate, const StepSpec &spec, uint32_t wanted);
-    bool isDenied(const Candidate &candidate, std::size_t worker) const;
+    void start(const Candidate &candidate, uint32_t index, uint32_t attempt, std::size_t worker,
+               const std::string &ticket);
+    void askAdvice(const Candidate &candidate, uint32_t wanted);
+    void reserveForGang(const Candidate &candidate, uint32_t wanted);
 
     DispatchInput m_input;
     DispatchResult m_result;
+    std::map<std::string, Pool> m_pools;
     /** Step whose gang keeps the worker free, by worker. */
     std::vector<const Candidate *> m_reservedFor;
-    std::vector<std::map<StepKey, uint32_t>> m_stepRuns;
     std::vector<Candidate> m_candidates;
     std::size_t m_reservations = 0;
 };
--- a/Libraries/State/Workload.h
+++ b/Libraries/State/Workload.h
@@ -158,3 +158,12 @@
 using JournalRecord = std::variant<JobAccepted, JobCancelled, RunAssigned, RunEnded, JobSnapshot>;
 
 } // namespace Cranberrymount
+
+template <> struct std::hash<Cranberrymount::WorkerLife>
+{
+    std::size_t operator()(const Cranberrymount::WorkerLife &life) const noexcept
+    {
+        // Two lives of one worker are rarely known at a time.
+        return std::hash<Cranberrymount::WorkerId>()(life.id);
+    }
+};
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <deque>
+
 using namespace Cranberrymount;
 
 namespace {
@@ -37,10 +39,12 @@
     void addWorkers(std::size_t count, int64_t cpu)
     {
         for (std::size_t index = 0; index < count; ++index) {
+            CellWorker &info = m_infos.emplace_back();
+            info.life = {WorkerId(fmt::format("w{}", m_workers.size())), 1};
+            info.pool = "pool";
+            info.capacity = {CpuMillis(cpu), MemoryMb(1'000'000), AcceleratorCount(0)};
             DispatchWorker worker;
-            worker.info.life = {WorkerId(fmt::format("w{}", m_workers.size())), 1};
-            worker.info.pool = "pool";
-            worker.info.capacity = {CpuMillis(cpu), MemoryMb(1'000'000), AcceleratorCount(0)};
+            worker.info = &info;
             worker.acceptsWork = true;
             m_workers.push_back(worker);
         }
@@ -91,6 +95,7 @@
     JobTable m_jobs;
     CellConfiguration m_configuration;
     AdviceBook m_advice;
+    std::deque<CellWorker> m_infos;
     std::vector<DispatchWorker> m_workers;
     std::map<TeamId, Resources> m_teamUse;
     uint64_t m_nextJob = 0;
@@ -159,9 +164,10 @@
 {
     addWorkers(2, 10'000);
     // A run on each worker leaves too little for the gang until it ends.
+    const JobId elsewhere("x");
     for (DispatchWorker &worker : m_workers) {
         worker.used = {CpuMillis(5'000), MemoryMb(0), AcceleratorCount(0)};
-        worker.holders.push_back({{JobId("x"), 0, 0, 0}, worker.used, m_instant + Duration(300)});
+        worker.holders.push_back({&elsewhere, 0, 0, worker.used, m_instant + Duration(300)});
     }
     const JobId gang = addJob("batch", 2, 8'000, Duration(500), true);
     const JobId other = addJob("batch", 6, 1'000, Duration(5000));
@@ -183,25 +189,25 @@
                  "[dispatcher]")
 {
     addWorkers(4, 10'000);
-    m_workers[0].used = m_workers[0].info.capacity;
+    m_workers[0].used = m_workers[0].info->capacity;
     const JobId job = addJob("advised", 4, 1'000, Duration(500));
     DispatchResult result = decide();
     CHECK(result.starts.empty());
     REQUIRE(result.advice.size() == 1);
-    CHECK(std::ranges::find(result.advice[0].workers, m_workers[0].info.life)
+    CHECK(std::ranges::find(result.advice[0].workers, m_workers[0].info->life)
           == result.advice[0].workers.end());
     m_advice.answer(result.advice[0].step, result.advice[0].workers, {{WorkerId("w2"), "ticket"}},
                     m_instant + Duration(1500));
     result = decide();
     CHECK(startsOf(result, job) == 4);
     for (const StartDecision &start : result.starts)
-        CHECK(m_workers[start.worker].info.life.id == WorkerId("w2"));
+        CHECK(m_workers[start.worker].info->life.id == WorkerId("w2"));
     // A ticket that has lapsed starts nothing; only the allowed worker is asked about again.
     m_instant += Duration(2000);
     result = decide();
     CHECK(result.starts.empty());
     REQUIRE(result.advice.size() == 1);
-    CHECK(result.advice[0].workers == std::vector{m_workers[2].info.life});
+    CHECK(result.advice[0].workers == std::vector{m_workers[2].info->life});
 }
 
 TEST_CASE_METHOD(DispatcherFixture, "Lookup prefers a fast worker, and no task a very slow one",
