--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -34,12 +34,15 @@
 /** Random part of the pause before an election, so that followers do not vote all at once. */
 constexpr double ElectionJitterMs = 80;
 constexpr Duration ElectionPause{120};
+/** Start that stronger nodes get in an election: two polls of the heartbeat and the votes. */
+constexpr Duration YieldPause{400};
 
 std::string encodeMember(const CellMember &member, uint64_t nonce)
 {
     return Json{{"node", member.node.value()},
                 {"host", member.address.host},
                 {"port", member.address.port},
+                {"processor", member.processor.value()},
                 {"nonce", nonce}}
         .dump();
 }
@@ -48,7 +51,9 @@
 CellMember decodeMember(const std::string &value)
 {
     const Json json = Json::parse(value);
-    return {EntryId(json.at("node")), {json.at("host"), json.at("port")}};
+    return {EntryId(json.at("node")),
+            {json.at("host"), json.at("port")},
+            CpuMillis(json.at("processor").get<int64_t>())};
 }
 
 /** @return the members in @p read; entries that cannot be read are logged and left out. */
@@ -158,7 +163,7 @@
         return endElection(ElectionPause);
     const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
     if (entry == read.entries.end())
-        return claimLeadership(Revision());
+        return claimFirst();
     if (entry->revision != m_leader.revision) {
         try {
             adopt(*entry);
@@ -221,6 +226,8 @@
         std::size_t members = 1;
         std::size_t agreeing = 1;
         std::size_t awaited = 0;
+        /** A stronger node would take the claim, too. */
+        bool hasStronger = false;
     };
     const auto count = std::make_shared<Count>();
     const Revision claim = m_leader.revision;
@@ -229,6 +236,8 @@
             return;
         LOG(INFO) << "event=election claim=" << claim.value() << " members=" << count->members
                   << " agreeing=" << count->agreeing;
+        if (count->hasStronger && yieldsOnce(claim))
+            return endElection(YieldPause);
         if (2 * count->agreeing >= count->members && m_leader.revision == claim && !m_isRetired)
             return claimLeadership(claim);
         endElection(ElectionPause);
@@ -239,14 +248,37 @@
             continue;
         ++count->members;
         ++count->awaited;
-        m_peers.askVote(member.address, claim, [count, decide](std::optional<bool> vote) {
+        const bool isStronger = isClearlyStronger(member.processor, m_self.processor);
+        m_peers.askVote(member.address, claim, [=](std::optional<bool> vote) {
             count->agreeing += vote.value_or(false);
+            count->hasStronger |= isStronger && vote.value_or(false);
             decide();
         });
     }
     decide();
 }
 
+bool Leadership::yieldsOnce(Revision claim)
+{
+    return std::exchange(m_yieldedOn, claim) != claim;
+}
+
+/** Claims a cell that never had a leader. */
+void Leadership::claimFirst()
+{
+    m_store.list(MemberPrefix, [this](const StoreRead &read) {
+        if (!read.answered || m_isLeading || m_isRetired)
+            return endElection(ElectionPause);
+        const bool hasStronger =
+            std::ranges::any_of(decodeMembers(read), [this](const CellMember &member) {
+                return isClearlyStronger(member.processor, m_self.processor);
+            });
+        if (hasStronger && yieldsOnce(Revision()))
+            return endElection(YieldPause);
+        claimLeadership(Revision());
+    });
+}
+
 void Leadership::takeOver(Revision claim)
 {
     if (m_isLeading || m_isRetired || claim != m_leader.revision)
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -10,6 +10,8 @@
 {
     EntryId node;
     Endpoint address;
+    /** Share of a processor that the node has. */
+    CpuMillis processor;
 };
 
 /**
@@ -63,6 +65,9 @@
     void adopt(const StoreEntry &entry);
     void callElection();
     void countVotes(const StoreRead &members);
+    /** @return true if the node should wait, once a claim, for a stronger one to take it. */
+    bool yieldsOnce(Revision claim);
+    void claimFirst();
     void claimLeadership(Revision expected);
     void win(Revision revision);
     void announce();
@@ -75,6 +80,8 @@
     std::function<double()> m_random;
     Observer m_observer;
     Leader m_leader;
+    /** The last claim that was left to stronger nodes for a moment. */
+    std::optional<Revision> m_yieldedOn;
     StoreLeaseId m_lease;
     std::string m_claimValue;
     Instant m_followedAt{};
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-PeerHub::PeerHub(asio::io_context &context, TimerService &timers, EntryId self,
+PeerHub::PeerHub(asio::io_context &context, TimerService &timers, LeaderCandidate self,
                  const Endpoint &address, Handlers handlers)
     : m_context(context)
     , m_timers(timers)
@@ -55,7 +55,7 @@
     const uint64_t correlation = envelope->correlation;
     if (const auto *hello = std::get_if<HelloMessage>(&envelope->message)) {
         m_inbound[link] = hello->node;
-        m_followers[hello->node] = link;
+        m_followers[hello->node] = {link, hello->processor};
         return m_handlers.followerJoined(hello->node);
     }
     if (auto *call = std::get_if<ClientCall>(&envelope->message)) {
@@ -82,7 +82,7 @@
     m_inbound.erase(found);
     abandon(link);
     const auto follower = m_followers.find(node);
-    if (follower != m_followers.end() && follower->second == link) {
+    if (follower != m_followers.end() && follower->second.link == link) {
         m_followers.erase(follower);
         m_handlers.followerLeft(node);
     }
@@ -115,7 +115,7 @@
                          link->start([this](const Link &from,
                                             const Frame &frame) { handleFromLeader(from, frame); },
                                      [this](const Link &closed) { dropLeader(closed); });
-                         send(link, 0, HelloMessage{m_self});
+                         send(link, 0, HelloMessage{m_self.node, m_self.processor});
                      });
 }
 
@@ -216,8 +216,8 @@
 
 void PeerHub::broadcast(const HeartbeatMessage &heartbeat)
 {
-    for (const auto &[node, link] : m_followers)
-        send(link, 0, heartbeat);
+    for (const auto &[node, follower] : m_followers)
+        send(follower.link, 0, heartbeat);
 }
 
 void PeerHub::askAdvice(const EntryId &node, AdviceCall call, std::function<void(AdviceReply)> done)
@@ -225,27 +225,27 @@
     const auto found = m_followers.find(node);
     if (found == m_followers.end())
         return done({});
-    const uint64_t correlation =
-        expect(found->second, call.timeout, [done = std::move(done)](const CellMessage *message) {
+    const uint64_t correlation = expect(
+        found->second.link, call.timeout, [done = std::move(done)](const CellMessage *message) {
             const auto *reply = message ? std::get_if<AdviceReply>(message) : nullptr;
             done(reply ? *reply : AdviceReply());
         });
-    send(found->second, correlation, std::move(call));
+    send(found->second.link, correlation, std::move(call));
 }
 
 void PeerHub::sendHandOver(const EntryId &node, Revision claim)
 {
     const auto found = m_followers.find(node);
     if (found != m_followers.end())
-        send(found->second, 0, HandOverMessage{claim});
+        send(found->second.link, 0, HandOverMessage{claim});
 }
 
-std::vector<EntryId> PeerHub::followers() const
+std::vector<LeaderCandidate> PeerHub::followers() const
 {
-    std::vector<EntryId> nodes;
-    for (const auto &[node, link] : m_followers)
-        nodes.push_back(node);
-    return nodes;
+    std::vector<LeaderCandidate> nodes;
+    for (const auto &[node, follower] : m_followers)
+        nodes.push_back({node, follower.processor});
+    return handOverOrder(std::move(nodes));
 }
 
 void PeerHub::askVote(const Endpoint &peer, Revision claim,
--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decision/LeaderChoice.h"
 #include "Protocol/CellMessages.h"
 #include "Transport/GuardedTimers.h"
 
@@ -32,8 +33,8 @@
     };
 
     /** @throws TransportError if @p address cannot be bound. */
-    PeerHub(asio::io_context &context, TimerService &timers, EntryId self, const Endpoint &address,
-            Handlers handlers);
+    PeerHub(asio::io_context &context, TimerService &timers, LeaderCandidate self,
+            const Endpoint &address, Handlers handlers);
 
     // Towards the leader.
     /** Opens a link to @p leader, in place of any other; unset to have none. */
@@ -54,7 +55,8 @@
     void broadcast(const HeartbeatMessage &heartbeat);
     void askAdvice(const EntryId &node, AdviceCall call, std::function<void(AdviceReply)> done);
     void sendHandOver(const EntryId &node, Revision claim);
-    std::vector<EntryId> followers() const;
+    /** @return the followers in the order in which the claim is offered to them. */
+    std::vector<LeaderCandidate> followers() const;
     bool hasFollower(const EntryId &node) const { return m_followers.contains(node); }
 
     /** Asks @p peer for its vote; @p done gets nothing if it does not answer in time. */
@@ -83,6 +85,11 @@
     void abandon(const Link &link);
     void expire();
 
+    struct Follower
+    {
+        Link link;
+        CpuMillis processor;
+    };
     struct Waiting
     {
         Link link;
@@ -92,7 +99,7 @@
 
     asio::io_context &m_context;
     GuardedTimers m_timers;
-    EntryId m_self;
+    LeaderCandidate m_self;
     Handlers m_handlers;
     Link m_leaderLink;
     uint64_t m_followGeneration = 0;
@@ -100,7 +107,7 @@
     std::optional<HeartbeatMessage> m_heartbeat;
     Instant m_heartbeatAt{};
     std::map<Link, EntryId> m_inbound;
-    std::map<EntryId, Link> m_followers;
+    std::map<EntryId, Follower> m_followers;
     std::map<uint64_t, Waiting> m_waiting;
     uint64_t m_nextCorrelation = 1;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/Libraries/Decision/LeaderChoice.cpp
@@ -0,0 +1,33 @@
+#include "Decision/LeaderChoice.h"
+
+namespace Cranberrymount {
+
+namespace {
+
+/** A hand-over stops starts for as long as the new leader reads the journal, about half a second;
+ * a smaller gain in processor time is not worth that. */
+constexpr double WorthwhileGain = 1.5;
+
+} // namespace
+
+bool isClearlyStronger(CpuMillis other, CpuMillis present)
+{
+    return static_cast<double>(other.value())
+        >= WorthwhileGain * static_cast<double>(present.value());
+}
+
+std::vector<LeaderCandidate> handOverOrder(std::vector<LeaderCandidate> candidates)
+{
+    std::ranges::stable_sort(candidates, std::ranges::greater(), &LeaderCandidate::processor);
+    return candidates;
+}
+
+std::size_t strongestCount(const std::vector<LeaderCandidate> &ordered)
+{
+    const auto first = std::ranges::find_if(ordered, [&ordered](const LeaderCandidate &one) {
+        return one.processor < ordered.front().processor;
+    });
+    return static_cast<std::size_t>(first - ordered.begin());
+}
+
+} // namespace Cranberrymount
--- a/Libraries/Protocol/CellMessages.cpp
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -17,7 +17,9 @@
 
 flatbuffers::Offset<void> pack(Builder &builder, const HelloMessage &message)
 {
-    return CellWire::CreateHelloDirect(builder, message.node.value().c_str()).Union();
+    return CellWire::CreateHelloDirect(builder, message.node.value().c_str(),
+                                       static_cast<uint32_t>(message.processor.value()))
+        .Union();
 }
 
 flatbuffers::Offset<void> pack(Builder &builder, const HeartbeatMessage &message)
@@ -176,7 +178,8 @@
     envelope.correlation = wire->correlation();
     switch (wire->message_type()) {
     case CellWire::Message::Hello:
-        envelope.message = HelloMessage{EntryId(text(wire->message_as_Hello()->node()))};
+        envelope.message = HelloMessage{EntryId(text(wire->message_as_Hello()->node())),
+                                        CpuMillis(wire->message_as_Hello()->processor_millis())};
         break;
     case CellWire::Message::Heartbeat: {
         const auto *beat = wire->message_as_Heartbeat();
--- a/Libraries/Protocol/CellMessages.h
+++ b/Libraries/Protocol/CellMessages.h
@@ -3,6 +3,7 @@
 #include "Protocol/ClientCall.h"
 #include "Protocol/PlacementAdvisor.h"
 #include "State/Ids.h"
+#include "State/Resources.h"
 #include "Transport/FrameLink.h"
 
 #include <variant>
@@ -12,6 +13,8 @@
 struct HelloMessage
 {
     EntryId node;
+    /** Share of a processor that the node has. */
+    CpuMillis processor;
 };
 
 /** How the leader stands, as it tells its followers. */
--- a/Libraries/Protocol/Generated/Cell_generated.h
+++ b/Libraries/Protocol/Generated/Cell_generated.h
@@ -156,15 +156,20 @@
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_NODE = 4
+    VT_NODE = 4,
+    VT_PROCESSOR_MILLIS = 6
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
   }
+  uint32_t processor_millis() const {
+    return GetField<uint32_t>(VT_PROCESSOR_MILLIS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
            verifier.VerifyString(node()) &&
+           VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLIS, 4) &&
            verifier.EndTable();
   }
 };
@@ -176,6 +181,9 @@
   void add_node(flatbuffers::Offset<flatbuffers::String> node) {
     fbb_.AddOffset(Hello::VT_NODE, node);
   }
+  void add_processor_millis(uint32_t processor_millis) {
+    fbb_.AddElement<uint32_t>(Hello::VT_PROCESSOR_MILLIS, processor_millis, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -189,19 +197,23 @@
 
 inline flatbuffers::Offset<Hello> CreateHello(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> node = 0) {
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    uint32_t processor_millis = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_processor_millis(processor_millis);
   builder_.add_node(node);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Hello> CreateHelloDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *node = nullptr) {
+    const char *node = nullptr,
+    uint32_t processor_millis = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   return Cranberrymount::CellWire::CreateHello(
       _fbb,
-      node__);
+      node__,
+      processor_millis);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -25,6 +25,8 @@
 /** A leader whom the store refuses for this long offers its claim to one peer after the other. */
 constexpr Duration OfferAfter{250};
 constexpr Duration OfferInterval{300};
+/** A leader that is weaker than a follower offers its claim this often. */
+constexpr Duration UpgradeInterval{1000};
 constexpr Duration HandOverWait{800};
 
 std::chrono::nanoseconds readClock(clockid_t clock)
@@ -43,7 +45,7 @@
     , m_log(m_timers)
     , m_random(pcg_extras::seed_seq_from<std::random_device>())
     , m_advice(m_timers)
-    , m_peers(context, m_timers, m_settings.node, m_settings.peer,
+    , m_peers(context, m_timers, {m_settings.node, m_settings.processor}, m_settings.peer,
               {.clientCall =
                    [this](ClientCall call, ClientRespond respond) {
                        if (m_scheduler)
@@ -77,7 +79,8 @@
                        LOG(INFO) << "event=follower_left node=" << node.value();
                        m_advice.removeCaller(node);
                    }})
-    , m_leadership(m_platform.store, m_timers, m_peers, {m_settings.node, m_settings.peer},
+    , m_leadership(m_platform.store, m_timers, m_peers,
+                   {m_settings.node, m_settings.peer, m_settings.processor},
                    [this] { return random(); },
                    {[this](Revision claim) { lead(claim); }, [this] { follow(); }})
 {
@@ -234,23 +237,30 @@
     m_timers.after(TickInterval, [this] { tick(); });
 }
 
-/** Lets a peer that the store may still serve take the claim over, one at a time. */
 void CellNode::offerClaim()
 {
     const Instant now = m_timers.now();
-    if (!m_scheduler || !m_scheduler->isReady() || m_scheduler->storeLostFor() < OfferAfter
-        || now - m_offeredAt < OfferInterval)
+    if (!m_scheduler || m_isRetiring || now - m_offeredAt < OfferInterval)
+        return;
+    // Peers that the store may still serve, one after the other.
+    if (m_scheduler->isReady() && m_scheduler->storeLostFor() >= OfferAfter) {
+        m_offeredAt = now;
+        return offerTo(m_nextOffer++);
+    }
+    const std::vector<LeaderCandidate> followers = m_peers.followers();
+    if (followers.empty() || now - m_offeredAt < UpgradeInterval
+        || !isClearlyStronger(followers.front().processor, m_settings.processor))
         return;
     m_offeredAt = now;
-    offerTo(m_nextOffer++);
+    offerTo(m_random() % strongestCount(followers));
 }
 
 void CellNode::offerTo(std::size_t index)
 {
-    const std::vector<EntryId> followers = m_peers.followers();
+    const std::vector<LeaderCandidate> followers = m_peers.followers();
     if (followers.empty())
         return;
-    const EntryId &node = followers[index % followers.size()];
+    const EntryId &node = followers[index % followers.size()].node;
     LOG(INFO) << "event=claim_offered to=" << node.value()
               << " claim=" << m_leadership.claim().value();
     m_peers.sendHandOver(node, m_leadership.claim());
@@ -270,7 +280,8 @@
     if (!m_scheduler)
         return done();
     m_scheduler->quiesce([this, done = std::move(done)] {
-        offerTo(m_random());
+        const std::size_t strongest = strongestCount(m_peers.followers());
+        offerTo(strongest > 0 ? m_random() % strongest : 0);
         m_timers.after(HandOverWait, [this, done] {
             m_leadership.giveUp();
             done();
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -52,6 +52,7 @@
     void refuse(const WaitingCall &waiting);
     bool hasLeader() const;
     void tick();
+    /** Offers the claim to a node that can lead better, if there is one. */
     void offerClaim();
     void offerTo(std::size_t index);
     void beat();
--- a/Libraries/Service/CellSettings.cpp
+++ b/Libraries/Service/CellSettings.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <cmath>
+
 namespace Cranberrymount {
 
 CellSettings parseCellSettings(const std::string &text, const std::string &name)
@@ -17,6 +19,9 @@
         const toml::table &node = checker.section(root, "node", true);
         settings.node = EntryId(checker.requiredText(node, "id"));
         settings.zone = ZoneId(checker.requiredText(node, "zone"));
+        const double share = checker.real(node, "processor_share", 1, 0.001, 1);
+        const double cores = checker.real(node, "processor_cores", 1, 0.001, 1024);
+        settings.processor = CpuMillis(std::llround(1000 * share * cores));
         settings.front = checker.requiredEndpoint(node, "front");
         settings.readiness = checker.requiredEndpoint(node, "readiness");
         settings.peer = checker.requiredEndpoint(node, "peer");
--- a/Libraries/Service/CellSettings.h
+++ b/Libraries/Service/CellSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "State/Ids.h"
+#include "State/Resources.h"
 #include "State/Time.h"
 #include "State/Worker.h"
 
@@ -14,6 +15,8 @@
 {
     EntryId node;
     ZoneId zone;
+    /** Share of a processor that the node has; the stronger of two nodes leads. */
+    CpuMillis processor{1000};
     /** Where submitters' calls come in. */
     Endpoint front;
     /** Where the balancer's probes come in. */
--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -41,6 +41,11 @@
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    if (call.stallTimeout.count() > 0) {
+        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
+        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME,
+                         static_cast<long>(call.stallTimeout.count()));
+    }
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.once ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &collectBody);
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -18,6 +18,8 @@
     std::string body = {};
     std::vector<std::string> headers = {};
     Duration timeout{2000};
+    /** Ends the call if no byte moves for this long, in whole seconds; 0 for no such limit. */
+    std::chrono::seconds stallTimeout{0};
     /**
      * True if the call must leave this process at most once. It then uses a new connection, since
      * a call that dies on a kept one would be sent again by the library.
--- a/Tests/Unit/HttpClientTest.cpp
+++ b/Tests/Unit/HttpClientTest.cpp
@@ -82,6 +82,16 @@
     CHECK(m_client.sendAndWait(callTo("/short", Duration(5000))).isOk());
 }
 
+TEST_CASE_METHOD(HttpClientFixture, "Call on a silent connection ends by its lack of progress",
+                 "[transport]")
+{
+    HttpCall call = callTo("/held", Duration(30'000));
+    call.stallTimeout = std::chrono::seconds(1);
+    const auto before = std::chrono::steady_clock::now();
+    CHECK(m_client.sendAndWait(std::move(call)).outcome == HttpResult::Unknown);
+    CHECK(std::chrono::steady_clock::now() - before < std::chrono::seconds(10));
+}
+
 TEST_CASE("Call to a port that nobody listens on ends as not sent", "[transport]")
 {
     HttpClient client;
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -122,6 +122,8 @@
 store = "10.0.0.2:80"
 )";
     CHECK(parseCellSettings(good, "cell.toml").peer.port == 82);
+    const std::string small = "[node]\nprocessor_share = 0.12\nprocessor_cores = 1\n" + good.substr(7);
+    CHECK(parseCellSettings(small, "cell.toml").processor == CpuMillis(120));
     CHECK_FALSE(parseCellSettings(good, "cell.toml").advisor.isSet());
     CHECK_THROWS_AS(parseCellSettings(good + "typo = 1\n", "cell.toml"), SettingsError);
     CHECK_THROWS_AS(parseCellSettings("[node]\nid = 7\n", "cell.toml"), SettingsError);
