Cell: Pass unwritten ends on, and use a store that is back at once

A leader that loses its claim now gives such ends to whoever leads, each time that changes. And it keeps the claim more often: while the store takes no commits a read each 100 ms tells when it is back, so that commits do not wait for calls that hang; a node that is offered the claim for want of the store waits 150 ms to see whether the holder is served again. Tests failed first: 4 runs became 8; store 'lost' up to 2.2 s after a return.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -349,6 +349,36 @@
     }
 }
 
+std::vector<RunEnded> CellScheduler::unwrittenEnds() const
+{
+    std::vector<RunEnded> ends;
+    for (const auto &[ref, record] : m_unwrittenEnds) {
+        // What no worker listed is concluded anew by the next leader.
+        if (record.outcome != RunOutcome::Lost)
+            ends.push_back(record);
+    }
+    return ends;
+}
+
+void CellScheduler::learnEnds(const std::vector<RunEnded> &ends)
+{
+    if (!m_isReady) {
+        m_learnedEnds.insert(m_learnedEnds.end(), ends.begin(), ends.end());
+        return;
+    }
+    for (const RunEnded &record : ends) {
+        const auto found = m_runs.find(record.task);
+        if (found == m_runs.end() || found->second.attempt != record.attempt
+            || found->second.isEnding)
+            continue;
+        LOG_EVENT(m_parts.log, "end_learned")
+            << "task=" << taskText(record.task) << " attempt=" << record.attempt
+            << " worker=" << found->second.worker.id.value()
+            << " outcome=" << outcomeName(record.outcome);
+        recordEnd(record.task, found->second, record.outcome, record.checkpoint);
+    }
+}
+
 void CellScheduler::applyRunningReport(WorkerSession &session, const RunReport &report)
 {
     const auto found = m_runs.find(report.task);
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -122,8 +122,10 @@
                 // Not from within the journal's own callback.
                 if (!isReachable)
                     m_timers.after(Duration(0), [this] { applyUnwrittenEnds(); });
-                if (isReachable)
+                if (isReachable) {
+                    m_parts.storeRegained();
                     scheduleDispatch();
+                }
             };
             m_journal =
                 std::make_unique<Journal>(m_parts.store, m_parts.timers, Revision(m_epoch.value()),
@@ -189,6 +191,7 @@
         return;
     m_isReady = true;
     adoptRuns();
+    learnEnds(std::exchange(m_learnedEnds, {}));
     stopRunsOfEndedJobs();
     LOG(INFO) << "event=recovery_ended epoch=" << m_epoch.value() << " runs=" << m_runs.size()
               << " workers=" << m_sessions.size() << " configuration=" << m_configuration.version;
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -43,6 +43,8 @@
         WallClock wallClock;
         LogBudget &log;
         std::function<void(const std::string &name, double by)> count;
+        /** Runs when the store takes commits again. */
+        std::function<void()> storeRegained;
     };
 
     /** @p superseded runs once another leader's claim is seen; the scheduler then does nothing. */
@@ -59,6 +61,11 @@
     /** Answers a submitter's call, at once unless it has to be written first. */
     void handle(ClientCall call, ClientRespond respond);
 
+    /** @return ends seen on workers that are not known to be written. */
+    std::vector<RunEnded> unwrittenEnds() const;
+    /** Takes in what an earlier leader saw and could not write; workers may be gone since. */
+    void learnEnds(const std::vector<RunEnded> &ends);
+
     /** Decides nothing more; @p done runs after a moment for what is on its way to the store. */
     void quiesce(std::function<void()> done);
     /** What operators and workers said before now may be out of date, as after a suspension. */
@@ -186,6 +193,8 @@
     std::map<WorkerLife, std::set<TaskKey>> m_runsOn;
     std::map<TeamId, Resources> m_teamUse;
     std::map<RunRef, RunEnded> m_unwrittenEnds;
+    /** Ends that came before the journal was read. */
+    std::vector<RunEnded> m_learnedEnds;
     std::map<WorkerLife, Acknowledgement> m_acknowledgements;
     std::map<JobId, std::vector<ClientRespond>> m_accepting;
     /** Segments before this number hold nothing of the job that a later snapshot lacks. */
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -22,6 +22,9 @@
 /** Pauses before a commit is repeated; doubled up to the longest. */
 constexpr Duration FirstRetryPause{50};
 constexpr Duration LongestRetryPause{400};
+/** Between two reads while the store takes no commits. A store that is silent lets each commit
+ * hang for its time-out of a second; a new call shows sooner that it is back. */
+constexpr Duration ProbeInterval{100};
 /** A transaction holds 32 rows, three of them for the segment itself. */
 constexpr std::size_t MaxRemovals = 24;
 /** Half of the 1 MB that the platform takes for one value. */
@@ -201,14 +204,17 @@
 
 void Journal::sendCommit(const std::shared_ptr<Commit> &commit)
 {
-    m_store.commit(commit->transaction,
-                   [this, commit, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
-                       if (!alive.expired() && !m_isSuperseded)
-                           handleResult(commit, result);
-                   });
+    const uint32_t tryNumber = ++commit->lastTry;
+    m_store.commit(
+        commit->transaction,
+        [this, commit, tryNumber, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+            if (!alive.expired() && !m_isSuperseded && !commit->isWritten)
+                handleResult(commit, tryNumber, result);
+        });
 }
 
-void Journal::handleResult(const std::shared_ptr<Commit> &commit, const CommitResult &result)
+void Journal::handleResult(const std::shared_ptr<Commit> &commit, uint32_t tryNumber,
+                           const CommitResult &result)
 {
     const StoreTransaction::Put &segment = commit->transaction.puts.front();
     bool isWritten = result.outcome == CommitResult::Committed;
@@ -238,16 +244,35 @@
         setReachable(true);
         return finishCommits();
     }
+    if (tryNumber != commit->lastTry)
+        return;
     setReachable(false);
     ++commit->retries;
     const Duration pause =
         std::min(FirstRetryPause * (1 << std::min(commit->retries, 4U)), LongestRetryPause);
-    m_timers.after(pause, [this, commit] {
-        if (!m_isSuperseded)
+    m_timers.after(pause, [this, commit, tryNumber] {
+        if (!m_isSuperseded && !commit->isWritten && commit->lastTry == tryNumber)
             sendCommit(commit);
     });
 }
 
+void Journal::probe()
+{
+    if (m_isReachable || m_isSuperseded)
+        return;
+    m_store.list(LeaderKey, [this, alive = std::weak_ptr(m_alive)](const StoreRead &read) {
+        if (alive.expired() || !read.answered || m_isReachable || m_isSuperseded
+            || m_timers.now() - m_lastRepeat < LongestRetryPause)
+            return;
+        m_lastRepeat = m_timers.now();
+        for (const std::shared_ptr<Commit> &commit : m_commits) {
+            if (!commit->isWritten)
+                sendCommit(commit);
+        }
+    });
+    m_timers.after(ProbeInterval, [this] { probe(); });
+}
+
 /** Confirms what is written without a gap before it. */
 void Journal::finishCommits()
 {
@@ -273,6 +298,8 @@
     m_isReachable = isReachable;
     LOG(INFO) << "event=store_" << (isReachable ? "regained" : "lost")
               << " claim=" << m_claim.value() << " waiting=" << m_waiting.size();
+    if (!isReachable)
+        probe();
     m_observer.reachability(isReachable);
 }
 
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -77,13 +77,18 @@
         std::vector<Pending> records;
         bool isWritten = false;
         uint32_t retries = 0;
+        /** Number of the last try; earlier ones may still be answered, but are not repeated. */
+        uint32_t lastTry = 0;
         Instant begin{};
     };
 
     void scheduleCommit();
     void commitNext();
     void sendCommit(const std::shared_ptr<Commit> &commit);
-    void handleResult(const std::shared_ptr<Commit> &commit, const CommitResult &result);
+    void handleResult(const std::shared_ptr<Commit> &commit, uint32_t tryNumber,
+                      const CommitResult &result);
+    /** Reads from the store until it answers, so that commits need not wait for hung calls. */
+    void probe();
     void finishCommits();
     void setReachable(bool isReachable);
     Duration interval() const;
@@ -105,6 +110,8 @@
     bool m_isReachable = true;
     Instant m_lastCommit;
     Instant m_lastStart;
+    /** When commits were last repeated because the store answered a read. */
+    Instant m_lastRepeat{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -34,6 +34,9 @@
 /** Random part of the pause before an election, so that followers do not vote all at once. */
 constexpr double ElectionJitterMs = 80;
 constexpr Duration ElectionPause{120};
+/** A leader notices within this time that the store serves it again, and tells its followers: a
+ * probe, a commit and a heartbeat. Keeping it is better than a new one that reads the journal. */
+constexpr Duration RegainGrace{150};
 /** Start that stronger nodes get in an election: two polls of the heartbeat and the votes. */
 constexpr Duration YieldPause{400};
 
@@ -279,12 +282,28 @@
     });
 }
 
-void Leadership::takeOver(Revision claim)
+void Leadership::takeOver(const HandOverMessage &offer)
 {
-    if (m_isLeading || m_isRetired || claim != m_leader.revision)
+    if (m_isLeading || m_isRetired || offer.claim != m_leader.revision)
         return;
     m_isElecting = true;
-    LOG(INFO) << "event=leadership_offered claim=" << claim.value();
+    LOG(INFO) << "event=leadership_offered claim=" << offer.claim.value()
+              << " store_lost=" << offer.isStoreLost;
+    if (!offer.isStoreLost)
+        return claimLeadership(offer.claim);
+    m_store.list(LeaderKey, [this, claim = offer.claim](const StoreRead &read) {
+        if (!read.answered)
+            return endElection(Duration(0));
+        m_timers.after(RegainGrace, [this, claim] { takeIfStillLost(claim); });
+    });
+}
+
+void Leadership::takeIfStillLost(Revision claim)
+{
+    const auto &beat = m_peers.heartbeat();
+    const bool isServed = beat && beat->claim == claim && beat->storeAge < RegainGrace;
+    if (isServed || m_isLeading || m_isRetired || claim != m_leader.revision)
+        return endElection(Duration(0));
     claimLeadership(claim);
 }
 
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -40,8 +40,8 @@
     void giveUp();
     /** @return true if this node hears nothing sound of the holder of @p claim. */
     bool votesAgainst(Revision claim) const;
-    /** The holder of @p claim stops and asks this node to follow it. */
-    void takeOver(Revision claim);
+    /** The holder of the claim asks this node to take it. */
+    void takeOver(const HandOverMessage &offer);
     /** A node says that it leads. */
     void handleAnnouncement(const AnnouncementMessage &announcement);
     /** Claims nothing any more. */
@@ -67,6 +67,8 @@
     void countVotes(const StoreRead &members);
     /** @return true if the node should wait, once a claim, for a stronger one to take it. */
     bool yieldsOnce(Revision claim);
+    /** Takes an offered claim, unless the store serves its holder again. */
+    void takeIfStillLost(Revision claim);
     void claimFirst();
     void claimLeadership(Revision expected);
     void win(Revision revision);
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -70,6 +70,8 @@
         send(link, correlation, VoteResponse{true});
         return m_handlers.announced(*announcement);
     }
+    if (const auto *leftover = std::get_if<LeftoverEndsMessage>(&envelope->message))
+        return m_handlers.leftoverEnds(leftover->ends);
     settle(correlation, envelope->message);
 }
 
@@ -148,7 +150,7 @@
         });
     }
     if (const auto *handOver = std::get_if<HandOverMessage>(&envelope->message))
-        return m_handlers.handOver(handOver->claim);
+        return m_handlers.handOver(*handOver);
     settle(correlation, envelope->message);
 }
 
@@ -214,6 +216,11 @@
     send(m_leaderLink, correlation, call);
 }
 
+void PeerHub::sendLeftoverEnds(std::vector<RunEnded> ends)
+{
+    send(m_leaderLink, 0, LeftoverEndsMessage{std::move(ends)});
+}
+
 void PeerHub::broadcast(const HeartbeatMessage &heartbeat)
 {
     for (const auto &[node, follower] : m_followers)
@@ -233,11 +240,11 @@
     send(found->second.link, correlation, std::move(call));
 }
 
-void PeerHub::sendHandOver(const EntryId &node, Revision claim)
+void PeerHub::sendHandOver(const EntryId &node, const HandOverMessage &offer)
 {
     const auto found = m_followers.find(node);
     if (found != m_followers.end())
-        send(found->second.link, 0, HandOverMessage{claim});
+        send(found->second.link, 0, offer);
 }
 
 std::vector<LeaderCandidate> PeerHub::followers() const
--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -26,8 +26,10 @@
         std::function<void(AdviceCall, std::function<void(AdviceReply)>)> advice;
         /** @return true if this node, too, hears nothing sound of the holder of the claim. */
         std::function<bool(Revision claim)> vote;
-        std::function<void(Revision claim)> handOver;
+        std::function<void(const HandOverMessage &)> handOver;
         std::function<void(const AnnouncementMessage &)> announced;
+        /** An earlier leader passes on what it could not write. */
+        std::function<void(const std::vector<RunEnded> &)> leftoverEnds;
         std::function<void(const EntryId &node)> followerJoined;
         std::function<void(const EntryId &node)> followerLeft;
     };
@@ -51,10 +53,13 @@
      */
     void callLeader(const ClientCall &call, Duration patience, ClientRespond respond);
 
+    /** Passes ends on to the leader. Must only be called while isLinked(). */
+    void sendLeftoverEnds(std::vector<RunEnded> ends);
+
     // Towards followers.
     void broadcast(const HeartbeatMessage &heartbeat);
     void askAdvice(const EntryId &node, AdviceCall call, std::function<void(AdviceReply)> done);
-    void sendHandOver(const EntryId &node, Revision claim);
+    void sendHandOver(const EntryId &node, const HandOverMessage &offer);
     /** @return the followers in the order in which the claim is offered to them. */
     std::vector<LeaderCandidate> followers() const;
     bool hasFollower(const EntryId &node) const { return m_followers.contains(node); }
--- a/Libraries/Protocol/CellMessages.cpp
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -90,7 +90,17 @@
 
 flatbuffers::Offset<void> pack(Builder &builder, const HandOverMessage &message)
 {
-    return CellWire::CreateHandOver(builder, message.claim.value()).Union();
+    return CellWire::CreateHandOver(builder, message.claim.value(), message.isStoreLost).Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const LeftoverEndsMessage &message)
+{
+    const std::vector<JournalRecord> records(message.ends.begin(), message.ends.end());
+    const std::string bytes = encodeJournal(records);
+    return CellWire::CreateLeftoverEnds(
+               builder,
+               builder.CreateVector(reinterpret_cast<const uint8_t *>(bytes.data()), bytes.size()))
+        .Union();
 }
 
 flatbuffers::Offset<void> pack(Builder &builder, const AnnouncementMessage &message)
@@ -125,6 +135,20 @@
     return call;
 }
 
+LeftoverEndsMessage unpack(const CellWire::LeftoverEnds &wire)
+{
+    LeftoverEndsMessage message;
+    if (!wire.records())
+        return message;
+    const std::string bytes(reinterpret_cast<const char *>(wire.records()->data()),
+                            wire.records()->size());
+    for (JournalRecord &record : decodeJournal(bytes)) {
+        if (auto *end = std::get_if<RunEnded>(&record))
+            message.ends.push_back(std::move(*end));
+    }
+    return message;
+}
+
 ClientReply unpack(const CellWire::ClientResponse &wire)
 {
     return {static_cast<ClientReply::Outcome>(wire.outcome()), static_cast<JobState>(wire.state()),
@@ -206,7 +230,8 @@
         envelope.message = VoteResponse{wire->message_as_VoteResponse()->agrees()};
         break;
     case CellWire::Message::HandOver:
-        envelope.message = HandOverMessage{Revision(wire->message_as_HandOver()->claim())};
+        envelope.message = HandOverMessage{Revision(wire->message_as_HandOver()->claim()),
+                                           wire->message_as_HandOver()->is_store_lost()};
         break;
     case CellWire::Message::Announcement: {
         const auto *news = wire->message_as_Announcement();
@@ -215,6 +240,9 @@
                                                {text(news->host()), news->port()}};
         break;
     }
+    case CellWire::Message::LeftoverEnds:
+        envelope.message = unpack(*wire->message_as_LeftoverEnds());
+        break;
     case CellWire::Message::NONE:
         throw ProtocolError("a peer's message is of no known kind");
     }
--- a/Libraries/Protocol/CellMessages.h
+++ b/Libraries/Protocol/CellMessages.h
@@ -42,6 +42,14 @@
 struct HandOverMessage
 {
     Revision claim;
+    /** The sender stays if the store serves it again. */
+    bool isStoreLost = false;
+};
+
+/** Ends of runs that a leader could not write any more before it lost its claim. */
+struct LeftoverEndsMessage
+{
+    std::vector<RunEnded> ends;
 };
 
 /** Tells a member who leads, so that it needs no store to find out; a VoteResponse answers it. */
@@ -52,9 +60,9 @@
     Endpoint address;
 };
 
-using CellMessage =
-    std::variant<HelloMessage, HeartbeatMessage, ClientCall, ClientReply, AdviceCall, AdviceReply,
-                 VoteRequest, VoteResponse, HandOverMessage, AnnouncementMessage>;
+using CellMessage = std::variant<HelloMessage, HeartbeatMessage, ClientCall, ClientReply,
+                                 AdviceCall, AdviceReply, VoteRequest, VoteResponse,
+                                 HandOverMessage, AnnouncementMessage, LeftoverEndsMessage>;
 
 struct CellEnvelope
 {
--- a/Libraries/Protocol/Generated/Cell_generated.h
+++ b/Libraries/Protocol/Generated/Cell_generated.h
@@ -46,6 +46,9 @@
 struct Announcement;
 struct AnnouncementBuilder;
 
+struct LeftoverEnds;
+struct LeftoverEndsBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -61,11 +64,12 @@
   VoteResponse = 8,
   HandOver = 9,
   Announcement = 10,
+  LeftoverEnds = 11,
   MIN = NONE,
-  MAX = Announcement
+  MAX = LeftoverEnds
 };
 
-inline const Message (&EnumValuesMessage())[11] {
+inline const Message (&EnumValuesMessage())[12] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -77,13 +81,14 @@
     Message::VoteRequest,
     Message::VoteResponse,
     Message::HandOver,
-    Message::Announcement
+    Message::Announcement,
+    Message::LeftoverEnds
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[12] = {
+  static const char * const names[13] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -95,13 +100,14 @@
     "VoteResponse",
     "HandOver",
     "Announcement",
+    "LeftoverEnds",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Announcement)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::LeftoverEnds)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -150,6 +156,10 @@
   static const Message enum_value = Message::Announcement;
 };
 
+template<> struct MessageTraits<Cranberrymount::CellWire::LeftoverEnds> {
+  static const Message enum_value = Message::LeftoverEnds;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -747,14 +757,19 @@
 struct HandOver FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HandOverBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_CLAIM = 4
+    VT_CLAIM = 4,
+    VT_IS_STORE_LOST = 6
   };
   uint64_t claim() const {
     return GetField<uint64_t>(VT_CLAIM, 0);
   }
+  bool is_store_lost() const {
+    return GetField<uint8_t>(VT_IS_STORE_LOST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CLAIM, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_STORE_LOST, 1) &&
            verifier.EndTable();
   }
 };
@@ -766,6 +781,9 @@
   void add_claim(uint64_t claim) {
     fbb_.AddElement<uint64_t>(HandOver::VT_CLAIM, claim, 0);
   }
+  void add_is_store_lost(bool is_store_lost) {
+    fbb_.AddElement<uint8_t>(HandOver::VT_IS_STORE_LOST, static_cast<uint8_t>(is_store_lost), 0);
+  }
   explicit HandOverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -779,9 +797,11 @@
 
 inline flatbuffers::Offset<HandOver> CreateHandOver(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t claim = 0) {
+    uint64_t claim = 0,
+    bool is_store_lost = false) {
   HandOverBuilder builder_(_fbb);
   builder_.add_claim(claim);
+  builder_.add_is_store_lost(is_store_lost);
   return builder_.Finish();
 }
 
@@ -874,6 +894,57 @@
       port);
 }
 
+struct LeftoverEnds FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeftoverEndsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4
+  };
+  const flatbuffers::Vector<uint8_t> *records() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.EndTable();
+  }
+};
+
+struct LeftoverEndsBuilder {
+  typedef LeftoverEnds Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> records) {
+    fbb_.AddOffset(LeftoverEnds::VT_RECORDS, records);
+  }
+  explicit LeftoverEndsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeftoverEnds> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeftoverEnds>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeftoverEnds> CreateLeftoverEnds(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> records = 0) {
+  LeftoverEndsBuilder builder_(_fbb);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LeftoverEnds> CreateLeftoverEndsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<uint8_t>(*records) : 0;
+  return Cranberrymount::CellWire::CreateLeftoverEnds(
+      _fbb,
+      records__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -921,6 +992,9 @@
   const Cranberrymount::CellWire::Announcement *message_as_Announcement() const {
     return message_type() == Cranberrymount::CellWire::Message::Announcement ? static_cast<const Cranberrymount::CellWire::Announcement *>(message()) : nullptr;
   }
+  const Cranberrymount::CellWire::LeftoverEnds *message_as_LeftoverEnds() const {
+    return message_type() == Cranberrymount::CellWire::Message::LeftoverEnds ? static_cast<const Cranberrymount::CellWire::LeftoverEnds *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -971,6 +1045,10 @@
   return message_as_Announcement();
 }
 
+template<> inline const Cranberrymount::CellWire::LeftoverEnds *Envelope::message_as<Cranberrymount::CellWire::LeftoverEnds>() const {
+  return message_as_LeftoverEnds();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1052,6 +1130,10 @@
       auto ptr = reinterpret_cast<const Cranberrymount::CellWire::Announcement *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::LeftoverEnds: {
+      auto ptr = reinterpret_cast<const Cranberrymount::CellWire::LeftoverEnds *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -60,11 +60,16 @@
                        m_platform.advisor.ask(std::move(call), std::move(done));
                    },
                .vote = [this](Revision claim) { return m_leadership.votesAgainst(claim); },
-               .handOver = [this](Revision claim) { m_leadership.takeOver(claim); },
+               .handOver = [this](const HandOverMessage &offer) { m_leadership.takeOver(offer); },
                .announced =
                    [this](const AnnouncementMessage &announcement) {
                        m_leadership.handleAnnouncement(announcement);
                    },
+               .leftoverEnds =
+                   [this](const std::vector<RunEnded> &ends) {
+                       if (m_scheduler)
+                           m_scheduler->learnEnds(ends);
+                   },
                .followerJoined =
                    [this](const EntryId &node) {
                        LOG(INFO) << "event=follower_joined node=" << node.value();
@@ -128,15 +133,20 @@
         m_timers,
         [this] { return wallNow(); },
         m_log,
-        [this](const std::string &name, double by) { m_metrics.count(name, by); }};
+        [this](const std::string &name, double by) { m_metrics.count(name, by); },
+        [this] { heartbeat(); }};
     m_scheduler = std::make_unique<CellScheduler>(
         std::move(parts), CellTerms{m_settings.workerLease, m_settings.statusLife}, claim,
         [this] { m_leadership.giveUp(); });
     m_scheduler->recover();
+    if (!m_leftoverEnds.empty())
+        m_scheduler->learnEnds(m_leftoverEnds);
 }
 
 void CellNode::follow()
 {
+    m_leftoverEnds = m_scheduler->unwrittenEnds();
+    m_endsPassedTo = Revision();
     // The scheduler may be on the stack.
     m_retired.push_back(std::move(m_scheduler));
 }
@@ -234,6 +244,7 @@
             m_waiting.push_back(std::move(one));
     }
     offerClaim();
+    passOnEnds();
     m_timers.after(TickInterval, [this] { tick(); });
 }
 
@@ -245,17 +256,17 @@
     // Peers that the store may still serve, one after the other.
     if (m_scheduler->isReady() && m_scheduler->storeLostFor() >= OfferAfter) {
         m_offeredAt = now;
-        return offerTo(m_nextOffer++);
+        return offerTo(m_nextOffer++, true);
     }
     const std::vector<LeaderCandidate> followers = m_peers.followers();
     if (followers.empty() || now - m_offeredAt < UpgradeInterval
         || !isClearlyStronger(followers.front().processor, m_settings.processor))
         return;
     m_offeredAt = now;
-    offerTo(m_random() % strongestCount(followers));
+    offerTo(m_random() % strongestCount(followers), false);
 }
 
-void CellNode::offerTo(std::size_t index)
+void CellNode::offerTo(std::size_t index, bool isStoreLost)
 {
     const std::vector<LeaderCandidate> followers = m_peers.followers();
     if (followers.empty())
@@ -263,13 +274,29 @@
     const EntryId &node = followers[index % followers.size()].node;
     LOG(INFO) << "event=claim_offered to=" << node.value()
               << " claim=" << m_leadership.claim().value();
-    m_peers.sendHandOver(node, m_leadership.claim());
+    m_peers.sendHandOver(node, {m_leadership.claim(), isStoreLost});
 }
 
-void CellNode::beat()
+void CellNode::passOnEnds()
+{
+    const auto &beat = m_peers.heartbeat();
+    if (m_leftoverEnds.empty() || !m_peers.isLinked() || !beat || beat->claim == m_endsPassedTo)
+        return;
+    m_endsPassedTo = beat->claim;
+    LOG(INFO) << "event=ends_passed_on count=" << m_leftoverEnds.size()
+              << " claim=" << beat->claim.value();
+    m_peers.sendLeftoverEnds(m_leftoverEnds);
+}
+
+void CellNode::heartbeat()
 {
     if (m_scheduler)
         m_peers.broadcast({m_leadership.claim(), m_scheduler->storeAge(), m_scheduler->isReady()});
+}
+
+void CellNode::beat()
+{
+    heartbeat();
     m_timers.after(HeartbeatInterval, [this] { beat(); });
 }
 
@@ -281,7 +308,7 @@
         return done();
     m_scheduler->quiesce([this, done = std::move(done)] {
         const std::size_t strongest = strongestCount(m_peers.followers());
-        offerTo(strongest > 0 ? m_random() % strongest : 0);
+        offerTo(strongest > 0 ? m_random() % strongest : 0, false);
         m_timers.after(HandOverWait, [this, done] {
             m_leadership.giveUp();
             done();
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -54,7 +54,10 @@
     void tick();
     /** Offers the claim to a node that can lead better, if there is one. */
     void offerClaim();
-    void offerTo(std::size_t index);
+    void offerTo(std::size_t index, bool isStoreLost);
+    void heartbeat();
+    /** Gives the present leader the ends that this node could not write as leader. */
+    void passOnEnds();
     void beat();
     void lead(Revision claim);
     void follow();
@@ -76,6 +79,10 @@
     /** Schedulers of lost claims, until their callbacks have returned. */
     std::vector<std::unique_ptr<CellScheduler>> m_retired;
     std::deque<WaitingCall> m_waiting;
+    /** Ends that this node could not write when it last led. */
+    std::vector<RunEnded> m_leftoverEnds;
+    /** The claim whose holder has them. */
+    Revision m_endsPassedTo;
     std::chrono::nanoseconds m_suspendedBefore{0};
     /** When this node last had a leader; its start, if it had none yet. */
     Instant m_leaderSeenAt{};
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -209,6 +209,41 @@
     CHECK(m_world.startCount == 5);
 }
 
+TEST_CASE_METHOD(CellFixture,
+                 "Job shown as done while the store is down runs once, though its worker "
+                 "leaves with its leader",
+                 "[cell]")
+{
+    const JobId job = m_world.submit(4, Small, Duration(1000));
+    m_world.run(Duration(500));
+    m_world.store.isDown = true;
+    REQUIRE(ends(job, JobState::Done, Duration(1500)));
+    const std::vector<RunEnded> left = m_world.leader().unwrittenEnds();
+    for (std::size_t worker = 0; worker < m_world.workers.size(); ++worker)
+        m_world.crash(worker);
+    m_world.store.isDown = false;
+    m_world.elect().learnEnds(left);
+    CHECK(ends(job, JobState::Done));
+    m_world.run(Duration(20'000));
+    CHECK(m_world.startCount == 4);
+}
+
+TEST_CASE("Store that was silent is used as soon as it is back", "[cell]")
+{
+    // Whenever the last call before its return began to hang.
+    const Duration silence(GENERATE(range(2000, 3200, 100)));
+    CellWorld world(1);
+    world.elect();
+    REQUIRE(world.runUntil([&world] { return world.leader().isReady(); }, Duration(1000)));
+    world.store.isSilent = true;
+    world.submit(1, {CpuMillis(1000), MemoryMb(1000), AcceleratorCount(0)}, Duration(100));
+    world.run(silence);
+    CHECK(world.leader().storeLostFor() > Duration(0));
+    world.store.isSilent = false;
+    world.run(Duration(150));
+    CHECK(world.leader().storeLostFor() == Duration(0));
+}
+
 TEST_CASE_METHOD(CellFixture, "Tasks of a cut-off worker run elsewhere only after its leases",
                  "[cell]")
 {
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration CallTimeout{500};
+/** Until a call on a silent connection is given up, as the platform's client does. */
+constexpr Duration SilenceTimeout{1000};
 constexpr Duration WorkerLatency{1};
 constexpr Duration LeaseLength{6000};
 /** From the users' page: nothing starts later than this after a cancellation was answered. */
@@ -25,6 +27,10 @@
 
 void CellStore::list(const std::string &prefix, std::function<void(StoreRead)> done)
 {
+    if (isSilent) {
+        m_events.at(m_events.now() + SilenceTimeout, [done = std::move(done)] { done({}); });
+        return;
+    }
     m_events.at(m_events.now() + latency, [this, prefix, done = std::move(done)] {
         StoreRead read;
         read.answered = !isDown;
@@ -38,6 +44,12 @@
 
 void CellStore::commit(StoreTransaction transaction, std::function<void(CommitResult)> done)
 {
+    if (isSilent) {
+        m_events.at(m_events.now() + SilenceTimeout, [done = std::move(done)] {
+            done({CommitResult::Unknown, {}, {}});
+        });
+        return;
+    }
     if (isDown) {
         m_events.at(m_events.now() + latency, [done = std::move(done)] {
             done({CommitResult::NotDone, {}, {}});
@@ -155,7 +167,8 @@
             return WallTime(std::chrono::duration_cast<Duration>(events.now().time_since_epoch()));
         },
         m_log,
-        [](const std::string &, double) {}};
+        [](const std::string &, double) {},
+        [] {}};
     m_schedulers.push_back(std::make_unique<CellScheduler>(
         std::move(parts), CellTerms{LeaseLength, Duration(120'000)}, claim, [] {}));
     leader().recover();
--- a/Tests/Unit/CellWorld.h
+++ b/Tests/Unit/CellWorld.h
@@ -23,6 +23,8 @@
     Revision claim(const std::string &holder);
 
     bool isDown = false;
+    /** Calls get no answer and have no effect. */
+    bool isSilent = false;
     double lostAnswers = 0;
     Duration latency{4};
 
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -106,6 +106,12 @@
     const CellEnvelope news = decodeCellEnvelope(
         encodeCellEnvelope({0, AnnouncementMessage{Revision(7), EntryId("n"), {"10.0.0.1", 80}}}));
     CHECK(std::get<AnnouncementMessage>(news.message).address.port == 80);
+    const RunEnded end{{JobId("j"), 0, 1, 2}, 3, RunOutcome::Done, "c"};
+    const CellEnvelope leftover =
+        decodeCellEnvelope(encodeCellEnvelope({0, LeftoverEndsMessage{{end}}}));
+    const RunEnded passedOn = std::get<LeftoverEndsMessage>(leftover.message).ends.at(0);
+    CHECK(passedOn.task == end.task);
+    CHECK(passedOn.checkpoint == "c");
     CHECK_THROWS_AS(decodeCellEnvelope("rubbish"), ProtocolError);
 }
 
@@ -122,7 +128,8 @@
 store = "10.0.0.2:80"
 )";
     CHECK(parseCellSettings(good, "cell.toml").peer.port == 82);
-    const std::string small = "[node]\nprocessor_share = 0.12\nprocessor_cores = 1\n" + good.substr(7);
+    const std::string small =
+        "[node]\nprocessor_share = 0.12\nprocessor_cores = 1\n" + good.substr(7);
     CHECK(parseCellSettings(small, "cell.toml").processor == CpuMillis(120));
     CHECK_FALSE(parseCellSettings(good, "cell.toml").advisor.isSet());
     CHECK_THROWS_AS(parseCellSettings(good + "typo = 1\n", "cell.toml"), SettingsError);
