--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -36,7 +36,7 @@
 constexpr Duration ElectionPause{120};
 /** A leader notices within this time that the store serves it again, and tells its followers: a
  * probe, a commit and a heartbeat. Keeping it is better than a new one that reads the journal. */
-constexpr Duration RegainGrace{150};
+constexpr Duration RegainGrace{250};
 /** Start that stronger nodes get in an election: two polls of the heartbeat and the votes. */
 constexpr Duration YieldPause{400};
 
@@ -241,9 +241,12 @@
                   << " agreeing=" << count->agreeing;
         if (count->hasStronger && yieldsOnce(claim))
             return endElection(YieldPause);
-        if (2 * count->agreeing >= count->members && m_leader.revision == claim && !m_isRetired)
-            return claimLeadership(claim);
-        endElection(ElectionPause);
+        if (2 * count->agreeing < count->members || m_leader.revision != claim || m_isRetired)
+            return endElection(ElectionPause);
+        // The holder lives, only the store was lost to it.
+        if (m_peers.isLinked() && m_timers.now() - m_peers.heartbeatAt() < HeartbeatTimeout)
+            return m_timers.after(RegainGrace, [this, claim] { takeIfStillLost(claim); });
+        claimLeadership(claim);
     };
     ++count->awaited;
     for (const CellMember &member : decodeMembers(members)) {
