Cell: Call workers and store from the control thread

Cause: a call cost two changes of thread, each with a write and a read of an eventfd, on nodes with an eighth to a half of a core.

--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -87,23 +87,21 @@
 
 struct HttpClient::Private
 {
-    explicit Private(std::size_t maxHostConnections)
-        : loop(context, maxHostConnections,
+    Private(asio::io_context &context, std::size_t maxHostConnections)
+        : context(context)
+        , loop(context, maxHostConnections,
                [this](CURL *handle, CURLcode code) { finishOne(handle, code); })
     {
     }
     ~Private();
 
-    asio::io_context context{1};
-    asio::executor_work_guard<asio::io_context::executor_type> work =
-        asio::make_work_guard(context);
+    asio::io_context &context;
     std::unordered_map<CURL *, std::unique_ptr<Exchange>> running;
     std::vector<CURL *> idle;
     CurlLoop loop;
     std::mutex mutex;
     std::vector<std::unique_ptr<Exchange>> waiting;
     std::vector<std::string> blocked;
-    std::thread thread;
 
     void startWaiting();
     void finishOne(CURL *handle, CURLcode code);
@@ -165,18 +163,33 @@
     exchange->callback(std::move(result));
 }
 
+/** The context and the thread of a client that has its own. */
+struct HttpClient::Worker
+{
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work =
+        asio::make_work_guard(context);
+    std::thread thread;
+};
+
 HttpClient::HttpClient(std::size_t maxHostConnections)
-    : m_private(std::make_unique<Private>(maxHostConnections))
+    : m_worker(std::make_unique<Worker>())
+    , m_private(std::make_unique<Private>(m_worker->context, maxHostConnections))
+{
+    m_worker->thread = std::thread([this] { m_worker->context.run(); });
+}
+
+HttpClient::HttpClient(asio::io_context &context, std::size_t maxHostConnections)
+    : m_private(std::make_unique<Private>(context, maxHostConnections))
 {
-    m_private->thread = std::thread([this] { m_private->context.run(); });
 }
 
 void HttpClient::stop()
 {
-    if (!m_private->thread.joinable())
+    if (!m_worker || !m_worker->thread.joinable())
         return;
-    m_private->context.stop();
-    m_private->thread.join();
+    m_worker->context.stop();
+    m_worker->thread.join();
 }
 
 HttpClient::~HttpClient()
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -2,6 +2,8 @@
 
 #include "State/Time.h"
 
+#include <asio/io_context.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,7 +49,7 @@
     bool isOk() const { return outcome == Answered && status >= 200 && status < 300; }
 };
 
-/** An HTTP client on libcurl with one thread of its own, which keeps connections open. */
+/** An HTTP client on libcurl, which keeps connections open. */
 class HttpClient
 {
 public:
@@ -55,6 +57,11 @@
 
     /** @p maxHostConnections bounds the open connections to one address; 0 for no bound. */
     explicit HttpClient(std::size_t maxHostConnections = 0);
+    /**
+     * Works on @p context, whose thread then also runs the callbacks, instead of a thread of its
+     * own: on a node with a fraction of a processor, changes of thread cost as much as the calls.
+     */
+    HttpClient(asio::io_context &context, std::size_t maxHostConnections);
     ~HttpClient();
 
     /** Makes @p call; @p callback runs on the client's thread and must not block. */
@@ -63,7 +70,7 @@
     /** Ends the client's thread; no callback runs after that. */
     void stop();
 
-    /** Makes @p call and waits for its result. */
+    /** Makes @p call and waits for its result; not for clients that work on another's context. */
     HttpResult sendAndWait(HttpCall call);
 
     /**
@@ -73,7 +80,10 @@
     void blockPrefixes(std::vector<std::string> prefixes);
 
 private:
+    struct Worker;
     struct Private;
+    /** Outlives m_private; null if the client works on another's context. */
+    std::unique_ptr<Worker> m_worker;
     std::unique_ptr<Private> m_private;
 };
 
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -35,7 +35,7 @@
     CellService(asio::io_context &context, const CellSettings &settings)
         : m_context(context)
         , m_settings(settings)
-        , m_client(ConnectionsPerHost)
+        , m_client(context, ConnectionsPerHost)
         , m_store(m_client, context, settings.store)
         , m_documents(m_store)
         , m_workers(m_client, context, settings.advisor)
