Dispatcher: Put everybody's first call before a gang's further ones

Cause: on the small sites eight or nine nodes call the advisor, and a wide gang's calls kept other steps waiting. The test fails without it.

--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -146,6 +146,9 @@
     m_candidates = sortedCandidates();
     for (const Candidate &candidate : m_candidates)
         placeStep(candidate);
+    // Nobody's second call goes before another's first.
+    std::ranges::stable_partition(m_result.advice,
+                                  [](const AdviceDecision &decision) { return !decision.isExtra; });
     return std::move(m_result);
 }
 
@@ -474,6 +477,7 @@
             return;
         decision.cost = candidate.queue->advice->costOf(decision.workers.size());
         decision.ticketLife = candidate.queue->advice->ticketLife;
+        decision.isExtra = !isFirst;
         m_result.advice.push_back(std::move(decision));
         if (expected >= GangSurplus * wanted)
             return;
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -62,6 +62,8 @@
     std::vector<WorkerLife> workers;
     Duration cost{0};
     Duration ticketLife{0};
+    /** The step has another call under way. */
+    bool isExtra = false;
 };
 
 struct DispatchResult
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -241,7 +241,19 @@
     }
 }
 
-TEST_CASE_METHOD(DispatcherFixture, "Gang renews tickets that would lapse before the missing one comes",
+TEST_CASE_METHOD(DispatcherFixture, "First call of a step goes before a gang's second one",
+                 "[dispatcher]")
+{
+    addWorkers(100, 10'000);
+    addJob("advised", 40, 6'000, Duration(1000), true);
+    const JobId single = addJob("advised", 1, 1'000, Duration(5000));
+    const DispatchResult result = decide();
+    REQUIRE(result.advice.size() > 2);
+    CHECK(result.advice[1].step.job == single);
+}
+
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Gang renews tickets that would lapse before the missing one comes",
                  "[dispatcher]")
 {
     addWorkers(3, 10'000);
