--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -24,8 +24,9 @@
 /** Kept of the stop's grace for the last answers and the process's end. */
 constexpr Duration ExitMargin{900};
 constexpr Duration DrainPoll{50};
-/** One for the pending report, the rest for orders; a worker takes 64 from all nodes. */
-constexpr std::size_t ConnectionsPerHost = 6;
+/** One for the pending report, the rest for orders; a worker takes 64 from all nodes. A store that
+ * is silent holds on to a connection for each commit and probe of a second. */
+constexpr std::size_t ConnectionsPerHost = 24;
 constexpr int ServiceUnavailable = 503;
 
 /** A node with its listeners. */
