Coordination: Ask workers whose ends wait for the store once a second

Cause: while the store is away each worker lists all its unacknowledged ends in each report, 2.5 times a second; on the grown site that kept the leader's processor busy when the store was back, commits timed out and the store was 'lost' five more times in 6 s. The test failed first.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -12,8 +12,9 @@
 constexpr std::size_t EndsPerReport = 500;
 /** Between two tries to stop a run. */
 constexpr Duration StopRetry{300};
-/** Between two reports of a worker whose ends wait for the store; a fraction of a lease. */
-constexpr Duration RenewalPause{400};
+/** Between two reports of a worker whose ends wait for the store; a fraction of a lease. Each lists
+ * all of these ends again. */
+constexpr Duration RenewalPause{1000};
 /** Progress comes in whole percent and in reports a second apart; a run that shows none for this
  * long stands still, also on a worker that is several times slower than usual. */
 constexpr Duration StallTime{3000};
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -228,6 +228,18 @@
     CHECK(m_world.startCount == 4);
 }
 
+TEST_CASE_METHOD(CellFixture, "Workers whose ends wait for the store are asked about once a second",
+                 "[cell]")
+{
+    const JobId job = m_world.submit(24, Small, Duration(500));
+    m_world.run(Duration(300));
+    m_world.store.isDown = true;
+    REQUIRE(ends(job, JobState::Done, Duration(1500)));
+    const std::size_t before = m_world.holdCount;
+    m_world.run(Duration(4000));
+    CHECK(m_world.holdCount - before <= 5 * m_world.workers.size());
+}
+
 TEST_CASE("Store that was silent is used as soon as it is back", "[cell]")
 {
     // Whenever the last call before its return began to hang.
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -313,6 +313,7 @@
 
 void CellWorld::hold(HoldCall call, std::function<void(HoldReply)> done)
 {
+    ++holdCount;
     const Instant limit = events.now() + call.wait;
     const auto poll = std::make_shared<std::function<void()>>();
     const CellTestWorker *called = find(call.to);
--- a/Tests/Unit/CellWorld.h
+++ b/Tests/Unit/CellWorld.h
@@ -126,6 +126,8 @@
     std::size_t startCount = 0;
     /** Reads of the operators' and of the workers' lists. */
     std::size_t viewReads = 0;
+    /** Reports that workers were asked for. */
+    std::size_t holdCount = 0;
     /** How long tasks run; 0 for as long as their submitter estimated. */
     Duration taskLength{0};
     /** Runs show progress by their estimate, which may be shorter than they take. */
