--- a/Tests/Unit/HttpClientTest.cpp
+++ b/Tests/Unit/HttpClientTest.cpp
@@ -1,9 +1,11 @@
 #include "Transport/HttpClient.h"
 #include "Transport/HttpServer.h"
+#include "Transport/TransportError.h"
 
 #include <catch2/catch.hpp>
 
 #include <ctime>
+#include <memory>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -12,7 +14,9 @@
 
 namespace {
 
-constexpr uint16_t Port = 20'872;
+/** Test cases run side by side, each in a process of its own. */
+constexpr uint16_t FirstPort = 20'872;
+constexpr uint16_t LastPort = 20'899;
 constexpr int ShortCalls = 1000;
 
 /** A server that answers at once, but for paths under /held, which it never answers. */
@@ -42,23 +46,43 @@
         return m_held.size();
     }
 
-    static HttpCall callTo(const std::string &path, Duration timeout)
+    HttpCall callTo(const std::string &path, Duration timeout) const
     {
         HttpCall call;
-        call.url = "http://127.0.0.1:" + std::to_string(Port) + path;
+        call.url = "http://127.0.0.1:" + std::to_string(m_port) + path;
         call.timeout = timeout;
         return call;
     }
 
+    void answer(const HttpIncoming &request, HttpRespond respond)
+    {
+        if (request.path != "/held")
+            return respond({});
+        const std::lock_guard lock(m_mutex);
+        m_held.push_back(std::move(respond));
+    }
+
+    /** Sets m_port to the first port that is free. */
+    std::unique_ptr<HttpServer> listen()
+    {
+        for (m_port = FirstPort;; ++m_port) {
+            try {
+                return std::make_unique<HttpServer>(
+                    Endpoint{"127.0.0.1", m_port}, HttpServerLimits(),
+                    [this](const HttpIncoming &request, HttpRespond respond) {
+                        answer(request, std::move(respond));
+                    });
+            } catch (const TransportError &) {
+                if (m_port == LastPort)
+                    throw;
+            }
+        }
+    }
+
     std::mutex m_mutex;
     std::vector<HttpRespond> m_held;
-    HttpServer m_server{Endpoint{"127.0.0.1", Port}, HttpServerLimits(),
-                        [this](const HttpIncoming &request, HttpRespond respond) {
-                            if (request.path != "/held")
-                                return respond({});
-                            const std::lock_guard lock(m_mutex);
-                            m_held.push_back(std::move(respond));
-                        }};
+    uint16_t m_port = 0;
+    std::unique_ptr<HttpServer> m_server = listen();
     HttpClient m_client;
 };
 
