--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -390,7 +390,7 @@
                     const auto ran = run.percentChangedAt - run.beganAt;
                     holder.expectedEnd = run.beganAt + ran * 100 / run.percent;
                 }
-                worker.holders.push_back(std::move(holder));
+                worker.holders.push_back(holder);
             }
         }
         input.workers.push_back(std::move(worker));
--- a/Tests/Unit/HttpClientTest.cpp
+++ b/Tests/Unit/HttpClientTest.cpp
@@ -112,7 +112,7 @@
     HttpCall call = callTo("/held", Duration(30'000));
     call.stallTimeout = std::chrono::seconds(1);
     const auto before = std::chrono::steady_clock::now();
-    CHECK(m_client.sendAndWait(std::move(call)).outcome == HttpResult::Unknown);
+    CHECK(m_client.sendAndWait(call).outcome == HttpResult::Unknown);
     CHECK(std::chrono::steady_clock::now() - before < std::chrono::seconds(10));
 }
 
