Dispatcher: Tell what to ask about apart from asking

askAdvice() had grown to a hundred lines; what it may ask about is now adviceOutlook(). No change of decisions. Member entries without a processor, as earlier versions write them, count as weak instead of unreadable, so that a new node does not take the claim of an old one for rubbish.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -54,9 +54,10 @@
 CellMember decodeMember(const std::string &value)
 {
     const Json json = Json::parse(value);
+    // Entries of earlier versions do not tell the processor; such a node counts as weak.
     return {EntryId(json.at("node")),
             {json.at("host"), json.at("port")},
-            CpuMillis(json.at("processor").get<int64_t>())};
+            CpuMillis(json.value("processor", int64_t(0)))};
 }
 
 /** @return the members in @p read; entries that cannot be read are logged and left out. */
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -388,87 +388,89 @@
     m_input.teamUse[candidate.job->accepted.team] += spec.need;
 }
 
-/** Asks about workers that have room now, known allowed ones first. */
-void Dispatcher::askAdvice(const Candidate &candidate, uint32_t wanted)
+Dispatcher::AdviceOutlook Dispatcher::adviceOutlook(const Candidate &candidate) const
 {
     const StepSpec &spec = candidate.spec();
     const AdviceBook::StepAdvice *known = candidate.known;
-    if (m_result.advice.size() >= MostAdvice)
-        return;
-    const std::size_t callsUnderWay = known ? known->callsUnderWay : 0;
-    const std::size_t mostCalls = spec.isGang ? MaxGangCalls : 1;
-    if (callsUnderWay >= mostCalls || (known && known->notBefore > m_input.now))
-        return;
-    struct Choice
-    {
-        std::size_t worker;
-        bool isAllowed;
-        int64_t places;
-        /** Slow workers are asked about only if the others have no room. */
-        bool isSlow;
-    };
-    std::vector<Choice> choices;
-    int64_t allowedPlaces = 0;
-    // Places of allowed workers that the gang has a ticket for, or asks for one already.
-    int64_t sure = 0;
-    // The same, and what the calls under way may add.
-    double expected = 0;
+    const double share = m_input.advice->allowedShare();
+    const double limit = slowLimit(candidate.urgency);
     // A gang needs all its tickets at a time: those that lapse before the answer do not count.
     const Instant answerAt = spec.isGang
         ? m_input.now + candidate.queue->advice->costOf(MaxWorkersPerAdvice)
         : m_input.now;
-    const double share = m_input.advice->allowedShare();
-    const double limit = slowLimit(candidate.urgency);
+    AdviceOutlook outlook;
     for (const std::size_t worker : candidate.pool->workers) {
         const int64_t places = placesOn(candidate, worker);
         // A gang learns early which workers it may wait for, whether or not they have room.
         if ((places <= 0 && !spec.isGang) || !isEligible(candidate, worker))
             continue;
         const AdviceBook::Verdict *verdict = verdictOn(candidate, worker);
-        const bool isAllowed = verdict && verdict->isAllowed;
-        const bool isDenied = verdict && !verdict->isAllowed;
+        if (verdict && !verdict->isAllowed)
+            continue;
+        const bool isAllowed = verdict != nullptr;
         const bool isUnderWay =
             known && known->underWay.contains(m_input.workers[worker].info->life);
         const bool hasTicket = isAllowed && verdict->expires > answerAt + StartDelay;
-        if (spec.isGang && places > 0 && (hasTicket || isUnderWay)) {
-            sure += isAllowed ? places : 0;
-            expected += static_cast<double>(places) * (isAllowed ? 1 : share);
+        if (hasTicket || isUnderWay) {
+            if (spec.isGang && places > 0) {
+                outlook.allowedPlaces += isAllowed ? places : 0;
+                outlook.expected += static_cast<double>(places) * (isAllowed ? 1 : share);
+            }
+            continue;
         }
-        if (isDenied || isUnderWay || (isAllowed && places <= 0) || hasTicket)
+        if (isAllowed && places <= 0)
             continue;
-        const bool isSlow = m_input.workers[worker].slowness > limit;
-        choices.push_back({worker, isAllowed, places, isSlow});
-        if (isAllowed)
-            allowedPlaces += places;
+        outlook.choices.push_back(
+            {worker, isAllowed, places, m_input.workers[worker].slowness > limit});
+        outlook.allowedPlaces += isAllowed ? places : 0;
     }
+    std::ranges::stable_sort(outlook.choices,
+                             [](const AdviceChoice &left, const AdviceChoice &right) {
+                                 if (left.isAllowed != right.isAllowed)
+                                     return left.isAllowed;
+                                 if (left.isSlow != right.isSlow)
+                                     return right.isSlow;
+                                 return left.places > right.places;
+                             });
+    return outlook;
+}
+
+/** Asks about workers that have room now, known allowed ones first. */
+void Dispatcher::askAdvice(const Candidate &candidate, uint32_t wanted)
+{
+    const StepSpec &spec = candidate.spec();
+    const AdviceBook::StepAdvice *known = candidate.known;
+    const std::size_t callsUnderWay = known ? known->callsUnderWay : 0;
+    const std::size_t mostCalls = spec.isGang ? MaxGangCalls : 1;
+    if (m_result.advice.size() >= MostAdvice || callsUnderWay >= mostCalls
+        || (known && known->notBefore > m_input.now))
+        return;
+    AdviceOutlook outlook = adviceOutlook(candidate);
+    double &expected = outlook.expected;
     if (callsUnderWay > 0 && expected >= GangSurplus * wanted)
         return;
-    const bool hasEnoughKnown = allowedPlaces + sure >= wanted;
+    const bool hasEnoughKnown = outlook.allowedPlaces >= wanted;
     // A gang that has learned enough asks again only when all of it fits.
     if (spec.isGang && known && !hasEnoughKnown
-        && std::ranges::all_of(choices, [](const Choice &choice) { return choice.isAllowed; }))
+        && std::ranges::all_of(outlook.choices, &AdviceChoice::isAllowed))
         return;
-    std::ranges::stable_sort(choices, [](const Choice &left, const Choice &right) {
-        if (left.isAllowed != right.isAllowed)
-            return left.isAllowed;
-        if (left.isSlow != right.isSlow)
-            return right.isSlow;
-        return left.places > right.places;
-    });
-    auto next = choices.begin();
+    auto next = outlook.choices.begin();
     for (std::size_t call = callsUnderWay; call < mostCalls; ++call) {
         AdviceDecision decision;
         decision.step = candidate.key;
         const double before = expected;
-        for (; next != choices.end() && decision.workers.size() < MaxWorkersPerAdvice; ++next) {
+        for (; next != outlook.choices.end() && decision.workers.size() < MaxWorkersPerAdvice;
+             ++next) {
             if (next->isAllowed ? expected >= wanted : hasEnoughKnown)
                 break;
             if (!spec.isGang && !next->isAllowed && expected >= AdviceSurplus * wanted
                 && decision.workers.size() >= FewestUnknownWorkers)
                 break;
             decision.workers.push_back(m_input.workers[next->worker].info->life);
-            // What a single task cannot use is no loss, so that its surplus counts all places.
-            const double chance = spec.isGang && !next->isAllowed ? share : 1;
+            // A single task needs one place, so that AdviceSurplus covers the denials; a gang
+            // needs them all and counts on the usual share.
+            const double chance =
+                spec.isGang && !next->isAllowed ? m_input.advice->allowedShare() : 1;
             expected += static_cast<double>(next->places) * chance;
         }
         // Several calls at a time are worth it only for workers that have room.
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -140,6 +140,25 @@
         int64_t count = 0;
     };
 
+    /** A worker that the advisor may be asked about. */
+    struct AdviceChoice
+    {
+        std::size_t worker = 0;
+        bool isAllowed = false;
+        int64_t places = 0;
+        /** Slow workers are asked about only if the others have no room. */
+        bool isSlow = false;
+    };
+    struct AdviceOutlook
+    {
+        /** Best first. */
+        std::vector<AdviceChoice> choices;
+        /** Places on workers known to be allowed, whether or not a ticket is at hand. */
+        int64_t allowedPlaces = 0;
+        /** Places that a gang has tickets for, or may get them for with the calls under way. */
+        double expected = 0;
+    };
+
     std::vector<Candidate> sortedCandidates();
     void placeStep(const Candidate &candidate);
     void placeSingles(const Candidate &candidate, const StepRun &step);
@@ -165,6 +184,7 @@
     int64_t poolHeadroom(const Candidate &candidate, const Resources &need) const;
     void start(const Candidate &candidate, uint32_t index, uint32_t attempt, std::size_t worker,
                const std::string &ticket);
+    AdviceOutlook adviceOutlook(const Candidate &candidate) const;
     void askAdvice(const Candidate &candidate, uint32_t wanted);
     void reserveForGang(const Candidate &candidate, uint32_t wanted);
 
