--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -147,8 +147,8 @@
     for (const Candidate &candidate : m_candidates)
         placeStep(candidate);
     // Nobody's second call goes before another's first.
-    std::ranges::stable_partition(m_result.advice,
-                                  [](const AdviceDecision &decision) { return !decision.isExtra; });
+    std::stable_partition(m_result.advice.begin(), m_result.advice.end(),
+                          [](const AdviceDecision &decision) { return !decision.isExtra; });
     return std::move(m_result);
 }
 
