Cell: Say once what the reading of the whole change found twice

- AdviceBook and WorkerSpeeds forgot a job's steps by the same loop: eraseStepsOf().
- JobTable checked a task's place three times: stepIn(), taskIn().
- Ends that wait for the store were filtered in two places, of which one copied the whole map each 100 ms of an outage: unwrittenEnds().
- A leader listed and sorted its followers 20 times a second to learn that none is stronger: hasStrongerFollower(); offerToStrongest() for both users.
- Dropped: a counter and an accessor that nobody read, four includes.
- Two comments were wrong: the limit of an unconfirmed leader is above one time-out of a store call, not two; the worker's clock counts from its answer.
No change of decisions; no test changed.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -342,19 +342,16 @@
  */
 void CellScheduler::applyUnwrittenEnds()
 {
-    const std::map<RunRef, RunEnded> ends = m_unwrittenEnds;
-    for (const auto &[ref, record] : ends) {
-        // What no worker lists would be learned by nobody.
-        if (record.outcome != RunOutcome::Lost)
-            finishRun(record);
-    }
+    for (const RunEnded &record : unwrittenEnds())
+        finishRun(record);
 }
 
 std::vector<RunEnded> CellScheduler::unwrittenEnds() const
 {
     std::vector<RunEnded> ends;
     for (const auto &[ref, record] : m_unwrittenEnds) {
-        // What no worker listed is concluded anew by the next leader.
+        // What no worker listed is not shown before it is written: the next leader concludes it
+        // anew.
         if (record.outcome != RunOutcome::Lost)
             ends.push_back(record);
     }
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -61,7 +61,7 @@
     /** Answers a submitter's call, at once unless it has to be written first. */
     void handle(ClientCall call, ClientRespond respond);
 
-    /** @return ends seen on workers that are not known to be written. */
+    /** @return ends that workers listed and that are not known to be written. */
     std::vector<RunEnded> unwrittenEnds() const;
     /** Takes in what an earlier leader saw and could not write; workers may be gone since. */
     void learnEnds(const std::vector<RunEnded> &ends);
--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -1,7 +1,6 @@
 #include "Coordination/Leadership.h"
 
 #include "Coordination/Journal.h"
-#include "Protocol/ProtocolError.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -19,8 +18,8 @@
 constexpr Duration TickInterval{50};
 /** Heartbeats come five times a second; three in a row are missing after this. */
 constexpr Duration HeartbeatTimeout{700};
-/** A leader that the store has not confirmed for this long can accept and start nothing. Above
- * twice the time-out of a store call, so that two lost answers do not cost a claim. */
+/** A leader that the store has not confirmed for this long can accept and start nothing. Above the
+ * time-out of a store call and its first repeat, so that a lost answer does not cost a claim. */
 constexpr Duration UnconfirmedLimit{1500};
 /** Time for a new link to bring its first heartbeat. */
 constexpr Duration LinkGrace{350};
@@ -178,14 +177,12 @@
         // An earlier process of this very node cannot lead any more.
         if (m_leader.node == m_self.node)
             return claimLeadership(m_leader.revision);
-        m_followedAt = m_timers.now();
-        m_peers.follow(m_leader.address);
+        followLeader();
         return endElection(LinkGrace);
     }
     if (!m_peers.isLinked() || m_timers.now() - m_peers.heartbeatAt() > HeartbeatTimeout) {
         // The link may have gone silent; a new one tells whether the leader has.
-        m_followedAt = m_timers.now();
-        m_peers.follow(m_leader.address);
+        followLeader();
         return awaitLeader();
     }
     callElection();
@@ -209,6 +206,12 @@
               << " claim=" << entry.revision.value();
 }
 
+void Leadership::followLeader()
+{
+    m_followedAt = m_timers.now();
+    m_peers.follow(m_leader.address);
+}
+
 void Leadership::callElection()
 {
     if (m_isLeading || m_isRetired
@@ -368,8 +371,7 @@
     m_leader = {announcement.claim, announcement.node, announcement.address};
     if (m_isLeading)
         giveUp();
-    m_followedAt = m_timers.now();
-    m_peers.follow(m_leader.address);
+    followLeader();
 }
 
 void Leadership::giveUp()
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -33,7 +33,6 @@
                std::function<double()> random, Observer observer);
 
     void begin();
-    bool isLeading() const { return m_isLeading; }
     Revision claim() const { return m_leader.revision; }
 
     /** The scheduler has seen a later claim. */
@@ -63,6 +62,8 @@
     void handleLeader(const StoreRead &read);
     void awaitLeader();
     void adopt(const StoreEntry &entry);
+    /** Opens a new link to the leader. */
+    void followLeader();
     void callElection();
     void countVotes(const StoreRead &members);
     /** @return true if the node should wait, once a claim, for a stronger one to take it. */
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -5,6 +5,8 @@
 #include <asio/post.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace Cranberrymount {
 
 namespace {
@@ -255,6 +257,13 @@
     return handOverOrder(std::move(nodes));
 }
 
+bool PeerHub::hasStrongerFollower() const
+{
+    return std::ranges::any_of(m_followers, [this](const auto &entry) {
+        return isClearlyStronger(entry.second.processor, m_self.processor);
+    });
+}
+
 void PeerHub::askVote(const Endpoint &peer, Revision claim,
                       std::function<void(std::optional<bool>)> done)
 {
--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -62,6 +62,8 @@
     void sendHandOver(const EntryId &node, const HandOverMessage &offer);
     /** @return the followers in the order in which the claim is offered to them. */
     std::vector<LeaderCandidate> followers() const;
+    /** @return true if the cell gains by being led by a follower instead of this node. */
+    bool hasStrongerFollower() const;
     bool hasFollower(const EntryId &node) const { return m_followers.contains(node); }
 
     /** Asks @p peer for its vote; @p done gets nothing if it does not answer in time. */
--- a/Libraries/Coordination/WorkerHealth.cpp
+++ b/Libraries/Coordination/WorkerHealth.cpp
@@ -1,7 +1,5 @@
 #include "Coordination/WorkerHealth.h"
 
-#include <algorithm>
-
 namespace Cranberrymount {
 
 namespace {
--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -110,7 +110,7 @@
     }
     m_failures = 0;
     m_clock = reply.clock;
-    // The worker read its clock no later than now; counting from the send only shortens leases.
+    // The worker read its clock no later than now; counting from its answer only shortens leases.
     m_clockReadAt = m_timers.now();
     setReachable(true);
     m_observer.report(*this, reply, sentAt);
--- a/Libraries/Decision/AdviceBook.cpp
+++ b/Libraries/Decision/AdviceBook.cpp
@@ -73,11 +73,7 @@
 
 void AdviceBook::forget(const JobId &job)
 {
-    const auto begin = m_steps.lower_bound({job, 0, 0});
-    auto end = begin;
-    while (end != m_steps.end() && end->first.job == job)
-        ++end;
-    m_steps.erase(begin, end);
+    eraseStepsOf(job, m_steps);
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Decision/WorkerSpeeds.cpp
+++ b/Libraries/Decision/WorkerSpeeds.cpp
@@ -36,11 +36,7 @@
 
 void WorkerSpeeds::forget(const JobId &job)
 {
-    const auto begin = m_steps.lower_bound({job, 0, 0});
-    auto end = begin;
-    while (end != m_steps.end() && end->first.job == job)
-        ++end;
-    m_steps.erase(begin, end);
+    eraseStepsOf(job, m_steps);
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Protocol/OperatorSource.h
+++ b/Libraries/Protocol/OperatorSource.h
@@ -18,13 +18,11 @@
     std::set<ZoneId> evacuated;
 };
 
-/** What workers say of themselves. */
+/** What workers say of themselves; entries that cannot be read are logged and left out. */
 struct WorkerDirectory
 {
     bool answered = false;
     std::vector<CellWorker> workers;
-    /** Entries that could not be read. */
-    std::size_t malformed = 0;
 };
 
 /** Reads what operators and workers publish; callbacks run on the control thread. */
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -139,8 +139,7 @@
         std::move(parts), CellTerms{m_settings.workerLease, m_settings.statusLife}, claim,
         [this] { m_leadership.giveUp(); });
     m_scheduler->recover();
-    if (!m_leftoverEnds.empty())
-        m_scheduler->learnEnds(m_leftoverEnds);
+    m_scheduler->learnEnds(m_leftoverEnds);
 }
 
 void CellNode::follow()
@@ -258,12 +257,17 @@
         m_offeredAt = now;
         return offerTo(m_nextOffer++, true);
     }
-    const std::vector<LeaderCandidate> followers = m_peers.followers();
-    if (followers.empty() || now - m_offeredAt < UpgradeInterval
-        || !isClearlyStronger(followers.front().processor, m_settings.processor))
+    if (now - m_offeredAt < UpgradeInterval || !m_peers.hasStrongerFollower())
         return;
     m_offeredAt = now;
-    offerTo(m_random() % strongestCount(followers), false);
+    offerToStrongest();
+}
+
+void CellNode::offerToStrongest()
+{
+    const std::size_t strongest = strongestCount(m_peers.followers());
+    if (strongest > 0)
+        offerTo(m_random() % strongest, false);
 }
 
 void CellNode::offerTo(std::size_t index, bool isStoreLost)
@@ -307,8 +311,7 @@
     if (!m_scheduler)
         return done();
     m_scheduler->quiesce([this, done = std::move(done)] {
-        const std::size_t strongest = strongestCount(m_peers.followers());
-        offerTo(strongest > 0 ? m_random() % strongest : 0, false);
+        offerToStrongest();
         m_timers.after(HandOverWait, [this, done] {
             m_leadership.giveUp();
             done();
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -55,6 +55,8 @@
     /** Offers the claim to a node that can lead better, if there is one. */
     void offerClaim();
     void offerTo(std::size_t index, bool isStoreLost);
+    /** Offers the claim to one of the strongest followers. */
+    void offerToStrongest();
     void heartbeat();
     /** Gives the present leader the ends that this node could not write as leader. */
     void passOnEnds();
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -6,14 +6,21 @@
 
 namespace {
 
-TaskProgress *findIn(JobRecord &job, const TaskKey &key)
+/** @return the step, constant if the job is, or null. */
+template <typename Job>
+auto stepIn(Job &job, uint32_t occurrence, uint32_t step) -> decltype(&job.occurrences[0][0])
 {
-    if (key.occurrence >= job.occurrences.size())
+    if (occurrence >= job.occurrences.size() || step >= job.occurrences[occurrence].size())
         return nullptr;
-    auto &steps = job.occurrences[key.occurrence];
-    if (key.step >= steps.size() || key.index >= steps[key.step].tasks.size())
-        return nullptr;
-    return &steps[key.step].tasks[key.index];
+    return &job.occurrences[occurrence][step];
+}
+
+/** @return the task, constant if the job is, or null. */
+template <typename Job>
+auto taskIn(Job &job, const TaskKey &key) -> decltype(&job.occurrences[0][0].tasks[0])
+{
+    auto *step = stepIn(job, key.occurrence, key.step);
+    return step && key.index < step->tasks.size() ? &step->tasks[key.index] : nullptr;
 }
 
 bool isWhollyDone(const JobRecord &job)
@@ -72,7 +79,7 @@
 void JobTable::applyRecord(const RunAssigned &record, WallTime)
 {
     JobRecord *job = find(record.task.job);
-    TaskProgress *task = job ? findIn(*job, record.task) : nullptr;
+    TaskProgress *task = job ? taskIn(*job, record.task) : nullptr;
     if (!task || record.attempt <= task->lastAttempt || task->isActive)
         return;
     task->lastAttempt = record.attempt;
@@ -86,7 +93,7 @@
 void JobTable::applyRecord(const RunEnded &record, WallTime now)
 {
     JobRecord *job = find(record.task.job);
-    TaskProgress *task = job ? findIn(*job, record.task) : nullptr;
+    TaskProgress *task = job ? taskIn(*job, record.task) : nullptr;
     if (!task || record.attempt != task->lastAttempt || !task->isActive)
         return;
     StepRun &step = job->occurrences[record.task.occurrence][record.task.step];
@@ -208,17 +215,14 @@
 
 const TaskProgress *JobTable::findTask(const TaskKey &key) const
 {
-    const StepRun *step = findStep({key.job, key.occurrence, key.step});
-    return step && key.index < step->tasks.size() ? &step->tasks[key.index] : nullptr;
+    const JobRecord *job = find(key.job);
+    return job ? taskIn(*job, key) : nullptr;
 }
 
 const StepRun *JobTable::findStep(const StepKey &key) const
 {
     const JobRecord *job = find(key.job);
-    if (!job || key.occurrence >= job->occurrences.size()
-        || key.step >= job->occurrences[key.occurrence].size())
-        return nullptr;
-    return &job->occurrences[key.occurrence][key.step];
+    return job ? stepIn(*job, key.occurrence, key.step) : nullptr;
 }
 
 std::vector<StepKey> JobTable::startableSteps(WallTime now) const
--- a/Libraries/State/JobTable.h
+++ b/Libraries/State/JobTable.h
@@ -46,6 +46,16 @@
     auto operator<=>(const StepKey &) const = default;
 };
 
+/** Removes what is kept for the steps of @p job. */
+template <typename Value> void eraseStepsOf(const JobId &job, std::map<StepKey, Value> &steps)
+{
+    const auto begin = steps.lower_bound({job, 0, 0});
+    auto end = begin;
+    while (end != steps.end() && end->first.job == job)
+        ++end;
+    steps.erase(begin, end);
+}
+
 /**
  * All jobs, built only from journal records: replaying the same records gives the same table.
  */
--- a/Libraries/Transport/CurlLoop.cpp
+++ b/Libraries/Transport/CurlLoop.cpp
@@ -6,8 +6,6 @@
 
 #include <unistd.h>
 
-#include <algorithm>
-
 namespace Cranberrymount {
 
 namespace {
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -3,7 +3,6 @@
 #include "PlatformStore.h"
 #include "PlatformWorkers.h"
 
-#include "Protocol/ProtocolError.h"
 #include "Service/CellNode.h"
 #include "Service/ServiceMain.h"
 
