--- /dev/null
+++ b/Libraries/Coordination/SchedulerLoad.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Decision/Dispatcher.h"
+
+#include <ostream>
+
+namespace Cranberrymount {
+
+/** What a leader does and what its work waits for, gathered between two log lines. */
+struct SchedulerLoad
+{
+    Instant since{};
+    uint32_t rounds = 0;
+    Instant::duration inRounds{0};
+    uint32_t starts = 0;
+    uint32_t reports = 0;
+    /** How much later than due the latest timer of the interval ran. */
+    Instant::duration latestTimer{0};
+    /** As the last round left it. */
+    WaitingSteps waiting;
+};
+
+std::ostream &operator<<(std::ostream &out, const SchedulerLoad &load);
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Tests/Unit/PlatformStoreTest.cpp
@@ -0,0 +1,41 @@
+#include "PlatformStore.h"
+
+#include "Transport/HttpServer.h"
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Cranberrymount;
+using namespace Cranberrymount::Platform;
+
+namespace {
+
+constexpr uint16_t StorePort = 18'471;
+
+} // namespace
+
+// Guards against a list that is lost whole for one value that cannot be decoded.
+TEST_CASE("Item of the store that cannot be decoded is left out of the list", "[platform]")
+{
+    asio::io_context context(1);
+    HttpServer server(context, {"127.0.0.1", StorePort}, {},
+                      [](const HttpIncoming &, const HttpRespond &respond) {
+                          respond({200, R"({"at":9,"items":[
+                              {"key":"a/1","value":"b25l","revision":1},
+                              {"key":"a/2","value":"?","revision":2},
+                              {"key":"a/3","value":7,"revision":3},
+                              {"key":"a/4","value":"Zm91cg==","revision":4}]})"});
+                      });
+    HttpClient client(context, 2);
+    PlatformStore store(client, context, {"127.0.0.1", StorePort});
+    StoreRead read;
+    store.list("a/", [&](const StoreRead &answer) {
+        read = answer;
+        context.stop();
+    });
+    context.run();
+    CHECK(read.answered);
+    REQUIRE(read.entries.size() == 2);
+    CHECK(read.entries[0].value == "one");
+    CHECK(read.entries[1].value == "four");
+}
