Cell: Log the leader's load and what waiting steps lack

An incident of too little served has two explanations that look alike in the logs: a leader without processor time and a store without answers. scheduler_load and node_load tell them apart, once a second on the leader; steps that wait are counted by what they lack (room, a ticket, their team's limit).

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -285,6 +285,7 @@
 
 void CellScheduler::handleReport(WorkerSession &session, const HoldReply &reply, Instant sentAt)
 {
+    ++m_load.reports;
     for (const RunReport &report : reply.running)
         applyRunningReport(session, report);
     if (reply.ended.size() < EndsPerReport)
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -18,6 +18,8 @@
 /** Views older than this decide nothing: the strictest bound on them is 2 s. */
 constexpr Duration OldestView{1800};
 constexpr Duration TickInterval{100};
+/** Between two lines about the leader's load. */
+constexpr Duration LoadInterval{1000};
 /** Changes that come within this time are decided together. */
 constexpr Duration DispatchDelay{10};
 /** Rest after a round of decisions, as a multiple of the time that it took: calls, orders and
@@ -198,6 +200,8 @@
     for (auto &[id, session] : m_sessions)
         session->begin();
     m_journal->touch();
+    m_load.since = m_timers.now();
+    m_tickDueAt = m_load.since + TickInterval;
     m_timers.after(TickInterval, [this] { tick(); });
     m_timers.after(CleanInterval, [this] { cleanJournal(); });
 }
@@ -309,9 +313,22 @@
                   [this](const auto &entry) { return !m_runsOn.contains(entry.first); });
     checkStalledRuns();
     scheduleDispatch();
+    m_load.latestTimer = std::max(m_load.latestTimer, now - m_tickDueAt);
+    if (now - m_load.since >= LoadInterval)
+        logLoad();
+    m_tickDueAt = m_timers.now() + TickInterval;
     m_timers.after(TickInterval, [this] { tick(); });
 }
 
+void CellScheduler::logLoad()
+{
+    LOG(INFO) << "event=scheduler_load " << m_load << " open_jobs=" << m_jobs.openJobs().size()
+              << " runs=" << m_runs.size() << " submissions_unwritten=" << m_accepting.size()
+              << " ends_unwritten=" << m_unwrittenEnds.size()
+              << " store_age_ms=" << storeAge().count();
+    m_load = SchedulerLoad{.since = m_timers.now(), .waiting = m_load.waiting};
+}
+
 bool CellScheduler::accepts(const WorkerSession &session) const
 {
     return session.isReachable() && !session.worker().isLeaving
@@ -335,6 +352,8 @@
         const Instant begunAt = m_timers.now();
         dispatch();
         const Instant endedAt = m_timers.now();
+        ++m_load.rounds;
+        m_load.inRounds += endedAt - begunAt;
         m_restUntil = endedAt + RestPerRound * (endedAt - begunAt);
     });
 }
@@ -351,6 +370,8 @@
     for (const DispatchWorker &worker : input.workers)
         lives.push_back(worker.info->life);
     const DispatchResult result = Dispatcher(std::move(input)).decide();
+    m_load.starts += static_cast<uint32_t>(result.starts.size());
+    m_load.waiting = result.waiting;
     for (const StartDecision &decision : result.starts) {
         LOG_EVENT(m_parts.log, "start_decided")
             << "job=" << decision.task.job.value() << " step=" << decision.task.step
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -2,6 +2,7 @@
 
 #include "Coordination/AdviceDesk.h"
 #include "Coordination/Journal.h"
+#include "Coordination/SchedulerLoad.h"
 #include "Coordination/WorkerHealth.h"
 #include "Coordination/WorkerSession.h"
 #include "Decision/Dispatcher.h"
@@ -128,6 +129,7 @@
     void applyDirectory(const WorkerDirectory &directory);
     void beginSession(const CellWorker &worker);
     void tick();
+    void logLoad();
 
     // Client calls; in CellCalls.cpp.
     void submit(const QueueSettings &queue, const TeamId &team, const JobId &id, ClientCall call,
@@ -214,6 +216,8 @@
     bool m_isDispatchScheduled = false;
     /** No round of decisions before this time. */
     Instant m_restUntil{};
+    SchedulerLoad m_load;
+    Instant m_tickDueAt{};
     bool m_isStoreReachable = true;
     Instant m_storeLostAt{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -185,8 +185,10 @@
     int64_t allowed = std::min(teamHeadroom(candidate.job->accepted.team, spec.need),
                                poolHeadroom(candidate, spec.need));
     allowed = std::min<int64_t>(allowed, step.waitingCount());
-    if (allowed <= 0)
+    if (allowed <= 0) {
+        ++m_result.waiting.atLimit;
         return;
+    }
     std::vector<Place> usable = placesOf(candidate);
     for (uint32_t index = 0; index < step.tasks.size() && allowed > 0; ++index) {
         const TaskProgress &task = step.tasks[index];
@@ -213,10 +215,23 @@
         --best->count;
         --allowed;
     }
-    if (allowed > 0 && candidate.queue->advice)
+    if (allowed <= 0)
+        return;
+    noteWaiting(candidate);
+    if (candidate.queue->advice)
         askAdvice(candidate, static_cast<uint32_t>(allowed));
 }
 
+void Dispatcher::noteWaiting(const Candidate &candidate)
+{
+    const bool hasRoom = candidate.queue->advice
+        && std::ranges::any_of(candidate.pool->workers, [&](std::size_t worker) {
+               const AdviceBook::Verdict *verdict = verdictOn(candidate, worker);
+               return (!verdict || verdict->isAllowed) && placesOn(candidate, worker) > 0;
+           });
+    ++(hasRoom ? m_result.waiting.withoutTicket : m_result.waiting.withoutRoom);
+}
+
 std::vector<const Dispatcher::Place *> Dispatcher::chooseForGang(const std::vector<Place> &order,
                                                                  std::size_t members,
                                                                  const RackId *rack) const
@@ -240,8 +255,10 @@
         return;
     const StepSpec &spec = candidate.spec();
     const auto members = static_cast<uint32_t>(step.tasks.size());
-    if (teamHeadroom(candidate.job->accepted.team, spec.need) < members)
+    if (teamHeadroom(candidate.job->accepted.team, spec.need) < members) {
+        ++m_result.waiting.atLimit;
         return;
+    }
     const bool mayStart = poolHeadroom(candidate, spec.need) >= members;
     std::vector<Place> order = placesOf(candidate);
     // Workers that hold most members go first, so that the gang breaks up few of them; a gang is
@@ -266,6 +283,7 @@
     if (mayStart && chosen.empty())
         chosen = chooseForGang(order, members, nullptr);
     if (chosen.empty()) {
+        noteWaiting(candidate);
         if (candidate.queue->advice)
             askAdvice(candidate, members);
         reserveForGang(candidate, members);
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -66,11 +66,22 @@
     bool isExtra = false;
 };
 
+/** Steps that a round left with tasks to start, by what they lack. */
+struct WaitingSteps
+{
+    std::size_t withoutRoom = 0;
+    /** There is room that the advisor has not allowed yet. */
+    std::size_t withoutTicket = 0;
+    /** At their team's limit, or at what is kept free for more urgent work. */
+    std::size_t atLimit = 0;
+};
+
 struct DispatchResult
 {
     std::vector<StartDecision> starts;
     /** Most urgent first; which of them can be made now depends on who is free to call. */
     std::vector<AdviceDecision> advice;
+    WaitingSteps waiting;
 };
 
 /** How urgent a step is; smaller goes first. */
@@ -184,6 +195,8 @@
     int64_t poolHeadroom(const Candidate &candidate, const Resources &need) const;
     void start(const Candidate &candidate, uint32_t index, uint32_t attempt, std::size_t worker,
                const std::string &ticket);
+    /** Notes for the log that the step waits for room or for a ticket. */
+    void noteWaiting(const Candidate &candidate);
     AdviceOutlook adviceOutlook(const Candidate &candidate) const;
     void askAdvice(const Candidate &candidate, uint32_t wanted);
     void reserveForGang(const Candidate &candidate, uint32_t wanted);
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -28,6 +28,9 @@
 /** A leader that is weaker than a follower offers its claim this often. */
 constexpr Duration UpgradeInterval{1000};
 constexpr Duration HandOverWait{800};
+/** Between two lines about the process's load; rarer on nodes that only follow. */
+constexpr Duration LeaderLoadInterval{1000};
+constexpr Duration FollowerLoadInterval{5000};
 
 std::chrono::nanoseconds readClock(clockid_t clock)
 {
@@ -98,6 +101,7 @@
 void CellNode::start()
 {
     suspendedTime();
+    m_loadLoggedAt = m_timers.now();
     m_leaderSeenAt = m_timers.now();
     m_leadership.begin();
     tick();
@@ -244,9 +248,24 @@
     }
     offerClaim();
     passOnEnds();
+    if (now - m_loadLoggedAt >= (m_scheduler ? LeaderLoadInterval : FollowerLoadInterval))
+        logLoad();
     m_timers.after(TickInterval, [this] { tick(); });
 }
 
+void CellNode::logLoad()
+{
+    const Instant now = m_timers.now();
+    const auto processor = readClock(CLOCK_PROCESS_CPUTIME_ID);
+    LOG(INFO) << "event=node_load leads=" << (m_scheduler != nullptr) << " over_ms="
+              << std::chrono::duration_cast<Duration>(now - m_loadLoggedAt).count()
+              << " processor_ms="
+              << std::chrono::duration_cast<Duration>(processor - m_processorBefore).count()
+              << " calls_waiting=" << m_waiting.size();
+    m_loadLoggedAt = now;
+    m_processorBefore = processor;
+}
+
 void CellNode::offerClaim()
 {
     const Instant now = m_timers.now();
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -52,6 +52,8 @@
     void refuse(const WaitingCall &waiting);
     bool hasLeader() const;
     void tick();
+    /** Logs how busy the process is. */
+    void logLoad();
     /** Offers the claim to a node that can lead better, if there is one. */
     void offerClaim();
     void offerTo(std::size_t index, bool isStoreLost);
@@ -86,6 +88,8 @@
     /** The claim whose holder has them. */
     Revision m_endsPassedTo;
     std::chrono::nanoseconds m_suspendedBefore{0};
+    Instant m_loadLoggedAt{};
+    std::chrono::nanoseconds m_processorBefore{0};
     /** When this node last had a leader; its start, if it had none yet. */
     Instant m_leaderSeenAt{};
     Instant m_offeredAt{};
