platform: Leave out odd entries and refuse what is nested or out of range

Operators of systems like ours report that one odd entry among the workers' (nested deeply, a number too large, a port out of range) ended the nodes that read the list, or left them blind.

Cause: whatever parsed was believed.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/Leadership.h"
 
 #include "Coordination/Journal.h"
+#include "Protocol/ProtocolError.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -49,13 +50,16 @@
         .dump();
 }
 
-/** @throws nlohmann's exceptions if @p value is not what encodeMember() makes. */
+/** @throws ProtocolError or nlohmann's exceptions if @p value is not what encodeMember() makes. */
 CellMember decodeMember(const std::string &value)
 {
     const Json json = Json::parse(value);
+    const auto port = json.at("port").get<int64_t>();
+    if (port < 1 || port > UINT16_MAX)
+        throw ProtocolError("a member's port is out of range");
     // Entries of earlier versions do not tell the processor; such a node counts as weak.
     return {EntryId(json.at("node")),
-            {json.at("host"), json.at("port")},
+            {json.at("host"), static_cast<uint16_t>(port)},
             CpuMillis(json.value("processor", int64_t(0)))};
 }
 
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -7,6 +7,7 @@
 #include "Service/Settings.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 using namespace Cranberrymount;
 using namespace Cranberrymount::Platform;
@@ -64,6 +65,82 @@
         CHECK_THROWS(decodeWorker("i-1", rubbish));
 }
 
+namespace {
+
+/** Entries of a store, one of which another writer has left there. */
+class StoreWithOddEntry : public TransactionalStore
+{
+public:
+    explicit StoreWithOddEntry(std::string odd)
+        : m_odd(std::move(odd))
+    {
+    }
+
+    void list(const std::string &prefix, std::function<void(StoreRead)> done) override
+    {
+        done({true,
+              {{prefix + "i-1", Worker, Revision(1)},
+               {prefix + "i-2", m_odd, Revision(2)},
+               {prefix + "i-3", Worker, Revision(3)}}});
+    }
+    void commit(StoreTransaction, std::function<void(CommitResult)>) override {}
+    void createLease(Duration, std::function<void(StoreLease)>) override {}
+    void renewLease(StoreLeaseId, std::function<void(StoreLease)>) override {}
+
+private:
+    std::string m_odd;
+};
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+} // namespace
+
+// Guards against the report that one odd entry ended or blinded every node that read the list.
+TEST_CASE("Worker entry of another writer is left out and the others are read", "[platform]")
+{
+    const std::string odd = GENERATE(
+        replaced(Worker, "\"kind\"", nested(100)), replaced(Worker, "\"v1\"", nested(400'000)),
+        replaced(Worker, "\"kind\"", "\"" + std::string(900'000, 'k') + "\""),
+        replaced(Worker, "16000", "1e300"), replaced(Worker, "16000", "-1e300"),
+        replaced(Worker, "16000", "9223372036854775807"),
+        replaced(Worker, "16000", "18446744073709551615"), replaced(Worker, "16000", "-16000"),
+        replaced(Worker, "32768", "1e999"), replaced(Worker, "1700000000000", "1e300"),
+        replaced(Worker, "1700000000000", "18446744073709551615"),
+        replaced(Worker, "1700000000000", "1700000000000.5"), replaced(Worker, ":8080", ":99999"),
+        replaced(Worker, ":8080", ":65536"), replaced(Worker, ":8080", ":-1"),
+        replaced(Worker, ":8080", ":0"), replaced(Worker, "10.128.0.9", "no.such.host"),
+        replaced(Worker, "10.128.0.9", "10.128.0.9/x"));
+    StoreWithOddEntry store(odd);
+    PlatformDocuments documents(store);
+    WorkerDirectory read;
+    documents.readWorkers([&read](WorkerDirectory directory) { read = std::move(directory); });
+    CHECK(read.answered);
+    REQUIRE(read.workers.size() == 2);
+    CHECK(read.workers[0].life.id == WorkerId("i-1"));
+    CHECK(read.workers[1].life.id == WorkerId("i-3"));
+}
+
+// Guards against a node that a single deeply nested submission ends.
+TEST_CASE("Job that is nested too deeply or out of range is refused as malformed", "[platform]")
+{
+    const std::string deep = nested(400'000);
+    CHECK_THROWS_AS(decodeWorkflow(R"({"steps":)" + deep + "}"), ProtocolError);
+    CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[{"count":1}],"other":)" + deep + "}"),
+                    ProtocolError);
+    for (const char *field : {"cpu", "memMb", "gpu", "estimateMs"}) {
+        for (const char *number : {"1e300", "18446744073709551615", "-1"}) {
+            CHECK_THROWS_AS(decodeWorkflow(fmt::format(R"({{"steps":[{{"count":1,"{}":{}}}]}})",
+                                                       field, number)),
+                            ProtocolError);
+        }
+    }
+    CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[{"count":1}],"repeatCount":2,"periodMs":1e300})"),
+                    ProtocolError);
+}
+
 TEST_CASE("Submitted job is read, and a malformed one is told apart", "[platform]")
 {
     const WorkflowSpec spec = decodeWorkflow(R"({"spec":"text","steps":[{"count":4,"cpu":500},
