--- /dev/null
+++ b/Libraries/Coordination/OrderRelay.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Protocol/WorkerOrders.h"
+#include "State/Resources.h"
+#include "Transport/GuardedTimers.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace Cranberrymount {
+
+/**
+ * Spreads orders to workers over the nodes of the cell.
+ *
+ * A leader gives orders itself to as many workers as one node can bear. Beyond that its followers
+ * carry them, each those of its share of the workers, which keep their follower while it stays.
+ * What decides stays with the leader: a carrier passes orders and replies on and remembers
+ * nothing, and workers go by the epoch in the order, whoever brings it.
+ */
+class OrderRelay : public WorkerOrders
+{
+public:
+    /** A follower that gives orders in the leader's place. Replies are unset if it is silent. */
+    struct Carrier
+    {
+        CpuMillis processor;
+        std::function<void(HoldCall, std::function<void(std::optional<HoldReply>)>)> hold;
+        std::function<void(StartCall, std::function<void(std::optional<StartReply>)>)> start;
+        std::function<void(StopCall, std::function<void(std::optional<StopReply>)>)> stop;
+    };
+
+    /** @p direct gives orders from this node. */
+    OrderRelay(WorkerOrders &direct, TimerService &timers);
+
+    void addCarrier(const EntryId &node, Carrier carrier);
+    void removeCarrier(const EntryId &node);
+
+    void hold(HoldCall call, std::function<void(HoldReply)> done) override;
+    void start(StartCall call, std::function<void(StartReply)> done) override;
+    void stop(StopCall call, std::function<void(StopReply)> done) override;
+
+private:
+    struct Member
+    {
+        std::shared_ptr<const Carrier> carrier;
+        /** Silent before: gets no orders until then. */
+        Instant suspendedUntil{};
+    };
+    struct Route
+    {
+        EntryId node;
+        /** Null if this node gives the orders itself. */
+        std::shared_ptr<const Carrier> carrier;
+        /** The carriers of this generation were chosen from. */
+        uint64_t generation = 0;
+        /** The carrier did not reach the worker: this node gives the orders until then. */
+        Instant directUntil{};
+        Duration directFor{0};
+        Instant usedAt{};
+    };
+
+    const Route &routeTo(const WorkerId &worker);
+    void choose(const WorkerId &worker, Route &route) const;
+    void suspend(const EntryId &node);
+    void noteHold(const WorkerId &worker, const EntryId &node, HoldReply::Outcome outcome);
+    /** Forgets routes to workers that are gone. */
+    void sweep();
+
+    WorkerOrders &m_direct;
+    GuardedTimers m_timers;
+    std::map<EntryId, Member> m_carriers;
+    std::unordered_map<WorkerId, Route> m_routes;
+    Instant m_sweptAt{};
+    uint64_t m_generation = 1;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Cranberrymount
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/PeerHub.h"
 
 #include "Protocol/ProtocolError.h"
+#include "Transport/BootClock.h"
 
 #include <asio/post.hpp>
 #include <glog/logging.h>
@@ -15,6 +16,11 @@
 constexpr Duration ConnectTimeout{300};
 constexpr Duration VoteTimeout{300};
 constexpr Duration ExpiryInterval{50};
+/** An order's own time-out of 0.8 s, and the way to its carrier and back. */
+constexpr Duration CarriedOrderTime{1300};
+/** Orders that come later than this are not carried out: the leader may have given them up, and
+ * the worker may have begun another life. */
+constexpr Duration LatestOrder{500};
 
 /** @return the message; nothing after closing the link of a peer that cannot be understood. */
 std::optional<CellEnvelope> decodeOrClose(const std::shared_ptr<FrameLink> &link,
@@ -100,6 +106,7 @@
         old->close();
     }
     m_heartbeat.reset();
+    m_leaderDelay = {};
     m_hasFailedToLink = false;
     if (!leader)
         return;
@@ -139,6 +146,15 @@
     if (!envelope)
         return;
     const uint64_t correlation = envelope->correlation;
+    if (link == m_leaderLink) {
+        const auto delay = m_leaderDelay.note(envelope->sentAt, bootTime());
+        const bool isLate = !delay || *delay > LatestOrder;
+        const bool isOrder = std::holds_alternative<HoldCall>(envelope->message)
+            || std::holds_alternative<StartCall>(envelope->message)
+            || std::holds_alternative<StopCall>(envelope->message);
+        if (isOrder)
+            return carry(link, std::move(*envelope), isLate);
+    }
     if (const auto *beat = std::get_if<HeartbeatMessage>(&envelope->message)) {
         if (link == m_leaderLink) {
             m_heartbeat = *beat;
@@ -156,9 +172,28 @@
     settle(correlation, envelope->message);
 }
 
+void PeerHub::carry(const Link &link, CellEnvelope envelope, bool isLate)
+{
+    const uint64_t correlation = envelope.correlation;
+    const auto answer = [this, link, correlation, alive = std::weak_ptr(m_alive)](auto reply) {
+        if (!alive.expired())
+            send(link, correlation, std::move(reply));
+    };
+    if (isLate) {
+        LOG_EVERY_N(WARNING, 20) << "event=late_order_left_out";
+    }
+    if (auto *hold = std::get_if<HoldCall>(&envelope.message))
+        return isLate ? answer(HoldReply()) : m_handlers.orders->hold(std::move(*hold), answer);
+    if (auto *start = std::get_if<StartCall>(&envelope.message))
+        return isLate ? answer(StartReply{StartReply::Refused})
+                      : m_handlers.orders->start(std::move(*start), answer);
+    if (auto *stop = std::get_if<StopCall>(&envelope.message))
+        return isLate ? answer(StopReply()) : m_handlers.orders->stop(std::move(*stop), answer);
+}
+
 void PeerHub::send(const Link &link, uint64_t correlation, CellMessage message)
 {
-    link->send(encodeCellEnvelope({correlation, std::move(message)}));
+    link->send(encodeCellEnvelope({correlation, std::move(message), bootTime()}));
 }
 
 uint64_t PeerHub::expect(const Link &link, Duration timeout, Pending done)
@@ -229,19 +264,54 @@
         send(follower.link, 0, heartbeat);
 }
 
-void PeerHub::askAdvice(const EntryId &node, AdviceCall call, std::function<void(AdviceReply)> done)
+void PeerHub::sendHeartbeat(const EntryId &node, const HeartbeatMessage &heartbeat)
+{
+    const auto found = m_followers.find(node);
+    if (found != m_followers.end())
+        send(found->second.link, 0, heartbeat);
+}
+
+template <typename Reply, typename Call>
+void PeerHub::request(const EntryId &node, Call call, Duration timeout,
+                      std::function<void(std::optional<Reply>)> done)
 {
     const auto found = m_followers.find(node);
     if (found == m_followers.end())
-        return done({});
+        return done(std::nullopt);
     const uint64_t correlation = expect(
-        found->second.link, call.timeout, [done = std::move(done)](const CellMessage *message) {
-            const auto *reply = message ? std::get_if<AdviceReply>(message) : nullptr;
-            done(reply ? *reply : AdviceReply());
+        found->second.link, timeout, [done = std::move(done)](const CellMessage *message) {
+            const auto *reply = message ? std::get_if<Reply>(message) : nullptr;
+            done(reply ? std::optional(*reply) : std::nullopt);
         });
     send(found->second.link, correlation, std::move(call));
 }
 
+void PeerHub::askAdvice(const EntryId &node, AdviceCall call, std::function<void(AdviceReply)> done)
+{
+    const Duration timeout = call.timeout;
+    request<AdviceReply>(node, std::move(call), timeout,
+                         [done = std::move(done)](const std::optional<AdviceReply> &reply) {
+                             done(reply.value_or(AdviceReply()));
+                         });
+}
+
+OrderRelay::Carrier PeerHub::carrier(const EntryId &node)
+{
+    OrderRelay::Carrier carrier;
+    carrier.processor = m_followers.at(node).processor;
+    carrier.hold = [this, node](HoldCall call, auto done) {
+        const Duration timeout = call.wait + CarriedOrderTime;
+        request<HoldReply>(node, std::move(call), timeout, std::move(done));
+    };
+    carrier.start = [this, node](StartCall call, auto done) {
+        request<StartReply>(node, std::move(call), CarriedOrderTime, std::move(done));
+    };
+    carrier.stop = [this, node](StopCall call, auto done) {
+        request<StopReply>(node, std::move(call), CarriedOrderTime, std::move(done));
+    };
+    return carrier;
+}
+
 void PeerHub::sendHandOver(const EntryId &node, const HandOverMessage &offer)
 {
     const auto found = m_followers.find(node);
--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Coordination/OrderRelay.h"
 #include "Decision/LeaderChoice.h"
 #include "Protocol/CellMessages.h"
 #include "Transport/GuardedTimers.h"
+#include "Transport/MessageDelay.h"
 
 #include <asio/io_context.hpp>
 
@@ -30,6 +32,8 @@
         std::function<void(const AnnouncementMessage &)> announced;
         /** An earlier leader passes on what it could not write. */
         std::function<void(const std::vector<RunEnded> &)> leftoverEnds;
+        /** Gives the orders that the leader lets this node carry. */
+        WorkerOrders *orders = nullptr;
         std::function<void(const EntryId &node)> followerJoined;
         std::function<void(const EntryId &node)> followerLeft;
     };
@@ -58,7 +62,10 @@
 
     // Towards followers.
     void broadcast(const HeartbeatMessage &heartbeat);
+    void sendHeartbeat(const EntryId &node, const HeartbeatMessage &heartbeat);
     void askAdvice(const EntryId &node, AdviceCall call, std::function<void(AdviceReply)> done);
+    /** @return a way to give orders through a follower. */
+    OrderRelay::Carrier carrier(const EntryId &node);
     void sendHandOver(const EntryId &node, const HandOverMessage &offer);
     /** @return the followers in the order in which the claim is offered to them. */
     std::vector<LeaderCandidate> followers() const;
@@ -85,6 +92,12 @@
     /** Opens a link for one request, which a VoteResponse answers. */
     void askOnce(const Endpoint &peer, CellMessage request,
                  std::function<void(std::optional<bool>)> done);
+    /** Carries an order out for the leader, unless it has been on its way for too long. */
+    void carry(const Link &link, CellEnvelope envelope, bool isLate);
+    /** Sends a request to a follower; @p done gets nothing if it does not answer in time. */
+    template <typename Reply, typename Call>
+    void request(const EntryId &node, Call call, Duration timeout,
+                 std::function<void(std::optional<Reply>)> done);
     void send(const Link &link, uint64_t correlation, CellMessage message);
     /** Remembers a request; @p done gets null when it is given up. */
     uint64_t expect(const Link &link, Duration timeout, Pending done);
@@ -113,6 +126,7 @@
     bool m_hasFailedToLink = false;
     std::optional<HeartbeatMessage> m_heartbeat;
     Instant m_heartbeatAt{};
+    MessageDelay m_leaderDelay;
     std::map<Link, EntryId> m_inbound;
     std::map<EntryId, Follower> m_followers;
     std::map<uint64_t, Waiting> m_waiting;
--- a/Libraries/Protocol/CellMessages.cpp
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -111,6 +111,80 @@
         .Union();
 }
 
+flatbuffers::Offset<CellWire::OrderTarget> packTarget(Builder &builder, const OrderAddress &to)
+{
+    return CellWire::CreateOrderTargetDirect(builder, to.address.host.c_str(), to.address.port,
+                                             to.worker.value().c_str(), to.epoch.value());
+}
+
+flatbuffers::Offset<CellWire::TaskName> packTask(Builder &builder, const TaskKey &task)
+{
+    // Many rows of a report name tasks of the same job.
+    return CellWire::CreateTaskName(builder, builder.CreateSharedString(task.job.value()),
+                                    task.occurrence, task.step, task.index);
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const HoldCall &message)
+{
+    return CellWire::CreateHoldRequest(
+               builder, packTarget(builder, message.to),
+               message.leaseUntil.value_or(WorkerClock()).value(), message.acknowledgedEnds,
+               static_cast<uint32_t>(message.wait.count()))
+        .Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const HoldReply &message)
+{
+    std::vector<flatbuffers::Offset<CellWire::RunRow>> running;
+    running.reserve(message.running.size());
+    for (const RunReport &run : message.running) {
+        const auto task = packTask(builder, run.task);
+        running.push_back(CellWire::CreateRunRow(builder, task, run.attempt,
+                                                 builder.CreateString(run.checkpoint),
+                                                 run.percent));
+    }
+    std::vector<flatbuffers::Offset<CellWire::EndRow>> ended;
+    ended.reserve(message.ended.size());
+    for (const EndReport &end : message.ended) {
+        const auto task = packTask(builder, end.task);
+        ended.push_back(CellWire::CreateEndRow(builder, end.number, task, end.attempt,
+                                               static_cast<uint8_t>(end.outcome),
+                                               builder.CreateString(end.checkpoint)));
+    }
+    return CellWire::CreateHoldResponseDirect(builder, message.outcome, message.clock.value(),
+                                              message.bornMs, &running, &ended)
+        .Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const StartCall &message)
+{
+    const auto to = packTarget(builder, message.to);
+    const auto task = packTask(builder, message.task);
+    const auto payload = builder.CreateString(message.payload);
+    const auto checkpoint = builder.CreateString(message.checkpoint);
+    const auto ticket = builder.CreateString(message.ticket);
+    return CellWire::CreateStartRequest(builder, to, task, message.attempt, payload,
+                                        message.leaseUntil.value(), checkpoint, ticket)
+        .Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const StartReply &message)
+{
+    return CellWire::CreateStartResponse(builder, message.outcome).Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const StopCall &message)
+{
+    const auto to = packTarget(builder, message.to);
+    const auto task = packTask(builder, message.task);
+    return CellWire::CreateStopRequest(builder, to, task, message.attempt).Union();
+}
+
+flatbuffers::Offset<void> pack(Builder &builder, const StopReply &message)
+{
+    return CellWire::CreateStopResponse(builder, message.outcome).Union();
+}
+
 /** The wire's union lists its members in the order of @c CellMessage, after "none". */
 CellWire::Message kindOf(const CellMessage &message)
 {
@@ -179,6 +253,81 @@
     return reply;
 }
 
+OrderAddress unpackTarget(const CellWire::OrderTarget *wire)
+{
+    if (!wire)
+        throw ProtocolError("an order names no worker");
+    return {{text(wire->host()), wire->port()},
+            WorkerId(text(wire->worker())),
+            Epoch(wire->epoch())};
+}
+
+TaskKey unpackTask(const CellWire::TaskName *wire)
+{
+    if (!wire)
+        throw ProtocolError("an order or report names no task");
+    return {JobId(text(wire->job())), wire->occurrence(), wire->step(), wire->index()};
+}
+
+/** @return the enumerator of an outcome. @throws ProtocolError if it is above @p last. */
+template <typename Outcome> Outcome unpackOutcome(uint8_t wire, Outcome last)
+{
+    if (wire > static_cast<uint8_t>(last))
+        throw ProtocolError("a peer's message has an unknown outcome");
+    return static_cast<Outcome>(wire);
+}
+
+HoldCall unpack(const CellWire::HoldRequest &wire)
+{
+    HoldCall call;
+    call.to = unpackTarget(wire.to());
+    if (wire.lease_until() > 0)
+        call.leaseUntil = WorkerClock(wire.lease_until());
+    call.acknowledgedEnds = wire.acknowledged_ends();
+    call.wait = Duration(wire.wait_ms());
+    return call;
+}
+
+HoldReply unpack(const CellWire::HoldResponse &wire)
+{
+    HoldReply reply;
+    reply.outcome = unpackOutcome(wire.outcome(), HoldReply::Unreachable);
+    reply.clock = WorkerClock(wire.clock());
+    reply.bornMs = wire.born_ms();
+    if (wire.running()) {
+        reply.running.reserve(wire.running()->size());
+        for (const auto *row : *wire.running())
+            reply.running.push_back(
+                {unpackTask(row->task()), row->attempt(), text(row->checkpoint()), row->percent()});
+    }
+    if (wire.ended()) {
+        reply.ended.reserve(wire.ended()->size());
+        for (const auto *row : *wire.ended())
+            reply.ended.push_back({row->number(), unpackTask(row->task()), row->attempt(),
+                                   unpackOutcome(row->outcome(), RunOutcome::Lost),
+                                   text(row->checkpoint())});
+    }
+    return reply;
+}
+
+StartCall unpack(const CellWire::StartRequest &wire)
+{
+    StartCall call;
+    call.to = unpackTarget(wire.to());
+    call.task = unpackTask(wire.task());
+    call.attempt = wire.attempt();
+    call.payload = text(wire.payload());
+    call.leaseUntil = WorkerClock(wire.lease_until());
+    call.checkpoint = text(wire.checkpoint());
+    call.ticket = text(wire.ticket());
+    return call;
+}
+
+StopCall unpack(const CellWire::StopRequest &wire)
+{
+    return {unpackTarget(wire.to()), unpackTask(wire.task()), wire.attempt()};
+}
+
 } // namespace
 
 Frame encodeCellEnvelope(const CellEnvelope &envelope)
@@ -186,8 +335,9 @@
     Builder builder(256);
     const auto message =
         std::visit([&builder](const auto &one) { return pack(builder, one); }, envelope.message);
-    builder.Finish(
-        CellWire::CreateEnvelope(builder, envelope.correlation, kindOf(envelope.message), message));
+    builder.Finish(CellWire::CreateEnvelope(builder, envelope.correlation,
+                                            kindOf(envelope.message), message,
+                                            static_cast<uint64_t>(envelope.sentAt.count())));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -200,6 +350,7 @@
     const CellWire::Envelope *wire = CellWire::GetEnvelope(bytes);
     CellEnvelope envelope;
     envelope.correlation = wire->correlation();
+    envelope.sentAt = Duration(wire->sent_at_ms());
     switch (wire->message_type()) {
     case CellWire::Message::Hello:
         envelope.message = HelloMessage{EntryId(text(wire->message_as_Hello()->node())),
@@ -243,6 +394,26 @@
     case CellWire::Message::LeftoverEnds:
         envelope.message = unpack(*wire->message_as_LeftoverEnds());
         break;
+    case CellWire::Message::HoldRequest:
+        envelope.message = unpack(*wire->message_as_HoldRequest());
+        break;
+    case CellWire::Message::HoldResponse:
+        envelope.message = unpack(*wire->message_as_HoldResponse());
+        break;
+    case CellWire::Message::StartRequest:
+        envelope.message = unpack(*wire->message_as_StartRequest());
+        break;
+    case CellWire::Message::StartResponse:
+        envelope.message = StartReply{
+            unpackOutcome(wire->message_as_StartResponse()->outcome(), StartReply::Unknown)};
+        break;
+    case CellWire::Message::StopRequest:
+        envelope.message = unpack(*wire->message_as_StopRequest());
+        break;
+    case CellWire::Message::StopResponse:
+        envelope.message = StopReply{
+            unpackOutcome(wire->message_as_StopResponse()->outcome(), StopReply::Unknown)};
+        break;
     case CellWire::Message::NONE:
         throw ProtocolError("a peer's message is of no known kind");
     }
--- a/Libraries/Protocol/CellMessages.h
+++ b/Libraries/Protocol/CellMessages.h
@@ -2,6 +2,7 @@
 
 #include "Protocol/ClientCall.h"
 #include "Protocol/PlacementAdvisor.h"
+#include "Protocol/WorkerOrders.h"
 #include "State/Ids.h"
 #include "State/Resources.h"
 #include "Transport/FrameLink.h"
@@ -60,15 +61,19 @@
     Endpoint address;
 };
 
-using CellMessage = std::variant<HelloMessage, HeartbeatMessage, ClientCall, ClientReply,
-                                 AdviceCall, AdviceReply, VoteRequest, VoteResponse,
-                                 HandOverMessage, AnnouncementMessage, LeftoverEndsMessage>;
+using CellMessage =
+    std::variant<HelloMessage, HeartbeatMessage, ClientCall, ClientReply, AdviceCall, AdviceReply,
+                 VoteRequest, VoteResponse, HandOverMessage, AnnouncementMessage,
+                 LeftoverEndsMessage, HoldCall, HoldReply, StartCall, StartReply, StopCall,
+                 StopReply>;
 
 struct CellEnvelope
 {
     /** Ties a response to its request; 0 for messages without one. */
     uint64_t correlation = 0;
     CellMessage message;
+    /** On the sender's boot clock. */
+    Duration sentAt{0};
 };
 
 Frame encodeCellEnvelope(const CellEnvelope &envelope);
--- a/Libraries/Protocol/Generated/Cell_generated.h
+++ b/Libraries/Protocol/Generated/Cell_generated.h
@@ -49,6 +49,36 @@
 struct LeftoverEnds;
 struct LeftoverEndsBuilder;
 
+struct OrderTarget;
+struct OrderTargetBuilder;
+
+struct TaskName;
+struct TaskNameBuilder;
+
+struct HoldRequest;
+struct HoldRequestBuilder;
+
+struct RunRow;
+struct RunRowBuilder;
+
+struct EndRow;
+struct EndRowBuilder;
+
+struct HoldResponse;
+struct HoldResponseBuilder;
+
+struct StartRequest;
+struct StartRequestBuilder;
+
+struct StartResponse;
+struct StartResponseBuilder;
+
+struct StopRequest;
+struct StopRequestBuilder;
+
+struct StopResponse;
+struct StopResponseBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -65,11 +95,17 @@
   HandOver = 9,
   Announcement = 10,
   LeftoverEnds = 11,
+  HoldRequest = 12,
+  HoldResponse = 13,
+  StartRequest = 14,
+  StartResponse = 15,
+  StopRequest = 16,
+  StopResponse = 17,
   MIN = NONE,
-  MAX = LeftoverEnds
+  MAX = StopResponse
 };
 
-inline const Message (&EnumValuesMessage())[12] {
+inline const Message (&EnumValuesMessage())[18] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -82,13 +118,19 @@
     Message::VoteResponse,
     Message::HandOver,
     Message::Announcement,
-    Message::LeftoverEnds
+    Message::LeftoverEnds,
+    Message::HoldRequest,
+    Message::HoldResponse,
+    Message::StartRequest,
+    Message::StartResponse,
+    Message::StopRequest,
+    Message::StopResponse
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[13] = {
+  static const char * const names[19] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -101,13 +143,19 @@
     "HandOver",
     "Announcement",
     "LeftoverEnds",
+    "HoldRequest",
+    "HoldResponse",
+    "StartRequest",
+    "StartResponse",
+    "StopRequest",
+    "StopResponse",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::LeftoverEnds)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::StopResponse)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -160,6 +208,30 @@
   static const Message enum_value = Message::LeftoverEnds;
 };
 
+template<> struct MessageTraits<Cranberrymount::CellWire::HoldRequest> {
+  static const Message enum_value = Message::HoldRequest;
+};
+
+template<> struct MessageTraits<Cranberrymount::CellWire::HoldResponse> {
+  static const Message enum_value = Message::HoldResponse;
+};
+
+template<> struct MessageTraits<Cranberrymount::CellWire::StartRequest> {
+  static const Message enum_value = Message::StartRequest;
+};
+
+template<> struct MessageTraits<Cranberrymount::CellWire::StartResponse> {
+  static const Message enum_value = Message::StartResponse;
+};
+
+template<> struct MessageTraits<Cranberrymount::CellWire::StopRequest> {
+  static const Message enum_value = Message::StopRequest;
+};
+
+template<> struct MessageTraits<Cranberrymount::CellWire::StopResponse> {
+  static const Message enum_value = Message::StopResponse;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -945,12 +1017,826 @@
       records__);
 }
 
+struct OrderTarget FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrderTargetBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOST = 4,
+    VT_PORT = 6,
+    VT_WORKER = 8,
+    VT_EPOCH = 10
+  };
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct OrderTargetBuilder {
+  typedef OrderTarget Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(OrderTarget::VT_HOST, host);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(OrderTarget::VT_PORT, port, 0);
+  }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(OrderTarget::VT_WORKER, worker);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(OrderTarget::VT_EPOCH, epoch, 0);
+  }
+  explicit OrderTargetBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrderTarget> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrderTarget>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrderTarget> CreateOrderTarget(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    uint16_t port = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    uint64_t epoch = 0) {
+  OrderTargetBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_worker(worker);
+  builder_.add_host(host);
+  builder_.add_port(port);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<OrderTarget> CreateOrderTargetDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *host = nullptr,
+    uint16_t port = 0,
+    const char *worker = nullptr,
+    uint64_t epoch = 0) {
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  return Cranberrymount::CellWire::CreateOrderTarget(
+      _fbb,
+      host__,
+      port,
+      worker__,
+      epoch);
+}
+
+struct TaskName FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TaskNameBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_OCCURRENCE = 6,
+    VT_STEP = 8,
+    VT_INDEX = 10
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct TaskNameBuilder {
+  typedef TaskName Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(TaskName::VT_JOB, job);
+  }
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(TaskName::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(TaskName::VT_STEP, step, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(TaskName::VT_INDEX, index, 0);
+  }
+  explicit TaskNameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TaskName> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TaskName>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TaskName> CreateTaskName(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0) {
+  TaskNameBuilder builder_(_fbb);
+  builder_.add_index(index);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TaskName> CreateTaskNameDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return Cranberrymount::CellWire::CreateTaskName(
+      _fbb,
+      job__,
+      occurrence,
+      step,
+      index);
+}
+
+struct HoldRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HoldRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TO = 4,
+    VT_LEASE_UNTIL = 6,
+    VT_ACKNOWLEDGED_ENDS = 8,
+    VT_WAIT_MS = 10
+  };
+  const Cranberrymount::CellWire::OrderTarget *to() const {
+    return GetPointer<const Cranberrymount::CellWire::OrderTarget *>(VT_TO);
+  }
+  uint64_t lease_until() const {
+    return GetField<uint64_t>(VT_LEASE_UNTIL, 0);
+  }
+  uint64_t acknowledged_ends() const {
+    return GetField<uint64_t>(VT_ACKNOWLEDGED_ENDS, 0);
+  }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TO) &&
+           verifier.VerifyTable(to()) &&
+           VerifyField<uint64_t>(verifier, VT_LEASE_UNTIL, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACKNOWLEDGED_ENDS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct HoldRequestBuilder {
+  typedef HoldRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_to(flatbuffers::Offset<Cranberrymount::CellWire::OrderTarget> to) {
+    fbb_.AddOffset(HoldRequest::VT_TO, to);
+  }
+  void add_lease_until(uint64_t lease_until) {
+    fbb_.AddElement<uint64_t>(HoldRequest::VT_LEASE_UNTIL, lease_until, 0);
+  }
+  void add_acknowledged_ends(uint64_t acknowledged_ends) {
+    fbb_.AddElement<uint64_t>(HoldRequest::VT_ACKNOWLEDGED_ENDS, acknowledged_ends, 0);
+  }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(HoldRequest::VT_WAIT_MS, wait_ms, 0);
+  }
+  explicit HoldRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HoldRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HoldRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HoldRequest> CreateHoldRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<Cranberrymount::CellWire::OrderTarget> to = 0,
+    uint64_t lease_until = 0,
+    uint64_t acknowledged_ends = 0,
+    uint32_t wait_ms = 0) {
+  HoldRequestBuilder builder_(_fbb);
+  builder_.add_acknowledged_ends(acknowledged_ends);
+  builder_.add_lease_until(lease_until);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_to(to);
+  return builder_.Finish();
+}
+
+struct RunRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunRowBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_ATTEMPT = 6,
+    VT_CHECKPOINT = 8,
+    VT_PERCENT = 10
+  };
+  const Cranberrymount::CellWire::TaskName *task() const {
+    return GetPointer<const Cranberrymount::CellWire::TaskName *>(VT_TASK);
+  }
+  uint32_t attempt() const {
+    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  int32_t percent() const {
+    return GetField<int32_t>(VT_PERCENT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyField<int32_t>(verifier, VT_PERCENT, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunRowBuilder {
+  typedef RunRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task) {
+    fbb_.AddOffset(RunRow::VT_TASK, task);
+  }
+  void add_attempt(uint32_t attempt) {
+    fbb_.AddElement<uint32_t>(RunRow::VT_ATTEMPT, attempt, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(RunRow::VT_CHECKPOINT, checkpoint);
+  }
+  void add_percent(int32_t percent) {
+    fbb_.AddElement<int32_t>(RunRow::VT_PERCENT, percent, 0);
+  }
+  explicit RunRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunRow> CreateRunRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task = 0,
+    uint32_t attempt = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    int32_t percent = 0) {
+  RunRowBuilder builder_(_fbb);
+  builder_.add_percent(percent);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_attempt(attempt);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RunRow> CreateRunRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task = 0,
+    uint32_t attempt = 0,
+    const char *checkpoint = nullptr,
+    int32_t percent = 0) {
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return Cranberrymount::CellWire::CreateRunRow(
+      _fbb,
+      task,
+      attempt,
+      checkpoint__,
+      percent);
+}
+
+struct EndRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndRowBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_TASK = 6,
+    VT_ATTEMPT = 8,
+    VT_OUTCOME = 10,
+    VT_CHECKPOINT = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const Cranberrymount::CellWire::TaskName *task() const {
+    return GetPointer<const Cranberrymount::CellWire::TaskName *>(VT_TASK);
+  }
+  uint32_t attempt() const {
+    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  }
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           verifier.EndTable();
+  }
+};
+
+struct EndRowBuilder {
+  typedef EndRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(EndRow::VT_NUMBER, number, 0);
+  }
+  void add_task(flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task) {
+    fbb_.AddOffset(EndRow::VT_TASK, task);
+  }
+  void add_attempt(uint32_t attempt) {
+    fbb_.AddElement<uint32_t>(EndRow::VT_ATTEMPT, attempt, 0);
+  }
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(EndRow::VT_OUTCOME, outcome, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(EndRow::VT_CHECKPOINT, checkpoint);
+  }
+  explicit EndRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndRow> CreateEndRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task = 0,
+    uint32_t attempt = 0,
+    uint8_t outcome = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0) {
+  EndRowBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_attempt(attempt);
+  builder_.add_task(task);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EndRow> CreateEndRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task = 0,
+    uint32_t attempt = 0,
+    uint8_t outcome = 0,
+    const char *checkpoint = nullptr) {
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return Cranberrymount::CellWire::CreateEndRow(
+      _fbb,
+      number,
+      task,
+      attempt,
+      outcome,
+      checkpoint__);
+}
+
+struct HoldResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HoldResponseBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OUTCOME = 4,
+    VT_CLOCK = 6,
+    VT_BORN_MS = 8,
+    VT_RUNNING = 10,
+    VT_ENDED = 12
+  };
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  uint64_t clock() const {
+    return GetField<uint64_t>(VT_CLOCK, 0);
+  }
+  int64_t born_ms() const {
+    return GetField<int64_t>(VT_BORN_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::CellWire::RunRow>> *running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::CellWire::RunRow>> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::CellWire::EndRow>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::CellWire::EndRow>> *>(VT_ENDED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CLOCK, 8) &&
+           VerifyField<int64_t>(verifier, VT_BORN_MS, 8) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
+           verifier.VerifyVectorOfTables(running()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
+           verifier.EndTable();
+  }
+};
+
+struct HoldResponseBuilder {
+  typedef HoldResponse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(HoldResponse::VT_OUTCOME, outcome, 0);
+  }
+  void add_clock(uint64_t clock) {
+    fbb_.AddElement<uint64_t>(HoldResponse::VT_CLOCK, clock, 0);
+  }
+  void add_born_ms(int64_t born_ms) {
+    fbb_.AddElement<int64_t>(HoldResponse::VT_BORN_MS, born_ms, 0);
+  }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::CellWire::RunRow>>> running) {
+    fbb_.AddOffset(HoldResponse::VT_RUNNING, running);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::CellWire::EndRow>>> ended) {
+    fbb_.AddOffset(HoldResponse::VT_ENDED, ended);
+  }
+  explicit HoldResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HoldResponse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HoldResponse>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HoldResponse> CreateHoldResponse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t outcome = 0,
+    uint64_t clock = 0,
+    int64_t born_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::CellWire::RunRow>>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::CellWire::EndRow>>> ended = 0) {
+  HoldResponseBuilder builder_(_fbb);
+  builder_.add_born_ms(born_ms);
+  builder_.add_clock(clock);
+  builder_.add_ended(ended);
+  builder_.add_running(running);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<HoldResponse> CreateHoldResponseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t outcome = 0,
+    uint64_t clock = 0,
+    int64_t born_ms = 0,
+    const std::vector<flatbuffers::Offset<Cranberrymount::CellWire::RunRow>> *running = nullptr,
+    const std::vector<flatbuffers::Offset<Cranberrymount::CellWire::EndRow>> *ended = nullptr) {
+  auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<Cranberrymount::CellWire::RunRow>>(*running) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<Cranberrymount::CellWire::EndRow>>(*ended) : 0;
+  return Cranberrymount::CellWire::CreateHoldResponse(
+      _fbb,
+      outcome,
+      clock,
+      born_ms,
+      running__,
+      ended__);
+}
+
+struct StartRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StartRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TO = 4,
+    VT_TASK = 6,
+    VT_ATTEMPT = 8,
+    VT_PAYLOAD = 10,
+    VT_LEASE_UNTIL = 12,
+    VT_CHECKPOINT = 14,
+    VT_TICKET = 16
+  };
+  const Cranberrymount::CellWire::OrderTarget *to() const {
+    return GetPointer<const Cranberrymount::CellWire::OrderTarget *>(VT_TO);
+  }
+  const Cranberrymount::CellWire::TaskName *task() const {
+    return GetPointer<const Cranberrymount::CellWire::TaskName *>(VT_TASK);
+  }
+  uint32_t attempt() const {
+    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  }
+  const flatbuffers::String *payload() const {
+    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
+  }
+  uint64_t lease_until() const {
+    return GetField<uint64_t>(VT_LEASE_UNTIL, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TO) &&
+           verifier.VerifyTable(to()) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyString(payload()) &&
+           VerifyField<uint64_t>(verifier, VT_LEASE_UNTIL, 8) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StartRequestBuilder {
+  typedef StartRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_to(flatbuffers::Offset<Cranberrymount::CellWire::OrderTarget> to) {
+    fbb_.AddOffset(StartRequest::VT_TO, to);
+  }
+  void add_task(flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task) {
+    fbb_.AddOffset(StartRequest::VT_TASK, task);
+  }
+  void add_attempt(uint32_t attempt) {
+    fbb_.AddElement<uint32_t>(StartRequest::VT_ATTEMPT, attempt, 0);
+  }
+  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
+    fbb_.AddOffset(StartRequest::VT_PAYLOAD, payload);
+  }
+  void add_lease_until(uint64_t lease_until) {
+    fbb_.AddElement<uint64_t>(StartRequest::VT_LEASE_UNTIL, lease_until, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(StartRequest::VT_CHECKPOINT, checkpoint);
+  }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(StartRequest::VT_TICKET, ticket);
+  }
+  explicit StartRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StartRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StartRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StartRequest> CreateStartRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<Cranberrymount::CellWire::OrderTarget> to = 0,
+    flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task = 0,
+    uint32_t attempt = 0,
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    uint64_t lease_until = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0) {
+  StartRequestBuilder builder_(_fbb);
+  builder_.add_lease_until(lease_until);
+  builder_.add_ticket(ticket);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_payload(payload);
+  builder_.add_attempt(attempt);
+  builder_.add_task(task);
+  builder_.add_to(to);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StartRequest> CreateStartRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<Cranberrymount::CellWire::OrderTarget> to = 0,
+    flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task = 0,
+    uint32_t attempt = 0,
+    const char *payload = nullptr,
+    uint64_t lease_until = 0,
+    const char *checkpoint = nullptr,
+    const char *ticket = nullptr) {
+  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  return Cranberrymount::CellWire::CreateStartRequest(
+      _fbb,
+      to,
+      task,
+      attempt,
+      payload__,
+      lease_until,
+      checkpoint__,
+      ticket__);
+}
+
+struct StartResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StartResponseBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OUTCOME = 4
+  };
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct StartResponseBuilder {
+  typedef StartResponse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(StartResponse::VT_OUTCOME, outcome, 0);
+  }
+  explicit StartResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StartResponse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StartResponse>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StartResponse> CreateStartResponse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t outcome = 0) {
+  StartResponseBuilder builder_(_fbb);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct StopRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StopRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TO = 4,
+    VT_TASK = 6,
+    VT_ATTEMPT = 8
+  };
+  const Cranberrymount::CellWire::OrderTarget *to() const {
+    return GetPointer<const Cranberrymount::CellWire::OrderTarget *>(VT_TO);
+  }
+  const Cranberrymount::CellWire::TaskName *task() const {
+    return GetPointer<const Cranberrymount::CellWire::TaskName *>(VT_TASK);
+  }
+  uint32_t attempt() const {
+    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TO) &&
+           verifier.VerifyTable(to()) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct StopRequestBuilder {
+  typedef StopRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_to(flatbuffers::Offset<Cranberrymount::CellWire::OrderTarget> to) {
+    fbb_.AddOffset(StopRequest::VT_TO, to);
+  }
+  void add_task(flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task) {
+    fbb_.AddOffset(StopRequest::VT_TASK, task);
+  }
+  void add_attempt(uint32_t attempt) {
+    fbb_.AddElement<uint32_t>(StopRequest::VT_ATTEMPT, attempt, 0);
+  }
+  explicit StopRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StopRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StopRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StopRequest> CreateStopRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<Cranberrymount::CellWire::OrderTarget> to = 0,
+    flatbuffers::Offset<Cranberrymount::CellWire::TaskName> task = 0,
+    uint32_t attempt = 0) {
+  StopRequestBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
+  builder_.add_task(task);
+  builder_.add_to(to);
+  return builder_.Finish();
+}
+
+struct StopResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StopResponseBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OUTCOME = 4
+  };
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct StopResponseBuilder {
+  typedef StopResponse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(StopResponse::VT_OUTCOME, outcome, 0);
+  }
+  explicit StopResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StopResponse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StopResponse>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StopResponse> CreateStopResponse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t outcome = 0) {
+  StopResponseBuilder builder_(_fbb);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CORRELATION = 4,
     VT_MESSAGE_TYPE = 6,
-    VT_MESSAGE = 8
+    VT_MESSAGE = 8,
+    VT_SENT_AT_MS = 10
   };
   uint64_t correlation() const {
     return GetField<uint64_t>(VT_CORRELATION, 0);
@@ -995,12 +1881,34 @@
   const Cranberrymount::CellWire::LeftoverEnds *message_as_LeftoverEnds() const {
     return message_type() == Cranberrymount::CellWire::Message::LeftoverEnds ? static_cast<const Cranberrymount::CellWire::LeftoverEnds *>(message()) : nullptr;
   }
+  const Cranberrymount::CellWire::HoldRequest *message_as_HoldRequest() const {
+    return message_type() == Cranberrymount::CellWire::Message::HoldRequest ? static_cast<const Cranberrymount::CellWire::HoldRequest *>(message()) : nullptr;
+  }
+  const Cranberrymount::CellWire::HoldResponse *message_as_HoldResponse() const {
+    return message_type() == Cranberrymount::CellWire::Message::HoldResponse ? static_cast<const Cranberrymount::CellWire::HoldResponse *>(message()) : nullptr;
+  }
+  const Cranberrymount::CellWire::StartRequest *message_as_StartRequest() const {
+    return message_type() == Cranberrymount::CellWire::Message::StartRequest ? static_cast<const Cranberrymount::CellWire::StartRequest *>(message()) : nullptr;
+  }
+  const Cranberrymount::CellWire::StartResponse *message_as_StartResponse() const {
+    return message_type() == Cranberrymount::CellWire::Message::StartResponse ? static_cast<const Cranberrymount::CellWire::StartResponse *>(message()) : nullptr;
+  }
+  const Cranberrymount::CellWire::StopRequest *message_as_StopRequest() const {
+    return message_type() == Cranberrymount::CellWire::Message::StopRequest ? static_cast<const Cranberrymount::CellWire::StopRequest *>(message()) : nullptr;
+  }
+  const Cranberrymount::CellWire::StopResponse *message_as_StopResponse() const {
+    return message_type() == Cranberrymount::CellWire::Message::StopResponse ? static_cast<const Cranberrymount::CellWire::StopResponse *>(message()) : nullptr;
+  }
+  uint64_t sent_at_ms() const {
+    return GetField<uint64_t>(VT_SENT_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
            VerifyOffset(verifier, VT_MESSAGE) &&
            VerifyMessage(verifier, message(), message_type()) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_AT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1049,6 +1957,30 @@
   return message_as_LeftoverEnds();
 }
 
+template<> inline const Cranberrymount::CellWire::HoldRequest *Envelope::message_as<Cranberrymount::CellWire::HoldRequest>() const {
+  return message_as_HoldRequest();
+}
+
+template<> inline const Cranberrymount::CellWire::HoldResponse *Envelope::message_as<Cranberrymount::CellWire::HoldResponse>() const {
+  return message_as_HoldResponse();
+}
+
+template<> inline const Cranberrymount::CellWire::StartRequest *Envelope::message_as<Cranberrymount::CellWire::StartRequest>() const {
+  return message_as_StartRequest();
+}
+
+template<> inline const Cranberrymount::CellWire::StartResponse *Envelope::message_as<Cranberrymount::CellWire::StartResponse>() const {
+  return message_as_StartResponse();
+}
+
+template<> inline const Cranberrymount::CellWire::StopRequest *Envelope::message_as<Cranberrymount::CellWire::StopRequest>() const {
+  return message_as_StopRequest();
+}
+
+template<> inline const Cranberrymount::CellWire::StopResponse *Envelope::message_as<Cranberrymount::CellWire::StopResponse>() const {
+  return message_as_StopResponse();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1062,6 +1994,9 @@
   void add_message(flatbuffers::Offset<void> message) {
     fbb_.AddOffset(Envelope::VT_MESSAGE, message);
   }
+  void add_sent_at_ms(uint64_t sent_at_ms) {
+    fbb_.AddElement<uint64_t>(Envelope::VT_SENT_AT_MS, sent_at_ms, 0);
+  }
   explicit EnvelopeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1077,8 +2012,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t correlation = 0,
     Cranberrymount::CellWire::Message message_type = Cranberrymount::CellWire::Message::NONE,
-    flatbuffers::Offset<void> message = 0) {
+    flatbuffers::Offset<void> message = 0,
+    uint64_t sent_at_ms = 0) {
   EnvelopeBuilder builder_(_fbb);
+  builder_.add_sent_at_ms(sent_at_ms);
   builder_.add_correlation(correlation);
   builder_.add_message(message);
   builder_.add_message_type(message_type);
@@ -1134,6 +2071,30 @@
       auto ptr = reinterpret_cast<const Cranberrymount::CellWire::LeftoverEnds *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::HoldRequest: {
+      auto ptr = reinterpret_cast<const Cranberrymount::CellWire::HoldRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::HoldResponse: {
+      auto ptr = reinterpret_cast<const Cranberrymount::CellWire::HoldResponse *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::StartRequest: {
+      auto ptr = reinterpret_cast<const Cranberrymount::CellWire::StartRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::StartResponse: {
+      auto ptr = reinterpret_cast<const Cranberrymount::CellWire::StartResponse *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::StopRequest: {
+      auto ptr = reinterpret_cast<const Cranberrymount::CellWire::StopRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::StopResponse: {
+      auto ptr = reinterpret_cast<const Cranberrymount::CellWire::StopResponse *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -1,8 +1,9 @@
 #include "Service/CellNode.h"
 
+#include "Transport/BootClock.h"
+
 #include <glog/logging.h>
 
-#include <ctime>
 #include <random>
 
 namespace Cranberrymount {
@@ -32,13 +33,6 @@
 constexpr Duration LeaderLoadInterval{1000};
 constexpr Duration FollowerLoadInterval{5000};
 
-std::chrono::nanoseconds readClock(clockid_t clock)
-{
-    timespec time{};
-    clock_gettime(clock, &time);
-    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
 } // namespace
 
 CellNode::CellNode(asio::io_context &context, CellSettings settings, Platform platform)
@@ -48,6 +42,7 @@
     , m_log(m_timers)
     , m_random(pcg_extras::seed_seq_from<std::random_device>())
     , m_advice(m_timers)
+    , m_orders(m_platform.orders, m_timers)
     , m_peers(context, m_timers, {m_settings.node, m_settings.processor}, m_settings.peer,
               {.clientCall =
                    [this](ClientCall call, ClientRespond respond) {
@@ -73,9 +68,13 @@
                        if (m_scheduler)
                            m_scheduler->learnEnds(ends);
                    },
+               .orders = &m_platform.orders,
                .followerJoined =
                    [this](const EntryId &node) {
                        LOG(INFO) << "event=follower_joined node=" << node.value();
+                       // Before any order, so that the follower can tell which ones come late.
+                       m_peers.sendHeartbeat(node, heartbeatMessage());
+                       m_orders.addCarrier(node, m_peers.carrier(node));
                        m_advice.addCaller(
                            node,
                            [this, node](AdviceCall call, std::function<void(AdviceReply)> done) {
@@ -86,6 +85,7 @@
                    [this](const EntryId &node) {
                        LOG(INFO) << "event=follower_left node=" << node.value();
                        m_advice.removeCaller(node);
+                       m_orders.removeCarrier(node);
                    }})
     , m_leadership(m_platform.store, m_timers, m_peers,
                    {m_settings.node, m_settings.peer, m_settings.processor},
@@ -121,7 +121,7 @@
 Duration CellNode::suspendedTime()
 {
     // The boot clock counts the time in which the machine was suspended, the steady clock doesn't.
-    const auto suspended = readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC);
+    const auto suspended = readSystemClock(CLOCK_BOOTTIME) - readSystemClock(CLOCK_MONOTONIC);
     const auto since = suspended - m_suspendedBefore;
     m_suspendedBefore = suspended;
     return std::chrono::duration_cast<Duration>(since);
@@ -132,7 +132,7 @@
     CellScheduler::Parts parts{
         m_platform.store,
         m_platform.operators,
-        m_platform.orders,
+        m_orders,
         m_advice,
         m_timers,
         [this] { return wallNow(); },
@@ -256,7 +256,7 @@
 void CellNode::logLoad()
 {
     const Instant now = m_timers.now();
-    const auto processor = readClock(CLOCK_PROCESS_CPUTIME_ID);
+    const auto processor = readSystemClock(CLOCK_PROCESS_CPUTIME_ID);
     LOG(INFO) << "event=node_load leads=" << (m_scheduler != nullptr) << " over_ms="
               << std::chrono::duration_cast<Duration>(now - m_loadLoggedAt).count()
               << " processor_ms="
@@ -311,10 +311,17 @@
     m_peers.sendLeftoverEnds(m_leftoverEnds);
 }
 
+HeartbeatMessage CellNode::heartbeatMessage() const
+{
+    if (!m_scheduler)
+        return {};
+    return {m_leadership.claim(), m_scheduler->storeAge(), m_scheduler->isReady()};
+}
+
 void CellNode::heartbeat()
 {
     if (m_scheduler)
-        m_peers.broadcast({m_leadership.claim(), m_scheduler->storeAge(), m_scheduler->isReady()});
+        m_peers.broadcast(heartbeatMessage());
 }
 
 void CellNode::beat()
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -60,6 +60,7 @@
     /** Offers the claim to one of the strongest followers. */
     void offerToStrongest();
     void heartbeat();
+    HeartbeatMessage heartbeatMessage() const;
     /** Gives the present leader the ends that this node could not write as leader. */
     void passOnEnds();
     void beat();
@@ -77,6 +78,7 @@
     Metrics m_metrics;
     pcg32 m_random;
     AdviceDesk m_advice;
+    OrderRelay m_orders;
     PeerHub m_peers;
     Leadership m_leadership;
     std::unique_ptr<CellScheduler> m_scheduler;
--- a/Libraries/Transport/FrameLink.cpp
+++ b/Libraries/Transport/FrameLink.cpp
@@ -2,12 +2,12 @@
 
 #include "Transport/TransportError.h"
 
-#include <asio/read.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 #include <asio/write.hpp>
 
-#include <array>
+#include <vector>
 
 namespace Cranberrymount {
 
@@ -28,6 +28,14 @@
     return prefixed;
 }
 
+uint32_t readPrefix(const char *bytes)
+{
+    uint32_t length = 0;
+    for (std::size_t byte = 0; byte < PrefixBytes; ++byte)
+        length |= uint32_t(static_cast<unsigned char>(bytes[byte])) << (8 * byte);
+    return length;
+}
+
 } // namespace
 
 FrameLink::FrameLink(asio::ip::tcp::socket socket)
@@ -44,7 +52,7 @@
                     onClose = std::move(onClose)]() mutable {
                        self->m_onFrame = std::move(onFrame);
                        self->m_onClose = std::move(onClose);
-                       self->readLength();
+                       self->readSome();
                    });
 }
 
@@ -56,8 +64,12 @@
         self->m_outgoing.push_back(withPrefix(frame));
         if (self->m_outgoing.size() > MaxQueuedFrames)
             self->fail();
-        else if (self->m_outgoing.size() == 1)
-            self->writeNext();
+        else if (self->m_outgoing.size() == 1 && !self->m_isWriting)
+            // Frames that are sent in the same turn of the loop share a write.
+            asio::post(self->m_socket.get_executor(), [self] {
+                if (!self->m_closed)
+                    self->writeQueued();
+            });
     });
 }
 
@@ -66,39 +78,56 @@
     asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
 }
 
-void FrameLink::readLength()
+void FrameLink::readSome()
 {
-    asio::async_read(m_socket, asio::buffer(&m_length, PrefixBytes),
-                     [self = shared_from_this()](const asio::error_code &error, std::size_t) {
-                         if (error || self->m_length > MaxFrameBytes)
-                             return self->fail();
-                         self->readBody(self->m_length);
-                     });
+    m_socket.async_read_some(
+        asio::buffer(m_chunk),
+        [self = shared_from_this()](const asio::error_code &error, std::size_t length) {
+            if (error)
+                return self->fail();
+            self->m_received.append(self->m_chunk.data(), length);
+            self->takeFrames();
+            if (!self->m_closed)
+                self->readSome();
+        });
 }
 
-void FrameLink::readBody(uint32_t length)
+void FrameLink::takeFrames()
 {
-    m_incoming.resize(length);
-    asio::async_read(m_socket, asio::buffer(m_incoming),
-                     [self = shared_from_this()](const asio::error_code &error, std::size_t) {
-                         if (error)
-                             return self->fail();
-                         self->m_lastReceived = std::chrono::steady_clock::now();
-                         self->m_onFrame(self, std::move(self->m_incoming));
-                         self->m_incoming = {};
-                         self->readLength();
-                     });
+    std::size_t position = 0;
+    while (m_received.size() - position >= PrefixBytes) {
+        const uint32_t length = readPrefix(m_received.data() + position);
+        if (length > MaxFrameBytes)
+            return fail();
+        if (m_received.size() - position - PrefixBytes < length)
+            break;
+        m_lastReceived = std::chrono::steady_clock::now();
+        Frame frame = m_received.substr(position + PrefixBytes, length);
+        position += PrefixBytes + length;
+        m_onFrame(shared_from_this(), std::move(frame));
+        if (m_closed)
+            return;
+    }
+    m_received.erase(0, position);
 }
 
-void FrameLink::writeNext()
+void FrameLink::writeQueued()
 {
-    asio::async_write(m_socket, asio::buffer(m_outgoing.front()),
-                      [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+    m_isWriting = true;
+    std::vector<asio::const_buffer> buffers;
+    for (const Frame &frame : m_outgoing)
+        buffers.push_back(asio::buffer(frame));
+    asio::async_write(m_socket, buffers,
+                      [self = shared_from_this(), count = buffers.size()](
+                          const asio::error_code &error, std::size_t) {
+                          self->m_isWriting = false;
                           if (error)
                               return self->fail();
-                          self->m_outgoing.pop_front();
+                          self->m_outgoing.erase(self->m_outgoing.begin(),
+                                                 self->m_outgoing.begin()
+                                                     + static_cast<std::ptrdiff_t>(count));
                           if (!self->m_outgoing.empty())
-                              self->writeNext();
+                              self->writeQueued();
                       });
 }
 
--- a/Libraries/Transport/FrameLink.h
+++ b/Libraries/Transport/FrameLink.h
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <array>
 #include <atomic>
 #include <deque>
 #include <functional>
@@ -38,17 +39,20 @@
     Instant lastReceived() const { return m_lastReceived; }
 
 private:
-    void readLength();
-    void readBody(uint32_t length);
-    void writeNext();
+    void readSome();
+    /** Hands on the whole frames among what was received. */
+    void takeFrames();
+    /** Writes all frames that are queued. */
+    void writeQueued();
     void fail();
 
     asio::ip::tcp::socket m_socket;
     FrameHandler m_onFrame;
     CloseHandler m_onClose;
-    uint32_t m_length = 0;
-    Frame m_incoming;
+    std::array<char, 16 * 1024> m_chunk{};
+    std::string m_received;
     std::deque<Frame> m_outgoing;
+    bool m_isWriting = false;
     bool m_closed = false;
     std::atomic<Instant> m_lastReceived = std::chrono::steady_clock::now();
 };
--- /dev/null
+++ b/Libraries/Transport/MessageDelay.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "State/Time.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace Cranberrymount {
+
+/**
+ * Tells how late the messages of one link come, though the clocks of its ends have nothing in
+ * common but their rate: against the quickest message so far.
+ */
+class MessageDelay
+{
+public:
+    /**
+     * Takes a message in.
+     * @param sentAt on the sender's clock.
+     * @param receivedAt on the receiver's clock.
+     * @return by how much longer it took than the quickest; unset for the first one.
+     */
+    std::optional<Duration> note(Duration sentAt, Duration receivedAt)
+    {
+        const Duration difference = receivedAt - sentAt;
+        if (!m_least) {
+            m_least = difference;
+            return std::nullopt;
+        }
+        m_least = std::min(*m_least, difference);
+        return difference - *m_least;
+    }
+
+private:
+    std::optional<Duration> m_least;
+};
+
+} // namespace Cranberrymount
--- /dev/null
+++ b/Tests/Unit/OrderRelayTest.cpp
@@ -0,0 +1,259 @@
+#include "CellWorld.h"
+
+#include "Coordination/OrderRelay.h"
+#include "Coordination/PeerHub.h"
+#include "Transport/AsioTimerService.h"
+#include "Transport/MessageDelay.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <set>
+
+using namespace Cranberrymount;
+
+namespace {
+
+WorkerId workerName(std::size_t number)
+{
+    return WorkerId(fmt::format("i-{:04}", number));
+}
+
+/** Answers every order at once and counts the workers that it reached. */
+class CountingOrders : public WorkerOrders
+{
+public:
+    void hold(HoldCall call, std::function<void(HoldReply)> done) override
+    {
+        held.insert(call.to.worker);
+        HoldReply reply;
+        reply.outcome = isCut ? HoldReply::Unreachable : HoldReply::Answered;
+        done(reply);
+    }
+    void start(StartCall call, std::function<void(StartReply)> done) override
+    {
+        started.insert(call.to.worker);
+        done({StartReply::Started});
+    }
+    void stop(StopCall, std::function<void(StopReply)> done) override
+    {
+        done({StopReply::Accepted});
+    }
+
+    bool isCut = false;
+    std::set<WorkerId> held;
+    std::set<WorkerId> started;
+};
+
+/** A leader's relay with carriers of two strengths, in virtual time. */
+class RelayFixture
+{
+protected:
+    void addCarriers(std::size_t count, int64_t processor)
+    {
+        for (std::size_t index = 0; index < count; ++index)
+            addCarrier(EntryId(fmt::format("n{}-{}", processor, index)), processor);
+    }
+
+    void addCarrier(const EntryId &node, int64_t processor)
+    {
+        CountingOrders &orders = m_carriers[node];
+        OrderRelay::Carrier carrier;
+        carrier.processor = CpuMillis(processor);
+        carrier.hold = [this, node, &orders](HoldCall call, auto done) {
+            if (m_silent.contains(node))
+                return done(std::nullopt);
+            orders.hold(std::move(call), done);
+        };
+        carrier.start = [&orders](StartCall call, auto done) {
+            orders.start(std::move(call), done);
+        };
+        m_relay.addCarrier(node, std::move(carrier));
+    }
+
+    /** Asks every worker of the pool for a report. @return those that answered. */
+    std::size_t holdAll(std::size_t workers)
+    {
+        std::size_t answered = 0;
+        for (std::size_t index = 0; index < workers; ++index) {
+            HoldCall call;
+            call.to.worker = workerName(index);
+            m_relay.hold(std::move(call), [&answered](const HoldReply &reply) {
+                answered += reply.outcome == HoldReply::Answered;
+            });
+        }
+        return answered;
+    }
+
+    void forgetCounts()
+    {
+        m_direct.held.clear();
+        for (auto &[node, orders] : m_carriers)
+            orders.held.clear();
+    }
+
+    std::map<WorkerId, EntryId> carrierOfWorkers() const
+    {
+        std::map<WorkerId, EntryId> carriers;
+        for (const auto &[node, orders] : m_carriers) {
+            for (const WorkerId &worker : orders.held)
+                carriers[worker] = node;
+        }
+        return carriers;
+    }
+
+    EventQueue m_events;
+    QueueTimers m_timers{m_events};
+    CountingOrders m_direct;
+    std::map<EntryId, CountingOrders> m_carriers;
+    std::set<EntryId> m_silent;
+    OrderRelay m_relay{m_direct, m_timers};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(RelayFixture, "Leader of a small pool gives all orders itself", "[orderrelay]")
+{
+    addCarriers(8, 250);
+    CHECK(holdAll(48) == 48);
+    CHECK(m_direct.held.size() == 48);
+    CHECK(carrierOfWorkers().empty());
+}
+
+// Guards against a leader whose processor is spent on calls to several hundred workers.
+TEST_CASE_METHOD(RelayFixture, "Followers of a large pool's leader carry its orders",
+                 "[orderrelay]")
+{
+    addCarriers(28, 120);
+    addCarriers(6, 500);
+    holdAll(350);
+    forgetCounts();
+    CHECK(holdAll(350) == 350);
+    CHECK(m_direct.held.empty());
+    CHECK(carrierOfWorkers().size() == 350);
+    std::size_t strong = 0;
+    for (const auto &[node, orders] : m_carriers) {
+        if (node.value().starts_with("n500"))
+            strong += orders.held.size();
+        // A mean of 6.6, or 28 on the strong ones.
+        CHECK(orders.held.size() <= 50);
+    }
+    CHECK(strong > 110);
+    CHECK(strong < 220);
+}
+
+TEST_CASE_METHOD(RelayFixture, "Start goes the way of its worker's reports", "[orderrelay]")
+{
+    addCarriers(5, 250);
+    holdAll(100);
+    forgetCounts();
+    holdAll(100);
+    StartCall call;
+    call.to.worker = workerName(7);
+    std::optional<StartReply> reply;
+    m_relay.start(std::move(call), [&reply](const StartReply &answer) { reply = answer; });
+    REQUIRE(reply);
+    CHECK(reply->outcome == StartReply::Started);
+    CHECK(m_carriers.at(carrierOfWorkers().at(workerName(7))).started.contains(workerName(7)));
+}
+
+TEST_CASE_METHOD(RelayFixture, "Workers keep their carrier when another node joins", "[orderrelay]")
+{
+    addCarriers(10, 250);
+    holdAll(200);
+    forgetCounts();
+    holdAll(200);
+    const auto before = carrierOfWorkers();
+    forgetCounts();
+    addCarrier(EntryId("newcomer"), 250);
+    holdAll(200);
+    for (const auto &[worker, node] : carrierOfWorkers())
+        CHECK((node == before.at(worker) || node == EntryId("newcomer")));
+}
+
+TEST_CASE_METHOD(RelayFixture, "Worker that its carrier cannot reach is called from the leader",
+                 "[orderrelay]")
+{
+    addCarriers(2, 250);
+    holdAll(100);
+    m_carriers.begin()->second.isCut = true;
+    const std::size_t cut = 100 - holdAll(100);
+    CHECK(cut > 0);
+    m_direct.held.clear();
+    CHECK(holdAll(100) == 100);
+    CHECK(m_direct.held.size() == cut);
+}
+
+TEST_CASE_METHOD(RelayFixture, "Silent carrier is left out at once and used again later",
+                 "[orderrelay]")
+{
+    addCarriers(3, 250);
+    holdAll(100);
+    const EntryId silent = m_carriers.begin()->first;
+    m_silent.insert(silent);
+    holdAll(100);
+    CHECK(holdAll(100) == 100);
+    m_silent.clear();
+    m_events.runUntil(m_events.now() + Duration(6000));
+    forgetCounts();
+    CHECK(holdAll(100) == 100);
+    CHECK_FALSE(m_carriers.at(silent).held.empty());
+}
+
+TEST_CASE_METHOD(RelayFixture, "Leader without followers gives all orders itself", "[orderrelay]")
+{
+    addCarriers(2, 250);
+    holdAll(100);
+    for (const auto &[node, orders] : m_carriers)
+        m_relay.removeCarrier(node);
+    m_direct.held.clear();
+    CHECK(holdAll(100) == 100);
+    CHECK(m_direct.held.size() == 100);
+}
+
+TEST_CASE("Late message shows against the quickest one of its link", "[orderrelay]")
+{
+    MessageDelay delay;
+    CHECK_FALSE(delay.note(Duration(5000), Duration(90'000)));
+    CHECK(delay.note(Duration(5200), Duration(90'200)) == Duration(0));
+    CHECK(delay.note(Duration(5400), Duration(92'400)) == Duration(2000));
+    CHECK(delay.note(Duration(7500), Duration(92'499)) == Duration(0));
+}
+
+TEST_CASE("Follower carries its leader's order and answers for the worker", "[orderrelay]")
+{
+    constexpr uint16_t LeaderPort = 18'473;
+    asio::io_context context(1);
+    AsioTimerService timers(context);
+    CountingOrders leadersOrders;
+    CountingOrders followersOrders;
+    std::optional<StartReply> reply;
+    PeerHub *leaderHub = nullptr;
+    PeerHub::Handlers leaderHandlers;
+    leaderHandlers.orders = &leadersOrders;
+    leaderHandlers.followerLeft = [](const EntryId &) {};
+    leaderHandlers.followerJoined = [&](const EntryId &node) {
+        leaderHub->sendHeartbeat(node, {});
+        StartCall call;
+        call.to.worker = workerName(1);
+        call.task = {JobId("0123456789abcdef"), 1, 2, 3};
+        call.payload = "text";
+        leaderHub->carrier(node).start(std::move(call), [&](std::optional<StartReply> answer) {
+            reply = answer;
+            context.stop();
+        });
+    };
+    PeerHub leader(context, timers, {EntryId("l"), CpuMillis(500)}, {"127.0.0.1", LeaderPort},
+                   leaderHandlers);
+    leaderHub = &leader;
+    PeerHub::Handlers followerHandlers;
+    followerHandlers.orders = &followersOrders;
+    PeerHub follower(context, timers, {EntryId("f"), CpuMillis(120)}, {"127.0.0.1", 0},
+                     followerHandlers);
+    follower.follow(Endpoint{"127.0.0.1", LeaderPort});
+    context.run_for(std::chrono::seconds(5));
+    REQUIRE(reply);
+    CHECK(reply->outcome == StartReply::Started);
+    CHECK(followersOrders.started.contains(workerName(1)));
+    CHECK(leadersOrders.started.empty());
+}
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -189,6 +189,32 @@
     const RunEnded passedOn = std::get<LeftoverEndsMessage>(leftover.message).ends.at(0);
     CHECK(passedOn.task == end.task);
     CHECK(passedOn.checkpoint == "c");
+    HoldReply report;
+    report.outcome = HoldReply::Answered;
+    report.clock = WorkerClock(17);
+    report.bornMs = 1700000000000;
+    report.running = {{end.task, 2, "saved", 41}};
+    report.ended = {{58, end.task, 1, RunOutcome::Lapsed, "c"}};
+    const CellEnvelope held = decodeCellEnvelope(encodeCellEnvelope({1, report, Duration(5)}));
+    CHECK(held.sentAt == Duration(5));
+    const HoldReply &heldBack = std::get<HoldReply>(held.message);
+    CHECK(heldBack.outcome == HoldReply::Answered);
+    CHECK(heldBack.bornMs == 1700000000000);
+    CHECK(heldBack.running.at(0).task == end.task);
+    CHECK(heldBack.running.at(0).percent == 41);
+    CHECK(heldBack.ended.at(0).number == 58);
+    CHECK(heldBack.ended.at(0).outcome == RunOutcome::Lapsed);
+    StartCall start;
+    start.to = {{"10.0.0.1", 80}, WorkerId("w"), Epoch(7)};
+    start.task = end.task;
+    start.leaseUntil = WorkerClock(9);
+    start.ticket = "t";
+    const CellEnvelope ordered = decodeCellEnvelope(encodeCellEnvelope({1, start}));
+    const StartCall &startBack = std::get<StartCall>(ordered.message);
+    CHECK(startBack.to.address.text() == "10.0.0.1:80");
+    CHECK(startBack.to.epoch == Epoch(7));
+    CHECK(startBack.leaseUntil == WorkerClock(9));
+    CHECK(startBack.ticket == "t");
     CHECK_THROWS_AS(decodeCellEnvelope("rubbish"), ProtocolError);
 }
 
