--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -241,6 +241,8 @@
         commit->isWritten = true;
         m_latency = std::chrono::duration_cast<Duration>(m_timers.now() - commit->begin);
         m_lastCommit = m_timers.now();
+        if (!m_isReachable)
+            repeatCommits();
         setReachable(true);
         return finishCommits();
     }
@@ -256,6 +258,16 @@
     });
 }
 
+/** Sends what is not written again: earlier tries may hang although the store is back. */
+void Journal::repeatCommits()
+{
+    m_lastRepeat = m_timers.now();
+    for (const std::shared_ptr<Commit> &commit : m_commits) {
+        if (!commit->isWritten)
+            sendCommit(commit);
+    }
+}
+
 void Journal::probe()
 {
     if (m_isReachable || m_isSuperseded)
@@ -264,11 +276,7 @@
         if (alive.expired() || !read.answered || m_isReachable || m_isSuperseded
             || m_timers.now() - m_lastRepeat < LongestRetryPause)
             return;
-        m_lastRepeat = m_timers.now();
-        for (const std::shared_ptr<Commit> &commit : m_commits) {
-            if (!commit->isWritten)
-                sendCommit(commit);
-        }
+        repeatCommits();
     });
     m_timers.after(ProbeInterval, [this] { probe(); });
 }
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -89,6 +89,7 @@
                       const CommitResult &result);
     /** Reads from the store until it answers, so that commits need not wait for hung calls. */
     void probe();
+    void repeatCommits();
     void finishCommits();
     void setReachable(bool isReachable);
     Duration interval() const;
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -240,6 +240,27 @@
     CHECK(m_world.holdCount - before <= 5 * m_world.workers.size());
 }
 
+// Guards against submissions that wait out a whole time-out after the store has come back.
+TEST_CASE_METHOD(CellFixture, "Everything that waits for a silent store is written once it is back",
+                 "[cell]")
+{
+    const Duration silence(GENERATE(range(1100, 2600, 100)));
+    m_world.store.isSilent = true;
+    const Instant end = m_world.events.now() + silence;
+    std::vector<JobId> jobs;
+    while (m_world.events.now() < end) {
+        if (m_world.leader().storeLostFor() == Duration(0))
+            jobs.push_back(m_world.submit(1, Small, Duration(400)));
+        m_world.run(Duration(25));
+    }
+    m_world.store.isSilent = false;
+    const auto areAnswered = [&] {
+        return m_world.accepted.size() + m_world.refused.size() == jobs.size();
+    };
+    CHECK(m_world.runUntil(areAnswered,
+                           Duration(300)));
+}
+
 TEST_CASE("Store that was silent is used as soon as it is back", "[cell]")
 {
     // Whenever the last call before its return began to hang.
