Dispatcher: Look at allowed workers only, and propose the calls that can be made

Two causes: a round took 33 ms, since each waiting step looked at each worker, so that the leader made 8 rounds a second; and of the 40 calls that a round proposed most were long ones that nobody was free to make. Now a step with advice looks at the workers that it was allowed, calls are proposed within the room that the callers have for long and for short ones, and the best workers are sorted out of the others only as far as calls can name them.

--- a/Benchmarks/main.cpp
+++ b/Benchmarks/main.cpp
@@ -2,6 +2,7 @@
 
 #include "Day.h"
 #include "FirstFit.h"
+#include "Rounds.h"
 
 #include "Decision/ShardScheduler.h"
 #include "Protocol/Json.h"
@@ -196,6 +197,22 @@
 
 } // namespace
 
+namespace {
+
+void printRounds()
+{
+    for (const std::size_t workers : {48, 350, 1200}) {
+        for (const std::size_t waiting : {20, 150, 900}) {
+            const RoundTimes times = timeRounds(workers, waiting);
+            std::cout << fmt::format(
+                "{:5} workers {:4} waiting steps: {:8.3f} ms a round, {} starts, {} calls\n", workers,
+                waiting, times.meanMilliseconds, times.starts, times.adviceCalls);
+        }
+    }
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
     try {
@@ -206,7 +223,12 @@
         TCLAP::ValueArg<std::string> url("", "load", "URL to load instead", false, "", "URL", line);
         TCLAP::ValueArg<int> count("", "count", "requests", false, 2000, "N", line);
         TCLAP::ValueArg<int> atOnce("", "at-once", "requests at a time", false, 1, "N", line);
+        TCLAP::SwitchArg rounds("", "rounds", "times rounds of the cell's decisions instead", line);
         line.parse(argc, argv);
+        if (rounds.getValue()) {
+            printRounds();
+            return 0;
+        }
         if (url.isSet()) {
             load(url.getValue(), count.getValue(), atOnce.getValue(), "{}");
             return 0;
--- a/Libraries/Coordination/AdviceDesk.cpp
+++ b/Libraries/Coordination/AdviceDesk.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/** Calls above this cost are long: they are kept off the callers set aside for short ones. */
-constexpr Duration LongCall{250};
 /** Of this many callers one is set aside for short calls. */
 constexpr std::size_t CallersPerShortLane = 3;
 /** Two one-way trips through a peer, and a margin for a busy node. */
@@ -18,6 +16,8 @@
  * call may wait behind a few short ones, so that the node is not idle between them. */
 constexpr Duration LongOverlap{15};
 constexpr Duration ShortOverlap{60};
+/** A lookup's call about some thirty workers, by the users' sheets. */
+constexpr Duration TypicalShortCall{15};
 
 } // namespace
 
@@ -36,16 +36,36 @@
     m_callers.erase(node);
 }
 
+std::size_t AdviceDesk::shortLanes() const
+{
+    return m_callers.size() / CallersPerShortLane;
+}
+
+AdviceRoom AdviceDesk::room() const
+{
+    const Instant now = m_timers.now();
+    AdviceRoom room;
+    std::size_t position = 0;
+    for (const auto &[node, caller] : m_callers) {
+        const bool isShortLane = position++ < shortLanes();
+        room.longCalls += !isShortLane && caller.busyUntil <= now + LongOverlap;
+        const auto backlog = std::max(caller.busyUntil, now) - now;
+        if (backlog <= ShortOverlap)
+            room.shortCalls +=
+                1 + static_cast<std::size_t>((ShortOverlap - backlog) / TypicalShortCall);
+    }
+    return room;
+}
+
 bool AdviceDesk::tryAsk(AdviceCall call, Duration cost, std::function<void(AdviceReply)> done)
 {
     const Instant now = m_timers.now();
-    const std::size_t shortLanes = m_callers.size() / CallersPerShortLane;
     Caller *best = nullptr;
     EntryId bestNode;
     std::size_t position = 0;
     for (auto &[node, caller] : m_callers) {
-        const bool isShortLane = position++ < shortLanes;
-        const bool isLong = cost > LongCall;
+        const bool isShortLane = position++ < shortLanes();
+        const bool isLong = cost > LongAdviceCall;
         if (caller.busyUntil > now + (isLong ? LongOverlap : ShortOverlap))
             continue;
         if (isShortLane && isLong)
--- a/Libraries/Coordination/AdviceDesk.h
+++ b/Libraries/Coordination/AdviceDesk.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decision/AdviceBook.h"
 #include "Protocol/PlacementAdvisor.h"
 #include "State/Ids.h"
 #include "Transport/GuardedTimers.h"
@@ -23,6 +24,9 @@
     void addCaller(const EntryId &node, Ask ask);
     void removeCaller(const EntryId &node);
 
+    /** @return how many calls tryAsk() would take now. */
+    AdviceRoom room() const;
+
     /**
      * Calls the advisor through the node that is free first.
      * @return false if every node that may take a call of this cost is busy; @p done is then not
@@ -38,6 +42,9 @@
         Instant busyUntil{};
     };
 
+    /** @return how many callers are set aside for short calls; the first ones are. */
+    std::size_t shortLanes() const;
+
     TimerService &m_timers;
     std::map<EntryId, Caller> m_callers;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -393,6 +393,7 @@
     input.jobs = &m_jobs;
     input.configuration = &m_configuration;
     input.advice = &m_adviceBook;
+    input.adviceRoom = m_parts.advice.room();
     input.teamUse = m_teamUse;
     for (const auto &[id, session] : m_sessions) {
         DispatchWorker worker;
--- a/Libraries/Decision/AdviceBook.h
+++ b/Libraries/Decision/AdviceBook.h
@@ -7,6 +7,18 @@
 
 namespace Cranberrymount {
 
+/** Calls for advice above this cost are long: short ones must not queue behind them. */
+constexpr Duration LongAdviceCall{250};
+
+/** Calls for advice that can be made now. */
+struct AdviceRoom
+{
+    std::size_t longCalls = 0;
+    std::size_t shortCalls = 0;
+
+    std::size_t &of(Duration cost) { return cost > LongAdviceCall ? longCalls : shortCalls; }
+};
+
 /**
  * What the advisor has said about steps and workers. Whether a worker may run a step never
  * changes; only the ticket that proves it lapses.
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t MaxWorkersPerAdvice = 30;
 /** Room asked for as a multiple of what is wanted, since some workers will be denied. */
 constexpr double AdviceSurplus = 3.0;
-/** Calls proposed in one round; a cell's nodes take fewer at a time. */
-constexpr std::size_t MostAdvice = 40;
 /** Calls that a gang may have under way: its tickets lapse before a row of calls would be over. */
 constexpr std::size_t MaxGangCalls = 4;
 /** Places that a gang asks for as a multiple of its members; some are taken before the answer. */
@@ -77,14 +75,18 @@
 
 Dispatcher::Dispatcher(DispatchInput input)
     : m_input(std::move(input))
+    , m_poolOf(m_input.workers.size(), nullptr)
     , m_reservedFor(m_input.workers.size(), nullptr)
 {
+    m_positions.reserve(m_input.workers.size());
     for (std::size_t index = 0; index < m_input.workers.size(); ++index) {
         const DispatchWorker &worker = m_input.workers[index];
         if (!worker.acceptsWork)
             continue;
         Pool &pool = m_pools[worker.info->pool];
         pool.workers.push_back(index);
+        m_poolOf[index] = &pool;
+        m_positions.emplace(worker.info->life, index);
         pool.capacity = pool.capacity + worker.info->capacity.cpu;
         pool.used = pool.used + worker.used.cpu;
     }
@@ -166,19 +168,35 @@
 std::vector<Dispatcher::Place> Dispatcher::placesOf(const Candidate &candidate) const
 {
     std::vector<Place> places;
+    if (!candidate.queue->advice) {
+        for (const std::size_t worker : candidate.pool->workers)
+            addPlace(candidate, worker, places);
+        return places;
+    }
     // Nobody has a ticket before the advisor has answered.
-    if (candidate.queue->advice && !candidate.known)
+    if (!candidate.known)
         return places;
-    for (const std::size_t worker : candidate.pool->workers) {
-        const int64_t count = placesOn(candidate, worker);
-        if (count <= 0 || !isEligible(candidate, worker))
-            continue;
-        if (const std::string *ticket = ticketFor(candidate, worker))
-            places.push_back({worker, ticket, count});
+    // The advisor allows a step few workers of a large pool.
+    for (const auto &[life, verdict] : candidate.known->verdicts) {
+        const auto position = m_positions.find(life);
+        if (verdict.isAllowed && position != m_positions.end()
+            && m_poolOf[position->second] == candidate.pool)
+            addPlace(candidate, position->second, places);
     }
+    std::ranges::sort(places, {}, &Place::worker);
     return places;
 }
 
+void Dispatcher::addPlace(const Candidate &candidate, std::size_t worker,
+                          std::vector<Place> &places) const
+{
+    const int64_t count = placesOn(candidate, worker);
+    if (count <= 0 || !isEligible(candidate, worker))
+        return;
+    if (const std::string *ticket = ticketFor(candidate, worker))
+        places.push_back({worker, ticket, count});
+}
+
 void Dispatcher::placeSingles(const Candidate &candidate, const StepRun &step)
 {
     const StepSpec &spec = candidate.spec();
@@ -224,12 +242,14 @@
 
 void Dispatcher::noteWaiting(const Candidate &candidate)
 {
-    const bool hasRoom = candidate.queue->advice
-        && std::ranges::any_of(candidate.pool->workers, [&](std::size_t worker) {
-               const AdviceBook::Verdict *verdict = verdictOn(candidate, worker);
-               return (!verdict || verdict->isAllowed) && placesOn(candidate, worker) > 0;
-           });
-    ++(hasRoom ? m_result.waiting.withoutTicket : m_result.waiting.withoutRoom);
+    const auto isOpen = [&](const auto &known) {
+        const auto position = m_positions.find(known.first);
+        return known.second.isAllowed && position != m_positions.end()
+            && placesOn(candidate, position->second) > 0;
+    };
+    const bool waitsForTicket = candidate.queue->advice
+        && (!candidate.known || std::ranges::any_of(candidate.known->verdicts, isOpen));
+    ++(waitsForTicket ? m_result.waiting.withoutTicket : m_result.waiting.withoutRoom);
 }
 
 std::vector<const Dispatcher::Place *> Dispatcher::chooseForGang(const std::vector<Place> &order,
@@ -410,6 +430,7 @@
 {
     const StepSpec &spec = candidate.spec();
     const AdviceBook::StepAdvice *known = candidate.known;
+    const std::size_t callsUnderWay = known ? known->callsUnderWay : 0;
     const double share = m_input.advice->allowedShare();
     const double limit = slowLimit(candidate.urgency);
     // A gang needs all its tickets at a time: those that lapse before the answer do not count.
@@ -427,7 +448,7 @@
             continue;
         const bool isAllowed = verdict != nullptr;
         const bool isUnderWay =
-            known && known->underWay.contains(m_input.workers[worker].info->life);
+            callsUnderWay > 0 && known->underWay.contains(m_input.workers[worker].info->life);
         const bool hasTicket = isAllowed && verdict->expires > answerAt + StartDelay;
         if (hasTicket || isUnderWay) {
             if (spec.isGang && places > 0) {
@@ -442,14 +463,21 @@
             {worker, isAllowed, places, m_input.workers[worker].slowness > limit});
         outlook.allowedPlaces += isAllowed ? places : 0;
     }
-    std::ranges::stable_sort(outlook.choices,
-                             [](const AdviceChoice &left, const AdviceChoice &right) {
-                                 if (left.isAllowed != right.isAllowed)
-                                     return left.isAllowed;
-                                 if (left.isSlow != right.isSlow)
-                                     return right.isSlow;
-                                 return left.places > right.places;
-                             });
+    // Only the best fit into the calls.
+    const std::size_t most = MaxWorkersPerAdvice * (spec.isGang ? MaxGangCalls : 1);
+    const auto end = outlook.choices.begin()
+        + static_cast<std::ptrdiff_t>(std::min(most, outlook.choices.size()));
+    std::ranges::partial_sort(outlook.choices, end,
+                              [](const AdviceChoice &left, const AdviceChoice &right) {
+                                  if (left.isAllowed != right.isAllowed)
+                                      return left.isAllowed;
+                                  if (left.isSlow != right.isSlow)
+                                      return right.isSlow;
+                                  if (left.places != right.places)
+                                      return left.places > right.places;
+                                  return left.worker < right.worker;
+                              });
+    outlook.choices.erase(end, outlook.choices.end());
     return outlook;
 }
 
@@ -460,7 +488,8 @@
     const AdviceBook::StepAdvice *known = candidate.known;
     const std::size_t callsUnderWay = known ? known->callsUnderWay : 0;
     const std::size_t mostCalls = spec.isGang ? MaxGangCalls : 1;
-    if (m_result.advice.size() >= MostAdvice || callsUnderWay >= mostCalls
+    if (m_input.adviceRoom.of(candidate.queue->advice->costOf(1)) == 0
+        || callsUnderWay >= mostCalls
         || (known && known->notBefore > m_input.now))
         return;
     AdviceOutlook outlook = adviceOutlook(candidate);
@@ -496,6 +525,11 @@
         if (decision.workers.empty() || (!isFirst && expected <= before))
             return;
         decision.cost = candidate.queue->advice->costOf(decision.workers.size());
+        std::size_t &room = m_input.adviceRoom.of(decision.cost);
+        if (room == 0)
+            return;
+        // Calls beyond a step's first are made if the others leave room.
+        room -= isFirst;
         decision.ticketLife = candidate.queue->advice->ticketLife;
         decision.isExtra = !isFirst;
         m_result.advice.push_back(std::move(decision));
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -42,6 +42,8 @@
     const JobTable *jobs = nullptr;
     const CellConfiguration *configuration = nullptr;
     const AdviceBook *advice = nullptr;
+    /** Calls that the advisor's callers can make now. */
+    AdviceRoom adviceRoom;
     std::vector<DispatchWorker> workers;
     /** What each team has running. */
     std::map<TeamId, Resources> teamUse;
@@ -176,6 +178,8 @@
     void placeGang(const Candidate &candidate, const StepRun &step);
     /** @return workers with room, and a ticket if one is needed. */
     std::vector<Place> placesOf(const Candidate &candidate) const;
+    /** Adds the worker to @p places if a task of the step may start there now. */
+    void addPlace(const Candidate &candidate, std::size_t worker, std::vector<Place> &places) const;
     /** @return a worker for each of @p members, all in @p rack if one is given; or nothing. */
     std::vector<const Place *> chooseForGang(const std::vector<Place> &order, std::size_t members,
                                              const RackId *rack) const;
@@ -204,6 +208,9 @@
     DispatchInput m_input;
     DispatchResult m_result;
     std::map<std::string, Pool> m_pools;
+    /** Each worker's pool; null if it accepts no work. */
+    std::vector<const Pool *> m_poolOf;
+    std::unordered_map<WorkerLife, std::size_t> m_positions;
     /** Step whose gang keeps the worker free, by worker. */
     std::vector<const Candidate *> m_reservedFor;
     std::vector<Candidate> m_candidates;
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -79,6 +79,7 @@
         input.jobs = &m_jobs;
         input.configuration = &m_configuration;
         input.advice = &m_advice;
+        input.adviceRoom = m_adviceRoom;
         input.workers = m_workers;
         input.teamUse = m_teamUse;
         return Dispatcher(std::move(input)).decide();
@@ -95,6 +96,7 @@
     JobTable m_jobs;
     CellConfiguration m_configuration;
     AdviceBook m_advice;
+    AdviceRoom m_adviceRoom{40, 40};
     std::deque<CellWorker> m_infos;
     std::vector<DispatchWorker> m_workers;
     std::map<TeamId, Resources> m_teamUse;
