Coordination: Refuse at once what a silent store was never sent

Now: a store that has answered nothing for 0.4 s, or for three times what its last commit took, counts as silent. Jobs whose acceptance was not sent are taken out with their planned runs and refused with a time to come back: they never run. Jobs in a commit under way wait, since their fate is open. Tests: 'Submission that a silent store was never sent is refused at once' failed (0 of 40 refused); 'Slow store is not taken for a silent one' holds the other side.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -157,6 +157,28 @@
     scheduleDispatch();
 }
 
+void CellScheduler::refuseUnsent()
+{
+    if (m_isStoreReachable || m_isOver)
+        return;
+    for (const JobId &id : m_journal->withdrawUnsent()) {
+        // Its runs were only planned: an order follows the record of its assignment.
+        for (auto run = m_runs.lower_bound({id, 0, 0, 0});
+             run != m_runs.end() && run->first.job == id;)
+            removeRun(run++);
+        m_jobs.withdraw(id);
+        forgetDecisions(id);
+        LOG_EVENT(m_parts.log, "job_refused")
+            << "job=" << id.value() << " why=store_silent store_age_ms=" << storeAge().count();
+        m_parts.count("jobs_refused", 1);
+        const auto node = m_accepting.extract(id);
+        if (node.empty())
+            continue;
+        for (const ClientRespond &waiter : node.mapped())
+            waiter(unavailable("the store does not answer; the job was not stored"));
+    }
+}
+
 void CellScheduler::cancel(const JobId &id, ClientRespond respond)
 {
     if (m_accepting.contains(id))
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -123,7 +123,10 @@
                 m_storeLostAt = m_timers.now();
                 // Not from within the journal's own callback.
                 if (!isReachable)
-                    m_timers.after(Duration(0), [this] { applyUnwrittenEnds(); });
+                    m_timers.after(Duration(0), [this] {
+                        applyUnwrittenEnds();
+                        refuseUnsent();
+                    });
                 if (isReachable) {
                     m_parts.storeRegained();
                     scheduleDispatch();
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -135,6 +135,8 @@
     void submit(const QueueSettings &queue, const TeamId &team, const JobId &id, ClientCall call,
                 ClientRespond respond);
     void cancel(const JobId &id, ClientRespond respond);
+    /** Refuses the submissions that were never sent to the store. */
+    void refuseUnsent();
     bool isBeyondShare(const TeamId &team);
     bool isStoreLost() const;
 
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -19,6 +19,10 @@
 constexpr Duration CommitInterval{25};
 /** Commits under way at a time: with a slow store they overlap, with a quick one they do not. */
 constexpr std::size_t MostCommits = 6;
+/** A store that answers no commit for this long, or for some times what the last one took, is taken
+ * for silent: the slow one of the users' pages takes 0.24 s. */
+constexpr Duration ShortestSilence{400};
+constexpr int SilencePerLatency = 3;
 /** Pauses before a commit is repeated; doubled up to the longest. */
 constexpr Duration FirstRetryPause{50};
 constexpr Duration LongestRetryPause{400};
@@ -205,10 +209,16 @@
 void Journal::sendCommit(const std::shared_ptr<Commit> &commit)
 {
     const uint32_t tryNumber = ++commit->lastTry;
+    m_timers.after(std::max(ShortestSilence, SilencePerLatency * m_latency),
+                   [this, sentAt = m_timers.now()] { checkSilence(sentAt); });
     m_store.commit(
         commit->transaction,
         [this, commit, tryNumber, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
-            if (!alive.expired() && !m_isSuperseded && !commit->isWritten)
+            if (alive.expired() || m_isSuperseded)
+                return;
+            if (result.outcome != CommitResult::Unknown)
+                m_lastAnswer = m_timers.now();
+            if (!commit->isWritten)
                 handleResult(commit, tryNumber, result);
         });
 }
@@ -258,6 +268,26 @@
     });
 }
 
+void Journal::checkSilence(Instant sentAt)
+{
+    if (!m_commits.empty() && m_lastAnswer < sentAt && !m_isSuperseded)
+        setReachable(false);
+}
+
+std::vector<JobId> Journal::withdrawUnsent()
+{
+    std::vector<JobId> jobs;
+    for (const Pending &pending : m_waiting) {
+        if (const auto *accepted = std::get_if<JobAccepted>(&pending.record))
+            jobs.push_back(accepted->job);
+    }
+    const std::set<JobId> withdrawn(jobs.begin(), jobs.end());
+    std::erase_if(m_waiting, [&withdrawn](const Pending &pending) {
+        return withdrawn.contains(jobOf(pending.record));
+    });
+    return jobs;
+}
+
 /** Sends what is not written again: earlier tries may hang although the store is back. */
 void Journal::repeatCommits()
 {
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -61,6 +61,11 @@
 
     /** @return when the store last confirmed a commit. */
     Instant lastCommit() const { return m_lastCommit; }
+    /**
+     * Takes out the records of jobs whose acceptance was never sent to the store.
+     * @return those jobs; nothing of them will ever be written.
+     */
+    std::vector<JobId> withdrawUnsent();
     /** Writes an empty segment if nothing else is under way, to confirm the claim. */
     void touch();
 
@@ -90,6 +95,8 @@
     /** Reads from the store until it answers, so that commits need not wait for hung calls. */
     void probe();
     void repeatCommits();
+    /** Takes the store for silent if nothing has come from it since @p sentAt. */
+    void checkSilence(Instant sentAt);
     void finishCommits();
     void setReachable(bool isReachable);
     Duration interval() const;
@@ -110,6 +117,8 @@
     bool m_isSuperseded = false;
     bool m_isReachable = true;
     Instant m_lastCommit;
+    /** When the store last answered a commit, with whatever outcome. */
+    Instant m_lastAnswer{};
     Instant m_lastStart;
     /** When commits were last repeated because the store answered a read. */
     Instant m_lastRepeat{};
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -225,6 +225,20 @@
     return job ? stepIn(*job, key.occurrence, key.step) : nullptr;
 }
 
+void JobTable::withdraw(const JobId &id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return;
+    m_open.erase(id);
+    m_endedWithRuns.erase(id);
+    m_pendingBeyondShare.erase(id);
+    const auto pending = m_pending.find(found->second.accepted.queue);
+    if (pending != m_pending.end())
+        pending->second.erase(id);
+    m_jobs.erase(found);
+}
+
 std::vector<StepKey> JobTable::startableSteps(WallTime now) const
 {
     std::vector<StepKey> result;
--- a/Libraries/State/JobTable.h
+++ b/Libraries/State/JobTable.h
@@ -65,6 +65,9 @@
     /** Takes @p record in; records of unknown jobs and of superseded attempts change nothing. */
     void apply(const JournalRecord &record, WallTime now);
 
+    /** Forgets a job of which nothing was or will be written, with its assignments. */
+    void withdraw(const JobId &id);
+
     /** A worker has begun one of the job's tasks. An assignment alone proves nothing. */
     void noteStarted(const JobId &id);
 
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -261,6 +261,42 @@
                            Duration(300)));
 }
 
+// Guards against callers that wait out their deadline for a store that has fallen silent.
+TEST_CASE_METHOD(CellFixture, "Submission that a silent store was never sent is refused at once",
+                 "[cell]")
+{
+    m_world.run(Duration(500));
+    m_world.store.isSilent = true;
+    std::vector<JobId> jobs;
+    for (int count = 0; count < 40; ++count) {
+        jobs.push_back(m_world.submit(1, Small, Duration(400)));
+        m_world.run(Duration(10));
+    }
+    m_world.run(Duration(150));
+    // The first ones are in commits whose fate is open.
+    CHECK(m_world.refused.size() >= 20);
+    CHECK(m_world.accepted.empty());
+    m_world.run(Duration(2000));
+    m_world.store.isSilent = false;
+    m_world.run(Duration(3000));
+    CHECK(m_world.accepted.size() + m_world.refused.size() == jobs.size());
+    CHECK(m_world.startCount == m_world.accepted.size());
+    for (const JobId &id : m_world.refused)
+        CHECK(m_world.call(ClientCall::Status, id).outcome == ClientReply::NoSuchJob);
+}
+
+TEST_CASE_METHOD(CellFixture, "Slow store is not taken for a silent one", "[cell]")
+{
+    m_world.store.latency = Duration(240);
+    for (int count = 0; count < 40; ++count) {
+        m_world.submit(1, Small, Duration(400));
+        m_world.run(Duration(25));
+        CHECK(m_world.leader().storeLostFor() == Duration(0));
+    }
+    m_world.run(Duration(1500));
+    CHECK(m_world.accepted.size() == 40);
+}
+
 TEST_CASE("Store that was silent is used as soon as it is back", "[cell]")
 {
     // Whenever the last call before its return began to hang.
