Dispatcher: Keep a gang's room while its tickets come, and a late gang's until it starts

Cause: a late gang reserved nothing, and asked for exactly as many tickets as it had members. A call takes 0.6 to 0.8 s; when the tickets came, smaller work had taken the room. Now: room that a gang has tickets for, or asks them for, is kept for it (lookups may still use it), it asks for half as many tickets again, and the late gang that has waited longest reserves workers before other work is placed. Tests: 'Gang keeps the room that it asks tickets for until they come', 'Gang asks for more tickets than it has members', 'Gang that is late gets its room though other work keeps coming': all failed before.

--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -76,7 +76,7 @@
 Dispatcher::Dispatcher(DispatchInput input)
     : m_input(std::move(input))
     , m_poolOf(m_input.workers.size(), nullptr)
-    , m_reservedFor(m_input.workers.size(), nullptr)
+    , m_reservations(m_input.workers.size())
 {
     m_positions.reserve(m_input.workers.size());
     for (std::size_t index = 0; index < m_input.workers.size(); ++index) {
@@ -146,6 +146,11 @@
 DispatchResult Dispatcher::decide()
 {
     m_candidates = sortedCandidates();
+    keepRoomForCalls();
+    findLongestWaiting();
+    // Before more urgent work, of which there may always be enough to fill the pool.
+    if (m_longestWaiting)
+        reserveForGang(*m_longestWaiting, m_longestWaiting->spec().taskCount);
     for (const Candidate &candidate : m_candidates)
         placeStep(candidate);
     // Nobody's second call goes before another's first.
@@ -279,7 +284,8 @@
         ++m_result.waiting.atLimit;
         return;
     }
-    const bool mayStart = poolHeadroom(candidate, spec.need) >= members;
+    const bool mayStart =
+        &candidate == m_longestWaiting || poolHeadroom(candidate, spec.need) >= members;
     std::vector<Place> order = placesOf(candidate);
     // Workers that hold most members go first, so that the gang breaks up few of them; a gang is
     // as slow as its slowest member, so that one without time to spare takes fast workers first.
@@ -306,7 +312,8 @@
         noteWaiting(candidate);
         if (candidate.queue->advice)
             askAdvice(candidate, members);
-        reserveForGang(candidate, members);
+        if (&candidate != m_longestWaiting)
+            reserveForGang(candidate, members);
         return;
     }
     uint32_t attempt = 0;
@@ -353,23 +360,23 @@
 bool Dispatcher::isEligible(const Candidate &candidate, std::size_t worker) const
 {
     const std::string &label = candidate.spec().requiredLabel;
-    if (!label.empty() && !hasLabel(*m_input.workers[worker].info, label))
-        return false;
-    return mayUseReserved(candidate, worker);
+    return label.empty() || hasLabel(*m_input.workers[worker].info, label);
 }
 
-bool Dispatcher::mayUseReserved(const Candidate &candidate, std::size_t worker) const
+Resources Dispatcher::roomFor(const Candidate &candidate, std::size_t worker) const
 {
-    const Candidate *holder = m_reservedFor[worker];
-    return !holder || holder->key == candidate.key
-        || candidate.urgency.urgencyClass == StepUrgency::Immediate;
+    const Resources room = m_input.workers[worker].room();
+    const Reservation &reservation = m_reservations[worker];
+    const bool isKept = reservation.holder && reservation.holder != &candidate
+        && candidate.urgency.urgencyClass != StepUrgency::Immediate;
+    return isKept ? room - reservation.amount : room;
 }
 
 int64_t Dispatcher::placesOn(const Candidate &candidate, std::size_t worker) const
 {
     const StepSpec &spec = candidate.spec();
     const DispatchWorker &one = m_input.workers[worker];
-    const int64_t places = spec.need.countIn(one.room());
+    const int64_t places = spec.need.countIn(roomFor(candidate, worker));
     if (spec.maxPerWorker == 0 || places <= 0)
         return places;
     const StepKey &key = candidate.key;
@@ -508,7 +515,9 @@
         const double before = expected;
         for (; next != outlook.choices.end() && decision.workers.size() < MaxWorkersPerAdvice;
              ++next) {
-            if (next->isAllowed ? expected >= wanted : hasEnoughKnown)
+            // A gang needs some to spare, for places that are gone when the answer comes.
+            const double enough = spec.isGang ? GangSurplus * wanted : wanted;
+            if (next->isAllowed ? expected >= enough : hasEnoughKnown)
                 break;
             if (!spec.isGang && !next->isAllowed && expected >= AdviceSurplus * wanted
                 && decision.workers.size() >= FewestUnknownWorkers)
@@ -541,7 +550,10 @@
 /** Keeps the workers free that will have room for the gang first. */
 void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted)
 {
-    if (m_reservations >= MaxReservations || candidate.urgency.urgencyClass > StepUrgency::InTime)
+    const bool mayReserve = candidate.urgency.urgencyClass <= StepUrgency::InTime
+        && m_reservingGangs < MaxReservations;
+    if ((!mayReserve && &candidate != m_longestWaiting)
+        || teamHeadroom(candidate.job->accepted.team, candidate.spec().need) < wanted)
         return;
     const StepSpec &spec = candidate.spec();
     struct Choice
@@ -552,7 +564,8 @@
     };
     std::vector<Choice> choices;
     for (const std::size_t worker : candidate.pool->workers) {
-        if (!isEligible(candidate, worker))
+        const Candidate *holder = m_reservations[worker].holder;
+        if (!isEligible(candidate, worker) || (holder && holder != &candidate))
             continue;
         const AdviceBook::Verdict *verdict = verdictOn(candidate, worker);
         if (candidate.queue->advice && (!verdict || !verdict->isAllowed))
@@ -579,9 +592,74 @@
         places += choices[used++].places;
     if (places < wanted)
         return;
-    ++m_reservations;
-    for (std::size_t index = 0; index < used; ++index)
-        m_reservedFor[choices[index].worker] = &candidate;
+    m_reservingGangs += &candidate != m_longestWaiting;
+    for (std::size_t index = 0; index < used; ++index) {
+        const std::size_t worker = choices[index].worker;
+        m_reservations[worker] = {&candidate, m_input.workers[worker].info->capacity};
+    }
+}
+
+void Dispatcher::findLongestWaiting()
+{
+    // What can still be of use goes before what cannot.
+    const auto order = [](const Candidate &candidate) {
+        return std::pair(candidate.urgency.urgencyClass, candidate.job->accepted.acceptedAt);
+    };
+    for (const Candidate &candidate : m_candidates) {
+        const bool isLateGang = candidate.spec().isGang && candidate.pool
+            && candidate.urgency.urgencyClass > StepUrgency::InTime
+            && m_input.jobs->findStep(candidate.key)->activeCount == 0;
+        if (isLateGang && (!m_longestWaiting || order(candidate) < order(*m_longestWaiting)))
+            m_longestWaiting = &candidate;
+    }
+}
+
+std::vector<Dispatcher::Place> Dispatcher::comingPlaces(const Candidate &candidate) const
+{
+    std::vector<Place> places;
+    for (const auto &[life, verdict] : candidate.known->verdicts) {
+        const auto position = m_positions.find(life);
+        if (!verdict.isAllowed || position == m_positions.end())
+            continue;
+        const std::size_t worker = position->second;
+        const bool isUsable = m_poolOf[worker] == candidate.pool && !m_reservations[worker].holder
+            && isEligible(candidate, worker);
+        const bool hasTicket = verdict.expires > m_input.now + StartDelay
+            || candidate.known->underWay.contains(life);
+        const int64_t count = isUsable && hasTicket ? placesOn(candidate, worker) : 0;
+        if (count > 0)
+            places.push_back({worker, nullptr, count});
+    }
+    // Where most of a gang fits comes first, so that it keeps few workers.
+    std::ranges::sort(places, [](const Place &left, const Place &right) {
+        return std::pair(-left.count, left.worker) < std::pair(-right.count, right.worker);
+    });
+    return places;
+}
+
+void Dispatcher::keepRoomForCalls()
+{
+    for (const Candidate &candidate : m_candidates) {
+        const StepSpec &spec = candidate.spec();
+        if (!spec.isGang || !candidate.pool || !candidate.queue->advice || !candidate.known
+            || m_input.jobs->findStep(candidate.key)->activeCount > 0
+            || teamHeadroom(candidate.job->accepted.team, spec.need) < spec.taskCount)
+            continue;
+        const std::vector<Place> places = comingPlaces(candidate);
+        int64_t wanted = spec.taskCount;
+        for (const Place &place : places)
+            wanted -= place.count;
+        if (wanted > 0)
+            continue;
+        wanted = spec.taskCount;
+        for (const Place &place : places) {
+            const int64_t taken = std::min(place.count, wanted);
+            if (taken == 0)
+                break;
+            wanted -= taken;
+            m_reservations[place.worker] = {&candidate, spec.need.times(taken)};
+        }
+    }
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -190,7 +190,8 @@
     /** @return what speaks against the worker for a task of the step; smaller is better. */
     int64_t reluctance(const Candidate &candidate, std::size_t worker) const;
     bool isEligible(const Candidate &candidate, std::size_t worker) const;
-    bool mayUseReserved(const Candidate &candidate, std::size_t worker) const;
+    /** @return the room that the step may use on the worker: not what is kept for another. */
+    Resources roomFor(const Candidate &candidate, std::size_t worker) const;
     /** @return how many more tasks of the step the worker may take, by room and by the step's limit
      * for one worker. */
     int64_t placesOn(const Candidate &candidate, std::size_t worker) const;
@@ -204,6 +205,12 @@
     AdviceOutlook adviceOutlook(const Candidate &candidate) const;
     void askAdvice(const Candidate &candidate, uint32_t wanted);
     void reserveForGang(const Candidate &candidate, uint32_t wanted);
+    /** Keeps the room that gangs have tickets for, or ask them for, until they start. */
+    void keepRoomForCalls();
+    /** @return a gang's workers with room and a ticket, at hand or asked for. */
+    std::vector<Place> comingPlaces(const Candidate &candidate) const;
+    /** Finds the gang that has waited longest among those that are late already. */
+    void findLongestWaiting();
 
     DispatchInput m_input;
     DispatchResult m_result;
@@ -211,10 +218,18 @@
     /** Each worker's pool; null if it accepts no work. */
     std::vector<const Pool *> m_poolOf;
     std::unordered_map<WorkerLife, std::size_t> m_positions;
-    /** Step whose gang keeps the worker free, by worker. */
-    std::vector<const Candidate *> m_reservedFor;
+    /** What a gang keeps of a worker's room. */
+    struct Reservation
+    {
+        const Candidate *holder = nullptr;
+        Resources amount;
+    };
+    /** By worker. */
+    std::vector<Reservation> m_reservations;
     std::vector<Candidate> m_candidates;
-    std::size_t m_reservations = 0;
+    std::size_t m_reservingGangs = 0;
+    /** A late gang that reserves all the same, so that it starts at last; may be null. */
+    const Candidate *m_longestWaiting = nullptr;
 };
 
 } // namespace Cranberrymount
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -273,6 +273,97 @@
     CHECK(result.advice[0].workers == std::vector{m_infos[0].life, m_infos[1].life});
 }
 
+// Guards against gangs that find their room taken whenever their tickets come.
+TEST_CASE_METHOD(DispatcherFixture, "Gang keeps the room that it asks tickets for until they come",
+                 "[dispatcher]")
+{
+    addWorkers(4, 10'000);
+    const JobId gang = addJob("advised", 4, 8'000, Duration(60'000), true);
+    const StepKey step = m_jobs.startableSteps(m_now).at(0);
+    std::vector<WorkerLife> lives;
+    std::map<WorkerId, std::string> tickets;
+    for (const CellWorker &info : m_infos) {
+        lives.push_back(info.life);
+        tickets.emplace(info.life.id, "ticket");
+    }
+    // All are known as allowed; their tickets have lapsed.
+    m_advice.answer(step, lives, tickets, m_instant - Duration(1));
+    REQUIRE(decide().advice.size() == 1);
+    m_advice.beginAsking(step, lives);
+    // More urgent batch work that would fill the pool, and a burst of lookups that may.
+    const JobId batch = addJob("batch", 12, 3'000, Duration(2000));
+    const DispatchResult meanwhile = decide();
+    CHECK(startsOf(meanwhile, batch) == 0);
+    m_advice.answer(step, lives, tickets, m_instant + Duration(1500));
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, gang) == 4);
+    const JobId lookup = addJob("lookup", 8, 5'000, Duration(500));
+    CHECK(startsOf(decide(), lookup) == 8);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Gang asks for more tickets than it has members",
+                 "[dispatcher]")
+{
+    addWorkers(12, 10'000);
+    addJob("advised", 4, 8'000, Duration(5000), true);
+    const StepKey step = m_jobs.startableSteps(m_now).at(0);
+    for (const CellWorker &info : m_infos)
+        m_advice.answer(step, {info.life}, {{info.life.id, "ticket"}}, m_instant - Duration(1));
+    const DispatchResult result = decide();
+    REQUIRE(result.advice.size() == 1);
+    CHECK(result.advice[0].workers.size() >= 6);
+}
+
+// Guards against a job with nothing running for as long as smaller work keeps coming.
+TEST_CASE_METHOD(DispatcherFixture, "Gang that is late gets its room though other work keeps coming",
+                 "[dispatcher]")
+{
+    addWorkers(4, 10'000);
+    const JobId gang = addJob("batch", 4, 8'000, Duration(1000), true);
+    m_now += Duration(30'000);
+    constexpr Duration Step{100};
+    constexpr Duration RunLength{500};
+    struct Run
+    {
+        TaskKey task;
+        uint32_t attempt;
+        std::size_t worker;
+        Instant ends;
+    };
+    std::deque<Run> runs;
+    bool hasStarted = false;
+    for (int round = 0; round < 100 && !hasStarted; ++round) {
+        // Twice what fits.
+        addJob("batch", 4, 2'500, RunLength);
+        addJob("batch", 4, 2'500, RunLength);
+        const DispatchResult result = decide();
+        hasStarted = startsOf(result, gang) == 4;
+        for (const StartDecision &start : result.starts) {
+            const WorkerLife &life = m_infos[start.worker].life;
+            m_jobs.apply(RunAssigned{start.task, start.attempt, life}, m_now);
+            runs.push_back({start.task, start.attempt, start.worker, m_instant + RunLength});
+        }
+        m_now += Step;
+        m_instant += Step;
+        while (!runs.empty() && runs.front().ends <= m_instant) {
+            m_jobs.apply(RunEnded{runs.front().task, runs.front().attempt, RunOutcome::Done, ""},
+                         m_now);
+            runs.pop_front();
+        }
+        for (DispatchWorker &worker : m_workers) {
+            worker.used = {};
+            worker.holders.clear();
+        }
+        for (const Run &run : runs) {
+            const Resources need{CpuMillis(2'500), MemoryMb(1), AcceleratorCount(0)};
+            m_workers[run.worker].used += need;
+            m_workers[run.worker].holders.push_back(
+                {&run.task.job, 0, 0, need, run.ends});
+        }
+    }
+    CHECK(hasStarted);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Lookup prefers a fast worker, and no task a very slow one",
                  "[dispatcher]")
 {
