--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -23,6 +23,8 @@
  * for silent: the slow one of the users' pages takes 0.24 s. */
 constexpr Duration ShortestSilence{400};
 constexpr int SilencePerLatency = 3;
+/** Commits that take longer are logged. */
+constexpr Duration SlowCommit{250};
 /** Pauses before a commit is repeated; doubled up to the longest. */
 constexpr Duration FirstRetryPause{50};
 constexpr Duration LongestRetryPause{400};
@@ -250,6 +252,10 @@
     if (isWritten) {
         commit->isWritten = true;
         m_latency = std::chrono::duration_cast<Duration>(m_timers.now() - commit->begin);
+        if (m_latency > SlowCommit)
+            LOG(INFO) << "event=commit_slow segment=" << segment.key << " took_ms="
+                      << m_latency.count() << " records=" << commit->records.size()
+                      << " bytes=" << segment.value.size() << " tries=" << commit->lastTry;
         m_lastCommit = m_timers.now();
         if (!m_isReachable)
             repeatCommits();
@@ -302,8 +308,8 @@
 {
     if (m_isReachable || m_isSuperseded)
         return;
-    m_store.list(LeaderKey, [this, alive = std::weak_ptr(m_alive)](const StoreRead &read) {
-        if (alive.expired() || !read.answered || m_isReachable || m_isSuperseded
+    m_store.probe([this, alive = std::weak_ptr(m_alive)](bool answers) {
+        if (alive.expired() || !answers || m_isReachable || m_isSuperseded
             || m_timers.now() - m_lastRepeat < LongestRetryPause)
             return;
         repeatCommits();
--- a/Libraries/Protocol/TransactionalStore.h
+++ b/Libraries/Protocol/TransactionalStore.h
@@ -53,6 +53,8 @@
 
     /** Reads all keys that begin with @p prefix; the pages of a long list are not one snapshot. */
     virtual void list(const std::string &prefix, std::function<void(StoreRead)> done) = 0;
+    /** Finds out soon whether the store answers at all. */
+    virtual void probe(std::function<void(bool answers)> done) = 0;
     virtual void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) = 0;
     virtual void createLease(Duration ttl, std::function<void(StoreLease)> done) = 0;
     virtual void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) = 0;
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -285,6 +285,19 @@
         CHECK(m_world.call(ClientCall::Status, id).outcome == ClientReply::NoSuchJob);
 }
 
+// Guards against commits that find no free connection once the store is back.
+TEST_CASE_METHOD(CellFixture, "Calls that hang on a silent store leave connections free", "[cell]")
+{
+    // The node has 24 to each host; its other reads and its commits need some.
+    constexpr std::size_t MostHanging = 14;
+    m_world.store.isSilent = true;
+    for (int count = 0; count < 50; ++count) {
+        m_world.submit(1, Small, Duration(400));
+        m_world.run(Duration(100));
+    }
+    CHECK(m_world.store.mostHangingCalls <= MostHanging);
+}
+
 TEST_CASE_METHOD(CellFixture, "Slow store is not taken for a silent one", "[cell]")
 {
     m_world.store.latency = Duration(240);
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -12,6 +12,7 @@
 constexpr Duration CallTimeout{500};
 /** Until a call on a silent connection is given up, as the platform's client does. */
 constexpr Duration SilenceTimeout{1000};
+constexpr Duration ProbeTimeout{300};
 constexpr Duration WorkerLatency{1};
 constexpr Duration LeaseLength{6000};
 /** From the users' page: nothing starts later than this after a cancellation was answered. */
@@ -25,12 +26,26 @@
 {
 }
 
+void CellStore::hang(Duration timeout, std::function<void()> done)
+{
+    mostHangingCalls = std::max(mostHangingCalls, ++hangingCalls);
+    m_events.at(m_events.now() + timeout, [this, done = std::move(done)] {
+        --hangingCalls;
+        done();
+    });
+}
+
+void CellStore::probe(std::function<void(bool answers)> done)
+{
+    if (isSilent)
+        return hang(ProbeTimeout, [done = std::move(done)] { done(false); });
+    m_events.at(m_events.now() + latency, [this, done = std::move(done)] { done(!isDown); });
+}
+
 void CellStore::list(const std::string &prefix, std::function<void(StoreRead)> done)
 {
-    if (isSilent) {
-        m_events.at(m_events.now() + SilenceTimeout, [done = std::move(done)] { done({}); });
-        return;
-    }
+    if (isSilent)
+        return hang(SilenceTimeout, [done = std::move(done)] { done({}); });
     m_events.at(m_events.now() + latency, [this, prefix, done = std::move(done)] {
         StoreRead read;
         read.answered = !isDown;
@@ -44,12 +59,10 @@
 
 void CellStore::commit(StoreTransaction transaction, std::function<void(CommitResult)> done)
 {
-    if (isSilent) {
-        m_events.at(m_events.now() + SilenceTimeout, [done = std::move(done)] {
+    if (isSilent)
+        return hang(SilenceTimeout, [done = std::move(done)] {
             done({CommitResult::Unknown, {}, {}});
         });
-        return;
-    }
     if (isDown) {
         m_events.at(m_events.now() + latency, [done = std::move(done)] {
             done({CommitResult::NotDone, {}, {}});
--- a/Tests/Unit/CellWorld.h
+++ b/Tests/Unit/CellWorld.h
@@ -15,6 +15,7 @@
     CellStore(EventQueue &events, uint64_t seed);
 
     void list(const std::string &prefix, std::function<void(StoreRead)> done) override;
+    void probe(std::function<void(bool answers)> done) override;
     void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override;
     void createLease(Duration ttl, std::function<void(StoreLease)> done) override;
     void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) override;
@@ -25,6 +26,9 @@
     bool isDown = false;
     /** Calls get no answer and have no effect. */
     bool isSilent = false;
+    /** Calls that hang at present, and the most that did at a time. */
+    std::size_t hangingCalls = 0;
+    std::size_t mostHangingCalls = 0;
     double lostAnswers = 0;
     Duration latency{4};
 
@@ -34,6 +38,8 @@
 
 private:
     CommitResult apply(const StoreTransaction &transaction);
+    /** Runs @p done after @p timeout; until then the call holds a connection. */
+    void hang(Duration timeout, std::function<void()> done);
 
     EventQueue &m_events;
     pcg32 m_random;
