Dispatcher: Let steps choose whom to ask about from a part of a large pool

Each call for advice looked at all workers, and steps of one round asked about the same emptiest ones, which were full when the tickets came. Now a step looks at those it knows as allowed and at 60 others with room, from a point of its own. Gangs still look at all. The load line tells how much of the rounds is gathering and deciding.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -372,7 +372,10 @@
     lives.reserve(input.workers.size());
     for (const DispatchWorker &worker : input.workers)
         lives.push_back(worker.info->life);
+    const Instant gatheredAt = m_timers.now();
     const DispatchResult result = Dispatcher(std::move(input)).decide();
+    m_load.gathering += gatheredAt - now;
+    m_load.deciding += m_timers.now() - gatheredAt;
     m_load.starts += static_cast<uint32_t>(result.starts.size());
     m_load.waiting = result.waiting;
     for (const StartDecision &decision : result.starts) {
--- a/Libraries/Coordination/SchedulerLoad.h
+++ b/Libraries/Coordination/SchedulerLoad.h
@@ -12,6 +12,9 @@
     Instant since{};
     uint32_t rounds = 0;
     Instant::duration inRounds{0};
+    /** The parts of rounds that gather their input and that decide; the rest gives orders. */
+    Instant::duration gathering{0};
+    Instant::duration deciding{0};
     uint32_t starts = 0;
     uint32_t reports = 0;
     /** How much later than due the latest timer of the interval ran. */
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t MaxGangCalls = 4;
 /** Places that a gang asks for as a multiple of its members; some are taken before the answer. */
 constexpr double GangSurplus = 1.5;
+/** Workers with room among which a step that is no gang chooses whom to ask about: enough to find
+ * fast and empty ones. */
+constexpr std::size_t MostSampled = 60;
 /** Fewest workers named while it is unknown which are allowed. */
 constexpr std::size_t FewestUnknownWorkers = 8;
 /** Gangs that keep workers free at a time; more would idle too much of the pool. */
@@ -433,47 +436,60 @@
     m_input.teamUse[candidate.job->accepted.team] += spec.need;
 }
 
-Dispatcher::AdviceOutlook Dispatcher::adviceOutlook(const Candidate &candidate) const
+void Dispatcher::consider(const Candidate &candidate, std::size_t worker,
+                          const AdviceBook::Verdict *verdict, AdviceOutlook &outlook) const
 {
-    const StepSpec &spec = candidate.spec();
-    const AdviceBook::StepAdvice *known = candidate.known;
-    const std::size_t callsUnderWay = known ? known->callsUnderWay : 0;
-    const double share = m_input.advice->allowedShare();
-    const double limit = slowLimit(candidate.urgency);
+    const bool isGang = candidate.spec().isGang;
+    const int64_t places = placesOn(candidate, worker);
+    // A gang learns early which workers it may wait for, whether or not they have room.
+    if ((places <= 0 && (!isGang || verdict)) || !isEligible(candidate, worker))
+        return;
     // A gang needs all its tickets at a time: those that lapse before the answer do not count.
-    const Instant answerAt = spec.isGang
+    const Instant answerAt = isGang
         ? m_input.now + candidate.queue->advice->costOf(MaxWorkersPerAdvice)
         : m_input.now;
+    const AdviceBook::StepAdvice *known = candidate.known;
+    const bool isUnderWay = known && known->callsUnderWay > 0
+        && known->underWay.contains(m_input.workers[worker].info->life);
+    if (isUnderWay || (verdict && verdict->expires > answerAt + StartDelay)) {
+        if (isGang && places > 0) {
+            outlook.allowedPlaces += verdict ? places : 0;
+            outlook.expected +=
+                static_cast<double>(places) * (verdict ? 1 : m_input.advice->allowedShare());
+        }
+        return;
+    }
+    const bool isSlow = m_input.workers[worker].slowness > slowLimit(candidate.urgency);
+    outlook.choices.push_back({worker, verdict != nullptr, places, isSlow});
+    outlook.allowedPlaces += verdict ? places : 0;
+}
+
+Dispatcher::AdviceOutlook Dispatcher::adviceOutlook(const Candidate &candidate) const
+{
+    const StepSpec &spec = candidate.spec();
+    const AdviceBook::StepAdvice *known = candidate.known;
     AdviceOutlook outlook;
-    for (const std::size_t worker : candidate.pool->workers) {
-        const int64_t places = placesOn(candidate, worker);
-        // A gang learns early which workers it may wait for, whether or not they have room.
-        if ((places <= 0 && !spec.isGang) || !isEligible(candidate, worker))
-            continue;
-        const AdviceBook::Verdict *verdict = verdictOn(candidate, worker);
-        if (verdict && !verdict->isAllowed)
-            continue;
-        const bool isAllowed = verdict != nullptr;
-        const bool isUnderWay =
-            callsUnderWay > 0 && known->underWay.contains(m_input.workers[worker].info->life);
-        const bool hasTicket = isAllowed && verdict->expires > answerAt + StartDelay;
-        if (hasTicket || isUnderWay) {
-            if (spec.isGang && places > 0) {
-                outlook.allowedPlaces += isAllowed ? places : 0;
-                outlook.expected += static_cast<double>(places) * (isAllowed ? 1 : share);
-            }
-            continue;
+    if (known) {
+        for (const auto &[life, verdict] : known->verdicts) {
+            const auto position = m_positions.find(life);
+            if (verdict.isAllowed && position != m_positions.end()
+                && m_poolOf[position->second] == candidate.pool)
+                consider(candidate, position->second, &verdict, outlook);
         }
-        if (isAllowed && places <= 0)
-            continue;
-        outlook.choices.push_back(
-            {worker, isAllowed, places, m_input.workers[worker].slowness > limit});
-        outlook.allowedPlaces += isAllowed ? places : 0;
+    }
+    // Steps look at different parts of a large pool, so that they do not all ask for the same room.
+    const std::vector<std::size_t> &workers = candidate.pool->workers;
+    const std::size_t first = std::hash<JobId>()(candidate.key.job) % workers.size();
+    const std::size_t most = spec.isGang ? workers.size() : outlook.choices.size() + MostSampled;
+    for (std::size_t count = 0; count < workers.size() && outlook.choices.size() < most; ++count) {
+        const std::size_t worker = workers[(first + count) % workers.size()];
+        if (!verdictOn(candidate, worker))
+            consider(candidate, worker, nullptr, outlook);
     }
     // Only the best fit into the calls.
-    const std::size_t most = MaxWorkersPerAdvice * (spec.isGang ? MaxGangCalls : 1);
+    const std::size_t named = MaxWorkersPerAdvice * (spec.isGang ? MaxGangCalls : 1);
     const auto end = outlook.choices.begin()
-        + static_cast<std::ptrdiff_t>(std::min(most, outlook.choices.size()));
+        + static_cast<std::ptrdiff_t>(std::min(named, outlook.choices.size()));
     std::ranges::partial_sort(outlook.choices, end,
                               [](const AdviceChoice &left, const AdviceChoice &right) {
                                   if (left.isAllowed != right.isAllowed)
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -203,6 +203,12 @@
     /** Notes for the log that the step waits for room or for a ticket. */
     void noteWaiting(const Candidate &candidate);
     AdviceOutlook adviceOutlook(const Candidate &candidate) const;
+    /**
+     * Takes a worker into @p outlook.
+     * @param verdict null if the advisor was not asked about the worker.
+     */
+    void consider(const Candidate &candidate, std::size_t worker,
+                  const AdviceBook::Verdict *verdict, AdviceOutlook &outlook) const;
     void askAdvice(const Candidate &candidate, uint32_t wanted);
     void reserveForGang(const Candidate &candidate, uint32_t wanted);
     /** Keeps the room that gangs have tickets for, or ask them for, until they start. */
