--- a/Benchmarks/Rounds.cpp
+++ b/Benchmarks/Rounds.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-RoundTimes timeRounds(std::size_t workers, std::size_t waiting)
+RoundTimes timeRounds(std::size_t workers, std::size_t waiting, std::size_t gangs)
 {
     const Instant now = Instant() + Duration(1'000'000);
     const WallTime wallNow{Duration(1'000'000)};
@@ -52,15 +52,18 @@
         job.acceptedAt = wallNow - Duration(number * 10);
         job.spec.steps.resize(1);
         job.spec.steps[0] = {};
-        job.spec.steps[0].taskCount = 3;
+        job.spec.steps[0].isGang = number < gangs;
+        job.spec.steps[0].taskCount = number < gangs ? 20 : 3;
         job.spec.steps[0].need = TaskSize;
         job.spec.steps[0].estimate = Duration(800);
         jobs.apply(job, wallNow);
         std::vector<WorkerLife> asked;
         std::map<WorkerId, std::string> tickets;
-        for (std::size_t index = 0; index < std::min(AskedWorkers, workers); ++index) {
+        const std::size_t calls = number < gangs ? 4 : 1;
+        for (std::size_t index = 0; index < std::min(calls * AskedWorkers, workers); ++index) {
             asked.push_back(infos[(number * 13 + index) % workers].life);
-            tickets.emplace(asked.back().id, "ticket");
+            if (index % 4 == 0)
+                tickets.emplace(asked.back().id, "ticket");
         }
         advice.beginAsking({job.job, 0, 0}, asked);
         advice.answer({job.job, 0, 0}, asked, tickets, now - Duration(1));
--- a/Benchmarks/Rounds.h
+++ b/Benchmarks/Rounds.h
@@ -14,8 +14,9 @@
 
 /**
  * Times rounds over a pool of @p workers that is three quarters full, with @p waiting advised steps
- * that know some workers and hold no ticket, as after an outage of the store.
+ * that know some workers and hold no ticket, as after an outage of the store. The first @p gangs of
+ * them are gangs, twenty wide.
  */
-RoundTimes timeRounds(std::size_t workers, std::size_t waiting);
+RoundTimes timeRounds(std::size_t workers, std::size_t waiting, std::size_t gangs);
 
 } // namespace Cranberrymount
--- a/Benchmarks/main.cpp
+++ b/Benchmarks/main.cpp
@@ -202,11 +202,12 @@
 void printRounds()
 {
     for (const std::size_t workers : {48, 350, 1200}) {
-        for (const std::size_t waiting : {20, 150, 900}) {
-            const RoundTimes times = timeRounds(workers, waiting);
+        for (const auto &[waiting, gangs] :
+             {std::pair{20, 0}, {150, 0}, {900, 0}, {20, 20}, {80, 80}}) {
+            const RoundTimes times = timeRounds(workers, waiting, gangs);
             std::cout << fmt::format(
-                "{:5} workers {:4} waiting steps: {:8.3f} ms a round, {} starts, {} calls\n", workers,
-                waiting, times.meanMilliseconds, times.starts, times.adviceCalls);
+                "{:5} workers {:4} waiting steps, {:3} gangs: {:8.3f} ms a round, {} starts, {} calls\n",
+                workers, waiting, gangs, times.meanMilliseconds, times.starts, times.adviceCalls);
         }
     }
 }
--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -154,8 +154,8 @@
 void CellScheduler::addRun(const TaskKey &key, LiveRun run)
 {
     m_teamUse[run.team] += run.need;
-    m_runsOn[run.worker].insert(key);
-    m_runs.insert_or_assign(key, std::move(run));
+    const WorkerLife worker = run.worker;
+    m_runsOn[worker][key] = &m_runs.insert_or_assign(key, std::move(run)).first->second;
 }
 
 CellScheduler::LiveRun CellScheduler::removeRun(std::map<TaskKey, LiveRun>::iterator position)
@@ -414,8 +414,9 @@
     if (onWorker == m_runsOn.end())
         return;
     std::vector<TaskKey> vanished;
-    for (const TaskKey &key : onWorker->second) {
-        const LiveRun &run = m_runs.at(key);
+    for (const auto &[taskKey, liveRun] : onWorker->second) {
+        const TaskKey &key = taskKey;
+        const LiveRun &run = *liveRun;
         const bool mayBeMissing = run.phase == RunPhase::Confirmed
             || run.phase == RunPhase::Inherited || run.phase == RunPhase::Unsure;
         if (run.isEnding || !mayBeMissing || run.settledAt >= sentAt)
@@ -498,8 +499,8 @@
     const auto onWorker = m_runsOn.find(life);
     if (onWorker == m_runsOn.end())
         return;
-    for (const TaskKey &key : onWorker->second) {
-        LiveRun &run = m_runs.at(key);
+    for (const auto &[key, liveRun] : onWorker->second) {
+        LiveRun &run = *liveRun;
         if (run.isEnding || run.phase == RunPhase::Recording)
             continue;
         LOG_EVENT(m_parts.log, "run_lost") << "task=" << taskText(key) << " attempt=" << run.attempt
@@ -522,8 +523,8 @@
     const auto onWorker = m_runsOn.find(ended);
     if (onWorker == m_runsOn.end())
         return;
-    const std::set<TaskKey> keys = onWorker->second;
-    for (const TaskKey &key : keys) {
+    const std::map<TaskKey, LiveRun *> runs = onWorker->second;
+    for (const auto &[key, liveRun] : runs) {
         const auto found = m_runs.find(key);
         LiveRun &run = found->second;
         // Whoever took an order that no report has shown yet may have been the next life.
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -401,6 +401,7 @@
     input.advice = &m_adviceBook;
     input.adviceRoom = m_parts.advice.room();
     input.teamUse = m_teamUse;
+    input.workers.reserve(m_sessions.size());
     for (const auto &[id, session] : m_sessions) {
         DispatchWorker worker;
         worker.info = &session->worker();
@@ -408,8 +409,9 @@
         worker.slowness = m_speeds.slownessOf(session->life());
         const auto runs = m_runsOn.find(session->life());
         if (runs != m_runsOn.end()) {
-            for (const TaskKey &key : runs->second) {
-                const LiveRun &run = m_runs.at(key);
+            worker.holders.reserve(runs->second.size());
+            for (const auto &[key, liveRun] : runs->second) {
+                const LiveRun &run = *liveRun;
                 worker.used += run.need;
                 RoomHolder holder{&key.job, key.occurrence, key.step, run.need,
                                   run.beganAt + std::max(run.estimate, ShortestRun)};
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -194,7 +194,8 @@
     /** Lives that ended with runs, and when their leases are over. */
     std::map<WorkerLife, Instant> m_orphanedUntil;
     std::map<TaskKey, LiveRun> m_runs;
-    std::map<WorkerLife, std::set<TaskKey>> m_runsOn;
+    /** The same runs by worker. */
+    std::map<WorkerLife, std::map<TaskKey, LiveRun *>> m_runsOn;
     std::map<TeamId, Resources> m_teamUse;
     std::map<RunRef, RunEnded> m_unwrittenEnds;
     /** Ends that came before the journal was read. */
