Coordination: Play histories in which followers carry the orders

Followers that lose orders and replies or are late with them now take part in the random histories. Reading the protocol for it showed a gap: an acknowledgement that a carrier brings up to half a second late could reach the worker's next life, whose ends have numbers of their own. An order may now be 0.25 s on its way, and an acknowledgement needs an answer of the last 0.25 s; a worker takes half a second to come back.

--- a/Libraries/Coordination/OrderRelay.cpp
+++ b/Libraries/Coordination/OrderRelay.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/** Workers that one node gives orders to without noticeable load; see docs/CAPACITY.md. */
-constexpr std::size_t MostDirectWorkers = 64;
 /** A silent carrier gets no orders for this long; a frozen machine is back after some seconds. */
 constexpr Duration CarrierPause{5000};
 /** How long a worker that its carrier does not reach is called from here; doubles up to the
@@ -37,9 +35,10 @@
 
 } // namespace
 
-OrderRelay::OrderRelay(WorkerOrders &direct, TimerService &timers)
+OrderRelay::OrderRelay(WorkerOrders &direct, TimerService &timers, std::size_t mostDirect)
     : m_direct(direct)
     , m_timers(timers)
+    , m_mostDirect(mostDirect)
 {
 }
 
@@ -81,7 +80,7 @@
         sweep();
     Route &route = m_routes[worker];
     route.usedAt = now;
-    if (m_routes.size() <= MostDirectWorkers || route.directUntil > now)
+    if (m_routes.size() <= m_mostDirect || route.directUntil > now)
         return Here;
     if (route.generation != m_generation)
         choose(worker, route);
--- a/Libraries/Coordination/OrderRelay.h
+++ b/Libraries/Coordination/OrderRelay.h
@@ -31,8 +31,17 @@
         std::function<void(StopCall, std::function<void(std::optional<StopReply>)>)> stop;
     };
 
-    /** @p direct gives orders from this node. */
-    OrderRelay(WorkerOrders &direct, TimerService &timers);
+    /**
+     * Orders that come later than this to their carrier are not carried out: the leader may have
+     * given them up, and the worker may have begun another life, which takes it half a second.
+     */
+    static constexpr Duration LatestOrder{250};
+    /** Workers that one node gives orders to without noticeable load; see docs/CAPACITY.md. */
+    static constexpr std::size_t MostDirectWorkers = 64;
+
+    /** @p direct gives orders from this node, to @p mostDirect workers at most. */
+    OrderRelay(WorkerOrders &direct, TimerService &timers,
+               std::size_t mostDirect = MostDirectWorkers);
 
     void addCarrier(const EntryId &node, Carrier carrier);
     void removeCarrier(const EntryId &node);
@@ -70,6 +79,7 @@
 
     WorkerOrders &m_direct;
     GuardedTimers m_timers;
+    std::size_t m_mostDirect;
     std::map<EntryId, Member> m_carriers;
     std::unordered_map<WorkerId, Route> m_routes;
     Instant m_sweptAt{};
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -18,9 +18,6 @@
 constexpr Duration ExpiryInterval{50};
 /** An order's own time-out of 0.8 s, and the way to its carrier and back. */
 constexpr Duration CarriedOrderTime{1300};
-/** Orders that come later than this are not carried out: the leader may have given them up, and
- * the worker may have begun another life. */
-constexpr Duration LatestOrder{500};
 
 /** @return the message; nothing after closing the link of a peer that cannot be understood. */
 std::optional<CellEnvelope> decodeOrClose(const std::shared_ptr<FrameLink> &link,
@@ -148,7 +145,7 @@
     const uint64_t correlation = envelope->correlation;
     if (link == m_leaderLink) {
         const auto delay = m_leaderDelay.note(envelope->sentAt, bootTime());
-        const bool isLate = !delay || *delay > LatestOrder;
+        const bool isLate = !delay || *delay > OrderRelay::LatestOrder;
         const bool isOrder = std::holds_alternative<HoldCall>(envelope->message)
             || std::holds_alternative<StartCall>(envelope->message)
             || std::holds_alternative<StopCall>(envelope->message);
--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -1,5 +1,7 @@
 #include "Coordination/WorkerSession.h"
 
+#include "Coordination/OrderRelay.h"
+
 #include <glog/logging.h>
 
 namespace Cranberrymount {
@@ -14,6 +16,8 @@
 constexpr Duration LeaseSlack{300};
 /** A worker that ends takes longer than this to come back under its id. */
 constexpr Duration ShortestRestart{500};
+/** An answer that is older does not prove that an acknowledgement reaches the same life. */
+constexpr Duration LongestSinceAnswer = ShortestRestart - OrderRelay::LatestOrder;
 /** Pauses between calls to a worker that does not answer. */
 constexpr Duration FirstPause{100};
 constexpr Duration LongestPause{500};
@@ -72,7 +76,7 @@
     HoldCall call;
     call.to = orderAddress();
     // After a break another life may answer, whose ends have numbers of their own.
-    const bool isSameLife = m_isReachable && m_timers.now() - m_clockReadAt < ShortestRestart;
+    const bool isSameLife = m_isReachable && m_timers.now() - m_clockReadAt < LongestSinceAnswer;
     call.acknowledgedEnds = isSameLife ? m_acknowledged : 0;
     // A call that is carried out late must not extend a lease that is counted as over.
     if (m_isReachable && m_observer.mayExtend()) {
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -456,13 +456,18 @@
         CHECK(m_world.stateOf(job) == JobState::Done);
 }
 
-TEST_CASE("Random histories of a cell lose no job and run none twice", "[cell][cellhistory]")
+namespace {
+
+/** Plays histories in which things fail at random, each judged when everything is mended. */
+void playHistories(uint64_t defaultCount, std::size_t carriers)
 {
     const uint64_t first = environmentNumber("HISTORY_SEED", 1);
-    const uint64_t count = environmentNumber("HISTORY_COUNT", 150);
+    const uint64_t count = environmentNumber("HISTORY_COUNT", defaultCount);
     for (uint64_t seed = first; seed < first + count; ++seed) {
         CAPTURE(seed);
         CellWorld world(seed);
+        if (carriers > 0)
+            world.addCarriers(carriers);
         world.configuration.teams.front().cap = {CpuMillis(60'000), MemoryMb(0),
                                                  AcceleratorCount(0)};
         world.elect();
@@ -470,6 +475,8 @@
         const auto pick = [&](uint32_t bound) { return world.random(bound); };
         for (int step = 0; step < 60; ++step) {
             world.taskLength = Duration(100 + pick(1500));
+            if (carriers > 0 && pick(5) == 0)
+                world.disturbCarrier(pick(static_cast<uint32_t>(carriers)), Duration(pick(4000)));
             CellTestWorker &worker = world.workers[pick(6)];
             switch (pick(12)) {
             case 0:
@@ -532,3 +539,16 @@
         }
     }
 }
+
+} // namespace
+
+TEST_CASE("Random histories of a cell lose no job and run none twice", "[cell][cellhistory]")
+{
+    playHistories(150, 0);
+}
+
+TEST_CASE("Random histories of a cell whose followers carry orders lose no job and run none twice",
+          "[cell][cellhistory]")
+{
+    playHistories(100, 3);
+}
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -14,6 +14,8 @@
 constexpr Duration SilenceTimeout{1000};
 constexpr Duration ProbeTimeout{300};
 constexpr Duration WorkerLatency{1};
+/** Until a carrier that does not answer is given up. */
+constexpr Duration CarriedOrderTime{1300};
 constexpr Duration LeaseLength{6000};
 /** From the users' page: nothing starts later than this after a cancellation was answered. */
 constexpr Duration CancelBound{3000};
@@ -167,13 +169,66 @@
 
 CellWorld::~CellWorld() = default;
 
+template <typename Reply, typename Call>
+void CellWorld::carry(std::size_t carrier, Call call, Duration timeout,
+                      void (CellWorld::*give)(Call, std::function<void(Reply)>),
+                      std::function<void(std::optional<Reply>)> done)
+{
+    const auto isSettled = std::make_shared<bool>(false);
+    const auto settle = [isSettled, done = std::move(done)](std::optional<Reply> reply) {
+        if (!std::exchange(*isSettled, true))
+            done(std::move(reply));
+    };
+    events.at(events.now() + timeout, [settle] { settle(std::nullopt); });
+    const bool isDisturbed = events.now() < m_disturbedUntil[carrier];
+    const uint32_t fate = isDisturbed ? random(3) : 0;
+    if (fate == 1)
+        return;
+    // A follower leaves out what comes later.
+    const auto latest = static_cast<uint32_t>(OrderRelay::LatestOrder.count());
+    const Duration delay = isDisturbed ? Duration(random(latest)) : WorkerLatency;
+    events.at(events.now() + delay, [this, call = std::move(call), give, settle, fate] {
+        (this->*give)(call, [settle, fate](Reply reply) {
+            if (fate != 2)
+                settle(std::move(reply));
+        });
+    });
+}
+
+void CellWorld::addCarriers(std::size_t count)
+{
+    m_relay = std::make_unique<OrderRelay>(*this, timers, 0);
+    m_disturbedUntil.resize(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        OrderRelay::Carrier carrier;
+        carrier.processor = CpuMillis(100);
+        carrier.hold = [this, index](HoldCall call, auto done) {
+            const Duration timeout = call.wait + CarriedOrderTime;
+            carry<HoldReply>(index, std::move(call), timeout, &CellWorld::hold, std::move(done));
+        };
+        carrier.start = [this, index](StartCall call, auto done) {
+            carry<StartReply>(index, std::move(call), CarriedOrderTime, &CellWorld::start,
+                              std::move(done));
+        };
+        carrier.stop = [this, index](StopCall call, auto done) {
+            carry<StopReply>(index, std::move(call), CarriedOrderTime, &CellWorld::stop, std::move(done));
+        };
+        m_relay->addCarrier(EntryId(fmt::format("carrier-{}", index)), std::move(carrier));
+    }
+}
+
+void CellWorld::disturbCarrier(std::size_t carrier, Duration time)
+{
+    m_disturbedUntil[carrier] = events.now() + time;
+}
+
 CellScheduler &CellWorld::elect()
 {
     const Revision claim = store.claim(fmt::format("leader-{}", ++m_claims));
     CellScheduler::Parts parts{
         store,
         *this,
-        *this,
+        m_relay ? static_cast<WorkerOrders &>(*m_relay) : *this,
         m_advice,
         timers,
         [this] {
--- a/Tests/Unit/CellWorld.h
+++ b/Tests/Unit/CellWorld.h
@@ -4,6 +4,7 @@
 #include "World.h"
 
 #include "Coordination/CellScheduler.h"
+#include "Coordination/OrderRelay.h"
 #include "Protocol/WorkerOrders.h"
 
 namespace Cranberrymount {
@@ -97,6 +98,11 @@
     void readOperators(std::function<void(OperatorView)> done) override;
     void readWorkers(std::function<void(WorkerDirectory)> done) override;
 
+    /** Lets @p count followers carry all orders of the leaders that are elected from now on. */
+    void addCarriers(std::size_t count);
+    /** The carrier loses orders and replies, or is late with them, for @p time. */
+    void disturbCarrier(std::size_t carrier, Duration time);
+
     /** Makes a new leader; earlier ones go on until they notice. */
     CellScheduler &elect();
     CellScheduler &leader() { return *m_schedulers.back(); }
@@ -143,6 +149,11 @@
 
 private:
     CellTestWorker *find(const OrderAddress &to);
+    /** Gives an order by way of a carrier. */
+    template <typename Reply, typename Call>
+    void carry(std::size_t carrier, Call call, Duration timeout,
+               void (CellWorld::*give)(Call, std::function<void(Reply)>),
+               std::function<void(std::optional<Reply>)> done);
     int percentOf(const CellTestWorker::Run &run) const;
     void settle(CellTestWorker &worker);
     void finish(CellTestWorker &worker, const TaskKey &task, RunOutcome outcome);
@@ -153,6 +164,8 @@
 
     LogBudget m_log;
     AdviceDesk m_advice;
+    std::unique_ptr<OrderRelay> m_relay;
+    std::vector<Instant> m_disturbedUntil;
     std::vector<std::unique_ptr<CellScheduler>> m_schedulers;
     std::map<JobId, WorkflowSpec> m_specs;
     std::set<TaskKey> m_done;
