Dispatcher: Name more workers in a gang's call while callers are scarce

More than two thirds of such a call is its fixed cost. Now a gang's call names up to 60 workers when fewer than four callers are free for a long one, and of four callers one, no longer of three, is set aside for short calls (those used 6 of 12 lanes). Test: 'Gang asks about more workers at once while callers are scarce' (failed: 30).

--- a/Libraries/Coordination/AdviceDesk.cpp
+++ b/Libraries/Coordination/AdviceDesk.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Of this many callers one is set aside for short calls. */
-constexpr std::size_t CallersPerShortLane = 3;
+constexpr std::size_t CallersPerShortLane = 4;
 /** Two one-way trips through a peer, and a margin for a busy node. */
 constexpr Duration RelayTime{400};
 /** A caller that failed is charged this much, so that others are tried first. */
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -12,6 +12,11 @@
 constexpr Duration StartDelay{60};
 /** Most workers named in one call for advice; the objective of a job counts one such call. */
 constexpr std::size_t MaxWorkersPerAdvice = 30;
+/** Most in a gang's call while callers are scarce. A call costs as much as 70 workers on the users'
+ * sheets before the first is looked at, so that longer ones teach more for their time. */
+constexpr std::size_t MaxWorkersWhenScarce = 60;
+/** Callers are scarce if fewer than this are free for a long call. */
+constexpr std::size_t ScarceCallers = 4;
 /** Room asked for as a multiple of what is wanted, since some workers will be denied. */
 constexpr double AdviceSurplus = 3.0;
 /** Calls that a gang may have under way: its tickets lapse before a row of calls would be over. */
@@ -80,6 +85,7 @@
     : m_input(std::move(input))
     , m_poolOf(m_input.workers.size(), nullptr)
     , m_reservations(m_input.workers.size())
+    , m_scarceCallers(m_input.adviceRoom.longCalls < ScarceCallers)
 {
     m_positions.reserve(m_input.workers.size());
     for (std::size_t index = 0; index < m_input.workers.size(); ++index) {
@@ -436,6 +442,11 @@
     m_input.teamUse[candidate.job->accepted.team] += spec.need;
 }
 
+std::size_t Dispatcher::workersPerCall(const Candidate &candidate) const
+{
+    return candidate.spec().isGang && m_scarceCallers ? MaxWorkersWhenScarce : MaxWorkersPerAdvice;
+}
+
 void Dispatcher::consider(const Candidate &candidate, std::size_t worker,
                           const AdviceBook::Verdict *verdict, AdviceOutlook &outlook) const
 {
@@ -446,7 +457,7 @@
         return;
     // A gang needs all its tickets at a time: those that lapse before the answer do not count.
     const Instant answerAt = isGang
-        ? m_input.now + candidate.queue->advice->costOf(MaxWorkersPerAdvice)
+        ? m_input.now + candidate.queue->advice->costOf(workersPerCall(candidate))
         : m_input.now;
     const AdviceBook::StepAdvice *known = candidate.known;
     const bool isUnderWay = known && known->callsUnderWay > 0
@@ -487,7 +498,7 @@
             consider(candidate, worker, nullptr, outlook);
     }
     // Only the best fit into the calls.
-    const std::size_t named = MaxWorkersPerAdvice * (spec.isGang ? MaxGangCalls : 1);
+    const std::size_t named = workersPerCall(candidate) * (spec.isGang ? MaxGangCalls : 1);
     const auto end = outlook.choices.begin()
         + static_cast<std::ptrdiff_t>(std::min(named, outlook.choices.size()));
     std::ranges::partial_sort(outlook.choices, end,
@@ -524,13 +535,13 @@
     if (spec.isGang && known && !hasEnoughKnown
         && std::ranges::all_of(outlook.choices, &AdviceChoice::isAllowed))
         return;
+    const std::size_t mostWorkers = workersPerCall(candidate);
     auto next = outlook.choices.begin();
     for (std::size_t call = callsUnderWay; call < mostCalls; ++call) {
         AdviceDecision decision;
         decision.step = candidate.key;
         const double before = expected;
-        for (; next != outlook.choices.end() && decision.workers.size() < MaxWorkersPerAdvice;
-             ++next) {
+        for (; next != outlook.choices.end() && decision.workers.size() < mostWorkers; ++next) {
             // A gang needs some to spare, for places that are gone when the answer comes.
             const double enough = spec.isGang ? GangSurplus * wanted : wanted;
             if (next->isAllowed ? expected >= enough : hasEnoughKnown)
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -203,6 +203,8 @@
     /** Notes for the log that the step waits for room or for a ticket. */
     void noteWaiting(const Candidate &candidate);
     AdviceOutlook adviceOutlook(const Candidate &candidate) const;
+    /** @return how many workers a call of the step names at most. */
+    std::size_t workersPerCall(const Candidate &candidate) const;
     /**
      * Takes a worker into @p outlook.
      * @param verdict null if the advisor was not asked about the worker.
@@ -233,6 +235,8 @@
     /** By worker. */
     std::vector<Reservation> m_reservations;
     std::vector<Candidate> m_candidates;
+    /** Few nodes are free to make a long call. */
+    bool m_scarceCallers = false;
     std::size_t m_reservingGangs = 0;
     /** A late gang that reserves all the same, so that it starts at last; may be null. */
     const Candidate *m_longestWaiting = nullptr;
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -301,6 +301,17 @@
     CHECK(startsOf(decide(), lookup) == 8);
 }
 
+// Guards against gangs that wait for callers, most of whose time goes into calls' fixed costs.
+TEST_CASE_METHOD(DispatcherFixture, "Gang asks about more workers at once while callers are scarce",
+                 "[dispatcher]")
+{
+    addWorkers(200, 10'000);
+    addJob("advised", 40, 8'000, Duration(5000), true);
+    CHECK(decide().advice.at(0).workers.size() == 30);
+    m_adviceRoom = {1, 20};
+    CHECK(decide().advice.at(0).workers.size() == 60);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Gang asks for more tickets than it has members",
                  "[dispatcher]")
 {
