platform: Refuse jobs whose occurrences hold too many tasks

A job of 10,000 tasks and 10,000 occurrences was within each limit, and made the leader reserve room for 100 million of them: one submission ended the node for want of memory.

--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -140,6 +140,9 @@
     }
     CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[{"count":1}],"repeatCount":2,"periodMs":1e300})"),
                     ProtocolError);
+    CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[{"count":10000}],"repeatCount":10000})"),
+                    ProtocolError);
+    CHECK(decodeWorkflow(R"({"steps":[{"count":10000}],"repeatCount":10})").occurrences == 10);
 }
 
 TEST_CASE("Submitted job is read, and a malformed one is told apart", "[platform]")
