OrderRelay: Choose carriers in the worker's zone

Now a worker's carrier is in its own zone while there is one. Followers tell their zone when they join, and whether they are about to stop; such ones carry nothing and get no claim offered. Test: 'Worker's carrier is in its zone while there is one'.

--- a/Libraries/Coordination/OrderRelay.cpp
+++ b/Libraries/Coordination/OrderRelay.cpp
@@ -54,17 +54,18 @@
     ++m_generation;
 }
 
-void OrderRelay::choose(const WorkerId &worker, Route &route) const
+void OrderRelay::choose(const OrderAddress &to, Route &route) const
 {
     const Instant now = m_timers.now();
-    double best = 0;
+    std::pair<bool, double> best{false, 0};
     route.carrier = nullptr;
     route.generation = m_generation;
     for (const auto &[node, member] : m_carriers) {
         if (member.suspendedUntil > now)
             continue;
-        const double one = score(node, worker, member.carrier->processor);
-        if (one <= best)
+        const std::pair one{member.carrier->zone == to.zone,
+                            score(node, to.worker, member.carrier->processor)};
+        if (route.carrier && one <= best)
             continue;
         best = one;
         route.node = node;
@@ -72,24 +73,24 @@
     }
 }
 
-const OrderRelay::Route &OrderRelay::routeTo(const WorkerId &worker)
+const OrderRelay::Route &OrderRelay::routeTo(const OrderAddress &to)
 {
     static const Route Here;
     const Instant now = m_timers.now();
     if (now - m_sweptAt > SweepInterval)
         sweep();
-    Route &route = m_routes[worker];
+    Route &route = m_routes[to.worker];
     route.usedAt = now;
     if (m_routes.size() <= m_mostDirect || route.directUntil > now)
         return Here;
     if (route.generation != m_generation)
-        choose(worker, route);
+        choose(to, route);
     return route;
 }
 
 void OrderRelay::hold(HoldCall call, std::function<void(HoldReply)> done)
 {
-    const Route &route = routeTo(call.to.worker);
+    const Route &route = routeTo(call.to);
     if (!route.carrier)
         return m_direct.hold(std::move(call), std::move(done));
     const WorkerId worker = call.to.worker;
@@ -108,7 +109,7 @@
 
 void OrderRelay::start(StartCall call, std::function<void(StartReply)> done)
 {
-    const Route &route = routeTo(call.to.worker);
+    const Route &route = routeTo(call.to);
     if (!route.carrier)
         return m_direct.start(std::move(call), std::move(done));
     route.carrier->start(std::move(call),
@@ -124,7 +125,7 @@
 
 void OrderRelay::stop(StopCall call, std::function<void(StopReply)> done)
 {
-    const Route &route = routeTo(call.to.worker);
+    const Route &route = routeTo(call.to);
     if (!route.carrier)
         return m_direct.stop(std::move(call), std::move(done));
     route.carrier->stop(std::move(call),
--- a/Libraries/Coordination/OrderRelay.h
+++ b/Libraries/Coordination/OrderRelay.h
@@ -15,7 +15,8 @@
  * Spreads orders to workers over the nodes of the cell.
  *
  * A leader gives orders itself to as many workers as one node can bear. Beyond that its followers
- * carry them, each those of its share of the workers, which keep their follower while it stays.
+ * carry them, each those of its share of the workers in its zone, which keep their follower while
+ * it stays; a zone that is cut off then costs the others nothing.
  * What decides stays with the leader: a carrier passes orders and replies on and remembers
  * nothing, and workers go by the epoch in the order, whoever brings it.
  */
@@ -26,6 +27,7 @@
     struct Carrier
     {
         CpuMillis processor;
+        ZoneId zone;
         std::function<void(HoldCall, std::function<void(std::optional<HoldReply>)>)> hold;
         std::function<void(StartCall, std::function<void(std::optional<StartReply>)>)> start;
         std::function<void(StopCall, std::function<void(std::optional<StopReply>)>)> stop;
@@ -70,8 +72,8 @@
         Instant usedAt{};
     };
 
-    const Route &routeTo(const WorkerId &worker);
-    void choose(const WorkerId &worker, Route &route) const;
+    const Route &routeTo(const OrderAddress &to);
+    void choose(const OrderAddress &to, Route &route) const;
     void suspend(const EntryId &node);
     void noteHold(const WorkerId &worker, const EntryId &node, HoldReply::Outcome outcome);
     /** Forgets routes to workers that are gone. */
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-PeerHub::PeerHub(asio::io_context &context, TimerService &timers, LeaderCandidate self,
+PeerHub::PeerHub(asio::io_context &context, TimerService &timers, HelloMessage self,
                  const Endpoint &address, Handlers handlers)
     : m_context(context)
     , m_timers(timers)
@@ -58,11 +58,8 @@
     if (!envelope)
         return;
     const uint64_t correlation = envelope->correlation;
-    if (const auto *hello = std::get_if<HelloMessage>(&envelope->message)) {
-        m_inbound[link] = hello->node;
-        m_followers[hello->node] = {link, hello->processor};
-        return m_handlers.followerJoined(hello->node);
-    }
+    if (const auto *hello = std::get_if<HelloMessage>(&envelope->message))
+        return handleHello(link, *hello);
     if (auto *call = std::get_if<ClientCall>(&envelope->message)) {
         return m_handlers.clientCall(std::move(*call),
                                      [this, link, correlation](ClientReply reply) {
@@ -80,6 +77,24 @@
     settle(correlation, envelope->message);
 }
 
+void PeerHub::handleHello(const Link &link, const HelloMessage &hello)
+{
+    m_inbound[link] = hello.node;
+    m_followers[hello.node] = {link, hello};
+    // A node that ends soon still hears who leads.
+    if (hello.isStopping)
+        m_handlers.followerLeft(hello.node);
+    else
+        m_handlers.followerJoined(hello.node);
+}
+
+void PeerHub::retire()
+{
+    m_self.isStopping = true;
+    if (m_leaderLink)
+        send(m_leaderLink, 0, m_self);
+}
+
 void PeerHub::dropInbound(const Link &link)
 {
     const auto found = m_inbound.find(link);
@@ -123,7 +138,7 @@
                          link->start([this](const Link &from,
                                             const Frame &frame) { handleFromLeader(from, frame); },
                                      [this](const Link &closed) { dropLeader(closed); });
-                         send(link, 0, HelloMessage{m_self.node, m_self.processor});
+                         send(link, 0, m_self);
                      });
 }
 
@@ -295,7 +310,9 @@
 OrderRelay::Carrier PeerHub::carrier(const EntryId &node)
 {
     OrderRelay::Carrier carrier;
-    carrier.processor = m_followers.at(node).processor;
+    const HelloMessage &hello = m_followers.at(node).hello;
+    carrier.processor = hello.processor;
+    carrier.zone = hello.zone;
     carrier.hold = [this, node](HoldCall call, auto done) {
         const Duration timeout = call.wait + CarriedOrderTime;
         request<HoldReply>(node, std::move(call), timeout, std::move(done));
@@ -319,15 +336,17 @@
 std::vector<LeaderCandidate> PeerHub::followers() const
 {
     std::vector<LeaderCandidate> nodes;
-    for (const auto &[node, follower] : m_followers)
-        nodes.push_back({node, follower.processor});
+    for (const auto &[node, follower] : m_followers) {
+        if (!follower.hello.isStopping)
+            nodes.push_back({node, follower.hello.processor});
+    }
     return handOverOrder(std::move(nodes));
 }
 
 bool PeerHub::hasStrongerFollower() const
 {
-    return std::ranges::any_of(m_followers, [this](const auto &entry) {
-        return isClearlyStronger(entry.second.processor, m_self.processor);
+    return std::ranges::any_of(followers(), [this](const LeaderCandidate &follower) {
+        return isClearlyStronger(follower.processor, m_self.processor);
     });
 }
 
--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -39,9 +39,12 @@
     };
 
     /** @throws TransportError if @p address cannot be bound. */
-    PeerHub(asio::io_context &context, TimerService &timers, LeaderCandidate self,
+    PeerHub(asio::io_context &context, TimerService &timers, HelloMessage self,
             const Endpoint &address, Handlers handlers);
 
+    /** Tells the leader, now and later ones, that this node ends soon. */
+    void retire();
+
     // Towards the leader.
     /** Opens a link to @p leader, in place of any other; unset to have none. */
     void follow(std::optional<Endpoint> leader);
@@ -67,7 +70,7 @@
     /** @return a way to give orders through a follower. */
     OrderRelay::Carrier carrier(const EntryId &node);
     void sendHandOver(const EntryId &node, const HandOverMessage &offer);
-    /** @return the followers in the order in which the claim is offered to them. */
+    /** @return the followers that stay, in the order in which the claim is offered to them. */
     std::vector<LeaderCandidate> followers() const;
     /** @return true if the cell gains by being led by a follower instead of this node. */
     bool hasStrongerFollower() const;
@@ -87,6 +90,7 @@
     void accept(const Link &link);
     void handleInbound(const Link &link, const Frame &frame);
     void handleFromLeader(const Link &link, const Frame &frame);
+    void handleHello(const Link &link, const HelloMessage &hello);
     void dropInbound(const Link &link);
     void dropLeader(const Link &link);
     /** Opens a link for one request, which a VoteResponse answers. */
@@ -108,7 +112,7 @@
     struct Follower
     {
         Link link;
-        CpuMillis processor;
+        HelloMessage hello;
     };
     struct Waiting
     {
@@ -119,7 +123,7 @@
 
     asio::io_context &m_context;
     GuardedTimers m_timers;
-    LeaderCandidate m_self;
+    HelloMessage m_self;
     Handlers m_handlers;
     Link m_leaderLink;
     uint64_t m_followGeneration = 0;
--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -41,7 +41,7 @@
 
 OrderAddress WorkerSession::orderAddress() const
 {
-    return {m_worker.address, m_worker.life.id, m_terms.epoch};
+    return {m_worker.address, m_worker.life.id, m_terms.epoch, m_worker.zone};
 }
 
 Instant WorkerSession::leaseOver(Instant given, Duration length)
--- a/Libraries/Protocol/CellMessages.cpp
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -18,7 +18,8 @@
 flatbuffers::Offset<void> pack(Builder &builder, const HelloMessage &message)
 {
     return CellWire::CreateHelloDirect(builder, message.node.value().c_str(),
-                                       static_cast<uint32_t>(message.processor.value()))
+                                       static_cast<uint32_t>(message.processor.value()),
+                                       message.zone.value().c_str(), message.isStopping)
         .Union();
 }
 
@@ -259,7 +260,8 @@
         throw ProtocolError("an order names no worker");
     return {{text(wire->host()), wire->port()},
             WorkerId(text(wire->worker())),
-            Epoch(wire->epoch())};
+            Epoch(wire->epoch()),
+            {}};
 }
 
 TaskKey unpackTask(const CellWire::TaskName *wire)
@@ -352,10 +354,13 @@
     envelope.correlation = wire->correlation();
     envelope.sentAt = Duration(wire->sent_at_ms());
     switch (wire->message_type()) {
-    case CellWire::Message::Hello:
-        envelope.message = HelloMessage{EntryId(text(wire->message_as_Hello()->node())),
-                                        CpuMillis(wire->message_as_Hello()->processor_millis())};
+    case CellWire::Message::Hello: {
+        const auto *hello = wire->message_as_Hello();
+        envelope.message =
+            HelloMessage{EntryId(text(hello->node())), CpuMillis(hello->processor_millis()),
+                         ZoneId(text(hello->zone())), hello->is_stopping()};
         break;
+    }
     case CellWire::Message::Heartbeat: {
         const auto *beat = wire->message_as_Heartbeat();
         envelope.message = HeartbeatMessage{Revision(beat->claim()), Duration(beat->store_age_ms()),
--- a/Libraries/Protocol/CellMessages.h
+++ b/Libraries/Protocol/CellMessages.h
@@ -16,6 +16,9 @@
     EntryId node;
     /** Share of a processor that the node has. */
     CpuMillis processor;
+    ZoneId zone;
+    /** The node ends soon: it neither leads nor gives orders any more. */
+    bool isStopping = false;
 };
 
 /** How the leader stands, as it tells its followers. */
--- a/Libraries/Protocol/Generated/Cell_generated.h
+++ b/Libraries/Protocol/Generated/Cell_generated.h
@@ -239,7 +239,9 @@
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NODE = 4,
-    VT_PROCESSOR_MILLIS = 6
+    VT_PROCESSOR_MILLIS = 6,
+    VT_ZONE = 8,
+    VT_IS_STOPPING = 10
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -247,11 +249,20 @@
   uint32_t processor_millis() const {
     return GetField<uint32_t>(VT_PROCESSOR_MILLIS, 0);
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool is_stopping() const {
+    return GetField<uint8_t>(VT_IS_STOPPING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
            verifier.VerifyString(node()) &&
            VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLIS, 4) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_STOPPING, 1) &&
            verifier.EndTable();
   }
 };
@@ -266,6 +277,12 @@
   void add_processor_millis(uint32_t processor_millis) {
     fbb_.AddElement<uint32_t>(Hello::VT_PROCESSOR_MILLIS, processor_millis, 0);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Hello::VT_ZONE, zone);
+  }
+  void add_is_stopping(bool is_stopping) {
+    fbb_.AddElement<uint8_t>(Hello::VT_IS_STOPPING, static_cast<uint8_t>(is_stopping), 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -280,22 +297,31 @@
 inline flatbuffers::Offset<Hello> CreateHello(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> node = 0,
-    uint32_t processor_millis = 0) {
+    uint32_t processor_millis = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool is_stopping = false) {
   HelloBuilder builder_(_fbb);
+  builder_.add_zone(zone);
   builder_.add_processor_millis(processor_millis);
   builder_.add_node(node);
+  builder_.add_is_stopping(is_stopping);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Hello> CreateHelloDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *node = nullptr,
-    uint32_t processor_millis = 0) {
+    uint32_t processor_millis = 0,
+    const char *zone = nullptr,
+    bool is_stopping = false) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return Cranberrymount::CellWire::CreateHello(
       _fbb,
       node__,
-      processor_millis);
+      processor_millis,
+      zone__,
+      is_stopping);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/Protocol/WorkerOrders.h
+++ b/Libraries/Protocol/WorkerOrders.h
@@ -16,6 +16,8 @@
     Endpoint address;
     WorkerId worker;
     Epoch epoch;
+    /** The worker's zone; not sent to carriers. */
+    ZoneId zone = {};
 };
 
 /** Extends the lease of everything on a worker and asks what runs and what has ended. */
--- a/Tests/Unit/OrderRelayTest.cpp
+++ b/Tests/Unit/OrderRelayTest.cpp
@@ -60,6 +60,7 @@
         CountingOrders &orders = m_carriers[node];
         OrderRelay::Carrier carrier;
         carrier.processor = CpuMillis(processor);
+        carrier.zone = m_zone;
         carrier.hold = [this, node, &orders](HoldCall call, auto done) {
             if (m_silent.contains(node))
                 return done(std::nullopt);
@@ -78,6 +79,7 @@
         for (std::size_t index = 0; index < workers; ++index) {
             HoldCall call;
             call.to.worker = workerName(index);
+            call.to.zone = m_zone;
             m_relay.hold(std::move(call), [&answered](const HoldReply &reply) {
                 answered += reply.outcome == HoldReply::Answered;
             });
@@ -107,6 +109,8 @@
     CountingOrders m_direct;
     std::map<EntryId, CountingOrders> m_carriers;
     std::set<EntryId> m_silent;
+    /** Of the carriers that are added, and of all workers. */
+    ZoneId m_zone{"a"};
     OrderRelay m_relay{m_direct, m_timers};
 };
 
@@ -184,6 +188,25 @@
     CHECK(m_direct.held.size() == cut);
 }
 
+// Guards against a zone that is cut off and costs the workers of the others their reports.
+TEST_CASE_METHOD(RelayFixture, "Worker's carrier is in its zone while there is one", "[orderrelay]")
+{
+    m_zone = ZoneId("b");
+    addCarriers(3, 500);
+    m_zone = ZoneId("a");
+    addCarriers(2, 100);
+    holdAll(100);
+    forgetCounts();
+    CHECK(holdAll(100) == 100);
+    for (const auto &[worker, node] : carrierOfWorkers())
+        CHECK(node.value().starts_with("n100"));
+    m_relay.removeCarrier(EntryId("n100-0"));
+    m_relay.removeCarrier(EntryId("n100-1"));
+    forgetCounts();
+    CHECK(holdAll(100) == 100);
+    CHECK(carrierOfWorkers().size() == 100);
+}
+
 TEST_CASE_METHOD(RelayFixture, "Silent carrier is left out at once and used again later",
                  "[orderrelay]")
 {
@@ -243,13 +266,13 @@
             context.stop();
         });
     };
-    PeerHub leader(context, timers, {EntryId("l"), CpuMillis(500)}, {"127.0.0.1", LeaderPort},
-                   leaderHandlers);
+    PeerHub leader(context, timers, {EntryId("l"), CpuMillis(500), ZoneId("a")},
+                   {"127.0.0.1", LeaderPort}, leaderHandlers);
     leaderHub = &leader;
     PeerHub::Handlers followerHandlers;
     followerHandlers.orders = &followersOrders;
-    PeerHub follower(context, timers, {EntryId("f"), CpuMillis(120)}, {"127.0.0.1", 0},
-                     followerHandlers);
+    PeerHub follower(context, timers, {EntryId("f"), CpuMillis(120), ZoneId("a")},
+                     {"127.0.0.1", 0}, followerHandlers);
     follower.follow(Endpoint{"127.0.0.1", LeaderPort});
     context.run_for(std::chrono::seconds(5));
     REQUIRE(reply);
