CellNode: Offer the claim of a stopping node until somebody takes it

Cause: the leader offered its claim once, to a node that was stopping itself and ignored it, and waited 0.8 s; then its followers waited until they missed its heartbeats. Now it offers the claim to one follower after the other, each 0.2 s, and a leader that gives up tells its followers at once. Ruled out: the store (no store_lost), the zone that was cut (the nodes of the others took 0.3 s for their votes). Test: 'Leader that stops is followed at once though its peer stops too' failed before.

--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -28,7 +28,9 @@
 constexpr Duration OfferInterval{300};
 /** A leader that is weaker than a follower offers its claim this often. */
 constexpr Duration UpgradeInterval{1000};
-constexpr Duration HandOverWait{800};
+/** A node that stops waits this long for a follower to take its claim, then asks the next. */
+constexpr Duration HandOnInterval{200};
+constexpr uint32_t MostHandOnOffers = 4;
 /** Between two lines about the process's load; rarer on nodes that only follow. */
 constexpr Duration LeaderLoadInterval{1000};
 constexpr Duration FollowerLoadInterval{5000};
@@ -43,7 +45,8 @@
     , m_random(pcg_extras::seed_seq_from<std::random_device>())
     , m_advice(m_timers)
     , m_orders(m_platform.orders, m_timers)
-    , m_peers(context, m_timers, {m_settings.node, m_settings.processor}, m_settings.peer,
+    , m_peers(context, m_timers, {m_settings.node, m_settings.processor, m_settings.zone},
+              m_settings.peer,
               {.clientCall =
                    [this](ClientCall call, ClientRespond respond) {
                        if (m_scheduler)
@@ -152,6 +155,8 @@
     m_endsPassedTo = Revision();
     // The scheduler may be on the stack.
     m_retired.push_back(std::move(m_scheduler));
+    // Followers need not wait until they miss heartbeats.
+    m_peers.broadcast(heartbeatMessage());
 }
 
 bool CellNode::hasLeader() const
@@ -334,15 +339,23 @@
 {
     m_isRetiring = true;
     m_leadership.retire();
+    m_peers.retire();
     if (!m_scheduler)
         return done();
-    m_scheduler->quiesce([this, done = std::move(done)] {
-        offerToStrongest();
-        m_timers.after(HandOverWait, [this, done] {
-            m_leadership.giveUp();
-            done();
-        });
-    });
+    m_scheduler->quiesce([this, done = std::move(done)] { handOn(0, done); });
+}
+
+void CellNode::handOn(uint32_t offers, std::function<void()> done)
+{
+    if (!m_scheduler)
+        return done();
+    if (offers == MostHandOnOffers) {
+        m_leadership.giveUp();
+        return done();
+    }
+    offerTo(offers, false);
+    m_timers.after(HandOnInterval,
+                   [this, offers, done = std::move(done)] { handOn(offers + 1, done); });
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -59,6 +59,8 @@
     void offerTo(std::size_t index, bool isStoreLost);
     /** Offers the claim to one of the strongest followers. */
     void offerToStrongest();
+    /** Offers the claim of a node that stops to one follower after the other until one takes it. */
+    void handOn(uint32_t offers, std::function<void()> done);
     void heartbeat();
     HeartbeatMessage heartbeatMessage() const;
     /** Gives the present leader the ends that this node could not write as leader. */
--- /dev/null
+++ b/Tests/Unit/HandOverTest.cpp
@@ -0,0 +1,165 @@
+#include "Coordination/Journal.h"
+#include "Service/CellNode.h"
+
+#include <asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace Cranberrymount;
+
+namespace {
+
+constexpr uint16_t FirstPort = 18'475;
+
+/** A platform without workers that answers within a millisecond. */
+class SmallPlatform : public TransactionalStore,
+                      public OperatorSource,
+                      public WorkerOrders,
+                      public PlacementAdvisor
+{
+public:
+    explicit SmallPlatform(asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    void list(const std::string &prefix, std::function<void(StoreRead)> done) override
+    {
+        StoreRead read{true, {}};
+        for (const auto &[key, entry] : m_values) {
+            if (key.starts_with(prefix))
+                read.entries.push_back(entry);
+        }
+        later([done, read] { done(read); });
+    }
+    void probe(std::function<void(bool)> done) override
+    {
+        later([done] { done(true); });
+    }
+    void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override
+    {
+        CommitResult result{CommitResult::Committed, {}, {}};
+        for (const auto &condition : transaction.conditions) {
+            const auto found = m_values.find(condition.key);
+            const Revision present = found == m_values.end() ? Revision() : found->second.revision;
+            if (present != condition.revision)
+                result.outcome = CommitResult::Conflict;
+        }
+        if (result.outcome == CommitResult::Committed) {
+            result.revision = Revision(++m_revision);
+            for (const auto &put : transaction.puts)
+                m_values[put.key] = {put.key, put.value, result.revision};
+        }
+        later([done, result] { done(result); });
+    }
+    void createLease(Duration, std::function<void(StoreLease)> done) override
+    {
+        later([done] { done({true, true, StoreLeaseId(1)}); });
+    }
+    void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) override
+    {
+        later([done, id] { done({true, true, id}); });
+    }
+    void readOperators(std::function<void(OperatorView)> done) override
+    {
+        OperatorView view;
+        view.answered = true;
+        view.configuration.emplace().version = 1;
+        later([done, view] { done(view); });
+    }
+    void readWorkers(std::function<void(WorkerDirectory)> done) override
+    {
+        WorkerDirectory directory;
+        directory.answered = true;
+        later([done, directory] { done(directory); });
+    }
+    void hold(HoldCall, std::function<void(HoldReply)>) override {}
+    void start(StartCall, std::function<void(StartReply)>) override {}
+    void stop(StopCall, std::function<void(StopReply)>) override {}
+    void ask(AdviceCall, std::function<void(AdviceReply)>) override {}
+
+    /** @return what the present claim says of its holder. */
+    std::string leader() const
+    {
+        const auto found = m_values.find(LeaderKey);
+        return found == m_values.end() ? std::string() : found->second.value;
+    }
+
+private:
+    void later(std::function<void()> action)
+    {
+        const auto timer = std::make_shared<asio::steady_timer>(m_context, Duration(1));
+        timer->async_wait([timer, action = std::move(action)](const asio::error_code &) {
+            action();
+        });
+    }
+
+    asio::io_context &m_context;
+    std::map<std::string, StoreEntry> m_values;
+    uint64_t m_revision = 0;
+};
+
+/** A cell of three nodes over loopback: two strong ones, of which one leads, and a weak one. */
+class SmallCellFixture
+{
+protected:
+    SmallCellFixture()
+    {
+        for (const auto &[name, processor] : {std::pair{"a", 500}, {"b", 500}, {"c", 100}}) {
+            CellSettings settings;
+            settings.node = EntryId(name);
+            settings.zone = ZoneId("z");
+            settings.processor = CpuMillis(processor);
+            settings.peer = {"127.0.0.1", static_cast<uint16_t>(FirstPort + m_nodes.size())};
+            m_nodes.push_back(std::make_unique<CellNode>(
+                m_context, settings,
+                CellNode::Platform{m_platform, m_platform, m_platform, m_platform}));
+            m_nodes.back()->start();
+        }
+        REQUIRE(runUntil([this] { return areReady(3) && leadsAny({0, 1}); }, Duration(8000)));
+    }
+
+    bool leads(std::size_t node) const
+    {
+        const std::string name = std::string("\"node\":\"") + "abc"[node] + "\"";
+        return m_platform.leader().find(name) != std::string::npos;
+    }
+    bool leadsAny(const std::vector<std::size_t> &nodes) const
+    {
+        return std::ranges::any_of(nodes, [this](std::size_t node) { return leads(node); });
+    }
+    bool areReady(long count) const
+    {
+        return std::ranges::count_if(m_nodes, [](const auto &node) { return node->isReady(); })
+            >= count;
+    }
+    bool runUntil(const std::function<bool()> &condition, Duration limit)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            m_context.run_for(Duration(10));
+        return condition();
+    }
+
+    asio::io_context m_context{1};
+    SmallPlatform m_platform{m_context};
+    std::vector<std::unique_ptr<CellNode>> m_nodes;
+};
+
+} // namespace
+
+// Guards against seconds without a leader when nodes are stopped in turn.
+TEST_CASE_METHOD(SmallCellFixture, "Leader that stops is followed at once though its peer stops too",
+                 "[cellnode]")
+{
+    // Callers wait 1.5 s for a leader; an election after missed heartbeats takes longer.
+    constexpr Duration Limit{1000};
+    const std::size_t leader = leads(0) ? 0 : 1;
+    m_nodes[1 - leader]->retire([] {});
+    m_context.run_for(Duration(300));
+    REQUIRE(leads(leader));
+    m_nodes[leader]->retire([] {});
+    CHECK(runUntil([this] { return leads(2) && m_nodes[2]->isReady(); }, Limit));
+}
