CellScheduler: Confirm no cancellation of a job whose end is not written

A job that ended while the store was away is shown as done; its cancellation was confirmed on the strength of that. Should the leader and the worker both end before the store is back, the next leader knows neither end nor cancellation and starts the job again. Now such a cancellation is refused while the store is away, and written behind the ends otherwise.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -186,7 +186,8 @@
     const JobRecord *job = m_jobs.find(id);
     if (!job)
         return respond(plain(ClientReply::NoSuchJob, "no such job"));
-    if (job->isOver())
+    // An end that is shown but not written may be forgotten with this leader.
+    if (job->isOver() && !hasUnwrittenEnds(id))
         return respond(plain(ClientReply::Cancelled));
     if (!m_isStoreReachable)
         return respond(unavailable("the store cannot be reached"));
@@ -200,6 +201,12 @@
     });
 }
 
+bool CellScheduler::hasUnwrittenEnds(const JobId &id) const
+{
+    const auto first = m_unwrittenEnds.lower_bound({{id, 0, 0, 0}, 0});
+    return first != m_unwrittenEnds.end() && first->first.first.job == id;
+}
+
 bool CellScheduler::isBeyondShare(const TeamId &team)
 {
     const TeamSettings *settings = m_configuration.findTeam(team);
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -137,6 +137,7 @@
     void cancel(const JobId &id, ClientRespond respond);
     /** Refuses the submissions that were never sent to the store. */
     void refuseUnsent();
+    bool hasUnwrittenEnds(const JobId &id) const;
     bool isBeyondShare(const TeamId &team);
     bool isStoreLost() const;
 
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -240,6 +240,20 @@
     CHECK(m_world.holdCount - before <= 5 * m_world.workers.size());
 }
 
+// Guards against a job that runs again, under the next leader, after its cancellation was confirmed.
+TEST_CASE_METHOD(CellFixture, "Job whose end waits for the store is not confirmed as cancelled",
+                 "[cell]")
+{
+    const JobId job = m_world.submit(1, Small, Duration(500));
+    m_world.run(Duration(300));
+    m_world.store.isDown = true;
+    REQUIRE(ends(job, JobState::Done));
+    CHECK(m_world.call(ClientCall::Cancel, job).outcome == ClientReply::Unavailable);
+    m_world.store.isDown = false;
+    m_world.run(Duration(1000));
+    CHECK(m_world.call(ClientCall::Cancel, job).outcome == ClientReply::Cancelled);
+}
+
 // Guards against submissions that wait out a whole time-out after the store has come back.
 TEST_CASE_METHOD(CellFixture, "Everything that waits for a silent store is written once it is back",
                  "[cell]")
