--- a/Benchmarks/Rounds.cpp
+++ b/Benchmarks/Rounds.cpp
@@ -96,8 +96,7 @@
         times.starts = result.starts.size();
         times.adviceCalls = result.advice.size();
     }
-    times.meanMilliseconds =
-        std::chrono::duration<double, std::milli>(total).count() / Repetitions;
+    times.meanMilliseconds = std::chrono::duration<double, std::milli>(total).count() / Repetitions;
     return times;
 }
 
--- a/Benchmarks/main.cpp
+++ b/Benchmarks/main.cpp
@@ -205,9 +205,10 @@
         for (const auto &[waiting, gangs] :
              {std::pair{20, 0}, {150, 0}, {900, 0}, {20, 20}, {80, 80}}) {
             const RoundTimes times = timeRounds(workers, waiting, gangs);
-            std::cout << fmt::format(
-                "{:5} workers {:4} waiting steps, {:3} gangs: {:8.3f} ms a round, {} starts, {} calls\n",
-                workers, waiting, gangs, times.meanMilliseconds, times.starts, times.adviceCalls);
+            std::cout << fmt::format("{:5} workers {:4} waiting steps, {:3} gangs: {:8.3f} ms a "
+                                     "round, {} starts, {} calls\n",
+                                     workers, waiting, gangs, times.meanMilliseconds, times.starts,
+                                     times.adviceCalls);
         }
     }
 }
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -253,8 +253,8 @@
         commit->isWritten = true;
         m_latency = std::chrono::duration_cast<Duration>(m_timers.now() - commit->begin);
         if (m_latency > SlowCommit)
-            LOG(INFO) << "event=commit_slow segment=" << segment.key << " took_ms="
-                      << m_latency.count() << " records=" << commit->records.size()
+            LOG(INFO) << "event=commit_slow segment=" << segment.key
+                      << " took_ms=" << m_latency.count() << " records=" << commit->records.size()
                       << " bytes=" << segment.value.size() << " tries=" << commit->lastTry;
         m_lastCommit = m_timers.now();
         if (!m_isReachable)
--- a/Libraries/Coordination/OrderRelay.cpp
+++ b/Libraries/Coordination/OrderRelay.cpp
@@ -170,8 +170,9 @@
 void OrderRelay::sweep()
 {
     m_sweptAt = m_timers.now();
-    std::erase_if(m_routes,
-                  [this](const auto &entry) { return m_sweptAt - entry.second.usedAt > RouteLife; });
+    std::erase_if(m_routes, [this](const auto &entry) {
+        return m_sweptAt - entry.second.usedAt > RouteLife;
+    });
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -290,8 +290,8 @@
     const auto found = m_followers.find(node);
     if (found == m_followers.end())
         return done(std::nullopt);
-    const uint64_t correlation = expect(
-        found->second.link, timeout, [done = std::move(done)](const CellMessage *message) {
+    const uint64_t correlation =
+        expect(found->second.link, timeout, [done = std::move(done)](const CellMessage *message) {
             const auto *reply = message ? std::get_if<Reply>(message) : nullptr;
             done(reply ? std::optional(*reply) : std::nullopt);
         });
--- a/Libraries/Coordination/SchedulerLoad.cpp
+++ b/Libraries/Coordination/SchedulerLoad.cpp
@@ -9,8 +9,8 @@
     };
     return out << "rounds=" << load.rounds << " in_rounds_ms=" << milliseconds(load.inRounds)
                << " gathering_ms=" << milliseconds(load.gathering)
-               << " deciding_ms=" << milliseconds(load.deciding) << " starts=" << load.starts << " reports=" << load.reports
-               << " late_ms=" << milliseconds(load.latestTimer)
+               << " deciding_ms=" << milliseconds(load.deciding) << " starts=" << load.starts
+               << " reports=" << load.reports << " late_ms=" << milliseconds(load.latestTimer)
                << " steps_without_room=" << load.waiting.withoutRoom
                << " steps_without_ticket=" << load.waiting.withoutTicket
                << " steps_at_limit=" << load.waiting.atLimit;
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -522,8 +522,7 @@
     const AdviceBook::StepAdvice *known = candidate.known;
     const std::size_t callsUnderWay = known ? known->callsUnderWay : 0;
     const std::size_t mostCalls = spec.isGang ? MaxGangCalls : 1;
-    if (m_input.adviceRoom.of(candidate.queue->advice->costOf(1)) == 0
-        || callsUnderWay >= mostCalls
+    if (m_input.adviceRoom.of(candidate.queue->advice->costOf(1)) == 0 || callsUnderWay >= mostCalls
         || (known && known->notBefore > m_input.now))
         return;
     AdviceOutlook outlook = adviceOutlook(candidate);
@@ -577,8 +576,8 @@
 /** Keeps the workers free that will have room for the gang first. */
 void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted)
 {
-    const bool mayReserve = candidate.urgency.urgencyClass <= StepUrgency::InTime
-        && m_reservingGangs < MaxReservations;
+    const bool mayReserve =
+        candidate.urgency.urgencyClass <= StepUrgency::InTime && m_reservingGangs < MaxReservations;
     if ((!mayReserve && &candidate != m_longestWaiting)
         || teamHeadroom(candidate.job->accepted.team, candidate.spec().need) < wanted)
         return;
@@ -651,8 +650,8 @@
         const std::size_t worker = position->second;
         const bool isUsable = m_poolOf[worker] == candidate.pool && !m_reservations[worker].holder
             && isEligible(candidate, worker);
-        const bool hasTicket = verdict.expires > m_input.now + StartDelay
-            || candidate.known->underWay.contains(life);
+        const bool hasTicket =
+            verdict.expires > m_input.now + StartDelay || candidate.known->underWay.contains(life);
         const int64_t count = isUsable && hasTicket ? placesOn(candidate, worker) : 0;
         if (count > 0)
             places.push_back({worker, nullptr, count});
--- a/Libraries/Protocol/CellMessages.cpp
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -127,10 +127,10 @@
 
 flatbuffers::Offset<void> pack(Builder &builder, const HoldCall &message)
 {
-    return CellWire::CreateHoldRequest(
-               builder, packTarget(builder, message.to),
-               message.leaseUntil.value_or(WorkerClock()).value(), message.acknowledgedEnds,
-               static_cast<uint32_t>(message.wait.count()))
+    return CellWire::CreateHoldRequest(builder, packTarget(builder, message.to),
+                                       message.leaseUntil.value_or(WorkerClock()).value(),
+                                       message.acknowledgedEnds,
+                                       static_cast<uint32_t>(message.wait.count()))
         .Union();
 }
 
@@ -140,9 +140,8 @@
     running.reserve(message.running.size());
     for (const RunReport &run : message.running) {
         const auto task = packTask(builder, run.task);
-        running.push_back(CellWire::CreateRunRow(builder, task, run.attempt,
-                                                 builder.CreateString(run.checkpoint),
-                                                 run.percent));
+        running.push_back(CellWire::CreateRunRow(
+            builder, task, run.attempt, builder.CreateString(run.checkpoint), run.percent));
     }
     std::vector<flatbuffers::Offset<CellWire::EndRow>> ended;
     ended.reserve(message.ended.size());
@@ -337,8 +336,8 @@
     Builder builder(256);
     const auto message =
         std::visit([&builder](const auto &one) { return pack(builder, one); }, envelope.message);
-    builder.Finish(CellWire::CreateEnvelope(builder, envelope.correlation,
-                                            kindOf(envelope.message), message,
+    builder.Finish(CellWire::CreateEnvelope(builder, envelope.correlation, kindOf(envelope.message),
+                                            message,
                                             static_cast<uint64_t>(envelope.sentAt.count())));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
--- a/Libraries/Protocol/CellMessages.h
+++ b/Libraries/Protocol/CellMessages.h
@@ -64,11 +64,10 @@
     Endpoint address;
 };
 
-using CellMessage =
-    std::variant<HelloMessage, HeartbeatMessage, ClientCall, ClientReply, AdviceCall, AdviceReply,
-                 VoteRequest, VoteResponse, HandOverMessage, AnnouncementMessage,
-                 LeftoverEndsMessage, HoldCall, HoldReply, StartCall, StartReply, StopCall,
-                 StopReply>;
+using CellMessage = std::variant<HelloMessage, HeartbeatMessage, ClientCall, ClientReply,
+                                 AdviceCall, AdviceReply, VoteRequest, VoteResponse,
+                                 HandOverMessage, AnnouncementMessage, LeftoverEndsMessage,
+                                 HoldCall, HoldReply, StartCall, StartReply, StopCall, StopReply>;
 
 struct CellEnvelope
 {
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -262,8 +262,8 @@
 {
     const Instant now = m_timers.now();
     const auto processor = readSystemClock(CLOCK_PROCESS_CPUTIME_ID);
-    LOG(INFO) << "event=node_load leads=" << (m_scheduler != nullptr) << " over_ms="
-              << std::chrono::duration_cast<Duration>(now - m_loadLoggedAt).count()
+    LOG(INFO) << "event=node_load leads=" << (m_scheduler != nullptr)
+              << " over_ms=" << std::chrono::duration_cast<Duration>(now - m_loadLoggedAt).count()
               << " processor_ms="
               << std::chrono::duration_cast<Duration>(processor - m_processorBefore).count()
               << " calls_waiting=" << m_waiting.size();
--- a/Libraries/Transport/FrameLink.cpp
+++ b/Libraries/Transport/FrameLink.cpp
@@ -118,8 +118,8 @@
     for (const Frame &frame : m_outgoing)
         buffers.push_back(asio::buffer(frame));
     asio::async_write(m_socket, buffers,
-                      [self = shared_from_this(), count = buffers.size()](
-                          const asio::error_code &error, std::size_t) {
+                      [self = shared_from_this(),
+                       count = buffers.size()](const asio::error_code &error, std::size_t) {
                           self->m_isWriting = false;
                           if (error)
                               return self->fail();
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -240,7 +240,8 @@
     CHECK(m_world.holdCount - before <= 5 * m_world.workers.size());
 }
 
-// Guards against a job that runs again, under the next leader, after its cancellation was confirmed.
+// Guards against a job that runs again, under the next leader, after its cancellation was
+// confirmed.
 TEST_CASE_METHOD(CellFixture, "Job whose end waits for the store is not confirmed as cancelled",
                  "[cell]")
 {
@@ -271,8 +272,7 @@
     const auto areAnswered = [&] {
         return m_world.accepted.size() + m_world.refused.size() == jobs.size();
     };
-    CHECK(m_world.runUntil(areAnswered,
-                           Duration(300)));
+    CHECK(m_world.runUntil(areAnswered, Duration(300)));
 }
 
 // Guards against callers that wait out their deadline for a store that has fallen silent.
--- a/Tests/Unit/CellWorld.cpp
+++ b/Tests/Unit/CellWorld.cpp
@@ -211,7 +211,8 @@
                               std::move(done));
         };
         carrier.stop = [this, index](StopCall call, auto done) {
-            carry<StopReply>(index, std::move(call), CarriedOrderTime, &CellWorld::stop, std::move(done));
+            carry<StopReply>(index, std::move(call), CarriedOrderTime, &CellWorld::stop,
+                             std::move(done));
         };
         m_relay->addCarrier(EntryId(fmt::format("carrier-{}", index)), std::move(carrier));
     }
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -326,8 +326,8 @@
 }
 
 // Guards against a job with nothing running for as long as smaller work keeps coming.
-TEST_CASE_METHOD(DispatcherFixture, "Gang that is late gets its room though other work keeps coming",
-                 "[dispatcher]")
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Gang that is late gets its room though other work keeps coming", "[dispatcher]")
 {
     addWorkers(4, 10'000);
     const JobId gang = addJob("batch", 4, 8'000, Duration(1000), true);
@@ -368,8 +368,7 @@
         for (const Run &run : runs) {
             const Resources need{CpuMillis(2'500), MemoryMb(1), AcceleratorCount(0)};
             m_workers[run.worker].used += need;
-            m_workers[run.worker].holders.push_back(
-                {&run.task.job, 0, 0, need, run.ends});
+            m_workers[run.worker].holders.push_back({&run.task.job, 0, 0, need, run.ends});
         }
     }
     CHECK(hasStarted);
--- a/Tests/Unit/HandOverTest.cpp
+++ b/Tests/Unit/HandOverTest.cpp
@@ -75,10 +75,10 @@
         directory.answered = true;
         later([done, directory] { done(directory); });
     }
-    void hold(HoldCall, std::function<void(HoldReply)>) override {}
-    void start(StartCall, std::function<void(StartReply)>) override {}
-    void stop(StopCall, std::function<void(StopReply)>) override {}
-    void ask(AdviceCall, std::function<void(AdviceReply)>) override {}
+    void hold(HoldCall, std::function<void(HoldReply)>) override { }
+    void start(StartCall, std::function<void(StartReply)>) override { }
+    void stop(StopCall, std::function<void(StopReply)>) override { }
+    void ask(AdviceCall, std::function<void(AdviceReply)>) override { }
 
     /** @return what the present claim says of its holder. */
     std::string leader() const
@@ -91,9 +91,8 @@
     void later(std::function<void()> action)
     {
         const auto timer = std::make_shared<asio::steady_timer>(m_context, Duration(1));
-        timer->async_wait([timer, action = std::move(action)](const asio::error_code &) {
-            action();
-        });
+        timer->async_wait(
+            [timer, action = std::move(action)](const asio::error_code &) { action(); });
     }
 
     asio::io_context &m_context;
@@ -151,8 +150,8 @@
 } // namespace
 
 // Guards against seconds without a leader when nodes are stopped in turn.
-TEST_CASE_METHOD(SmallCellFixture, "Leader that stops is followed at once though its peer stops too",
-                 "[cellnode]")
+TEST_CASE_METHOD(SmallCellFixture,
+                 "Leader that stops is followed at once though its peer stops too", "[cellnode]")
 {
     // Callers wait 1.5 s for a leader; an election after missed heartbeats takes longer.
     constexpr Duration Limit{1000};
--- a/Tests/Unit/OrderRelayTest.cpp
+++ b/Tests/Unit/OrderRelayTest.cpp
@@ -271,8 +271,8 @@
     leaderHub = &leader;
     PeerHub::Handlers followerHandlers;
     followerHandlers.orders = &followersOrders;
-    PeerHub follower(context, timers, {EntryId("f"), CpuMillis(120), ZoneId("a")},
-                     {"127.0.0.1", 0}, followerHandlers);
+    PeerHub follower(context, timers, {EntryId("f"), CpuMillis(120), ZoneId("a")}, {"127.0.0.1", 0},
+                     followerHandlers);
     follower.follow(Endpoint{"127.0.0.1", LeaderPort});
     context.run_for(std::chrono::seconds(5));
     REQUIRE(reply);
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -83,10 +83,10 @@
                {prefix + "i-2", m_odd, Revision(2)},
                {prefix + "i-3", Worker, Revision(3)}}});
     }
-    void probe(std::function<void(bool)>) override {}
-    void commit(StoreTransaction, std::function<void(CommitResult)>) override {}
-    void createLease(Duration, std::function<void(StoreLease)>) override {}
-    void renewLease(StoreLeaseId, std::function<void(StoreLease)>) override {}
+    void probe(std::function<void(bool)>) override { }
+    void commit(StoreTransaction, std::function<void(CommitResult)>) override { }
+    void createLease(Duration, std::function<void(StoreLease)>) override { }
+    void renewLease(StoreLeaseId, std::function<void(StoreLease)>) override { }
 
 private:
     std::string m_odd;
