CellCalls: Let callers return after a second while the store is away

Callers have 3 s; told to come back after 2 s they got two tries, both of which an outage of 4 s can meet.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /** When callers come back after a refusal for want of the store; it is away for seconds. */
-constexpr Duration RetryWithoutStore{2000};
+constexpr Duration RetryWithoutStore{1000};
 /** A leader that the store has not confirmed for this long answers nothing from memory. */
 constexpr Duration LongestUnconfirmed{3000};
 /** A team may save up what it is owed for this long; bursts shorter than it are not held back. */
