--- a/Tests/Unit/HandOverTest.cpp
+++ b/Tests/Unit/SmallCellTest.cpp
@@ -3,6 +3,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <map>
@@ -27,9 +28,9 @@
 
     void list(const std::string &prefix, std::function<void(StoreRead)> done) override
     {
-        StoreRead read{true, {}};
+        StoreRead read{!isCut, {}};
         for (const auto &[key, entry] : m_values) {
-            if (key.starts_with(prefix))
+            if (!isCut && key.starts_with(prefix))
                 read.entries.push_back(entry);
         }
         later([done, read] { done(read); });
@@ -40,7 +41,7 @@
     }
     void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override
     {
-        CommitResult result{CommitResult::Committed, {}, {}};
+        CommitResult result{isCut ? CommitResult::NotDone : CommitResult::Committed, {}, {}};
         for (const auto &condition : transaction.conditions) {
             const auto found = m_values.find(condition.key);
             const Revision present = found == m_values.end() ? Revision() : found->second.revision;
@@ -80,6 +81,18 @@
     void stop(StopCall, std::function<void(StopReply)>) override { }
     void ask(AdviceCall, std::function<void(AdviceReply)>) override { }
 
+    /** Nothing is answered by the store. */
+    bool isCut = false;
+
+    /** Writes a claim as a leader of that name and address does. */
+    void claim(const std::string &node, const Endpoint &address)
+    {
+        m_values[LeaderKey] = {LeaderKey,
+                               fmt::format(R"({{"node":"{}","host":"{}","port":{}}})", node,
+                                           address.host, address.port),
+                               Revision(++m_revision)};
+    }
+
     /** @return what the present claim says of its holder. */
     std::string leader() const
     {
@@ -162,3 +175,66 @@
     m_nodes[leader]->retire([] {});
     CHECK(runUntil([this] { return leads(2) && m_nodes[2]->isReady(); }, Limit));
 }
+
+namespace {
+
+/** A node that follows a leader of which only the heartbeats exist. */
+class LonelyFollowerFixture
+{
+protected:
+    LonelyFollowerFixture()
+    {
+        const Endpoint address{"127.0.0.1", FirstPort + 10};
+        m_platform.claim("leader", address);
+        PeerHub::Handlers handlers;
+        handlers.followerJoined = [](const EntryId &) {};
+        handlers.followerLeft = [](const EntryId &) {};
+        handlers.vote = [](Revision) { return false; };
+        handlers.clientCall = [](const ClientCall &, const ClientRespond &) {};
+        m_leader = std::make_unique<PeerHub>(m_context, m_timers,
+                                             HelloMessage{EntryId("leader"), CpuMillis(500), {}},
+                                             address, std::move(handlers));
+        beat();
+        CellSettings settings;
+        settings.node = EntryId("follower");
+        settings.peer = {"127.0.0.1", FirstPort + 11};
+        m_node = std::make_unique<CellNode>(
+            m_context, settings,
+            CellNode::Platform{m_platform, m_platform, m_platform, m_platform});
+        m_node->start();
+        m_context.run_for(Duration(1500));
+        REQUIRE(m_node->isReady());
+    }
+
+    void beat()
+    {
+        if (!m_platform.isCut)
+            m_leader->broadcast({Revision(1), Duration(0), true});
+        m_timers.after(Duration(100), [this] { beat(); });
+    }
+
+    asio::io_context m_context{1};
+    AsioTimerService m_timers{m_context};
+    SmallPlatform m_platform{m_context};
+    std::unique_ptr<PeerHub> m_leader;
+    std::unique_ptr<CellNode> m_node;
+};
+
+} // namespace
+
+// Guards against a zone whose nodes, cut off without a reset, take calls and let them time out.
+TEST_CASE_METHOD(LonelyFollowerFixture, "Follower that hears nothing of its leader refuses calls",
+                 "[cellnode]")
+{
+    m_platform.isCut = true;
+    m_context.run_for(Duration(1000));
+    CHECK_FALSE(m_node->isReady());
+    std::optional<ClientReply> reply;
+    ClientCall call;
+    call.kind = ClientCall::Submit;
+    m_node->handle(std::move(call), Duration(3000),
+                   [&reply](const ClientReply &answer) { reply = answer; });
+    m_context.run_for(Duration(1500));
+    REQUIRE(reply);
+    CHECK(reply->outcome == ClientReply::Isolated);
+}
