--- a/Tests/Unit/OrderRelayTest.cpp
+++ b/Tests/Unit/OrderRelayTest.cpp
@@ -61,13 +61,13 @@
         OrderRelay::Carrier carrier;
         carrier.processor = CpuMillis(processor);
         carrier.zone = m_zone;
-        carrier.hold = [this, node, &orders](HoldCall call, auto done) {
+        carrier.hold = [this, node, &orders](const HoldCall &call, const auto &done) {
             if (m_silent.contains(node))
                 return done(std::nullopt);
-            orders.hold(std::move(call), done);
+            orders.hold(call, done);
         };
-        carrier.start = [&orders](StartCall call, auto done) {
-            orders.start(std::move(call), done);
+        carrier.start = [&orders](const StartCall &call, const auto &done) {
+            orders.start(call, done);
         };
         m_relay.addCarrier(node, std::move(carrier));
     }
