--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -187,18 +187,25 @@
             addPlace(candidate, worker, places);
         return places;
     }
-    // Nobody has a ticket before the advisor has answered.
-    if (!candidate.known)
-        return places;
     // The advisor allows a step few workers of a large pool.
+    for (const AllowedWorker &allowed : allowedWorkers(candidate))
+        addPlace(candidate, allowed.worker, places);
+    return places;
+}
+
+std::vector<Dispatcher::AllowedWorker> Dispatcher::allowedWorkers(const Candidate &candidate) const
+{
+    std::vector<AllowedWorker> workers;
+    if (!candidate.known)
+        return workers;
     for (const auto &[life, verdict] : candidate.known->verdicts) {
         const auto position = m_positions.find(life);
         if (verdict.isAllowed && position != m_positions.end()
             && m_poolOf[position->second] == candidate.pool)
-            addPlace(candidate, position->second, places);
+            workers.push_back({position->second, &verdict});
     }
-    std::ranges::sort(places, {}, &Place::worker);
-    return places;
+    std::ranges::sort(workers, {}, &AllowedWorker::worker);
+    return workers;
 }
 
 void Dispatcher::addPlace(const Candidate &candidate, std::size_t worker,
@@ -256,13 +263,11 @@
 
 void Dispatcher::noteWaiting(const Candidate &candidate)
 {
-    const auto isOpen = [&](const auto &known) {
-        const auto position = m_positions.find(known.first);
-        return known.second.isAllowed && position != m_positions.end()
-            && placesOn(candidate, position->second) > 0;
+    const auto hasRoom = [&](const AllowedWorker &allowed) {
+        return placesOn(candidate, allowed.worker) > 0;
     };
     const bool waitsForTicket = candidate.queue->advice
-        && (!candidate.known || std::ranges::any_of(candidate.known->verdicts, isOpen));
+        && (!candidate.known || std::ranges::any_of(allowedWorkers(candidate), hasRoom));
     ++(waitsForTicket ? m_result.waiting.withoutTicket : m_result.waiting.withoutRoom);
 }
 
@@ -478,16 +483,9 @@
 Dispatcher::AdviceOutlook Dispatcher::adviceOutlook(const Candidate &candidate) const
 {
     const StepSpec &spec = candidate.spec();
-    const AdviceBook::StepAdvice *known = candidate.known;
     AdviceOutlook outlook;
-    if (known) {
-        for (const auto &[life, verdict] : known->verdicts) {
-            const auto position = m_positions.find(life);
-            if (verdict.isAllowed && position != m_positions.end()
-                && m_poolOf[position->second] == candidate.pool)
-                consider(candidate, position->second, &verdict, outlook);
-        }
-    }
+    for (const AllowedWorker &allowed : allowedWorkers(candidate))
+        consider(candidate, allowed.worker, allowed.verdict, outlook);
     // Steps look at different parts of a large pool, so that they do not all ask for the same room.
     const std::vector<std::size_t> &workers = candidate.pool->workers;
     const std::size_t first = std::hash<JobId>()(candidate.key.job) % workers.size();
@@ -643,16 +641,12 @@
 std::vector<Dispatcher::Place> Dispatcher::comingPlaces(const Candidate &candidate) const
 {
     std::vector<Place> places;
-    for (const auto &[life, verdict] : candidate.known->verdicts) {
-        const auto position = m_positions.find(life);
-        if (!verdict.isAllowed || position == m_positions.end())
+    for (const auto &[worker, verdict] : allowedWorkers(candidate)) {
+        if (m_reservations[worker].holder || !isEligible(candidate, worker))
             continue;
-        const std::size_t worker = position->second;
-        const bool isUsable = m_poolOf[worker] == candidate.pool && !m_reservations[worker].holder
-            && isEligible(candidate, worker);
-        const bool hasTicket =
-            verdict.expires > m_input.now + StartDelay || candidate.known->underWay.contains(life);
-        const int64_t count = isUsable && hasTicket ? placesOn(candidate, worker) : 0;
+        const bool hasTicket = verdict->expires > m_input.now + StartDelay
+            || candidate.known->underWay.contains(m_input.workers[worker].info->life);
+        const int64_t count = hasTicket ? placesOn(candidate, worker) : 0;
         if (count > 0)
             places.push_back({worker, nullptr, count});
     }
@@ -667,7 +661,7 @@
 {
     for (const Candidate &candidate : m_candidates) {
         const StepSpec &spec = candidate.spec();
-        if (!spec.isGang || !candidate.pool || !candidate.queue->advice || !candidate.known
+        if (!spec.isGang || !candidate.pool || !candidate.known
             || m_input.jobs->findStep(candidate.key)->activeCount > 0
             || teamHeadroom(candidate.job->accepted.team, spec.need) < spec.taskCount)
             continue;
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -110,7 +110,8 @@
  * Decides who starts where. Pure: all that it knows comes in with DispatchInput.
  *
  * Steps are taken in the order of their urgency. A gang starts whole or not at all; the most
- * urgent gangs that find no room keep workers free until they fit.
+ * urgent gangs that find no room keep workers free until they fit, and so does the late one that
+ * has waited longest. Room that a gang has tickets for, or asks them for, is kept for it.
  */
 class Dispatcher
 {
@@ -153,6 +154,13 @@
         int64_t count = 0;
     };
 
+    /** A worker that the advisor has allowed a step. */
+    struct AllowedWorker
+    {
+        std::size_t worker = 0;
+        const AdviceBook::Verdict *verdict = nullptr;
+    };
+
     /** A worker that the advisor may be asked about. */
     struct AdviceChoice
     {
@@ -178,6 +186,8 @@
     void placeGang(const Candidate &candidate, const StepRun &step);
     /** @return workers with room, and a ticket if one is needed. */
     std::vector<Place> placesOf(const Candidate &candidate) const;
+    /** @return the workers of the step's pool that it is known to be allowed. */
+    std::vector<AllowedWorker> allowedWorkers(const Candidate &candidate) const;
     /** Adds the worker to @p places if a task of the step may start there now. */
     void addPlace(const Candidate &candidate, std::size_t worker, std::vector<Place> &places) const;
     /** @return a worker for each of @p members, all in @p rack if one is given; or nothing. */
