--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -21,6 +21,8 @@
         addQueue("batch", 2, {});
         addQueue("advised", 2,
                  AdviceCost{Duration(10), std::chrono::microseconds(100), Duration(1500)});
+        addQueue("slowly-advised", 2,
+                 AdviceCost{Duration(500), std::chrono::microseconds(8000), Duration(1500)});
         m_configuration.teams.push_back({TeamId("team"), {"key"}, 10, {}});
     }
 
@@ -301,6 +303,20 @@
     CHECK(startsOf(decide(), lookup) == 8);
 }
 
+// Guards against short calls that are crowded out by long ones which nobody is free to make.
+TEST_CASE_METHOD(DispatcherFixture, "Short call is made though gangs wait for callers",
+                 "[dispatcher]")
+{
+    addWorkers(200, 10'000);
+    for (int gang = 0; gang < 15; ++gang)
+        addJob("slowly-advised", 20, 6'000, Duration(100), true);
+    const JobId single = addJob("advised", 1, 1'000, Duration(5000));
+    m_adviceRoom = {0, 20};
+    const DispatchResult result = decide();
+    REQUIRE(result.advice.size() == 1);
+    CHECK(result.advice[0].step.job == single);
+}
+
 // Guards against gangs that wait for callers, most of whose time goes into calls' fixed costs.
 TEST_CASE_METHOD(DispatcherFixture, "Gang asks about more workers at once while callers are scarce",
                  "[dispatcher]")
