Coordination: Say once what the reading of the whole change found twice

OrderRelay's start and stop differed in the kind of reply only, and CellNode kept a copy of the time after which heartbeats are missing, under another name. hold() stays apart: it notes whether the worker was reached, but only if its carrier replied.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -17,8 +17,6 @@
 const std::string MemberPrefix = "cell/member/";
 
 constexpr Duration TickInterval{50};
-/** Heartbeats come five times a second; three in a row are missing after this. */
-constexpr Duration HeartbeatTimeout{700};
 /** A leader that the store has not confirmed for this long can accept and start nothing. Above the
  * time-out of a store call and its first repeat, so that a lost answer does not cost a claim. */
 constexpr Duration UnconfirmedLimit{1500};
@@ -133,7 +131,7 @@
     if (followed < RecoveryGrace && beat->claim == m_leader.revision)
         return true;
     return beat->claim == m_leader.revision
-        && m_timers.now() - m_peers.heartbeatAt() < HeartbeatTimeout
+        && m_timers.now() - m_peers.heartbeatAt() < PeerHub::HeartbeatTimeout
         && beat->storeAge < UnconfirmedLimit;
 }
 
@@ -184,7 +182,7 @@
         followLeader();
         return endElection(LinkGrace);
     }
-    if (!m_peers.isLinked() || m_timers.now() - m_peers.heartbeatAt() > HeartbeatTimeout) {
+    if (!m_peers.isLinked() || m_timers.now() - m_peers.heartbeatAt() > PeerHub::HeartbeatTimeout) {
         // The link may have gone silent; a new one tells whether the leader has.
         followLeader();
         return awaitLeader();
@@ -252,7 +250,8 @@
         if (2 * count->agreeing < count->members || m_leader.revision != claim || m_isRetired)
             return endElection(ElectionPause);
         // The holder lives, only the store was lost to it.
-        if (m_peers.isLinked() && m_timers.now() - m_peers.heartbeatAt() < HeartbeatTimeout)
+        if (m_peers.isLinked()
+            && m_timers.now() - m_peers.heartbeatAt() < PeerHub::HeartbeatTimeout)
             return m_timers.after(RegainGrace, [this, claim] { takeIfStillLost(claim); });
         claimLeadership(claim);
     };
--- a/Libraries/Coordination/OrderRelay.cpp
+++ b/Libraries/Coordination/OrderRelay.cpp
@@ -107,20 +107,26 @@
                         });
 }
 
+template <typename Reply>
+std::function<void(std::optional<Reply>)> OrderRelay::suspending(EntryId node,
+                                                                 std::function<void(Reply)> done)
+{
+    return [this, node = std::move(node), done = std::move(done),
+            alive = std::weak_ptr(m_alive)](const std::optional<Reply> &reply) {
+        if (alive.expired())
+            return;
+        if (!reply)
+            suspend(node);
+        done(reply.value_or(Reply()));
+    };
+}
+
 void OrderRelay::start(StartCall call, std::function<void(StartReply)> done)
 {
     const Route &route = routeTo(call.to);
     if (!route.carrier)
         return m_direct.start(std::move(call), std::move(done));
-    route.carrier->start(std::move(call),
-                         [this, node = route.node, done = std::move(done),
-                          alive = std::weak_ptr(m_alive)](const std::optional<StartReply> &reply) {
-                             if (alive.expired())
-                                 return;
-                             if (!reply)
-                                 suspend(node);
-                             done(reply.value_or(StartReply()));
-                         });
+    route.carrier->start(std::move(call), suspending<StartReply>(route.node, std::move(done)));
 }
 
 void OrderRelay::stop(StopCall call, std::function<void(StopReply)> done)
@@ -128,15 +134,7 @@
     const Route &route = routeTo(call.to);
     if (!route.carrier)
         return m_direct.stop(std::move(call), std::move(done));
-    route.carrier->stop(std::move(call),
-                        [this, node = route.node, done = std::move(done),
-                         alive = std::weak_ptr(m_alive)](const std::optional<StopReply> &reply) {
-                            if (alive.expired())
-                                return;
-                            if (!reply)
-                                suspend(node);
-                            done(reply.value_or(StopReply()));
-                        });
+    route.carrier->stop(std::move(call), suspending<StopReply>(route.node, std::move(done)));
 }
 
 /** Leaves a silent carrier out; its workers get others at their next order. */
--- a/Libraries/Coordination/OrderRelay.h
+++ b/Libraries/Coordination/OrderRelay.h
@@ -75,6 +75,11 @@
     const Route &routeTo(const OrderAddress &to);
     void choose(const OrderAddress &to, Route &route) const;
     void suspend(const EntryId &node);
+    /** @return what suspends @p node if it does not reply, and hands on what is known to @p done.
+     */
+    template <typename Reply>
+    std::function<void(std::optional<Reply>)> suspending(EntryId node,
+                                                         std::function<void(Reply)> done);
     void noteHold(const WorkerId &worker, const EntryId &node, HoldReply::Outcome outcome);
     /** Forgets routes to workers that are gone. */
     void sweep();
--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -54,6 +54,8 @@
     /** @return the last heartbeat on the present link, if one came. */
     const std::optional<HeartbeatMessage> &heartbeat() const { return m_heartbeat; }
     Instant heartbeatAt() const { return m_heartbeatAt; }
+    /** Heartbeats come five times a second; three in a row are missing after this. */
+    static constexpr Duration HeartbeatTimeout{700};
     /**
      * Sends a call to the leader; a call whose link breaks is answered Undetermined.
      * Must only be called while isLinked().
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -12,8 +12,6 @@
 
 constexpr Duration TickInterval{50};
 constexpr Duration HeartbeatInterval{200};
-/** A leader that was silent for this long gets no calls: three heartbeats are missing. */
-constexpr Duration LeaderSilence{700};
 /** A call waits for a leader until the cell has had none for this long: an election takes about a
  * second, and a caller that is refused comes back no sooner. */
 constexpr Duration LeaderWait{1500};
@@ -167,7 +165,7 @@
         return m_scheduler->isReady();
     // A link that a partition silences stays open.
     return m_peers.isLinked() && m_peers.heartbeat() && m_peers.heartbeat()->isReady
-        && m_timers.now() - m_peers.heartbeatAt() < LeaderSilence;
+        && m_timers.now() - m_peers.heartbeatAt() < PeerHub::HeartbeatTimeout;
 }
 
 bool CellNode::isReady() const
