Decision: Ask the advisor for a gang with few large calls that are made together

Cause: on the large site about 100 of 147 nodes were busy with advice calls without a break. A gang asked about 30 workers a call, up to four calls one after the other, by an allowed fraction that lookups (0.7) raised for gangs (0.25); tickets of the first calls expired before the gang was whole, and gangs that asked at the same time got tickets for the same workers. Gangs without room asked too.

Calls are now as large as pays, all of a gang's calls are made at once or none, the allowed fraction is learned by queue, workers that other calls name rank lower, and a gang without room only learns for which workers it can wait. The late gang that waited longest is placed first.

--- a/Libraries/Coordination/AdviceCallScheduler.cpp
+++ b/Libraries/Coordination/AdviceCallScheduler.cpp
@@ -45,6 +45,7 @@
 {
     const Instant now = m_timers.now();
     AdviceCapacity capacity;
+    capacity.longCallers = m_callers.size() - reservedCallers();
     std::size_t position = 0;
     for (const auto &[node, caller] : m_callers) {
         const bool isReserved = position++ < reservedCallers();
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -472,7 +472,8 @@
     for (const AdviceTicket &ticket : reply.allowed)
         tickets.emplace(ticket.worker, ticket.ticket);
     m_adviceCache.recordAnswer(decision.step, decision.workers, tickets,
-                               now + decision.ticketLifetime - TicketLifetimeMargin);
+                               now + decision.ticketLifetime - TicketLifetimeMargin,
+                               job->accepted.queue);
 }
 
 void CellScheduler::quiesce(std::function<void()> done)
--- a/Libraries/Decision/AdviceCache.cpp
+++ b/Libraries/Decision/AdviceCache.cpp
@@ -34,17 +34,26 @@
 }
 
 void AdviceCache::recordAnswer(const StepKey &step, const std::vector<WorkerIncarnation> &asked,
-                               const std::map<WorkerId, std::string> &tickets, Instant expires)
+                               const std::map<WorkerId, std::string> &tickets, Instant expires,
+                               const QueueId &queue)
 {
     StepAdvice &advice = endCall(step, asked);
-    m_askedCount += asked.size();
-    m_allowedCount += tickets.size();
+    VerdictCounts &counts = m_counts[queue];
     for (const WorkerIncarnation &worker : asked) {
         const auto ticket = tickets.find(worker.id);
+        const auto [position, isNew] = advice.verdicts.try_emplace(worker);
+        auto &entry = *position;
+        const bool wasAllowed = entry.second.isAllowed;
         if (ticket == tickets.end())
-            advice.verdicts[worker] = {};
+            entry.second = {};
         else
-            advice.verdicts[worker] = {true, ticket->second, expires};
+            entry.second = {true, ticket->second, expires};
+        counts.asked += isNew;
+        counts.allowed += isNew && entry.second.isAllowed;
+        if (entry.second.isAllowed && !wasAllowed)
+            advice.allowed.push_back(&entry);
+        else if (!entry.second.isAllowed && wasAllowed)
+            std::erase(advice.allowed, &entry);
     }
 }
 
@@ -54,12 +63,14 @@
     endCall(step, asked).notBefore = notBefore;
 }
 
-double AdviceCache::allowedFraction() const
+double AdviceCache::allowedFraction(const QueueId &queue) const
 {
     // Without any answers the estimate is 1/2; it has the weight of answers about 10 workers.
     constexpr double PriorWeight = 10;
-    return (static_cast<double>(m_allowedCount) + PriorWeight / 2)
-        / (static_cast<double>(m_askedCount) + PriorWeight);
+    const auto found = m_counts.find(queue);
+    const VerdictCounts counts = found == m_counts.end() ? VerdictCounts() : found->second;
+    return (static_cast<double>(counts.allowed) + PriorWeight / 2)
+        / (static_cast<double>(counts.asked) + PriorWeight);
 }
 
 void AdviceCache::dropTicket(const StepKey &step, const WorkerIncarnation &worker)
--- a/Libraries/Decision/AdviceCache.h
+++ b/Libraries/Decision/AdviceCache.h
@@ -15,6 +15,8 @@
 {
     std::size_t longCalls = 0;
     std::size_t shortCalls = 0;
+    /** Number of callers that may make long calls, busy or not. */
+    std::size_t longCallers = SIZE_MAX;
 
     /** @return the number that applies to a call of @p cost. */
     std::size_t &of(Duration cost)
@@ -43,6 +45,8 @@
     struct StepAdvice
     {
         std::unordered_map<WorkerIncarnation, Verdict> verdicts;
+        /** The entries of verdicts that allow the step. */
+        std::vector<const std::pair<const WorkerIncarnation, Verdict> *> allowed;
         /** Workers that the calls in flight ask about. */
         std::set<WorkerIncarnation> workersInFlight;
         std::size_t callsInFlight = 0;
@@ -62,9 +66,11 @@
      * the step.
      *
      * @param expires when the tickets expire.
+     * @param queue the step's queue; verdicts on new workers count towards its allowedFraction().
      */
     void recordAnswer(const StepKey &step, const std::vector<WorkerIncarnation> &asked,
-                      const std::map<WorkerId, std::string> &tickets, Instant expires);
+                      const std::map<WorkerId, std::string> &tickets, Instant expires,
+                      const QueueId &queue = {});
     /** Ends a call about @p asked that failed; the next one may be made at @p notBefore. */
     void recordFailure(const StepKey &step, const std::vector<WorkerIncarnation> &asked,
                        Instant notBefore);
@@ -72,16 +78,22 @@
     void dropTicket(const StepKey &step, const WorkerIncarnation &worker);
     /** Removes all advice on the steps of @p job. */
     void forget(const JobId &job);
-    /** @return an estimate of the fraction of workers that the advisor allows, from 0 to 1. */
-    double allowedFraction() const;
+    /** @return an estimate of the fraction of workers that the advisor allows for a step of
+     * @p queue, from 0 to 1. */
+    double allowedFraction(const QueueId &queue) const;
 
 private:
     /** Removes one call about @p asked from the calls in flight. */
     StepAdvice &endCall(const StepKey &step, const std::vector<WorkerIncarnation> &asked);
 
+    struct VerdictCounts
+    {
+        std::size_t asked = 0;
+        std::size_t allowed = 0;
+    };
+
     std::map<StepKey, StepAdvice> m_steps;
-    std::size_t m_askedCount = 0;
-    std::size_t m_allowedCount = 0;
+    std::map<QueueId, VerdictCounts> m_counts;
 };
 
 } // namespace Cranberrymount
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -8,30 +8,9 @@
 
 /** By the users' rules on credit, a job earns credit until this multiple of its objective. */
 constexpr int NoCreditAfterObjectives = 3;
-/** Approximate duration of a start: journal commit, command to the worker, start there. */
-constexpr Duration StartDelay{60};
-/** Maximum number of workers in one advice call; the objective of a job includes the cost of one
- * call of this size. */
-constexpr std::size_t MaxWorkersPerCall = 30;
-/** Maximum number of workers in one call of a gang while callers are scarce. By the users'
- * deployment files the fixed cost of a call equals the cost of 70 workers, so longer calls are more
- * efficient. */
-constexpr std::size_t MaxWorkersPerCallWhenScarce = 60;
-/** Callers are scarce if fewer than this are free to make a long call. */
-constexpr std::size_t ScarceCallersThreshold = 4;
-/** Requested places as a multiple of the wanted ones, since the advisor denies some workers. */
-constexpr double AdviceSurplusFactor = 3.0;
-/** Maximum number of calls that a gang has in flight. They run in parallel because the tickets
- * would expire before a sequence of calls had ended. */
-constexpr std::size_t MaxGangCalls = 4;
-/** Places that a gang requests as a multiple of its members, since other tasks take some of them
- * before the answer arrives. */
-constexpr double GangSurplusFactor = 1.5;
-/** Workers with free capacity from which a step that is no gang selects those to ask about; enough
- * to find fast and empty ones. */
-constexpr std::size_t MaxSampledWorkers = 60;
-/** Minimum number of workers in a call while it is unknown which of them the advisor allows. */
-constexpr std::size_t MinUnknownWorkersPerCall = 8;
+/** By the users' rules on credit, the objective of a job includes the cost of one advice call about
+ * this many workers for each step. */
+constexpr std::size_t WorkersPerObjectiveCall = 30;
 /** Maximum number of gangs that reserve workers at a time; more would leave too much of the pool
  * idle. */
 constexpr std::size_t MaxReservingGangs = 2;
@@ -74,12 +53,6 @@
     return 0;
 }
 
-/** @return the slowness above which workers are avoided for work of this urgency. */
-double slownessLimit(const StepUrgency &urgency)
-{
-    return urgency.urgencyClass == StepUrgency::Immediate ? SlowFactor : VerySlowFactor;
-}
-
 bool hasLabel(const CellWorker &worker, const std::string &label)
 {
     return std::ranges::find(worker.labels, label) != worker.labels.end();
@@ -91,7 +64,7 @@
     : m_input(std::move(input))
     , m_poolOf(m_input.workers.size(), nullptr)
     , m_reservations(m_input.workers.size())
-    , m_areCallersScarce(m_input.adviceCapacity.longCalls < ScarceCallersThreshold)
+    , m_callsNaming(m_input.workers.size(), 0)
 {
     m_positions.reserve(m_input.workers.size());
     for (std::size_t index = 0; index < m_input.workers.size(); ++index) {
@@ -101,12 +74,17 @@
         Pool &pool = m_pools[worker.info->pool];
         pool.workers.push_back(index);
         m_poolOf[index] = &pool;
-        m_positions.emplace(worker.info->incarnation, index);
+        m_positions.emplace(worker.info->incarnation.id.value(), index);
         pool.capacity = pool.capacity + worker.info->capacity.cpu;
         pool.used = pool.used + worker.used.cpu;
     }
 }
 
+double Dispatcher::slownessLimit(const StepUrgency &urgency)
+{
+    return urgency.urgencyClass == StepUrgency::Immediate ? SlowFactor : VerySlowFactor;
+}
+
 StepUrgency Dispatcher::urgencyOf(const JobRecord &job, const StepKey &key,
                                   const QueueSettings &queue, WallTime now)
 {
@@ -114,7 +92,7 @@
     Duration criticalPath = std::ranges::max(pathLengths);
     Duration remaining = pathLengths[key.step] + StartDelay;
     if (queue.advice) {
-        criticalPath += queue.advice->costOf(MaxWorkersPerCall);
+        criticalPath += queue.advice->costOf(WorkersPerObjectiveCall);
         remaining += queue.advice->base;
     }
     const WallTime begin = std::max(job.accepted.acceptedAt, job.dueAt(key.occurrence));
@@ -149,8 +127,14 @@
         const StepUrgency urgency = urgencyOf(*job, key, settings, m_input.wallNow);
         const AdviceCache::StepAdvice *stepAdvice =
             settings.advice ? m_input.advice->find(key) : nullptr;
-        result.push_back({std::move(key), job, &settings,
-                          pool == m_pools.end() ? nullptr : &pool->second, stepAdvice, urgency});
+        result.push_back({std::move(key),
+                          job,
+                          &settings,
+                          pool == m_pools.end() ? nullptr : &pool->second,
+                          stepAdvice,
+                          urgency,
+                          {}});
+        result.back().allowed = findAllowedWorkers(result.back());
     }
     std::ranges::sort(result, [](const Candidate &left, const Candidate &right) {
         return std::tie(left.urgency.urgencyClass, left.urgency.rank, left.key)
@@ -164,11 +148,15 @@
     m_candidates = sortedCandidates();
     reserveForGangsWithTickets();
     findLongestWaitingGang();
-    // Done before placing more urgent work, which may fill the pool at all times.
+    countCallsNamingWorkers();
+    // Placed before more urgent work, which may fill the pool and keep all callers busy at all
+    // times.
     if (m_longestWaitingGang)
-        reserveForGang(*m_longestWaitingGang, m_longestWaitingGang->spec().taskCount);
-    for (const Candidate &candidate : m_candidates)
-        placeStep(candidate);
+        placeStep(*m_longestWaitingGang);
+    for (const Candidate &candidate : m_candidates) {
+        if (&candidate != m_longestWaitingGang)
+            placeStep(candidate);
+    }
     // The first calls of all steps are made before the further calls of any step.
     std::stable_partition(m_result.advice.begin(), m_result.advice.end(),
                           [](const AdviceDecision &decision) { return !decision.isExtra; });
@@ -191,41 +179,58 @@
 {
     std::vector<PlacementOption> places;
     if (!candidate.queue->advice) {
+        static const std::string NoTicketNeeded;
         for (const std::size_t worker : candidate.pool->workers)
-            addPlacementOption(candidate, worker, places);
+            addPlacementOption(candidate, worker, &NoTicketNeeded, places);
         return places;
     }
     // The advisor allows a step on few workers of a large pool, so only these are visited.
-    for (const AllowedWorker &allowed : allowedWorkers(candidate))
-        addPlacementOption(candidate, allowed.worker, places);
+    for (const AllowedWorker &allowed : candidate.allowed) {
+        if (isTicketValid(*allowed.verdict))
+            addPlacementOption(candidate, allowed.worker, &allowed.verdict->ticket, places);
+    }
     return places;
 }
 
-std::vector<Dispatcher::AllowedWorker> Dispatcher::allowedWorkers(const Candidate &candidate) const
+std::vector<Dispatcher::AllowedWorker>
+Dispatcher::findAllowedWorkers(const Candidate &candidate) const
 {
     std::vector<AllowedWorker> workers;
     if (!candidate.stepAdvice)
         return workers;
-    for (const auto &[incarnation, verdict] : candidate.stepAdvice->verdicts) {
-        const auto position = m_positions.find(incarnation);
-        if (verdict.isAllowed && position != m_positions.end()
-            && m_poolOf[position->second] == candidate.pool)
-            workers.push_back({position->second, &verdict});
+    workers.reserve(candidate.stepAdvice->allowed.size());
+    for (const auto *entry : candidate.stepAdvice->allowed) {
+        const std::optional<std::size_t> worker = positionOf(entry->first);
+        if (worker && m_poolOf[*worker] == candidate.pool)
+            workers.push_back({*worker, &entry->second});
     }
     std::ranges::sort(workers, {}, &AllowedWorker::worker);
     return workers;
 }
 
+std::optional<std::size_t> Dispatcher::positionOf(const WorkerIncarnation &incarnation) const
+{
+    const auto found = m_positions.find(incarnation.id.value());
+    if (found == m_positions.end()
+        || m_input.workers[found->second].info->incarnation != incarnation)
+        return std::nullopt;
+    return found->second;
+}
+
 void Dispatcher::addPlacementOption(const Candidate &candidate, std::size_t worker,
+                                    const std::string *ticket,
                                     std::vector<PlacementOption> &places) const
 {
     const int64_t count = placesOnWorker(candidate, worker);
-    if (count <= 0 || !isEligible(candidate, worker))
-        return;
-    if (const std::string *ticket = ticketFor(candidate, worker))
+    if (count > 0 && isEligible(candidate, worker))
         places.push_back({worker, ticket, count});
 }
 
+bool Dispatcher::isTicketValid(const AdviceCache::Verdict &verdict) const
+{
+    return verdict.expires > m_input.now + StartDelay;
+}
+
 void Dispatcher::placeSingles(const Candidate &candidate, const StepRun &step)
 {
     const StepSpec &spec = candidate.spec();
@@ -266,7 +271,7 @@
         return;
     countWaitingStep(candidate);
     if (candidate.queue->advice)
-        requestAdvice(candidate, static_cast<uint32_t>(allowed));
+        requestSinglesAdvice(candidate, static_cast<uint32_t>(allowed));
 }
 
 void Dispatcher::countWaitingStep(const Candidate &candidate)
@@ -275,7 +280,7 @@
         return placesOnWorker(candidate, allowed.worker) > 0;
     };
     const bool waitsForTicket = candidate.queue->advice
-        && (!candidate.stepAdvice || std::ranges::any_of(allowedWorkers(candidate), hasPlace));
+        && (!candidate.stepAdvice || std::ranges::any_of(candidate.allowed, hasPlace));
     ++(waitsForTicket ? m_result.waiting.withoutTicket : m_result.waiting.withoutCapacity);
 }
 
@@ -332,10 +337,9 @@
         chosen = chooseForGang(order, members, nullptr);
     if (chosen.empty()) {
         countWaitingStep(candidate);
+        reserveForGang(candidate, members);
         if (candidate.queue->advice)
-            requestAdvice(candidate, members);
-        if (&candidate != m_longestWaitingGang)
-            reserveForGang(candidate, members);
+            requestGangAdvice(candidate, members, mayStart);
         return;
     }
     uint32_t attempt = 0;
@@ -345,25 +349,6 @@
         start(candidate, index, attempt, chosen[index]->worker, *chosen[index]->ticket);
 }
 
-const AdviceCache::Verdict *Dispatcher::verdictOn(const Candidate &candidate,
-                                                  std::size_t worker) const
-{
-    return candidate.stepAdvice
-        ? candidate.stepAdvice->find(m_input.workers[worker].info->incarnation)
-        : nullptr;
-}
-
-const std::string *Dispatcher::ticketFor(const Candidate &candidate, std::size_t worker) const
-{
-    static const std::string NoTicketNeeded;
-    if (!candidate.queue->advice)
-        return &NoTicketNeeded;
-    const AdviceCache::Verdict *verdict = verdictOn(candidate, worker);
-    if (!verdict || !verdict->isAllowed || verdict->expires <= m_input.now + StartDelay)
-        return nullptr;
-    return &verdict->ticket;
-}
-
 int64_t Dispatcher::placementCost(const Candidate &candidate, std::size_t worker) const
 {
     const DispatchWorker &workerState = m_input.workers[worker];
@@ -458,135 +443,6 @@
     m_input.teamUse[candidate.job->accepted.team] += spec.need;
 }
 
-std::size_t Dispatcher::workersPerCall(const Candidate &candidate) const
-{
-    return candidate.spec().isGang && m_areCallersScarce ? MaxWorkersPerCallWhenScarce
-                                                         : MaxWorkersPerCall;
-}
-
-void Dispatcher::addToAdvicePlan(const Candidate &candidate, std::size_t worker,
-                                 const AdviceCache::Verdict *verdict, AdvicePlan &plan) const
-{
-    const bool isGang = candidate.spec().isGang;
-    const int64_t places = placesOnWorker(candidate, worker);
-    // A gang also asks about workers without free capacity, to learn early for which of them it can
-    // wait.
-    if ((places <= 0 && (!isGang || verdict)) || !isEligible(candidate, worker))
-        return;
-    // A gang needs all its tickets at once: those that expire before the answer do not count.
-    const Instant answerAt = isGang
-        ? m_input.now + candidate.queue->advice->costOf(workersPerCall(candidate))
-        : m_input.now;
-    const AdviceCache::StepAdvice *stepAdvice = candidate.stepAdvice;
-    const bool isInFlight = stepAdvice && stepAdvice->callsInFlight > 0
-        && stepAdvice->workersInFlight.contains(m_input.workers[worker].info->incarnation);
-    if (isInFlight || (verdict && verdict->expires > answerAt + StartDelay)) {
-        if (isGang && places > 0) {
-            plan.allowedPlaces += verdict ? places : 0;
-            plan.expectedPlaces +=
-                static_cast<double>(places) * (verdict ? 1 : m_input.advice->allowedFraction());
-        }
-        return;
-    }
-    const bool isSlow = m_input.workers[worker].slowness > slownessLimit(candidate.urgency);
-    plan.choices.push_back({worker, verdict != nullptr, places, isSlow});
-    plan.allowedPlaces += verdict ? places : 0;
-}
-
-Dispatcher::AdvicePlan Dispatcher::planAdvice(const Candidate &candidate) const
-{
-    const StepSpec &spec = candidate.spec();
-    AdvicePlan plan;
-    for (const AllowedWorker &allowed : allowedWorkers(candidate))
-        addToAdvicePlan(candidate, allowed.worker, allowed.verdict, plan);
-    // Each job starts at another position of the pool, so that the steps do not all ask about the
-    // same workers.
-    const std::vector<std::size_t> &workers = candidate.pool->workers;
-    const std::size_t first = std::hash<JobId>()(candidate.key.job) % workers.size();
-    const std::size_t maxChoices =
-        spec.isGang ? workers.size() : plan.choices.size() + MaxSampledWorkers;
-    for (std::size_t count = 0; count < workers.size() && plan.choices.size() < maxChoices;
-         ++count) {
-        const std::size_t worker = workers[(first + count) % workers.size()];
-        if (!verdictOn(candidate, worker))
-            addToAdvicePlan(candidate, worker, nullptr, plan);
-    }
-    // The calls cannot name all workers, so only the best ones are kept.
-    const std::size_t maxNamed = workersPerCall(candidate) * (spec.isGang ? MaxGangCalls : 1);
-    const auto end =
-        plan.choices.begin() + static_cast<std::ptrdiff_t>(std::min(maxNamed, plan.choices.size()));
-    std::ranges::partial_sort(plan.choices, end,
-                              [](const AdviceChoice &left, const AdviceChoice &right) {
-                                  if (left.isAllowed != right.isAllowed)
-                                      return left.isAllowed;
-                                  if (left.isSlow != right.isSlow)
-                                      return right.isSlow;
-                                  if (left.places != right.places)
-                                      return left.places > right.places;
-                                  return left.worker < right.worker;
-                              });
-    plan.choices.erase(end, plan.choices.end());
-    return plan;
-}
-
-void Dispatcher::requestAdvice(const Candidate &candidate, uint32_t wanted)
-{
-    const StepSpec &spec = candidate.spec();
-    const AdviceCache::StepAdvice *stepAdvice = candidate.stepAdvice;
-    const std::size_t callsInFlight = stepAdvice ? stepAdvice->callsInFlight : 0;
-    const std::size_t maxCalls = spec.isGang ? MaxGangCalls : 1;
-    if (m_input.adviceCapacity.of(candidate.queue->advice->costOf(1)) == 0
-        || callsInFlight >= maxCalls || (stepAdvice && stepAdvice->notBefore > m_input.now))
-        return;
-    AdvicePlan plan = planAdvice(candidate);
-    double &expectedPlaces = plan.expectedPlaces;
-    if (callsInFlight > 0 && expectedPlaces >= GangSurplusFactor * wanted)
-        return;
-    const bool hasEnoughAllowed = plan.allowedPlaces >= wanted;
-    // If only allowed workers are left to ask about, a gang does not ask again until all its
-    // members fit on allowed workers.
-    if (spec.isGang && stepAdvice && !hasEnoughAllowed
-        && std::ranges::all_of(plan.choices, &AdviceChoice::isAllowed))
-        return;
-    const std::size_t maxWorkers = workersPerCall(candidate);
-    auto next = plan.choices.begin();
-    for (std::size_t call = callsInFlight; call < maxCalls; ++call) {
-        AdviceDecision decision;
-        decision.step = candidate.key;
-        const double expectedBefore = expectedPlaces;
-        for (; next != plan.choices.end() && decision.workers.size() < maxWorkers; ++next) {
-            // A gang requests more places than it needs, since some are taken before the answer.
-            const double enough = spec.isGang ? GangSurplusFactor * wanted : wanted;
-            if (next->isAllowed ? expectedPlaces >= enough : hasEnoughAllowed)
-                break;
-            if (!spec.isGang && !next->isAllowed && expectedPlaces >= AdviceSurplusFactor * wanted
-                && decision.workers.size() >= MinUnknownWorkersPerCall)
-                break;
-            decision.workers.push_back(m_input.workers[next->worker].info->incarnation);
-            // For single tasks AdviceSurplusFactor covers the denials; a gang needs all its places,
-            // so it counts an unknown worker by the fraction that the advisor usually allows.
-            const double chance =
-                spec.isGang && !next->isAllowed ? m_input.advice->allowedFraction() : 1;
-            expectedPlaces += static_cast<double>(next->places) * chance;
-        }
-        // A further call is made only if it can add places on workers with free capacity.
-        const bool isFirst = call == 0;
-        if (decision.workers.empty() || (!isFirst && expectedPlaces <= expectedBefore))
-            return;
-        decision.cost = candidate.queue->advice->costOf(decision.workers.size());
-        std::size_t &freeCapacity = m_input.adviceCapacity.of(decision.cost);
-        if (freeCapacity == 0)
-            return;
-        // Only a step's first call uses up a caller; further calls get those that are left over.
-        freeCapacity -= isFirst;
-        decision.ticketLifetime = candidate.queue->advice->ticketLifetime;
-        decision.isExtra = !isFirst;
-        m_result.advice.push_back(std::move(decision));
-        if (expectedPlaces >= GangSurplusFactor * wanted)
-            return;
-    }
-}
-
 void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted)
 {
     const bool mayReserve = candidate.urgency.urgencyClass <= StepUrgency::InTime
@@ -602,27 +458,30 @@
         int64_t places;
     };
     std::vector<Choice> choices;
-    for (const std::size_t worker : candidate.pool->workers) {
+    const auto addChoice = [&](std::size_t worker) {
         const Candidate *holder = m_reservations[worker].holder;
         if (!isEligible(candidate, worker) || (holder && holder != &candidate))
-            continue;
-        const AdviceCache::Verdict *verdict = verdictOn(candidate, worker);
-        if (candidate.queue->advice && (!verdict || !verdict->isAllowed))
-            continue;
+            return;
         // FIXME: Only whole workers are considered; a gang may fit beside long runs earlier.
         DispatchWorker &workerState = m_input.workers[worker];
         std::ranges::sort(workerState.allocations, {}, &RunAllocation::expectedEnd);
         Resources freeCapacity = workerState.freeCapacity();
         Choice choice{worker, m_input.now, spec.need.countFittingIn(freeCapacity)};
-        for (const RunAllocation &holder : workerState.allocations) {
+        for (const RunAllocation &allocation : workerState.allocations) {
             if (choice.places > 0)
                 break;
-            freeCapacity += holder.need;
-            choice.freeAt = holder.expectedEnd;
+            freeCapacity += allocation.need;
+            choice.freeAt = allocation.expectedEnd;
             choice.places = spec.need.countFittingIn(freeCapacity);
         }
         if (choice.places > 0)
             choices.push_back(choice);
+    };
+    if (candidate.queue->advice) {
+        for (const AllowedWorker &allowed : candidate.allowed)
+            addChoice(allowed.worker);
+    } else {
+        std::ranges::for_each(candidate.pool->workers, addChoice);
     }
     std::ranges::sort(choices, {}, &Choice::freeAt);
     int64_t places = 0;
@@ -633,8 +492,9 @@
         return;
     m_reservingGangs += &candidate != m_longestWaitingGang;
     for (std::size_t index = 0; index < used; ++index) {
-        const std::size_t worker = choices[index].worker;
-        m_reservations[worker] = {&candidate, m_input.workers[worker].info->capacity};
+        const Choice &choice = choices[index];
+        m_reservations[choice.worker] = {&candidate, m_input.workers[choice.worker].info->capacity,
+                                         choice.freeAt, choice.places};
     }
 }
 
@@ -658,10 +518,10 @@
 Dispatcher::optionsWithTickets(const Candidate &candidate) const
 {
     std::vector<PlacementOption> places;
-    for (const auto &[worker, verdict] : allowedWorkers(candidate)) {
+    for (const auto &[worker, verdict] : candidate.allowed) {
         if (m_reservations[worker].holder || !isEligible(candidate, worker))
             continue;
-        const bool hasTicket = verdict->expires > m_input.now + StartDelay
+        const bool hasTicket = isTicketValid(*verdict)
             || candidate.stepAdvice->workersInFlight.contains(
                 m_input.workers[worker].info->incarnation);
         const int64_t count = hasTicket ? placesOnWorker(candidate, worker) : 0;
@@ -695,7 +555,7 @@
             if (taken == 0)
                 break;
             wanted -= taken;
-            m_reservations[place.worker] = {&candidate, spec.need.times(taken)};
+            m_reservations[place.worker] = {&candidate, spec.need.times(taken), m_input.now, taken};
         }
     }
 }
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -4,6 +4,8 @@
 #include "State/CellConfiguration.h"
 
 #include <map>
+#include <optional>
+#include <string_view>
 
 namespace Cranberrymount {
 
@@ -136,6 +138,9 @@
                                  const QueueSettings &queue, WallTime now);
 
 private:
+    /** Approximate duration of a start: journal commit, command to the worker, start there. */
+    static constexpr Duration StartDelay{60};
+
     /** Workers of one pool that accept work. */
     struct Pool
     {
@@ -143,6 +148,13 @@
         CpuMillis capacity;
         CpuMillis used;
     };
+    /** A worker on which the advisor allows a step. */
+    struct AllowedWorker
+    {
+        std::size_t worker = 0;
+        const AdviceCache::Verdict *verdict = nullptr;
+    };
+
     /** A step with tasks to start. */
     struct Candidate
     {
@@ -154,6 +166,8 @@
         /** Null if the advisor was not asked yet, or if the queue needs no advice. */
         const AdviceCache::StepAdvice *stepAdvice;
         StepUrgency urgency;
+        /** Workers of the pool on which the advisor allowed the step, in ascending order. */
+        std::vector<AllowedWorker> allowed;
 
         const StepSpec &spec() const { return job->accepted.spec.steps[key.step]; }
     };
@@ -166,23 +180,18 @@
         int64_t count = 0;
     };
 
-    /** A worker on which the advisor allows a step. */
-    struct AllowedWorker
-    {
-        std::size_t worker = 0;
-        const AdviceCache::Verdict *verdict = nullptr;
-    };
-
     /** A worker that the advisor may be asked about. */
     struct AdviceChoice
     {
         std::size_t worker = 0;
         /** The advisor allowed the step there; if not set, it was not asked about the worker. */
         bool isAllowed = false;
-        /** Number of tasks of the step that fit on the worker now. */
+        /** Number of tasks of the step that are expected to fit on the worker. */
         int64_t places = 0;
         /** The advisor is asked about slow workers only if the others have no free capacity. */
         bool isSlow = false;
+        /** Places, divided among the calls of other steps that name the worker too. */
+        double rank = 0;
     };
     /** Workers that the advisor may be asked about for a step, and the places found so far. */
     struct AdvicePlan
@@ -191,9 +200,10 @@
         std::vector<AdviceChoice> choices;
         /** Places on workers that the advisor allowed, with or without a valid ticket. */
         int64_t allowedPlaces = 0;
-        /** Places for which a gang has tickets or is expected to get them from calls in flight, and
-         * those that any step is expected to get from the calls that are being planned. */
-        double expectedPlaces = 0;
+        /** Places with tickets that are valid when the answer to a call made now arrives. */
+        int64_t placesWithTicket = 0;
+        /** Tasks that fit on the allowed workers when nothing else runs there. */
+        int64_t allowedCapacity = 0;
     };
 
     /** @return the steps with tasks to start, most urgent first. */
@@ -206,10 +216,14 @@
     /** @return workers with free capacity for the step and, if one is needed, a valid ticket. */
     std::vector<PlacementOption> placementOptions(const Candidate &candidate) const;
     /** @return the workers of the step's pool on which the advisor allowed the step. */
-    std::vector<AllowedWorker> allowedWorkers(const Candidate &candidate) const;
-    /** Adds the worker to @p places if a task of the step may start there now. */
+    std::vector<AllowedWorker> findAllowedWorkers(const Candidate &candidate) const;
+    /** @return the index of the worker, unless it accepts no work. */
+    std::optional<std::size_t> positionOf(const WorkerIncarnation &incarnation) const;
+    /** Adds the worker to @p places if a task of the step fits there now. */
     void addPlacementOption(const Candidate &candidate, std::size_t worker,
-                            std::vector<PlacementOption> &places) const;
+                            const std::string *ticket, std::vector<PlacementOption> &places) const;
+    /** @return true if a start that is decided now arrives before the ticket expires. */
+    bool isTicketValid(const AdviceCache::Verdict &verdict) const;
     /**
      * @param order the workers to use, in this order.
      * @param rack the rack that all workers must be in; null for any.
@@ -218,10 +232,8 @@
     std::vector<const PlacementOption *> chooseForGang(const std::vector<PlacementOption> &order,
                                                        std::size_t members,
                                                        const RackId *rack) const;
-    /** @return the ticket if the step may start on the worker now, or null. */
-    const std::string *ticketFor(const Candidate &candidate, std::size_t worker) const;
-    /** @return the advisor's verdict on the worker, or null if it was not asked. */
-    const AdviceCache::Verdict *verdictOn(const Candidate &candidate, std::size_t worker) const;
+    /** @return the slowness above which workers are avoided for work of this urgency. */
+    static double slownessLimit(const StepUrgency &urgency);
     /** @return how badly the worker suits a task of the step; smaller is better. */
     int64_t placementCost(const Candidate &candidate, std::size_t worker) const;
     /** @return true if the worker has the label that the step requires. */
@@ -241,20 +253,32 @@
                const std::string &ticket);
     /** Counts the step as waiting for free capacity or for a ticket. */
     void countWaitingStep(const Candidate &candidate);
-    /** @return the workers to ask the advisor about, at most as many as the calls can name. */
-    AdvicePlan planAdvice(const Candidate &candidate) const;
-    /** @return the maximum number of workers in one advice call of the step. */
-    std::size_t workersPerCall(const Candidate &candidate) const;
+    // Advice; in DispatchAdvice.cpp.
+    /** Sets m_callsNaming by the calls in flight. */
+    void countCallsNamingWorkers();
+    /**
+     * @param answerAt when the answer to a call made now is expected.
+     * @param maxChoices limit on the workers in the plan that the advisor was not asked about.
+     */
+    AdvicePlan planAdvice(const Candidate &candidate, Instant answerAt,
+                          std::size_t maxChoices) const;
+    /** @return how many tasks of the step are expected to fit on the worker at @p answerAt. */
+    int64_t placesAt(const Candidate &candidate, std::size_t worker, Instant answerAt) const;
+    /** Requests tickets for a step of which @p wanted tasks cannot start yet. */
+    void requestSinglesAdvice(const Candidate &candidate, uint32_t wanted);
     /**
-     * Adds a worker to the choices of @p plan. A worker with a valid or requested ticket is no
-     * choice; it only counts towards a gang's places.
+     * Requests the tickets for all members of a gang, with calls that are made together so that all
+     * tickets are valid at the same time. If there is no room for the gang, only asks which workers
+     * it may run on.
      *
-     * @param verdict null if the advisor was not asked about the worker.
+     * @param mayStart the pool has room for the gang beside what is kept for more urgent work.
      */
-    void addToAdvicePlan(const Candidate &candidate, std::size_t worker,
-                         const AdviceCache::Verdict *verdict, AdvicePlan &plan) const;
-    /** Adds advice calls for the step to the result; @p wanted of its tasks cannot start yet. */
-    void requestAdvice(const Candidate &candidate, uint32_t wanted);
+    void requestGangAdvice(const Candidate &candidate, uint32_t members, bool mayStart);
+    /** Asks about workers on which a gang may wait for room, until enough of them are known. */
+    void learnWorkersForGang(const Candidate &candidate, uint32_t members, const AdvicePlan &plan);
+    /** Adds calls about the first @p count choices of the plan, spread evenly. */
+    void addAdviceCalls(const Candidate &candidate, const AdvicePlan &plan, std::size_t count,
+                        std::size_t calls);
     /** Reserves whole workers for the gang: those that will be the first to have free capacity for
      * its members. */
     void reserveForGang(const Candidate &candidate, uint32_t wanted);
@@ -270,19 +294,22 @@
     std::map<std::string, Pool> m_pools;
     /** By worker; null if the worker accepts no work. */
     std::vector<const Pool *> m_poolOf;
-    /** Indexes into DispatchInput::workers of the workers that accept work. */
-    std::unordered_map<WorkerIncarnation, std::size_t> m_positions;
+    /** Indexes into DispatchInput::workers of the workers that accept work, by worker id. */
+    std::unordered_map<std::string_view, std::size_t> m_positions;
     /** Capacity of a worker that is reserved for a gang. */
     struct Reservation
     {
         const Candidate *holder = nullptr;
         Resources amount;
+        /** When the gang's members are expected to fit, and how many of them. */
+        Instant freeAt{};
+        int64_t places = 0;
     };
     /** By worker. */
     std::vector<Reservation> m_reservations;
     std::vector<Candidate> m_candidates;
-    /** Few nodes are free to make a long advice call. */
-    bool m_areCallersScarce = false;
+    /** By worker: number of steps whose advice calls in flight or planned name it. */
+    std::vector<uint32_t> m_callsNaming;
     /** Gangs with a reservation, apart from m_longestWaitingGang. */
     std::size_t m_reservingGangs = 0;
     /** A late gang that may reserve workers too, so that it cannot wait forever; may be null. */
