--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -240,7 +240,7 @@
                                poolHeadroom(candidate, spec.need));
     allowed = std::min<int64_t>(allowed, step.waitingCount());
     if (allowed <= 0) {
-        ++m_result.waiting.atLimit;
+        countStepAtLimit(candidate);
         return;
     }
     std::vector<PlacementOption> usable = placementOptions(candidate);
@@ -284,6 +284,24 @@
     const bool waitsForTicket = candidate.queue->advice
         && (!candidate.stepAdvice || std::ranges::any_of(candidate.allowed, hasPlace));
     ++(waitsForTicket ? m_result.waiting.withoutTicket : m_result.waiting.withoutCapacity);
+    countWaitingAge(candidate);
+}
+
+void Dispatcher::countStepAtLimit(const Candidate &candidate)
+{
+    ++m_result.waiting.atLimit;
+    countWaitingAge(candidate);
+}
+
+void Dispatcher::countWaitingAge(const Candidate &candidate)
+{
+    if (m_input.jobs->findStep(candidate.key)->activeCount > 0)
+        return;
+    const WallTime since = std::max(candidate.job->accepted.acceptedAt,
+                                    candidate.job->dueAt(candidate.key.occurrence));
+    const auto age = m_input.wallNow - since;
+    m_result.waiting.olderThan3s += age > std::chrono::seconds(3);
+    m_result.waiting.olderThan10s += age > std::chrono::seconds(10);
 }
 
 std::vector<const Dispatcher::PlacementOption *>
@@ -310,7 +328,7 @@
     const StepSpec &spec = candidate.spec();
     const auto members = static_cast<uint32_t>(step.tasks.size());
     if (teamHeadroom(candidate.job->accepted.team, spec.need) < members) {
-        ++m_result.waiting.atLimit;
+        countStepAtLimit(candidate);
         return;
     }
     const bool mayStart =
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -87,6 +87,10 @@
     std::size_t withoutTicket = 0;
     /** The team is at its limit, or the rest of the pool is kept free for more urgent work. */
     std::size_t atLimit = 0;
+    /** Of all these, steps without a running task whose job was accepted more than 3 s and more
+     * than 10 s ago. */
+    std::size_t olderThan3s = 0;
+    std::size_t olderThan10s = 0;
 };
 
 /** The decisions of one scheduling round. */
@@ -252,6 +256,10 @@
                const std::string &ticket);
     /** Counts the step as waiting for free capacity or for a ticket. */
     void countWaitingStep(const Candidate &candidate);
+    /** Counts the step as waiting because of a limit. */
+    void countStepAtLimit(const Candidate &candidate);
+    /** Counts the step by the age of its job. */
+    void countWaitingAge(const Candidate &candidate);
     // Advice; in DispatchAdvice.cpp.
     /** Sets m_callsNaming by the calls in flight. */
     void countCallsNamingWorkers();
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -531,3 +531,18 @@
         latency.record(Duration(start % 2 ? 10 : 20));
     CHECK(latency.upperEstimate() == Duration(60));
 }
+
+TEST_CASE_METHOD(DispatcherFixture, "Waiting steps are counted by the age of their jobs",
+                 "[dispatcher]")
+{
+    addWorkers(1, 10'000);
+    m_workers[0].used = m_workers[0].info->capacity;
+    addJob("batch", 1, 1'000, Duration(500));
+    m_now += Duration(8'000);
+    addJob("batch", 1, 1'000, Duration(500));
+    m_now += Duration(4'000);
+    addJob("batch", 1, 1'000, Duration(500));
+    const WaitingSteps waiting = decide().waiting;
+    CHECK(waiting.olderThan3s == 2);
+    CHECK(waiting.olderThan10s == 1);
+}
