Tests: Reserve the ports of a deployment

freePort() closed a port before its process bound it. Another test process, or an outgoing connection of any process, could take it in between: the kernel chose it from the range of outgoing connections.

A port now comes from the 4,096 below the kernel's range, and a locked file keeps it for the life of the deployment, also while its process restarts. Stand-ins use the same way rather than port 0: HttpServer cannot tell its port, and the entries need ports in their settings in any case.

--- a/Tests/EndToEnd/Deployment.cpp
+++ b/Tests/EndToEnd/Deployment.cpp
@@ -2,9 +2,6 @@
 
 #include "Service/KeyHash.h"
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
@@ -16,6 +13,7 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace Cranberrymount {
 
@@ -29,19 +27,6 @@
     return std::string(PROGRAM_FOLDER) + "/" + name;
 }
 
-/** @return a port that was just free; never the same one twice within a process. */
-uint16_t freePort()
-{
-    static std::set<uint16_t> used;
-    for (;;) {
-        asio::io_context context;
-        const asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-        const uint16_t port = acceptor.local_endpoint().port();
-        if (used.insert(port).second)
-            return port;
-    }
-}
-
 std::string url(uint16_t port)
 {
     return "http://127.0.0.1:" + std::to_string(port);
@@ -160,7 +145,7 @@
     if (!mkdtemp(pattern.data()))
         throw std::runtime_error("cannot create a temporary directory");
     m_folder = pattern;
-    m_platformPort = freePort();
+    m_platformPort = reservePort();
     spawn("platform", {"standin-platform", "--port", std::to_string(m_platformPort)});
     const auto responds = [this](const std::string &url) {
         return eventually([&] { return m_client.sendAndWait({"GET", url}).isOk(); });
@@ -168,7 +153,7 @@
     if (!responds(url(m_platformPort) + "/admin/counters"))
         throw std::runtime_error("the platform stand-in did not start");
     for (const std::string &zone : m_shape.zones) {
-        const uint16_t port = m_workerPorts[zone] = freePort();
+        const uint16_t port = m_workerPorts[zone] = reservePort();
         writeFleet(zone, port);
         spawn("workers-" + zone,
               {"standin-worker", "--port", std::to_string(port), "--fleet",
@@ -178,7 +163,7 @@
             throw std::runtime_error("a worker stand-in did not start");
         changeInstances({{"add", m_fleets[zone]}});
         for (int number = 0; number < m_shape.entriesPerZone; ++number)
-            m_entries[zone + "-e" + std::to_string(number)] = {zone, freePort(), freePort()};
+            m_entries[zone + "-e" + std::to_string(number)] = {zone, reservePort(), reservePort()};
     }
     for (const auto &[name, entry] : m_entries) {
         writeSettings(name, entry);
@@ -197,6 +182,12 @@
         std::filesystem::remove_all(m_folder, ignored);
 }
 
+uint16_t Deployment::reservePort()
+{
+    // Differs from the ports of the tests just before, so that late calls to those reach nobody.
+    return m_ports.emplace_back(getpid()).port();
+}
+
 void Deployment::spawn(const std::string &name, const std::vector<std::string> &arguments)
 {
     std::vector<std::string> argumentStrings = arguments;
--- a/Tests/EndToEnd/Deployment.h
+++ b/Tests/EndToEnd/Deployment.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "PortReservation.h"
+
 #include "Protocol/Json.h"
 #include "State/Worker.h"
 #include "Transport/HttpClient.h"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <string>
 #include <vector>
@@ -143,6 +146,7 @@
         uint16_t peer = 0;
     };
 
+    uint16_t reservePort();
     void spawn(const std::string &name, const std::vector<std::string> &arguments);
     void writeFleet(const std::string &zone, uint16_t port);
     void writeSettings(const std::string &name, const Entry &entry);
@@ -150,6 +154,7 @@
     DeploymentShape m_shape;
     std::string m_folder;
     HttpClient m_client;
+    std::list<PortReservation> m_ports;
     uint16_t m_platformPort = 0;
     std::map<std::string, uint16_t> m_workerPorts;
     std::map<std::string, Entry> m_entries;
