Tests: Keep and show the logs of a deployment that fails

A deployment whose set-up failed deleted its logs. Now the message names the folder and has the last 20 lines of each process's log, and the folder stays if an exception ends the test. A failure in the constructor also ends the processes that it started, which ran on before.

--- a/Tests/EndToEnd/Deployment.cpp
+++ b/Tests/EndToEnd/Deployment.cpp
@@ -3,8 +3,12 @@
 #include "Service/KeyHash.h"
 
 #include <algorithm>
+#include <deque>
+#include <exception>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
+#include <numeric>
 #include <set>
 #include <stdexcept>
 #include <thread>
@@ -21,6 +25,8 @@
 
 const std::string OperatorKey = "operators";
 constexpr Duration PollPeriod{25};
+/** How many lines of each log a failure message has. */
+constexpr std::size_t LastLines = 20;
 
 std::string programPath(const std::string &name)
 {
@@ -32,6 +38,27 @@
     return "http://127.0.0.1:" + std::to_string(port);
 }
 
+/** @return the path of a new folder. @throws std::runtime_error if none can be created. */
+std::string makeFolder()
+{
+    std::string path = std::filesystem::temp_directory_path() / "cranberrymount-XXXXXX";
+    if (!mkdtemp(path.data()))
+        throw std::runtime_error("cannot create a temporary directory");
+    return path;
+}
+
+std::string lastLines(const std::filesystem::path &file)
+{
+    std::deque<std::string> lines;
+    std::ifstream stream(file);
+    for (std::string line; std::getline(stream, line);) {
+        lines.push_back(line + "\n");
+        if (lines.size() > LastLines)
+            lines.pop_front();
+    }
+    return std::accumulate(lines.begin(), lines.end(), std::string());
+}
+
 std::string taskName(const JournalEvent &journalEvent)
 {
     return journalEvent.job + "/" + std::to_string(journalEvent.index);
@@ -138,20 +165,22 @@
     });
 }
 
-Deployment::Deployment(DeploymentShape shape)
+Deployment::Deployment(DeploymentShape shape, std::string folder)
     : m_shape(std::move(shape))
+    , m_folder(std::move(folder))
+{
+}
+
+Deployment::Deployment(DeploymentShape shape)
+    : Deployment(std::move(shape), makeFolder())
 {
-    std::string pattern = std::filesystem::temp_directory_path() / "cranberrymount-XXXXXX";
-    if (!mkdtemp(pattern.data()))
-        throw std::runtime_error("cannot create a temporary directory");
-    m_folder = pattern;
     m_platformPort = reservePort();
     spawn("platform", {"standin-platform", "--port", std::to_string(m_platformPort)});
     const auto responds = [this](const std::string &url) {
         return eventually([&] { return m_client.sendAndWait({"GET", url}).isOk(); });
     };
     if (!responds(url(m_platformPort) + "/admin/counters"))
-        throw std::runtime_error("the platform stand-in did not start");
+        fail("the platform stand-in did not start");
     for (const std::string &zone : m_shape.zones) {
         const uint16_t port = m_workerPorts[zone] = reservePort();
         writeFleet(zone, port);
@@ -160,7 +189,7 @@
                m_folder + "/fleet-" + zone + ".json", "--orphan-grace-ms",
                std::to_string(m_shape.orphanGrace.count())});
         if (!responds(url(port) + "/admin/journal"))
-            throw std::runtime_error("a worker stand-in did not start");
+            fail("a worker stand-in did not start");
         changeInstances({{"add", m_fleets[zone]}});
         for (int number = 0; number < m_shape.entriesPerZone; ++number)
             m_entries[zone + "-e" + std::to_string(number)] = {zone, reservePort(), reservePort()};
@@ -177,9 +206,22 @@
         kill(process, SIGKILL);
         waitpid(process, nullptr, 0);
     }
+    if (std::uncaught_exceptions() > 0 || std::getenv("KEEP_LOGS")) {
+        std::cerr << "logs are kept in " << m_folder << "\n";
+        return;
+    }
     std::error_code ignored;
-    if (!std::getenv("KEEP_LOGS"))
-        std::filesystem::remove_all(m_folder, ignored);
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+void Deployment::fail(const std::string &what) const
+{
+    std::string message = what + "\nfolder: " + m_folder;
+    for (const auto &file : std::filesystem::directory_iterator(m_folder)) {
+        if (file.path().extension() == ".log")
+            message += "\n" + file.path().filename().string() + ":\n" + lastLines(file);
+    }
+    throw std::runtime_error(message);
 }
 
 uint16_t Deployment::reservePort()
@@ -207,7 +249,7 @@
                                     argumentPointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0)
-        throw std::runtime_error("cannot start " + argumentStrings[0]);
+        fail("cannot start " + argumentStrings[0]);
     m_processes[name] = process;
 }
 
@@ -269,7 +311,7 @@
         return true;
     });
     if (!isReady)
-        throw std::runtime_error("the deployment did not become ready");
+        fail("the deployment did not become ready");
 }
 
 void Deployment::configure()
@@ -304,8 +346,7 @@
         },
         Duration(6000));
     if (!isInForce)
-        throw std::runtime_error(
-            "the configuration did not come into force at every entry within 6 s");
+        fail("the configuration did not come into force at every entry within 6 s");
 }
 
 void Deployment::signal(const std::string &name, int signal)
@@ -370,11 +411,11 @@
 {
     const Json plan = callAsOperator(entry, "POST", "/plans", intent);
     if (!plan.contains("id"))
-        throw std::runtime_error("the entry returned no plan: " + plan.dump());
+        fail("the entry returned no plan: " + plan.dump());
     const Json confirmation =
         callAsOperator(entry, "POST", "/plans/" + plan.at("id").get<std::string>() + "/confirm");
     if (confirmation.at("http_status") != 200)
-        throw std::runtime_error("the entry refused to confirm the plan: " + confirmation.dump());
+        fail("the entry refused to confirm the plan: " + confirmation.dump());
 }
 
 std::string Deployment::submit(const std::string &entry, const std::string &team, Json job)
@@ -428,7 +469,7 @@
     const HttpResult result =
         m_client.sendAndWait({"POST", url(m_platformPort) + "/admin/faults", faults.dump()});
     if (!result.isOk())
-        throw std::runtime_error("the platform stand-in refused the faults " + faults.dump());
+        fail("the platform stand-in refused the faults " + faults.dump());
 }
 
 void Deployment::setWorkerFaults(const std::string &zone, const Json &faults)
@@ -488,7 +529,7 @@
     for (const auto &[zone, port] : m_workerPorts) {
         const HttpResult result = m_client.sendAndWait({"GET", url(port) + "/admin/journal"});
         if (!result.isOk())
-            throw std::runtime_error("cannot read the worker journal of zone " + zone);
+            fail("cannot read the worker journal of zone " + zone);
         const Json json = Json::parse(result.body);
         for (const Json &journalEvent : json.at("journal")) {
             journal.events.push_back({journalEvent.at("event"), journalEvent.at("at"),
--- a/Tests/EndToEnd/Deployment.h
+++ b/Tests/EndToEnd/Deployment.h
@@ -68,11 +68,16 @@
     std::size_t startsIn(const std::string &zone, int64_t millis) const;
 };
 
-/** Stand-in and entry processes that run for the duration of one test. */
+/**
+ * Stand-in and entry processes that run for the duration of one test. A function throws
+ * std::runtime_error if a process does not do what was asked; the message names the folder of the
+ * logs and has the last lines of each.
+ */
 class Deployment
 {
 public:
     explicit Deployment(DeploymentShape shape = {});
+    /** Ends all processes; keeps the logs if an exception ends the test or KEEP_LOGS is set. */
     ~Deployment();
 
     Deployment(const Deployment &) = delete;
@@ -146,6 +151,11 @@
         uint16_t peer = 0;
     };
 
+    /** Only creates the folder; the destructor then runs also if the start of a process fails. */
+    Deployment(DeploymentShape shape, std::string folder);
+
+    /** Throws std::runtime_error with @p what, the folder and the last lines of each log. */
+    [[noreturn]] void fail(const std::string &what) const;
     uint16_t reservePort();
     void spawn(const std::string &name, const std::vector<std::string> &arguments);
     void writeFleet(const std::string &zone, uint16_t port);
