--- a/Tests/EndToEnd/Deployment.h
+++ b/Tests/EndToEnd/Deployment.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "PortReservation.h"
+
 #include "Protocol/Json.h"
 #include "State/Worker.h"
 #include "Transport/HttpClient.h"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <string>
 #include <vector>
@@ -65,11 +68,16 @@
     std::size_t startsIn(const std::string &zone, int64_t millis) const;
 };
 
-/** Stand-in and entry processes that run for the duration of one test. */
+/**
+ * Stand-in and entry processes that run for the duration of one test. A function throws
+ * std::runtime_error if a process does not do what was asked; the message names the folder of the
+ * logs and has the last lines of each.
+ */
 class Deployment
 {
 public:
     explicit Deployment(DeploymentShape shape = {});
+    /** Ends all processes; keeps the logs if an exception ends the test or KEEP_LOGS is set. */
     ~Deployment();
 
     Deployment(const Deployment &) = delete;
@@ -143,6 +151,12 @@
         uint16_t peer = 0;
     };
 
+    /** Only creates the folder; the destructor then runs also if the start of a process fails. */
+    Deployment(DeploymentShape shape, std::string folder);
+
+    /** Throws std::runtime_error with @p what, the folder and the last lines of each log. */
+    [[noreturn]] void fail(const std::string &what) const;
+    uint16_t reservePort();
     void spawn(const std::string &name, const std::vector<std::string> &arguments);
     void writeFleet(const std::string &zone, uint16_t port);
     void writeSettings(const std::string &name, const Entry &entry);
@@ -150,6 +164,7 @@
     DeploymentShape m_shape;
     std::string m_folder;
     HttpClient m_client;
+    std::list<PortReservation> m_ports;
     uint16_t m_platformPort = 0;
     std::map<std::string, uint16_t> m_workerPorts;
     std::map<std::string, Entry> m_entries;
