Coordination: Find a worker's runs, speed and health by hash

Cause: a round on the large site takes 8 to 10 ms, 4 of them to gather its input; three look-ups for each of 1,100 workers compare strings in trees. Settings test: link_mbps is read and checked.

--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -208,7 +208,7 @@
     std::map<WorkerIncarnation, Instant> m_orphanLeasesEndAt;
     std::map<TaskKey, ActiveRun> m_runs;
     /** The entries of m_runs, grouped by worker. */
-    std::map<WorkerIncarnation, std::map<TaskKey, ActiveRun *>> m_runsByWorker;
+    std::unordered_map<WorkerIncarnation, std::map<TaskKey, ActiveRun *>> m_runsByWorker;
     std::map<TeamId, Resources> m_teamUse;
     struct UnwrittenEnd
     {
--- a/Libraries/Coordination/WorkerHealth.h
+++ b/Libraries/Coordination/WorkerHealth.h
@@ -2,7 +2,7 @@
 
 #include "State/Workload.h"
 
-#include <map>
+#include <unordered_map>
 
 namespace Cranberrymount {
 
@@ -30,7 +30,7 @@
         Instant quarantinedUntil{};
     };
 
-    std::map<WorkerIncarnation, Record> m_records;
+    std::unordered_map<WorkerIncarnation, Record> m_records;
 };
 
 } // namespace Cranberrymount
--- a/Libraries/Decision/WorkerSpeeds.h
+++ b/Libraries/Decision/WorkerSpeeds.h
@@ -3,6 +3,7 @@
 #include "State/JobTable.h"
 
 #include <map>
+#include <unordered_map>
 
 namespace Cranberrymount {
 
@@ -35,7 +36,7 @@
     };
 
     /** Logarithm of each worker's slowness. */
-    std::map<WorkerIncarnation, double> m_factors;
+    std::unordered_map<WorkerIncarnation, double> m_factors;
     std::map<StepKey, StepTimes> m_steps;
 };
 
--- a/Libraries/Service/CellSettings.cpp
+++ b/Libraries/Service/CellSettings.cpp
@@ -22,7 +22,8 @@
         const double share = checker.real(node, "processor_share", 1, 0.001, 1);
         const double cores = checker.real(node, "processor_cores", 1, 0.001, 1024);
         settings.processor = CpuMillis(std::llround(1000 * share * cores));
-        settings.linkBandwidth = checker.real(node, "link_mbps", settings.linkBandwidth, 0.001, 1e6);
+        settings.linkBandwidth =
+            checker.real(node, "link_mbps", settings.linkBandwidth, 0.001, 1e6);
         settings.front = checker.requiredEndpoint(node, "front");
         settings.readiness = checker.requiredEndpoint(node, "readiness");
         settings.peer = checker.requiredEndpoint(node, "peer");
--- a/Libraries/Transport/FrameLink.cpp
+++ b/Libraries/Transport/FrameLink.cpp
@@ -21,7 +21,7 @@
 /** Set in the length prefix of a part of a compressed stream. */
 constexpr uint32_t CompressedFlag = 0x80000000U;
 /** Size from which no further frame is added to a compressed part, plus the last frame. */
-constexpr std::size_t MaxPartBytes = 2 * (MaxFrameBytes + 64);
+constexpr std::size_t MaxPartBytes = std::size_t(2) * (MaxFrameBytes + 64);
 
 Frame withPrefix(const Frame &frame, uint32_t flags = 0)
 {
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -244,8 +244,13 @@
 )";
     CHECK(parseCellSettings(validSettings, "cell.toml").peer.port == 82);
     const std::string smallNodeSettings =
-        "[node]\nprocessor_share = 0.12\nprocessor_cores = 1\n" + validSettings.substr(7);
+        "[node]\nprocessor_share = 0.12\nprocessor_cores = 1\nlink_mbps = 2.5\n"
+        + validSettings.substr(7);
     CHECK(parseCellSettings(smallNodeSettings, "cell.toml").processor == CpuMillis(120));
+    CHECK(parseCellSettings(smallNodeSettings, "cell.toml").linkBandwidth == 2.5);
+    CHECK_THROWS_AS(
+        parseCellSettings("[node]\nlink_mbps = 0\n" + validSettings.substr(7), "cell.toml"),
+        SettingsError);
     CHECK_FALSE(parseCellSettings(validSettings, "cell.toml").advisor.isSet());
     CHECK_THROWS_AS(parseCellSettings(validSettings + "typo = 1\n", "cell.toml"), SettingsError);
     CHECK_THROWS_AS(parseCellSettings("[node]\nid = 7\n", "cell.toml"), SettingsError);
