--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -157,7 +157,6 @@
         std::size_t worker = 0;
         const AdviceCache::Verdict *verdict = nullptr;
     };
-
     /** A step with tasks to start. */
     struct Candidate
     {
@@ -182,7 +181,6 @@
         /** Number of tasks that can start there. */
         int64_t count = 0;
     };
-
     /** A worker that the advisor may be asked about. */
     struct AdviceChoice
     {
@@ -260,6 +258,7 @@
     void countStepAtLimit(const Candidate &candidate);
     /** Counts the step by the age of its job. */
     void countWaitingAge(const Candidate &candidate);
+
     // Advice; in DispatchAdvice.cpp.
     /** Sets m_callsNaming by the calls in flight. */
     void countCallsNamingWorkers();
@@ -288,6 +287,8 @@
     /** Adds calls about the first @p count choices of the plan, spread evenly. */
     void addAdviceCalls(const Candidate &candidate, const AdvicePlan &plan, std::size_t count,
                         std::size_t calls);
+
+    // Reservations.
     /** Reserves whole workers for the gang: those that will be the first to have free capacity for
      * its members. */
     void reserveForGang(const Candidate &candidate, uint32_t wanted);
