--- a/Libraries/Protocol/JournalCodec.cpp
+++ b/Libraries/Protocol/JournalCodec.cpp
@@ -274,7 +274,7 @@
 
 std::string encodeSegment(const std::vector<JournalRecord> &records)
 {
-    const std::string bytes = encodeJournal(records);
+    std::string bytes = encodeJournal(records);
     std::string compressed(ZSTD_compressBound(bytes.size()), '\0');
     const std::size_t size = ZSTD_compress(compressed.data(), compressed.size(), bytes.data(),
                                            bytes.size(), CompressionLevel);
