--- a/Libraries/Decision/WorkerAllocator.cpp
+++ b/Libraries/Decision/WorkerAllocator.cpp
@@ -49,15 +49,16 @@
     return chooseBestFit(group);
 }
 
-std::optional<std::size_t> WorkerAllocator::chooseBestFit(const WaitingGroup &group) const
+template <typename Cost>
+std::optional<std::size_t> WorkerAllocator::chooseCheapest(const WaitingGroup &group,
+                                                           Cost costOn) const
 {
     std::optional<std::size_t> best;
     double bestCost = std::numeric_limits<double>::max();
     for (std::size_t position = 0; position < m_workers.size(); ++position) {
-        const WorkerCapacity &worker = m_workers[position];
         if (!canHost(position, group))
             continue;
-        const double cost = leftoverCost(worker, group.perTask);
+        const double cost = costOn(m_workers[position]);
         if (cost < bestCost) {
             bestCost = cost;
             best = position;
@@ -66,24 +67,21 @@
     return best;
 }
 
+std::optional<std::size_t> WorkerAllocator::chooseBestFit(const WaitingGroup &group) const
+{
+    return chooseCheapest(group, [&group](const WorkerCapacity &worker) {
+        return leftoverCost(worker, group.perTask);
+    });
+}
+
 std::optional<std::size_t> WorkerAllocator::chooseSpread(const WaitingGroup &group) const
 {
-    std::optional<std::size_t> best;
-    double bestCost = std::numeric_limits<double>::max();
-    for (std::size_t position = 0; position < m_workers.size(); ++position) {
-        const WorkerCapacity &worker = m_workers[position];
-        if (!canHost(position, group))
-            continue;
+    return chooseCheapest(group, [&group](const WorkerCapacity &worker) {
         const auto found = group.runningByRack.find(worker.rack);
         const double sameRack = found == group.runningByRack.end() ? 0 : found->second;
         const Resources used = worker.capacity - worker.free;
-        const double cost = sameRack + used.dominantShareOf(worker.capacity);
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = position;
-        }
-    }
-    return best;
+        return sameRack + used.dominantShareOf(worker.capacity);
+    });
 }
 
 bool WorkerAllocator::outlastsReservation(const ReservedWorker &reserved,
--- a/Libraries/Decision/WorkerAllocator.h
+++ b/Libraries/Decision/WorkerAllocator.h
@@ -36,6 +36,9 @@
     const Resources &capacity() const { return m_capacity; }
 
 private:
+    /** @return the worker with the lowest cost by @p costOn of those that can host a task. */
+    template <typename Cost>
+    std::optional<std::size_t> chooseCheapest(const WaitingGroup &group, Cost costOn) const;
     /** @return the worker on which a task leaves the least unusable capacity. */
     std::optional<std::size_t> chooseBestFit(const WaitingGroup &group) const;
     /** @return the least used worker in the rack with the fewest tasks of the job. */
