Decision, Transport: Remove repetitions in the advice planning and the compressed links

What stood twice: whether a step may ask now, the walk through the workers that the advisor was not asked about, the number of calls for so many workers, which gangs may reserve, since when an occurrence waits (now JobRecord::waitingSince()), when a ticket is valid, and the creation of a link's compressor. Dead: workers of calls in flight in a plan that is only made without such calls; a plan of made-up choices only to pass workers on. Three counting functions became two.

--- a/Libraries/Decision/DispatchAdvice.cpp
+++ b/Libraries/Decision/DispatchAdvice.cpp
@@ -38,6 +38,12 @@
     return std::clamp(size, MinUnknownWorkersPerCall, MaxWorkersPerCall);
 }
 
+/** @return the number of calls of at most @p callSize workers that name @p workers workers. */
+std::size_t callsFor(std::size_t workers, std::size_t callSize)
+{
+    return (workers + callSize - 1) / callSize;
+}
+
 /** @return the largest size of a call of one step; a call that can be short stays short. */
 std::size_t maxSinglesCallSize(const AdviceCost &cost)
 {
@@ -72,28 +78,42 @@
         : places;
 }
 
+bool Dispatcher::mayAskAbout(const Candidate &candidate) const
+{
+    const AdviceCache::StepAdvice *stepAdvice = candidate.stepAdvice;
+    return !stepAdvice || (stepAdvice->callsInFlight == 0 && stepAdvice->notBefore <= m_input.now);
+}
+
+template <typename Visit>
+void Dispatcher::visitUnknownWorkers(const Candidate &candidate, Visit visit) const
+{
+    std::vector<bool> isKnown(m_input.workers.size(), false);
+    if (candidate.stepAdvice) {
+        for (const auto &[incarnation, verdict] : candidate.stepAdvice->verdicts) {
+            if (const std::optional<std::size_t> worker = positionOf(incarnation))
+                isKnown[*worker] = true;
+        }
+    }
+    const std::vector<std::size_t> &workers = candidate.pool->workers;
+    const std::size_t first = std::hash<JobId>()(candidate.key.job) % workers.size();
+    for (std::size_t count = 0; count < workers.size(); ++count) {
+        const std::size_t worker = workers[(first + count) % workers.size()];
+        if (!isKnown[worker] && isEligible(candidate, worker) && !visit(worker))
+            return;
+    }
+}
+
 Dispatcher::AdvicePlan Dispatcher::planAdvice(const Candidate &candidate, Instant answerAt,
-                                              std::size_t maxChoices) const
+                                              std::size_t maxUnknown) const
 {
     const StepSpec &spec = candidate.spec();
     const double limit = slownessLimit(candidate.urgency);
     AdvicePlan plan;
-    std::vector<bool> isSettled(m_input.workers.size(), false);
-    const auto settle = [&](const WorkerIncarnation &incarnation) {
-        if (const std::optional<std::size_t> worker = positionOf(incarnation))
-            isSettled[*worker] = true;
-    };
     const auto addChoice = [&](std::size_t worker, bool isAllowed, int64_t places) {
         const double rank = static_cast<double>(places) / (1 + m_callsNaming[worker]);
         plan.choices.push_back(
             {worker, isAllowed, places, m_input.workers[worker].slowness > limit, rank});
     };
-    if (candidate.stepAdvice) {
-        for (const auto &[incarnation, verdict] : candidate.stepAdvice->verdicts)
-            settle(incarnation);
-        for (const WorkerIncarnation &incarnation : candidate.stepAdvice->workersInFlight)
-            settle(incarnation);
-    }
     for (const auto &[worker, verdict] : candidate.allowed) {
         if (!isEligible(candidate, worker))
             continue;
@@ -102,24 +122,18 @@
         if (places <= 0)
             continue;
         plan.allowedPlaces += places;
-        if (verdict->expires > answerAt + m_input.startDelay)
+        if (isTicketValid(*verdict, answerAt))
             plan.placesWithTicket += places;
         else
             addChoice(worker, true, places);
     }
-    // Each job starts at another position of the pool, so that the steps do not all ask about the
-    // same workers.
-    const std::vector<std::size_t> &workers = candidate.pool->workers;
-    const std::size_t first = std::hash<JobId>()(candidate.key.job) % workers.size();
-    const std::size_t end = plan.choices.size() + std::min(maxChoices, workers.size());
-    for (std::size_t count = 0; count < workers.size() && plan.choices.size() < end; ++count) {
-        const std::size_t worker = workers[(first + count) % workers.size()];
-        if (isSettled[worker] || !isEligible(candidate, worker))
-            continue;
+    const std::size_t maxChoices = plan.choices.size() + maxUnknown;
+    visitUnknownWorkers(candidate, [&](std::size_t worker) {
         const int64_t places = placesOnWorker(candidate, worker);
         if (places > 0)
             addChoice(worker, false, places);
-    }
+        return plan.choices.size() < maxChoices;
+    });
     std::ranges::stable_sort(plan.choices, [](const AdviceChoice &left, const AdviceChoice &right) {
         return std::tuple(!left.isAllowed, left.isSlow, -left.rank)
             < std::tuple(!right.isAllowed, right.isSlow, -right.rank);
@@ -127,19 +141,18 @@
     return plan;
 }
 
-void Dispatcher::addAdviceCalls(const Candidate &candidate, const AdvicePlan &plan,
-                                std::size_t count, std::size_t calls)
+void Dispatcher::addAdviceCalls(const Candidate &candidate, const std::vector<std::size_t> &workers,
+                                std::size_t calls)
 {
     const AdviceCost &cost = *candidate.queue->advice;
     std::size_t next = 0;
     for (std::size_t call = 0; call < calls; ++call) {
         AdviceDecision decision;
         decision.step = candidate.key;
-        const std::size_t end = count * (call + 1) / calls;
+        const std::size_t end = workers.size() * (call + 1) / calls;
         for (; next < end; ++next) {
-            const std::size_t worker = plan.choices[next].worker;
-            decision.workers.push_back(m_input.workers[worker].info->incarnation);
-            ++m_callsNaming[worker];
+            decision.workers.push_back(m_input.workers[workers[next]].info->incarnation);
+            ++m_callsNaming[workers[next]];
         }
         decision.cost = cost.costOf(decision.workers.size());
         decision.ticketLifetime = cost.ticketLifetime;
@@ -151,30 +164,29 @@
 void Dispatcher::requestSinglesAdvice(const Candidate &candidate, uint32_t wanted)
 {
     const AdviceCost &cost = *candidate.queue->advice;
-    const AdviceCache::StepAdvice *stepAdvice = candidate.stepAdvice;
     const std::size_t maxWorkers = maxSinglesCallSize(cost);
     std::size_t &freeCalls = m_input.adviceCapacity.of(cost.costOf(maxWorkers));
-    if (freeCalls == 0
-        || (stepAdvice && (stepAdvice->callsInFlight > 0 || stepAdvice->notBefore > m_input.now)))
+    if (freeCalls == 0 || !mayAskAbout(candidate))
         return;
     const AdvicePlan plan = planAdvice(candidate, m_input.now, MaxSampledWorkers);
     const double fraction = m_input.advice->allowedFraction(candidate.queue->id);
     const double requested = placesToRequest(wanted);
     const bool hasEnoughAllowed = plan.allowedPlaces >= wanted;
     double expected = 0;
-    std::size_t count = 0;
-    for (; count < std::min(maxWorkers, plan.choices.size()); ++count) {
-        const AdviceChoice &choice = plan.choices[count];
-        if (choice.isAllowed ? expected >= wanted : hasEnoughAllowed)
+    std::vector<std::size_t> named;
+    for (const AdviceChoice &choice : plan.choices) {
+        if (named.size() == maxWorkers
+            || (choice.isAllowed ? expected >= wanted : hasEnoughAllowed))
             break;
-        if (!choice.isAllowed && expected >= requested && count >= MinUnknownWorkersPerCall)
+        if (!choice.isAllowed && expected >= requested && named.size() >= MinUnknownWorkersPerCall)
             break;
+        named.push_back(choice.worker);
         expected += static_cast<double>(choice.places) * (choice.isAllowed ? 1 : fraction);
     }
-    if (count == 0)
+    if (named.empty())
         return;
     --freeCalls;
-    addAdviceCalls(candidate, plan, count, 1);
+    addAdviceCalls(candidate, named, 1);
 }
 
 std::size_t Dispatcher::maxGangCalls() const
@@ -185,76 +197,62 @@
 void Dispatcher::requestGangAdvice(const Candidate &candidate, uint32_t members, bool mayStart)
 {
     const AdviceCost &cost = *candidate.queue->advice;
-    const AdviceCache::StepAdvice *stepAdvice = candidate.stepAdvice;
     const std::size_t callSize = efficientCallSize(cost);
     std::size_t &freeCalls = m_input.adviceCapacity.of(cost.costOf(callSize));
-    if (freeCalls == 0
-        || (stepAdvice && (stepAdvice->callsInFlight > 0 || stepAdvice->notBefore > m_input.now)))
+    if (freeCalls == 0 || !mayAskAbout(candidate))
         return;
     const AdvicePlan plan =
         planAdvice(candidate, m_input.now + cost.costOf(callSize), m_input.workers.size());
     const double fraction = m_input.advice->allowedFraction(candidate.queue->id);
     const double requested = placesToRequest(members);
     const bool hasEnoughAllowed = plan.allowedPlaces >= members;
-    const std::size_t maxNamed = std::min(maxGangCalls() * MaxWorkersPerCall, plan.choices.size());
+    const std::size_t maxNamed = maxGangCalls() * MaxWorkersPerCall;
     auto expected = static_cast<double>(plan.placesWithTicket);
-    std::size_t count = 0;
-    for (; count < maxNamed; ++count) {
-        const AdviceChoice &choice = plan.choices[count];
-        if (expected >= requested || (!choice.isAllowed && hasEnoughAllowed))
+    std::vector<std::size_t> named;
+    for (const AdviceChoice &choice : plan.choices) {
+        if (named.size() == maxNamed || expected >= requested
+            || (!choice.isAllowed && hasEnoughAllowed))
             break;
+        named.push_back(choice.worker);
         expected += static_cast<double>(choice.places) * (choice.isAllowed ? 1 : fraction);
     }
     if (!mayStart || expected < members)
-        return learnWorkersForGang(candidate, members, plan);
-    if (count == 0)
+        return learnWorkersForGang(candidate, members, plan.allowedCapacity);
+    if (named.empty())
         return;
     // A gang takes all callers that it needs or none: tickets of calls that are made one after the
     // other expire before the last answer. Less urgent gangs wait until it has them.
-    const std::size_t calls = std::min((count + callSize - 1) / callSize, maxGangCalls());
+    const std::size_t calls = std::min(callsFor(named.size(), callSize), maxGangCalls());
     if (freeCalls < calls) {
         freeCalls = 0;
         return;
     }
     freeCalls -= calls;
-    addAdviceCalls(candidate, plan, count, calls);
+    addAdviceCalls(candidate, named, calls);
 }
 
 void Dispatcher::learnWorkersForGang(const Candidate &candidate, uint32_t members,
-                                     const AdvicePlan &plan)
+                                     int64_t allowedCapacity)
 {
-    // Only these may reserve workers.
-    const bool mayReserve =
-        candidate.urgency.urgencyClass <= StepUrgency::InTime || &candidate == m_longestWaitingGang;
-    const int64_t missing = int64_t(KnownCapacityFactor) * members - plan.allowedCapacity;
-    if (!mayReserve || missing <= 0)
+    const int64_t missing = int64_t(KnownCapacityFactor) * members - allowedCapacity;
+    if (!mayReserve(candidate) || missing <= 0)
         return;
-    const std::vector<std::size_t> &workers = candidate.pool->workers;
-    const std::size_t first = std::hash<JobId>()(candidate.key.job) % workers.size();
     const AdviceCost &cost = *candidate.queue->advice;
     const std::size_t callSize = efficientCallSize(cost);
     const double fraction = m_input.advice->allowedFraction(candidate.queue->id);
     std::size_t &freeCalls = m_input.adviceCapacity.of(cost.costOf(callSize));
     const std::size_t maxNamed = std::min(maxGangCalls(), freeCalls) * callSize;
     double expected = 0;
-    AdvicePlan unknown;
-    for (std::size_t count = 0; count < workers.size() && unknown.choices.size() < maxNamed
-         && expected < static_cast<double>(missing);
-         ++count) {
-        const std::size_t worker = workers[(first + count) % workers.size()];
-        const CellWorker &info = *m_input.workers[worker].info;
-        if (!isEligible(candidate, worker)
-            || (candidate.stepAdvice && candidate.stepAdvice->find(info.incarnation)))
-            continue;
-        unknown.choices.push_back({worker, false, 0, false, 0});
-        expected +=
-            fraction * static_cast<double>(candidate.spec().need.countFittingIn(info.capacity));
-    }
-    if (unknown.choices.empty())
-        return;
-    const std::size_t calls = (unknown.choices.size() + callSize - 1) / callSize;
+    std::vector<std::size_t> named;
+    visitUnknownWorkers(candidate, [&](std::size_t worker) {
+        const Resources &capacity = m_input.workers[worker].info->capacity;
+        named.push_back(worker);
+        expected += fraction * static_cast<double>(candidate.spec().need.countFittingIn(capacity));
+        return named.size() < maxNamed && expected < static_cast<double>(missing);
+    });
+    const std::size_t calls = callsFor(named.size(), callSize);
     freeCalls -= calls;
-    addAdviceCalls(candidate, unknown, unknown.choices.size(), calls);
+    addAdviceCalls(candidate, named, calls);
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -97,7 +97,7 @@
         criticalPath += queue.advice->costOf(WorkersPerObjectiveCall);
         remaining += queue.advice->base;
     }
-    const WallTime begin = std::max(job.accepted.acceptedAt, job.dueAt(key.occurrence));
+    const WallTime begin = job.waitingSince(key.occurrence);
     const auto objective = Duration(static_cast<int64_t>(static_cast<double>(criticalPath.count())
                                                          * queue.stretchFactor))
         + queue.startTarget;
@@ -188,7 +188,7 @@
     }
     // The advisor allows a step on few workers of a large pool, so only these are visited.
     for (const AllowedWorker &allowed : candidate.allowed) {
-        if (isTicketValid(*allowed.verdict))
+        if (isTicketValid(*allowed.verdict, m_input.now))
             addPlacementOption(candidate, allowed.worker, &allowed.verdict->ticket, places);
     }
     return places;
@@ -228,9 +228,9 @@
         places.push_back({worker, ticket, count});
 }
 
-bool Dispatcher::isTicketValid(const AdviceCache::Verdict &verdict) const
+bool Dispatcher::isTicketValid(const AdviceCache::Verdict &verdict, Instant decidedAt) const
 {
-    return verdict.expires > m_input.now + m_input.startDelay;
+    return verdict.expires > decidedAt + m_input.startDelay;
 }
 
 void Dispatcher::placeSingles(const Candidate &candidate, const StepRun &step)
@@ -240,7 +240,7 @@
                                poolHeadroom(candidate, spec.need));
     allowed = std::min<int64_t>(allowed, step.waitingCount());
     if (allowed <= 0) {
-        countStepAtLimit(candidate);
+        countWaitingStep(candidate, m_result.waiting.atLimit);
         return;
     }
     std::vector<PlacementOption> usable = placementOptions(candidate);
@@ -271,35 +271,27 @@
     }
     if (allowed <= 0)
         return;
-    countWaitingStep(candidate);
+    countWaitingStep(candidate, missingOf(candidate));
     if (candidate.queue->advice)
         requestSinglesAdvice(candidate, static_cast<uint32_t>(allowed));
 }
 
-void Dispatcher::countWaitingStep(const Candidate &candidate)
+std::size_t &Dispatcher::missingOf(const Candidate &candidate)
 {
     const auto hasPlace = [&](const AllowedWorker &allowed) {
         return placesOnWorker(candidate, allowed.worker) > 0;
     };
     const bool waitsForTicket = candidate.queue->advice
         && (!candidate.stepAdvice || std::ranges::any_of(candidate.allowed, hasPlace));
-    ++(waitsForTicket ? m_result.waiting.withoutTicket : m_result.waiting.withoutCapacity);
-    countWaitingAge(candidate);
+    return waitsForTicket ? m_result.waiting.withoutTicket : m_result.waiting.withoutCapacity;
 }
 
-void Dispatcher::countStepAtLimit(const Candidate &candidate)
-{
-    ++m_result.waiting.atLimit;
-    countWaitingAge(candidate);
-}
-
-void Dispatcher::countWaitingAge(const Candidate &candidate)
+void Dispatcher::countWaitingStep(const Candidate &candidate, std::size_t &counter)
 {
+    ++counter;
     if (m_input.jobs->findStep(candidate.key)->activeCount > 0)
         return;
-    const WallTime since = std::max(candidate.job->accepted.acceptedAt,
-                                    candidate.job->dueAt(candidate.key.occurrence));
-    const auto age = m_input.wallNow - since;
+    const auto age = m_input.wallNow - candidate.job->waitingSince(candidate.key.occurrence);
     m_result.waiting.olderThan3s += age > std::chrono::seconds(3);
     m_result.waiting.olderThan10s += age > std::chrono::seconds(10);
 }
@@ -328,7 +320,7 @@
     const StepSpec &spec = candidate.spec();
     const auto members = static_cast<uint32_t>(step.tasks.size());
     if (teamHeadroom(candidate.job->accepted.team, spec.need) < members) {
-        countStepAtLimit(candidate);
+        countWaitingStep(candidate, m_result.waiting.atLimit);
         return;
     }
     const bool mayStart =
@@ -356,7 +348,7 @@
     if (mayStart && chosen.empty())
         chosen = chooseForGang(order, members, nullptr);
     if (chosen.empty()) {
-        countWaitingStep(candidate);
+        countWaitingStep(candidate, missingOf(candidate));
         reserveForGang(candidate, members);
         if (candidate.queue->advice)
             requestGangAdvice(candidate, members, mayStart);
@@ -463,11 +455,16 @@
     m_input.teamUse[candidate.job->accepted.team] += spec.need;
 }
 
+bool Dispatcher::mayReserve(const Candidate &candidate) const
+{
+    return candidate.urgency.urgencyClass <= StepUrgency::InTime
+        || &candidate == m_longestWaitingGang;
+}
+
 void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted)
 {
-    const bool mayReserve = candidate.urgency.urgencyClass <= StepUrgency::InTime
-        && m_reservingGangs < MaxReservingGangs;
-    if ((!mayReserve && &candidate != m_longestWaitingGang)
+    const bool isLongestWaiting = &candidate == m_longestWaitingGang;
+    if (!mayReserve(candidate) || (!isLongestWaiting && m_reservingGangs >= MaxReservingGangs)
         || teamHeadroom(candidate.job->accepted.team, candidate.spec().need) < wanted)
         return;
     const StepSpec &spec = candidate.spec();
@@ -510,7 +507,7 @@
         places += choices[used++].places;
     if (places < wanted)
         return;
-    m_reservingGangs += &candidate != m_longestWaitingGang;
+    m_reservingGangs += !isLongestWaiting;
     for (std::size_t index = 0; index < used; ++index) {
         const Choice &choice = choices[index];
         m_reservations[choice.worker] = {&candidate, m_input.workers[choice.worker].info->capacity,
@@ -541,7 +538,7 @@
     for (const auto &[worker, verdict] : candidate.allowed) {
         if (m_reservations[worker].holder || !isEligible(candidate, worker))
             continue;
-        const bool hasTicket = isTicketValid(*verdict)
+        const bool hasTicket = isTicketValid(*verdict, m_input.now)
             || candidate.stepAdvice->workersInFlight.contains(
                 m_input.workers[worker].info->incarnation);
         const int64_t count = hasTicket ? placesOnWorker(candidate, worker) : 0;
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -223,8 +223,9 @@
     /** Adds the worker to @p places if a task of the step fits there now. */
     void addPlacementOption(const Candidate &candidate, std::size_t worker,
                             const std::string *ticket, std::vector<PlacementOption> &places) const;
-    /** @return true if a start that is decided now arrives before the ticket expires. */
-    bool isTicketValid(const AdviceCache::Verdict &verdict) const;
+    /** @return true if a start that is decided at @p decidedAt arrives before the ticket expires.
+     */
+    bool isTicketValid(const AdviceCache::Verdict &verdict, Instant decidedAt) const;
     /**
      * @param order the workers to use, in this order.
      * @param rack the rack that all workers must be in; null for any.
@@ -252,22 +253,29 @@
     /** Adds a start to the result and its resources to those in use. */
     void start(const Candidate &candidate, uint32_t index, uint32_t attempt, std::size_t worker,
                const std::string &ticket);
-    /** Counts the step as waiting for free capacity or for a ticket. */
-    void countWaitingStep(const Candidate &candidate);
-    /** Counts the step as waiting because of a limit. */
-    void countStepAtLimit(const Candidate &candidate);
-    /** Counts the step by the age of its job. */
-    void countWaitingAge(const Candidate &candidate);
+    /** @return the counter of what the step waits for: free capacity or a ticket. */
+    std::size_t &missingOf(const Candidate &candidate);
+    /** Adds the step to @p counter, and to those that count waiting steps by age. */
+    void countWaitingStep(const Candidate &candidate, std::size_t &counter);
 
     // Advice; in DispatchAdvice.cpp.
     /** Sets m_callsNaming by the calls in flight. */
     void countCallsNamingWorkers();
+    /** @return true if a call about the step may be made now; not while others are in flight. */
+    bool mayAskAbout(const Candidate &candidate) const;
+    /**
+     * Passes the eligible workers of the step's pool that the advisor was not asked about to
+     * @p visit, until that returns false. Each job starts at another position of the pool, so that
+     * the steps do not all ask about the same workers.
+     */
+    template <typename Visit>
+    void visitUnknownWorkers(const Candidate &candidate, Visit visit) const;
     /**
      * @param answerAt when the answer to a call made now is expected.
-     * @param maxChoices limit on the workers in the plan that the advisor was not asked about.
+     * @param maxUnknown limit on the workers in the plan that the advisor was not asked about.
      */
     AdvicePlan planAdvice(const Candidate &candidate, Instant answerAt,
-                          std::size_t maxChoices) const;
+                          std::size_t maxUnknown) const;
     /** @return how many tasks of the step are expected to fit on the worker at @p answerAt. */
     int64_t placesAt(const Candidate &candidate, std::size_t worker, Instant answerAt) const;
     /** Requests tickets for a step of which @p wanted tasks cannot start yet. */
@@ -283,12 +291,15 @@
     /** @return the maximum number of calls that are made for a gang at a time. */
     std::size_t maxGangCalls() const;
     /** Asks about workers on which a gang may wait for room, until enough of them are known. */
-    void learnWorkersForGang(const Candidate &candidate, uint32_t members, const AdvicePlan &plan);
-    /** Adds calls about the first @p count choices of the plan, spread evenly. */
-    void addAdviceCalls(const Candidate &candidate, const AdvicePlan &plan, std::size_t count,
+    void learnWorkersForGang(const Candidate &candidate, uint32_t members, int64_t allowedCapacity);
+    /** Adds @p calls calls about @p workers, spread evenly. */
+    void addAdviceCalls(const Candidate &candidate, const std::vector<std::size_t> &workers,
                         std::size_t calls);
 
     // Reservations.
+    /** @return true if the gang may reserve whole workers: it can still meet its objective, or is
+     * the late one that has waited longest. */
+    bool mayReserve(const Candidate &candidate) const;
     /** Reserves whole workers for the gang: those that will be the first to have free capacity for
      * its members. */
     void reserveForGang(const Candidate &candidate, uint32_t wanted);
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -41,6 +41,11 @@
     return accepted.spec.firstDue + accepted.spec.period * occurrence;
 }
 
+WallTime JobRecord::waitingSince(uint32_t occurrence) const
+{
+    return std::max(accepted.acceptedAt, dueAt(occurrence));
+}
+
 bool JobRecord::isUnblocked(uint32_t occurrence, uint32_t step) const
 {
     const auto &steps = occurrences[occurrence];
--- a/Libraries/State/JobTable.h
+++ b/Libraries/State/JobTable.h
@@ -35,6 +35,9 @@
 
     bool isOver() const { return state >= JobState::Done; }
     WallTime dueAt(uint32_t occurrence) const;
+    /** @return since when the occurrence could run: its due time, or the job's acceptance if that
+     * is later. */
+    WallTime waitingSince(uint32_t occurrence) const;
     /** @return true if all tasks of the steps that @p step waits for are done. */
     bool isUnblocked(uint32_t occurrence, uint32_t step) const;
 };
--- a/Libraries/Transport/FrameLink.cpp
+++ b/Libraries/Transport/FrameLink.cpp
@@ -129,8 +129,7 @@
     try {
         if (!m_decompressor)
             m_decompressor = std::make_unique<StreamDecompressor>();
-        if (!m_compressor)
-            m_compressor = std::make_unique<StreamCompressor>();
+        enableCompression();
         std::string bytes = m_decompressor->decompress(part, MaxPartBytes);
         deliverFrames(bytes, true);
         if (m_closed || bytes.empty())
--- a/Libraries/Transport/FrameLink.h
+++ b/Libraries/Transport/FrameLink.h
@@ -57,7 +57,7 @@
     void deliverFrames(std::string &bytes, bool isDecompressed);
     /** Decompresses a part of the peer's stream and passes its frames to the frame handler. */
     void deliverCompressed(std::string_view part);
-    /** Replaces the queued frames by one compressed part. */
+    /** Replaces the queued frames by compressed parts; a part ends after whole frames. */
     void compressQueued();
     /** Writes all queued frames. */
     void writeQueued();
--- a/Libraries/Transport/StreamCompressor.h
+++ b/Libraries/Transport/StreamCompressor.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <memory>
 #include <string>
 #include <string_view>
 
--- a/Libraries/Transport/StreamDecompressor.cpp
+++ b/Libraries/Transport/StreamDecompressor.cpp
@@ -4,8 +4,6 @@
 
 #include <zstd.h>
 
-#include <algorithm>
-
 namespace Cranberrymount {
 
 namespace {
--- a/Tests/Unit/AdviceLoadTest.cpp
+++ b/Tests/Unit/AdviceLoadTest.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 using namespace Cranberrymount;
