--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -87,6 +87,23 @@
 
 } // namespace
 
+const char *CellScheduler::phaseName(RunPhase phase)
+{
+    switch (phase) {
+    case RunPhase::Recording:
+        return "recording";
+    case RunPhase::StartSent:
+        return "start_sent";
+    case RunPhase::Confirmed:
+        return "confirmed";
+    case RunPhase::Uncertain:
+        return "uncertain";
+    case RunPhase::Inherited:
+        return "inherited";
+    }
+    return "unknown";
+}
+
 /** Takes over the runs that earlier leaders started; workers' reports later show their state. */
 void CellScheduler::adoptRuns()
 {
@@ -515,7 +532,10 @@
             continue;
         LOG_EVENT(m_dependencies.log, "run_lost")
             << "task=" << taskText(key) << " attempt=" << run.attempt
-            << " worker=" << incarnation.id.value() << " why=" << why;
+            << " worker=" << incarnation.id.value() << " born=" << incarnation.startedAtMs
+            << " why=" << why << " phase=" << phaseName(run.phase)
+            << " reported=" << run.wasReported << " age_ms="
+            << std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt).count();
         recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
     }
 }
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -263,7 +263,8 @@
         const auto found = m_sessions.find(session.incarnation().id);
         if (m_isSuperseded || found == m_sessions.end() || found->second.get() != &session)
             return;
-        LOG(INFO) << "event=worker_life_ended worker=" << session.incarnation().id.value();
+        LOG(INFO) << "event=worker_life_ended worker=" << session.incarnation().id.value()
+                  << " born=" << session.incarnation().startedAtMs;
         // Commands in flight may reach the next incarnation, whose reports then decide about these
         // runs.
         m_orphanLeasesEndAt[session.incarnation()] = session.allLeasesExpireAt();
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -176,6 +176,7 @@
     void moveToNextIncarnation(const WorkerIncarnation &ended, const WorkerIncarnation &next);
     void stopRunsOfEndedJobs();
     void checkStalledRuns();
+    static const char *phaseName(RunPhase phase);
     WorkerSession *sessionOf(const WorkerIncarnation &incarnation);
 
     void scheduleDispatch();
--- /dev/null
+++ b/Tests/Unit/CellFaultHistoryTest.cpp
@@ -0,0 +1,167 @@
+#include "CellFixture.h"
+#include "TestEnvironment.h"
+
+using namespace Cranberrymount;
+
+namespace {
+
+constexpr int StepsPerHistory = 60;
+
+/** Plays one history: jobs, and faults of workers, leaders and store that overlap. */
+class FaultHistory
+{
+public:
+    explicit FaultHistory(uint64_t seed)
+        : m_cell(seed)
+    {
+        m_cell.elect();
+        m_cell.runUntil([this] { return m_cell.leader().isReady(); }, Duration(1000));
+    }
+
+    void play()
+    {
+        for (int step = 0; step < StepsPerHistory; ++step) {
+            m_cell.taskLength = Duration(100 + below(6000));
+            takeStep();
+            m_cell.run(Duration(below(1500)));
+        }
+        repairAll();
+        m_cell.run(Duration(60'000));
+    }
+
+    void check()
+    {
+        for (const std::string &violation : m_cell.violations)
+            FAIL_CHECK(violation);
+        for (const JobId &job : m_cell.accepted) {
+            if (m_cell.stateOf(job) != JobState::Done)
+                FAIL_CHECK("job " << job.value() << " has not ended");
+        }
+    }
+
+private:
+    uint32_t below(uint32_t bound) { return m_cell.random(bound); }
+    FakeCellWorker &anyWorker()
+    {
+        return m_cell.workers[below(static_cast<uint32_t>(m_cell.workers.size()))];
+    }
+    LeaderProcess &anyProcess()
+    {
+        return *m_cell.processes()[below(static_cast<uint32_t>(m_cell.processes().size()))];
+    }
+
+    void takeStep()
+    {
+        switch (below(16)) {
+        case 0:
+            anyWorker().isUnreachable ^= true;
+            break;
+        case 1: {
+            auto &unreachable = anyProcess().unreachable;
+            const WorkerId worker = anyWorker().info.incarnation.id;
+            if (unreachable.erase(worker) == 0)
+                unreachable.insert(worker);
+            break;
+        }
+        case 2:
+            restartWorkers();
+            break;
+        case 3:
+            anyWorker().isCutFromStore ^= true;
+            break;
+        case 4:
+            m_cell.store.isDown ^= true;
+            break;
+        case 5:
+            m_cell.store.lostResponseRate = below(2) * 0.3;
+            m_cell.store.latency = Duration(4 + below(2) * 200);
+            break;
+        case 6:
+            freezeLeader();
+            break;
+        case 7:
+            if (below(3) == 0)
+                m_cell.killLeader();
+            m_cell.elect();
+            break;
+        case 8:
+            m_cell.lateCommandRate = below(2) * 0.2;
+            break;
+        case 9:
+            m_cell.leaderProcess().isCutFromStore ^= true;
+            break;
+        case 10:
+            if (!m_cell.accepted.empty())
+                m_cell.stateOf(*std::next(m_cell.accepted.begin(),
+                                          below(static_cast<uint32_t>(m_cell.accepted.size()))));
+            break;
+        default:
+            m_cell.submit(1 + below(6), below(3) == 0 ? Large : Small, m_cell.taskLength,
+                          below(4) == 0);
+            break;
+        }
+    }
+
+    /** Restarts some workers, some at once and silently, others after a while. */
+    void restartWorkers()
+    {
+        const Duration downTime(below(2) * below(1500));
+        std::vector<std::size_t> indices;
+        for (std::size_t index = 0; index < m_cell.workers.size(); ++index) {
+            if (below(2) == 0)
+                indices.push_back(index);
+        }
+        for (const std::size_t index : indices)
+            m_cell.workers[index].isUnreachable = true;
+        m_cell.run(downTime);
+        for (const std::size_t index : indices) {
+            m_cell.crash(index);
+            m_cell.workers[index].isUnreachable = false;
+        }
+    }
+
+    void freezeLeader()
+    {
+        LeaderProcess &process = m_cell.leaderProcess();
+        process.freeze();
+        m_cell.events.at(m_cell.events.now() + Duration(300 + below(9000)),
+                         [&process] { process.thaw(); });
+    }
+
+    void repairAll()
+    {
+        m_cell.store.isDown = false;
+        m_cell.store.lostResponseRate = 0;
+        m_cell.store.latency = Duration(4);
+        m_cell.lateCommandRate = 0;
+        for (std::size_t index = 0; index < m_cell.workers.size(); ++index) {
+            m_cell.workers[index].isUnreachable = false;
+            m_cell.reconnectToStore(index);
+        }
+        for (const auto &process : m_cell.processes()) {
+            process->unreachable.clear();
+            process->isCutFromStore = false;
+            process->thaw();
+        }
+        m_cell.elect();
+    }
+
+    CellSimulation m_cell;
+};
+
+} // namespace
+
+TEST_CASE(
+    "Random histories with frozen leaders, restarted workers and late commands lose no job and "
+    "run no job twice",
+    "[cell][cellhistory]")
+{
+    const uint64_t first = numberFromEnvironment("HISTORY_SEED", 1);
+    const uint64_t count = numberFromEnvironment("HISTORY_COUNT", 150);
+    for (uint64_t seed = first; seed < first + count; ++seed) {
+        CAPTURE(seed);
+        FaultHistory history(seed);
+        history.play();
+        history.check();
+    }
+}
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -1,48 +1,8 @@
-#include "CellSimulation.h"
-
-#include <catch2/catch.hpp>
-
-#include <cstdlib>
+#include "CellFixture.h"
+#include "TestEnvironment.h"
 
 using namespace Cranberrymount;
 
-namespace {
-
-const Resources Small{CpuMillis(2'000), MemoryMb(4'000), AcceleratorCount(0)};
-const Resources Large{CpuMillis(9'000), MemoryMb(4'000), AcceleratorCount(0)};
-
-/** A cell with a ready leader; fails the test if a start has broken a rule. */
-class CellFixture
-{
-protected:
-    CellFixture()
-    {
-        m_cell.elect();
-        REQUIRE(m_cell.runUntil([this] { return m_cell.leader().isReady(); }, Duration(1000)));
-        m_cell.run(Duration(200));
-    }
-    ~CellFixture()
-    {
-        for (const std::string &violation : m_cell.violations)
-            FAIL_CHECK(violation);
-    }
-
-    bool reachesState(const JobId &id, JobState state, Duration limit = Duration(20'000))
-    {
-        return m_cell.runUntil([&] { return m_cell.stateOf(id) == state; }, limit);
-    }
-
-    CellSimulation m_cell{1};
-};
-
-uint64_t numberFromEnvironment(const char *name, uint64_t fallback)
-{
-    const char *text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
-} // namespace
-
 TEST_CASE_METHOD(CellFixture, "Accepted job runs once and its state becomes done", "[cell]")
 {
     const JobId job = m_cell.submit(5, Small, Duration(500));
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -19,6 +19,8 @@
 constexpr Duration LeaseLength{6000};
 /** Documented for users: no task starts later than this after its cancellation was confirmed. */
 constexpr Duration MaxStartDelayAfterCancel{3000};
+/** An entry that its worker hasn't renewed for this long is removed from the store. */
+constexpr Duration EntryLifetime{4500};
 
 } // namespace
 
@@ -132,6 +134,126 @@
     done({true, true, id});
 }
 
+LeaderProcess::LeaderProcess(TimerService &timers, TransactionalStore &store,
+                             WorkerCommands &commands, OperatorSource &operators)
+    : m_timers(timers)
+    , m_store(store)
+    , m_commands(commands)
+    , m_operators(operators)
+{
+}
+
+void LeaderProcess::deliver(std::function<void()> callback)
+{
+    if (m_isFrozen)
+        m_delayed.push_back(std::move(callback));
+    else
+        callback();
+}
+
+void LeaderProcess::thaw()
+{
+    m_isFrozen = false;
+    // A callback may freeze the process again.
+    while (!m_isFrozen && !m_delayed.empty()) {
+        const std::function<void()> callback = std::move(m_delayed.front());
+        m_delayed.pop_front();
+        callback();
+    }
+}
+
+template <typename Reply>
+std::function<void(Reply)> LeaderProcess::delivering(std::function<void(Reply)> done)
+{
+    return [this, done = std::move(done)](Reply reply) {
+        deliver([done, reply = std::move(reply)] { done(reply); });
+    };
+}
+
+template <typename Reply>
+bool LeaderProcess::failsToReach(const CommandTarget &to, const std::function<void(Reply)> &done)
+{
+    if (!unreachable.contains(to.worker))
+        return false;
+    after(CallTimeout, [done] { done(Reply()); });
+    return true;
+}
+
+void LeaderProcess::after(Duration delay, std::function<void()> callback)
+{
+    m_timers.after(delay, [this, callback = std::move(callback)] { deliver(callback); });
+}
+
+void LeaderProcess::list(const std::string &prefix, std::function<void(StoreRead)> done)
+{
+    if (isCutFromStore)
+        return after(UnresponsiveStoreTimeout, [done = std::move(done)] { done({}); });
+    m_store.list(prefix, delivering(std::move(done)));
+}
+
+void LeaderProcess::probe(std::function<void(bool answers)> done)
+{
+    if (isCutFromStore)
+        return after(ProbeTimeout, [done = std::move(done)] { done(false); });
+    m_store.probe(delivering(std::move(done)));
+}
+
+void LeaderProcess::commit(StoreTransaction transaction, std::function<void(CommitResult)> done)
+{
+    if (isCutFromStore)
+        return after(UnresponsiveStoreTimeout, [done = std::move(done)] {
+            done({CommitResult::Unknown, {}, {}});
+        });
+    m_store.commit(std::move(transaction), delivering(std::move(done)));
+}
+
+void LeaderProcess::createLease(Duration ttl, std::function<void(StoreLease)> done)
+{
+    m_store.createLease(ttl, delivering(std::move(done)));
+}
+
+void LeaderProcess::renewLease(StoreLeaseId id, std::function<void(StoreLease)> done)
+{
+    m_store.renewLease(id, delivering(std::move(done)));
+}
+
+void LeaderProcess::hold(HoldCall call, std::function<void(HoldReply)> done)
+{
+    done = delivering(std::move(done));
+    if (!failsToReach(call.to, done))
+        m_commands.hold(std::move(call), std::move(done));
+}
+
+void LeaderProcess::start(StartCall call, std::function<void(StartReply)> done)
+{
+    done = delivering(std::move(done));
+    if (!failsToReach(call.to, done))
+        m_commands.start(std::move(call), std::move(done));
+}
+
+void LeaderProcess::stop(StopCall call, std::function<void(StopReply)> done)
+{
+    done = delivering(std::move(done));
+    if (!failsToReach(call.to, done))
+        m_commands.stop(std::move(call), std::move(done));
+}
+
+void LeaderProcess::readOperators(std::function<void(OperatorView)> done)
+{
+    if (isCutFromStore)
+        return after(UnresponsiveStoreTimeout, [done = std::move(done)] { done({}); });
+    m_operators.readOperators(delivering(std::move(done)));
+}
+
+void LeaderProcess::readWorkers(std::function<void(WorkerDirectory)> done)
+{
+    if (isCutFromStore)
+        return after(UnresponsiveStoreTimeout, [done = std::move(done)] { done({}); });
+    m_operators.readWorkers([this, done = std::move(done)](const WorkerDirectory &directory) {
+        deliver([done, directory] { done(directory); });
+    });
+}
+
 CellSimulation::CellSimulation(uint64_t seed, std::size_t workerCount)
     : timers(events)
     , store(events, seed)
@@ -160,6 +282,7 @@
         worker.info.capacity = {CpuMillis(16'000), MemoryMb(64'000), AcceleratorCount(0)};
         worker.info.labels = {"kind", "rack"};
         worker.incarnationStart = events.now();
+        renewEntry(worker);
         workers.push_back(std::move(worker));
     }
     m_advice.addCaller(EntryId("self"),
@@ -231,27 +354,33 @@
 CellScheduler &CellSimulation::elect()
 {
     const Revision claim = store.claim(fmt::format("leader-{}", ++m_claimCount));
+    m_processes.push_back(std::make_unique<LeaderProcess>(
+        timers, store, m_commandRelay ? static_cast<WorkerCommands &>(*m_commandRelay) : *this,
+        *this));
+    LeaderProcess &process = *m_processes.back();
     CellScheduler::Dependencies dependencies{
-        store,
-        *this,
-        m_commandRelay ? static_cast<WorkerCommands &>(*m_commandRelay) : *this,
+        process,
+        process,
+        process,
         m_advice,
-        timers,
+        process,
         [this] {
             return WallTime(std::chrono::duration_cast<Duration>(events.now().time_since_epoch()));
         },
         m_log,
         [](const std::string &, double) {},
         [] {}};
-    m_schedulers.push_back(std::make_unique<CellScheduler>(
-        std::move(dependencies), CellTerms{LeaseLength, Duration(120'000)}, claim, [] {}));
+    m_leaders.push_back(
+        {&process,
+         std::make_unique<CellScheduler>(std::move(dependencies),
+                                         CellTerms{LeaseLength, Duration(120'000)}, claim, [] {})});
     leader().recover();
     return leader();
 }
 
 void CellSimulation::killLeader()
 {
-    m_schedulers.pop_back();
+    m_leaders.pop_back();
 }
 
 void CellSimulation::run(Duration time)
@@ -291,7 +420,7 @@
     call.path = "/queue/" + id.value();
     call.key = "key";
     call.spec = std::move(spec);
-    leader().handle(std::move(call), [this, id](const ClientReply &reply) {
+    handleAtLeader(std::move(call), [this, id](const ClientReply &reply) {
         if (reply.outcome == ClientReply::Accepted)
             accepted.insert(id);
         else
@@ -300,6 +429,20 @@
     return id;
 }
 
+void CellSimulation::handleAtLeader(ClientCall call, const ClientResponder &respond)
+{
+    if (!leaderProcess().isFrozen())
+        return leader().handle(std::move(call), respond);
+    // The leader may have ended when its process thaws.
+    leaderProcess().deliver([this, call, respond, scheduler = &leader()] {
+        const auto isSame = [scheduler](const Leader &one) {
+            return one.scheduler.get() == scheduler;
+        };
+        if (std::ranges::any_of(m_leaders, isSame))
+            scheduler->handle(call, respond);
+    });
+}
+
 ClientReply CellSimulation::call(ClientCall::Kind kind, const JobId &id, const std::string &key)
 {
     ClientCall call;
@@ -310,10 +453,12 @@
     if (kind == ClientCall::Cancel)
         cancelRequested.insert(id);
     auto reply = std::make_shared<std::optional<ClientReply>>();
-    leader().handle(std::move(call), [this, reply, kind, id](const ClientReply &answer) {
+    handleAtLeader(std::move(call), [this, reply, kind, id](const ClientReply &answer) {
         *reply = answer;
         if (kind == ClientCall::Cancel && answer.outcome == ClientReply::Cancelled)
             cancelled.emplace(id, events.now());
+        if (answer.outcome == ClientReply::JobShown && answer.state == JobState::Done)
+            shownDone.insert(id);
     });
     runUntil([reply] { return reply->has_value(); }, Duration(3000));
     return reply->value_or(ClientReply());
@@ -334,7 +479,22 @@
     worker.nextEnd = 1;
     worker.epoch = Epoch();
     worker.incarnationStart = events.now();
+    worker.leaseUntil = worker.leaseLapsedAt = {};
     ++worker.info.incarnation.startedAtMs;
+    if (!worker.isCutFromStore)
+        renewEntry(worker);
+}
+
+void CellSimulation::reconnectToStore(std::size_t index)
+{
+    workers[index].isCutFromStore = false;
+    renewEntry(workers[index]);
+}
+
+void CellSimulation::renewEntry(FakeCellWorker &worker)
+{
+    worker.entry = worker.info;
+    worker.entryRenewedAt = events.now();
 }
 
 Resources CellSimulation::needOf(const TaskKey &task) const
@@ -463,6 +623,8 @@
     }
     if (m_doneTasks.contains(call.task))
         addViolation(name + " starts after its end was acknowledged");
+    if (shownDone.contains(call.task.job))
+        addViolation(name + " starts after its job was shown as done");
     const auto cancelledAt = cancelled.find(call.task.job);
     if (cancelledAt != cancelled.end()
         && events.now() > cancelledAt->second + MaxStartDelayAfterCancel)
@@ -484,68 +646,96 @@
         addViolation(name + " exceeds the team's limit");
 }
 
+template <typename Reply>
+bool CellSimulation::isExecutedLate(const CommandTarget &to, const std::function<void(Reply)> &done,
+                                    std::function<void()> execute)
+{
+    const FakeCellWorker *worker = find(to);
+    if (lateCommandRate == 0 || !worker || worker->isUnreachable
+        || std::uniform_real_distribution<double>(0, 1)(random) >= lateCommandRate)
+        return false;
+    events.at(events.now() + CallTimeout, [done] { done(Reply()); });
+    const Duration delay(std::uniform_int_distribution<int>(2000, 12'000)(random));
+    events.at(events.now() + delay, std::move(execute));
+    return true;
+}
+
 void CellSimulation::start(StartCall call, std::function<void(StartReply)> done)
 {
     events.at(events.now() + WorkerLatency, [this, call, done = std::move(done)] {
-        FakeCellWorker *worker = find(call.to);
-        const auto answer = [this, done](StartReply::Outcome outcome, Duration delay) {
-            events.at(events.now() + delay, [done, outcome] { done({outcome}); });
-        };
-        if (!worker || worker->isUnreachable)
-            return answer(StartReply::Unknown, CallTimeout);
-        finish(*worker);
-        if (call.to.epoch < worker->epoch)
-            return answer(StartReply::Fenced, WorkerLatency);
-        worker->epoch = call.to.epoch;
-        if (call.leaseUntil <= clockOf(*worker))
-            return answer(StartReply::LeaseExpired, WorkerLatency);
-        uint32_t &highest = worker->highestAttempt[call.task];
-        if (call.attempt <= highest)
-            return answer(StartReply::Outdated, WorkerLatency);
-        const Resources need = needOf(call.task);
-        checkStart(*worker, call, need);
-        ++startCount;
-        highest = call.attempt;
-        const Instant until =
-            worker->incarnationStart + Duration(static_cast<int64_t>(call.leaseUntil.value()));
-        worker->leaseUntil =
-            std::max(worker->leaseUntil, std::min(until, events.now() + LeaseLength));
-        const Duration length = taskLength.count() > 0
-            ? taskLength
-            : m_specs.at(call.task.job).steps[call.task.step].estimate;
-        worker->running[call.task] = {call.attempt,
-                                      events.now(),
-                                      events.now() + length,
-                                      "",
-                                      worker->failsAll ? RunOutcome::Failed : RunOutcome::Done,
-                                      need};
-        answer(worker->losesReplies ? StartReply::Unknown : StartReply::Started,
-               worker->losesReplies ? CallTimeout : WorkerLatency);
+        if (!isExecutedLate(call.to, done,
+                            [this, call] { executeStart(call, [](const StartReply &) {}); }))
+            executeStart(call, done);
     });
 }
 
+void CellSimulation::executeStart(const StartCall &call,
+                                  const std::function<void(StartReply)> &done)
+{
+    FakeCellWorker *worker = find(call.to);
+    const auto answer = [this, done](StartReply::Outcome outcome, Duration delay) {
+        events.at(events.now() + delay, [done, outcome] { done({outcome}); });
+    };
+    if (!worker || worker->isUnreachable)
+        return answer(StartReply::Unknown, CallTimeout);
+    finish(*worker);
+    if (call.to.epoch < worker->epoch)
+        return answer(StartReply::Fenced, WorkerLatency);
+    worker->epoch = call.to.epoch;
+    if (call.leaseUntil <= clockOf(*worker))
+        return answer(StartReply::LeaseExpired, WorkerLatency);
+    uint32_t &highest = worker->highestAttempt[call.task];
+    if (call.attempt <= highest)
+        return answer(StartReply::Outdated, WorkerLatency);
+    const Resources need = needOf(call.task);
+    checkStart(*worker, call, need);
+    ++startCount;
+    highest = call.attempt;
+    const Instant until =
+        worker->incarnationStart + Duration(static_cast<int64_t>(call.leaseUntil.value()));
+    worker->leaseUntil = std::max(worker->leaseUntil, std::min(until, events.now() + LeaseLength));
+    const Duration length = taskLength.count() > 0
+        ? taskLength
+        : m_specs.at(call.task.job).steps[call.task.step].estimate;
+    worker->running[call.task] = {call.attempt,
+                                  events.now(),
+                                  events.now() + length,
+                                  "",
+                                  worker->failsAll ? RunOutcome::Failed : RunOutcome::Done,
+                                  need};
+    answer(worker->losesReplies ? StartReply::Unknown : StartReply::Started,
+           worker->losesReplies ? CallTimeout : WorkerLatency);
+}
+
 void CellSimulation::stop(StopCall call, std::function<void(StopReply)> done)
 {
     events.at(events.now() + WorkerLatency, [this, call, done = std::move(done)] {
-        FakeCellWorker *worker = find(call.to);
-        if (!worker || worker->isUnreachable) {
-            events.at(events.now() + CallTimeout, [done] { done({}); });
-            return;
-        }
-        finish(*worker);
-        if (call.to.epoch < worker->epoch)
-            return done({StopReply::Fenced});
-        uint32_t &highest = worker->highestAttempt[call.task];
-        highest = std::max(highest, call.attempt);
-        const auto run = worker->running.find(call.task);
-        if (run != worker->running.end() && run->second.attempt == call.attempt) {
-            run->second.outcome = RunOutcome::Stopped;
-            run->second.endsAt = std::min(run->second.endsAt, events.now() + Duration(300));
-        }
-        done({StopReply::Accepted});
+        if (!isExecutedLate(call.to, done,
+                            [this, call] { executeStop(call, [](const StopReply &) {}); }))
+            executeStop(call, done);
     });
 }
 
+void CellSimulation::executeStop(const StopCall &call, const std::function<void(StopReply)> &done)
+{
+    FakeCellWorker *worker = find(call.to);
+    if (!worker || worker->isUnreachable) {
+        events.at(events.now() + CallTimeout, [done] { done({}); });
+        return;
+    }
+    finish(*worker);
+    if (call.to.epoch < worker->epoch)
+        return done({StopReply::Fenced});
+    uint32_t &highest = worker->highestAttempt[call.task];
+    highest = std::max(highest, call.attempt);
+    const auto run = worker->running.find(call.task);
+    if (run != worker->running.end() && run->second.attempt == call.attempt) {
+        run->second.outcome = RunOutcome::Stopped;
+        run->second.endsAt = std::min(run->second.endsAt, events.now() + Duration(300));
+    }
+    done({StopReply::Accepted});
+}
+
 void CellSimulation::ask(AdviceCall call, std::function<void(AdviceReply)> done)
 {
     events.at(events.now() + Duration(20), [call, done = std::move(done)] {
@@ -571,8 +761,12 @@
     events.at(events.now() + store.latency, [this, done = std::move(done)] {
         WorkerDirectory directory;
         directory.answered = !store.isDown;
-        for (const FakeCellWorker &worker : workers)
-            directory.workers.push_back(worker.info);
+        for (FakeCellWorker &worker : workers) {
+            if (!worker.isCutFromStore)
+                renewEntry(worker);
+            if (events.now() - worker.entryRenewedAt < EntryLifetime)
+                directory.workers.push_back(worker.entry);
+        }
         done(directory);
     });
 }
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -77,11 +77,69 @@
     std::map<TaskKey, uint32_t> highestAttempt;
     uint64_t nextEnd = 1;
     bool isUnreachable = false;
+    /** The worker can't update its entry in the store; a long silence removes the entry. */
+    bool isCutFromStore = false;
+    /** The entry in the store, and when the worker last renewed it. */
+    CellWorker entry;
+    Instant entryRenewedAt{};
     bool failsAll = false;
     /** Starts are executed, but their replies are lost. */
     bool losesReplies = false;
 };
 
+/**
+ * One leader's process between its scheduler and the fakes. While it is frozen, everything that
+ * arrives for it waits; calls that it has sent are executed all the same.
+ */
+class LeaderProcess : public TimerService,
+                      public TransactionalStore,
+                      public WorkerCommands,
+                      public OperatorSource
+{
+public:
+    LeaderProcess(TimerService &timers, TransactionalStore &store, WorkerCommands &commands,
+                  OperatorSource &operators);
+
+    Instant now() const override { return m_timers.now(); }
+    void after(Duration delay, std::function<void()> callback) override;
+    void list(const std::string &prefix, std::function<void(StoreRead)> done) override;
+    void probe(std::function<void(bool answers)> done) override;
+    void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override;
+    void createLease(Duration ttl, std::function<void(StoreLease)> done) override;
+    void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) override;
+    void hold(HoldCall call, std::function<void(HoldReply)> done) override;
+    void start(StartCall call, std::function<void(StartReply)> done) override;
+    void stop(StopCall call, std::function<void(StopReply)> done) override;
+    void readOperators(std::function<void(OperatorView)> done) override;
+    void readWorkers(std::function<void(WorkerDirectory)> done) override;
+
+    bool isFrozen() const { return m_isFrozen; }
+    void freeze() { m_isFrozen = true; }
+    /** Delivers what has arrived meanwhile, in the order of arrival. */
+    void thaw();
+    /** Workers to which this process has lost the path; calls to them time out. */
+    std::set<WorkerId> unreachable;
+    /** This process has lost the path to the store; calls to it time out. */
+    bool isCutFromStore = false;
+
+    /** Runs @p callback now, or after the process has thawed. */
+    void deliver(std::function<void()> callback);
+
+private:
+    template <typename Reply>
+    std::function<void(Reply)> delivering(std::function<void(Reply)> done);
+    /** @return true if the call was answered as one to an unreachable worker. */
+    template <typename Reply>
+    bool failsToReach(const CommandTarget &to, const std::function<void(Reply)> &done);
+
+    TimerService &m_timers;
+    TransactionalStore &m_store;
+    WorkerCommands &m_commands;
+    OperatorSource &m_operators;
+    bool m_isFrozen = false;
+    std::deque<std::function<void()>> m_delayed;
+};
+
 /**
  * Simulates a cell in virtual time: leaders, one after another or two at once, over one store and
  * fake workers. Every start that a worker executes is checked; @c violations lists broken
@@ -108,7 +166,11 @@
 
     /** Creates a new leader; earlier ones continue until they notice it. */
     CellScheduler &elect();
-    CellScheduler &leader() { return *m_schedulers.back(); }
+    CellScheduler &leader() { return *m_leaders.back().scheduler; }
+    /** The process of the latest leader; it exists as long as the simulation. */
+    LeaderProcess &leaderProcess() { return *m_leaders.back().process; }
+    /** The processes of all leaders so far, ended ones included. */
+    const std::vector<std::unique_ptr<LeaderProcess>> &processes() const { return m_processes; }
     /** Destroys the latest leader without a shutdown, as a crash of its process does. */
     void killLeader();
 
@@ -124,6 +186,8 @@
     JobState stateOf(const JobId &id);
     /** Restarts a worker as a new incarnation that has lost its runs and ends. */
     void crash(std::size_t worker);
+    /** Lets a worker reach the store again, where it renews its entry. */
+    void reconnectToStore(std::size_t worker);
 
     EventQueue events;
     EventQueueTimers timers;
@@ -139,6 +203,8 @@
     std::set<JobId> cancelRequested;
     /** When the cancellation of each job was confirmed. */
     std::map<JobId, Instant> cancelled;
+    /** Jobs that a leader has shown as done. */
+    std::set<JobId> shownDone;
     std::vector<std::string> violations;
     std::size_t startCount = 0;
     /** Number of calls to readOperators() and readWorkers(). */
@@ -151,9 +217,23 @@
     Duration estimatedLength{0};
     /** All runs report the same progress forever. */
     bool isProgressStalled = false;
+    /** Probability that a start or stop gets no reply and is executed 2 to 12 s later. */
+    double lateCommandRate = 0;
 
 private:
+    /** Hands a call to the latest leader, at once or when its process thaws. */
+    void handleAtLeader(ClientCall call, const ClientResponder &respond);
     FakeCellWorker *find(const CommandTarget &to);
+    void executeStart(const StartCall &call, const std::function<void(StartReply)> &done);
+    void executeStop(const StopCall &call, const std::function<void(StopReply)> &done);
+    /**
+     * Executes a command late if the dice say so; its sender then gets no reply.
+     * @return true if the command was taken; the caller must not execute it.
+     */
+    template <typename Reply>
+    bool isExecutedLate(const CommandTarget &to, const std::function<void(Reply)> &done,
+                        std::function<void()> execute);
+    void renewEntry(FakeCellWorker &worker);
     /** Forwards a command to a worker; @p done gets no reply if none arrives within @p timeout. */
     template <typename Reply, typename Call>
     void forwardCommand(std::size_t forwarder, Call call, Duration timeout,
@@ -173,7 +253,14 @@
     AdviceCallScheduler m_advice;
     std::unique_ptr<CommandRelay> m_commandRelay;
     std::vector<Instant> m_faultyUntil;
-    std::vector<std::unique_ptr<CellScheduler>> m_schedulers;
+    struct Leader
+    {
+        LeaderProcess *process;
+        std::unique_ptr<CellScheduler> scheduler;
+    };
+
+    std::vector<std::unique_ptr<LeaderProcess>> m_processes;
+    std::vector<Leader> m_leaders;
     std::map<JobId, WorkflowSpec> m_specs;
     std::set<TaskKey> m_doneTasks;
     uint64_t m_nextJob = 1;
--- a/Tests/Unit/HistoryTest.cpp
+++ b/Tests/Unit/HistoryTest.cpp
@@ -1,11 +1,11 @@
 // Random histories of a whole deployment in virtual time, checked by what its workers ran.
 
 #include "ClusterSimulation.h"
+#include "TestEnvironment.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 #include <iostream>
 
 using namespace Cranberrymount;
@@ -15,12 +15,6 @@
 const Resources OneCore{CpuMillis(1000), MemoryMb(1000), AcceleratorCount(0)};
 const Resources TenCores{CpuMillis(10'000), MemoryMb(10'000), AcceleratorCount(0)};
 
-uint64_t numberFromEnvironment(const char *variable, uint64_t fallback)
-{
-    const char *value = std::getenv(variable);
-    return value ? std::strtoull(value, nullptr, 10) : fallback;
-}
-
 JobSpec makeJob(const std::string &name, const std::string &team, const WorkPolicy &policy,
                 uint32_t tasks)
 {
