Transport: Count time by the boot clock, so that permissions run out while the machine is suspended

A leader that was suspended for seconds took its claim, the worker list and the operators' settings for as fresh as before, extended leases and answered from memory; an entry of the daemon took the configuration and its targets' slots for valid. All points in time that are compared come from the boot clock now (AsioTimerService, the published configuration, slots, links); the call that marked the views as old after a suspension, from a timer that could come after other events, goes. libcurl's own timers and waits stay on the steady clock.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -382,11 +382,6 @@
         && !m_health.isQuarantined(session.incarnation(), m_timers.now());
 }
 
-void CellScheduler::invalidateViews()
-{
-    m_operatorsReadAt = m_workersReadAt = Instant() + Duration(1);
-}
-
 void CellScheduler::scheduleDispatch()
 {
     if (m_isDispatchScheduled || !m_isReady || m_isSuperseded || m_isQuiescing)
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -77,9 +77,6 @@
     /** Stops making decisions; @p done runs after a short delay in which commits in flight can
      * finish. */
     void quiesce(std::function<void()> done);
-    /** Marks the operators' settings and the worker list as out of date, as after a suspension of
-     * this process. */
-    void invalidateViews();
 
 private:
     /** How far the start of a run has come. */
--- a/Libraries/Protocol/TcpPeerNetwork.cpp
+++ b/Libraries/Protocol/TcpPeerNetwork.cpp
@@ -1,6 +1,7 @@
 #include "Protocol/TcpPeerNetwork.h"
 
 #include "Protocol/ProtocolError.h"
+#include "Transport/BootClock.h"
 
 #include <glog/logging.h>
 
@@ -64,7 +65,7 @@
     const auto pending = m_pendingCalls.find(id);
     if (pending != m_pendingCalls.end()) {
         pending->second.isSent = true;
-        pending->second.sentAt = std::chrono::steady_clock::now();
+        pending->second.sentAt = bootInstant();
     }
     m_bytesSent += frame.size();
     ++m_messagesSent;
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -21,7 +21,7 @@
 constexpr double NoLeaderRetrySpreadMs = 1000;
 /** Timeout of a call for which the client gives none. */
 constexpr Duration DefaultCallTimeout{3000};
-/** Shorter suspensions need no handling: they delay the node no more than a busy machine does. */
+/** Shorter suspensions are not logged: they delay the node no more than a busy machine does. */
 constexpr Duration SuspensionThreshold{300};
 /** After a store outage of this length a leader offers its claim to one peer after the other. */
 constexpr Duration StoreOutageBeforeOffer{250};
@@ -242,11 +242,8 @@
 void CellNode::tick()
 {
     m_retiredSchedulers.clear();
-    if (suspendedSinceLastCall() > SuspensionThreshold) {
+    if (suspendedSinceLastCall() > SuspensionThreshold)
         LOG(WARNING) << "event=suspended";
-        if (m_scheduler)
-            m_scheduler->invalidateViews();
-    }
     std::deque<WaitingCall> waiting;
     waiting.swap(m_waitingCalls);
     const Instant now = m_timers.now();
--- a/Libraries/Service/EntryNode.cpp
+++ b/Libraries/Service/EntryNode.cpp
@@ -1,6 +1,7 @@
 #include "Service/EntryNode.h"
 
 #include "Protocol/Json.h"
+#include "Transport/BootClock.h"
 
 #include <asio/post.hpp>
 
@@ -110,7 +111,7 @@
 std::shared_ptr<const Configuration> EntryNode::freshConfiguration() const
 {
     const std::lock_guard lock(m_publishedMutex);
-    return std::chrono::steady_clock::now() < m_publishedFreshUntil ? m_published : nullptr;
+    return bootInstant() < m_publishedFreshUntil ? m_published : nullptr;
 }
 
 std::shared_ptr<const Configuration> EntryNode::latestConfiguration() const
--- a/Libraries/Service/LookupRouter.cpp
+++ b/Libraries/Service/LookupRouter.cpp
@@ -1,5 +1,7 @@
 #include "Service/LookupRouter.h"
 
+#include "Transport/BootClock.h"
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -20,11 +22,6 @@
 /** HTTP status with which a target refuses a request without reading it. */
 constexpr int StatusTooManyRequests = 429;
 
-Instant steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 LookupReply notRun(const std::string &reason)
 {
     LookupReply reply;
@@ -94,7 +91,7 @@
     auto request = std::make_shared<Request>();
     request->span = m_tracer.begin(call.hops > 0 ? "lookup.route" : "lookup.serve", trace);
     request->span.attributes["queue"] = call.queue.value();
-    request->startedAt = steadyNow();
+    request->startedAt = bootInstant();
     request->deadline = request->startedAt + call.timeout;
     request->call = std::move(call);
     request->done = std::move(done);
@@ -103,7 +100,7 @@
 
 void LookupRouter::routeNext(const RequestRef &request)
 {
-    const Instant now = steadyNow();
+    const Instant now = bootInstant();
     if (now >= request->deadline)
         return finish(request, notRun("no slot became free in time"));
     const bool isForwarded = request->call.hops == 0;
@@ -120,13 +117,13 @@
 
 void LookupRouter::waitForTargets(const RequestRef &request)
 {
-    const Instant now = steadyNow();
+    const Instant now = bootInstant();
     const Instant nextPoll = std::min(request->deadline, now + TargetPollPeriod);
     m_slots.take(now, {nextPoll, true}, request->triedTargets,
                  [this, request, nextPoll](const std::optional<Slot> &slot) {
                      if (slot)
                          return sendToTarget(request, *slot);
-                     if (steadyNow() < nextPoll)
+                     if (bootInstant() < nextPoll)
                          return finish(request, notRun("too many requests are waiting for a slot"));
                      request->triedPeers.clear();
                      routeNext(request);
@@ -136,7 +133,7 @@
 std::optional<LookupPeer> LookupRouter::choosePeer(const RequestRef &request, bool sameZone)
 {
     const std::lock_guard lock(m_mutex);
-    const Instant now = steadyNow();
+    const Instant now = bootInstant();
     std::erase_if(m_peersWithoutTarget, [now](const auto &item) { return item.second <= now; });
     LookupPeer *mostFree = nullptr;
     for (LookupPeer &peer : m_peers) {
@@ -165,7 +162,7 @@
     ++request->attempts;
     LookupCall call = request->call;
     --call.hops;
-    call.timeout = std::chrono::duration_cast<Duration>(request->deadline - steadyNow());
+    call.timeout = std::chrono::duration_cast<Duration>(request->deadline - bootInstant());
     m_metrics.count("lookups_passed_on_total");
     m_peerNetwork.call(
         peer.address, std::move(call), request->span.traceparent(),
@@ -195,7 +192,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_peersWithoutTarget[from] = steadyNow() + NoTargetValidity;
+        m_peersWithoutTarget[from] = bootInstant() + NoTargetValidity;
     }
     m_metrics.count("lookups_redirected_total");
     --request->attempts;
@@ -204,7 +201,7 @@
 
 void LookupRouter::takeLocalSlot(const RequestRef &request, bool mayWait)
 {
-    const Instant now = steadyNow();
+    const Instant now = bootInstant();
     m_slots.take(now, {mayWait ? request->deadline : now}, request->triedTargets,
                  [this, request, mayWait](const std::optional<Slot> &slot) {
                      if (slot)
@@ -230,7 +227,7 @@
     call.body = request->call.body;
     call.headers = {"X-Lease-Epoch: " + std::to_string(slot.epoch.value()),
                     "traceparent: " + request->span.traceparent()};
-    call.timeout = std::max(std::chrono::duration_cast<Duration>(request->deadline - steadyNow()),
+    call.timeout = std::max(std::chrono::duration_cast<Duration>(request->deadline - bootInstant()),
                             Duration(1));
     call.atMostOnce = !request->call.idempotent;
     m_client.send(std::move(call), [this, request, slot](const HttpResult &result) {
@@ -241,7 +238,7 @@
 void LookupRouter::handleTargetResponse(const RequestRef &request, const Slot &slot,
                                         const HttpResult &result)
 {
-    const Instant now = steadyNow();
+    const Instant now = bootInstant();
     if (result.outcome == HttpResult::Unknown) {
         // The target may still run the request, for up to the timeout of the queue.
         m_slots.releaseLater(slot, now + request->call.timeout);
@@ -268,7 +265,7 @@
 void LookupRouter::retryOrFinish(const RequestRef &request, LookupReply reply)
 {
     const bool mayRepeat = reply.outcome == LookupReply::NotRun || request->call.idempotent;
-    if (mayRepeat && request->attempts < MaxAttempts && steadyNow() < request->deadline
+    if (mayRepeat && request->attempts < MaxAttempts && bootInstant() < request->deadline
         && m_retryBudget.takeRetry()) {
         m_metrics.count("lookup_retries_total");
         return routeNext(request);
@@ -285,7 +282,7 @@
         reply.outcome = LookupReply::Unknown;
     static const char *const OutcomeNames[] = {"answered", "not_run", "unknown"};
     m_metrics.count(std::string("lookups_") + OutcomeNames[reply.outcome] + "_total");
-    m_metrics.observe("lookup_seconds", steadyNow() - request->startedAt);
+    m_metrics.observe("lookup_seconds", bootInstant() - request->startedAt);
     request->span.attributes["outcome"] = OutcomeNames[reply.outcome];
     if (!reply.reason.empty())
         request->span.attributes["reason"] = reply.reason;
--- a/Libraries/Transport/AsioTimerService.cpp
+++ b/Libraries/Transport/AsioTimerService.cpp
@@ -1,5 +1,7 @@
 #include "Transport/AsioTimerService.h"
 
+#include "Transport/BootClock.h"
+
 #include <asio/steady_timer.hpp>
 
 #include <memory>
@@ -13,7 +15,7 @@
 
 Instant AsioTimerService::now() const
 {
-    return std::chrono::steady_clock::now();
+    return bootInstant();
 }
 
 void AsioTimerService::after(Duration delay, std::function<void()> callback)
--- a/Libraries/Transport/BootClock.h
+++ b/Libraries/Transport/BootClock.h
@@ -21,4 +21,11 @@
     return std::chrono::duration_cast<Duration>(readSystemClock(CLOCK_BOOTTIME));
 }
 
+/** @return the current time for all points in time that this process compares: permissions that it
+ * has been given run out also while the machine is suspended. */
+inline Instant bootInstant()
+{
+    return Instant(readSystemClock(CLOCK_BOOTTIME));
+}
+
 } // namespace Cranberrymount
--- a/Libraries/Transport/FrameLink.cpp
+++ b/Libraries/Transport/FrameLink.cpp
@@ -111,7 +111,7 @@
             return closeAndNotify();
         if (bytes.size() - position - PrefixBytes < length)
             break;
-        m_lastReceived = std::chrono::steady_clock::now();
+        m_lastReceived = bootInstant();
         Frame frame = bytes.substr(position + PrefixBytes, length);
         position += PrefixBytes + length;
         if (isCompressed)
--- a/Libraries/Transport/FrameLink.h
+++ b/Libraries/Transport/FrameLink.h
@@ -2,6 +2,7 @@
 
 #include "State/Time.h"
 #include "State/Worker.h"
+#include "Transport/BootClock.h"
 #include "Transport/StreamCompressor.h"
 #include "Transport/StreamDecompressor.h"
 
@@ -77,7 +78,7 @@
     std::unique_ptr<StreamDecompressor> m_decompressor;
     bool m_isWriting = false;
     bool m_closed = false;
-    std::atomic<Instant> m_lastReceived = std::chrono::steady_clock::now();
+    std::atomic<Instant> m_lastReceived = bootInstant();
 };
 
 /** Listens on one address and accepts links. */
--- a/Libraries/Transport/TimerService.h
+++ b/Libraries/Transport/TimerService.h
@@ -15,7 +15,7 @@
 public:
     virtual ~TimerService() = default;
 
-    /** @return the current time of this process's monotonic clock. */
+    /** @return the current time; it also advances while the machine is suspended. */
     virtual Instant now() const = 0;
 
     /** Calls @p callback once, after @p delay, on the control thread. */
