Cell: Judge stalls by the time of reports, not by the leader's clock

Seen while the frozen leader was traced: a leader that resumes after 3 s stopped all its running tasks as stalled (why=no_progress), since the time in which it stood still counted as time without progress. Callers saw their work begin again. Class: one's own silence is taken for a peer's. Test 'Leader that resumes does not stop runs that make progress' failed before (12 starts in place of 6).

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -580,11 +580,12 @@
     for (auto &[key, run] : m_runs) {
         const bool mayStall = run.phase == RunPhase::Confirmed && !run.isEnding
             && !run.isStopRequested && run.percent < SaturatedPercent;
-        if (!mayStall || now - run.percentChangedAt < StallTimeout)
-            continue;
-        const WorkerSession *session = sessionOf(run.worker);
+        const WorkerSession *session = mayStall ? sessionOf(run.worker) : nullptr;
         if (!session || !session->isReachable())
             continue;
+        // Only reports show progress; there were none while this process was frozen.
+        if (session->lastReportAt() - run.percentChangedAt < StallTimeout)
+            continue;
         m_health.recordStall(run.worker, now);
         requestStop(key, run, "no_progress");
     }
--- a/Libraries/Coordination/WorkerSession.h
+++ b/Libraries/Coordination/WorkerSession.h
@@ -49,6 +49,8 @@
 
     /** @return true if the worker answered the last call; commands may then be sent. */
     bool isReachable() const { return m_isReachable; }
+    /** @return when the latest report arrived. */
+    Instant lastReportAt() const { return m_clockReadAt; }
     /** @return the latest time at which this or an earlier session may have extended a lease. */
     Instant lastLeaseExtension() const;
     /** @return when every lease that this or an earlier leader granted has expired. */
