Cell: Let workers hold reports back also while no lease may be extended

Seen in a history: once the claim is older than 6 s the leader extends no lease, and asked for reports without a wait, so that each report was followed by the next request at once.

--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -84,10 +84,11 @@
     const bool isSameIncarnation =
         m_isReachable && m_timers.now() - m_clockReadAt < MaxAcknowledgementAge;
     call.acknowledgedEnds = isSameIncarnation ? m_acknowledged : 0;
-    // A call that is executed late must not extend a lease that this leader counts as expired.
-    if (m_isReachable && m_observer.mayExtendLeases()) {
-        call.leaseUntil = newLeaseEnd();
+    if (m_isReachable) {
         call.wait = MaxReportWait;
+        // A call that is executed late must not extend a lease that this leader counts as expired.
+        if (m_observer.mayExtendLeases())
+            call.leaseUntil = newLeaseEnd();
     }
     const Instant sentAt = m_timers.now();
     m_commands.hold(std::move(call),
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -211,6 +211,31 @@
     CHECK(m_cell.holdCount - before <= 5 * m_cell.workers.size());
 }
 
+// Guards against a leader that polls its workers without a pause once it may extend no leases.
+TEST_CASE_METHOD(CellFixture, "Workers are polled once a second in a long outage of the store",
+                 "[cell]")
+{
+    m_cell.submit(6, Small, Duration(500));
+    m_cell.run(Duration(300));
+    m_cell.store.isDown = true;
+    m_cell.run(Duration(7000));
+    const std::size_t before = m_cell.holdCount;
+    m_cell.run(Duration(4000));
+    CHECK(m_cell.holdCount - before <= 5 * m_cell.workers.size());
+}
+
+// Guards against a leader that takes the time in which it was frozen for a stall of all runs.
+TEST_CASE_METHOD(CellFixture, "Leader that resumes does not stop runs that make progress", "[cell]")
+{
+    const JobId job = m_cell.submit(6, Small, Duration(12'000));
+    m_cell.run(Duration(2000));
+    m_cell.leaderProcess().freeze();
+    m_cell.run(Duration(4000));
+    m_cell.leaderProcess().thaw();
+    CHECK(reachesState(job, JobState::Done));
+    CHECK(m_cell.startCount == 6);
+}
+
 // Guards against a job that the next leader runs again although its cancellation was confirmed.
 TEST_CASE_METHOD(CellFixture,
                  "Cancellation of a job is not confirmed before the end of its run is written",
