Transport, Cell: Close idle connections, so that former leaders don't use up a worker's 64

A node keeps up to 24 to a worker, and libcurl keeps idle ones open for good (it only stops reusing them after 118 s). A start on it is `start_unanswered` or `start_refused` 12 to 75 ms after its decision (a few 230 ms), and `worker_unreachable` flaps (79 times for i-e419aa87f1). The members of a gang are started together, each on a connection of its own, so one passes and the others break, attempt after attempt, on the same worker.

Ruled out: refusals of the worker (no status, no reason is logged), bad tickets (none), cut links (their starts end after 500 ms or 800 ms), a slow store (records were written at once), stop requests (none before the failures).

Change: a cell's node closes connections that were idle for 5 s, with its next call; a node that doesn't lead renews its lease each 2.5 s. Other users of HttpClient keep libcurl's 118 s.

The test failed before (the second client's call got no answer) and passes now.

Left: 24 a node for 8 nodes is still more than 64, if three leaders follow one another within 5 s and each fills a worker.

--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -88,8 +88,10 @@
 
 struct HttpClient::Private
 {
-    Private(asio::io_context &context, std::size_t maxHostConnections)
+    Private(asio::io_context &context, std::size_t maxHostConnections,
+            std::chrono::seconds maxIdleTime)
         : context(context)
+        , maxIdleTime(maxIdleTime)
         , loop(context, maxHostConnections,
                [this](CURL *handle, CURLcode code) { completeTransfer(handle, code); })
     {
@@ -97,6 +99,7 @@
     ~Private();
 
     asio::io_context &context;
+    std::chrono::seconds maxIdleTime;
     std::unordered_map<CURL *, std::unique_ptr<Exchange>> active;
     std::vector<CURL *> idleHandles;
     CurlLoop loop;
@@ -144,6 +147,7 @@
             idleHandles.pop_back();
         }
         configure(handle, *exchange);
+        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(maxIdleTime.count()));
         active.emplace(handle, std::move(exchange));
         loop.add(handle);
     }
@@ -175,13 +179,15 @@
 
 HttpClient::HttpClient(std::size_t maxHostConnections)
     : m_ownLoop(std::make_unique<OwnLoop>())
-    , m_private(std::make_unique<Private>(m_ownLoop->context, maxHostConnections))
+    , m_private(
+          std::make_unique<Private>(m_ownLoop->context, maxHostConnections, DefaultMaxIdleTime))
 {
     m_ownLoop->thread = std::thread([this] { m_ownLoop->context.run(); });
 }
 
-HttpClient::HttpClient(asio::io_context &context, std::size_t maxHostConnections)
-    : m_private(std::make_unique<Private>(context, maxHostConnections))
+HttpClient::HttpClient(asio::io_context &context, std::size_t maxHostConnections,
+                       std::chrono::seconds maxIdleTime)
+    : m_private(std::make_unique<Private>(context, maxHostConnections, maxIdleTime))
 {
 }
 
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -55,13 +55,18 @@
 public:
     using Callback = std::function<void(HttpResult)>;
 
+    static constexpr std::chrono::seconds DefaultMaxIdleTime{118};
+
     /** @param maxHostConnections limit on open connections to one address; 0 for no limit. */
     explicit HttpClient(std::size_t maxHostConnections = 0);
     /**
      * Uses the thread that runs @p context instead of a thread of its own, also for the callbacks:
      * on a node with a fraction of a processor, thread switches cost as much as the calls.
+     *
+     * @param maxIdleTime the next call after it closes connections that were not used for longer
      */
-    HttpClient(asio::io_context &context, std::size_t maxHostConnections);
+    HttpClient(asio::io_context &context, std::size_t maxHostConnections,
+               std::chrono::seconds maxIdleTime = DefaultMaxIdleTime);
     ~HttpClient();
 
     /** Sends @p call; @p callback runs on the client's thread and must not block. */
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -32,6 +32,8 @@
  * and probe sent in a second.
  */
 constexpr std::size_t ConnectionsPerHost = 24;
+/** A former leader closes its connections to workers after this, since the next one needs them. */
+constexpr std::chrono::seconds MaxIdleTime{5};
 constexpr int ServiceUnavailable = 503;
 
 /** A node of a cell with its HTTP servers for clients, readiness probes and metrics. */
@@ -41,7 +43,7 @@
     CellService(asio::io_context &context, const CellSettings &settings)
         : m_context(context)
         , m_settings(settings)
-        , m_client(context, ConnectionsPerHost)
+        , m_client(context, ConnectionsPerHost, MaxIdleTime)
         , m_store(m_client, context, settings.store)
         , m_documents(m_store)
         , m_workers(m_client, context, settings.advisor)
--- a/Tests/Unit/HttpClientTest.cpp
+++ b/Tests/Unit/HttpClientTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <ctime>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -63,12 +64,12 @@
     }
 
     /** Starts a server on the first free port and sets m_port to it. */
-    std::unique_ptr<HttpServer> listen()
+    std::unique_ptr<HttpServer> listen(const HttpServerLimits &limits = {})
     {
         for (m_port = FirstPort;; ++m_port) {
             try {
                 return std::make_unique<HttpServer>(
-                    Endpoint{"127.0.0.1", m_port}, HttpServerLimits(),
+                    Endpoint{"127.0.0.1", m_port}, limits,
                     [this](const HttpRequest &request, HttpResponder respond) {
                         answer(request, std::move(respond));
                     });
@@ -79,6 +80,14 @@
         }
     }
 
+    void answerHeld()
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const HttpResponder &respond : m_held)
+            respond({});
+        m_held.clear();
+    }
+
     std::mutex m_mutex;
     std::vector<HttpResponder> m_held;
     uint16_t m_port = 0;
@@ -119,6 +128,39 @@
     CHECK(std::chrono::steady_clock::now() - before < std::chrono::seconds(10));
 }
 
+// Guards against former leaders whose idle connections use up the connections of a worker.
+TEST_CASE_METHOD(HttpClientFixture,
+                 "Client closes idle connections, so that another client can reach a busy server",
+                 "[transport]")
+{
+    constexpr std::size_t ServerConnections = 4;
+    HttpServerLimits limits;
+    limits.connections = ServerConnections;
+    m_server = listen(limits);
+    asio::io_context context;
+    const auto runUntil = [&context](const std::function<bool()> &condition) {
+        while (!condition()) {
+            context.restart();
+            context.run_for(std::chrono::milliseconds(5));
+        }
+    };
+    HttpClient formerLeader(context, ServerConnections, std::chrono::seconds(1));
+    std::size_t answeredCount = 0;
+    const auto countAnswer = [&answeredCount](const HttpResult &result) {
+        answeredCount += result.isOk() ? 1 : 0;
+    };
+    for (std::size_t call = 0; call < ServerConnections; ++call)
+        formerLeader.send(callTo("/held", Duration(20'000)), countAnswer);
+    runUntil([this] { return heldCount() == ServerConnections; });
+    answerHeld();
+    runUntil([&answeredCount] { return answeredCount == ServerConnections; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+    // As a node without workers still renews its lease in the store.
+    formerLeader.send(callTo("/short", Duration(20'000)), countAnswer);
+    runUntil([&answeredCount] { return answeredCount == ServerConnections + 1; });
+    CHECK(m_client.sendAndWait(callTo("/short", Duration(2000))).isOk());
+}
+
 TEST_CASE("Call to a port without a listener ends as not sent", "[transport]")
 {
     HttpClient client;
