Coordination: Stop a gang that lacks a member before its workers end it as incomplete

Reports come once a second: the one in flight doesn't count, the next one shows that the run is missing and lets the leader send a stop, the one in flight at that moment doesn't count again, and only the fourth ends the run as lost; only that stopped the rest of the gang.

Class: a bound of the platform (a gang's wait) was not known to the leader and met only as a by-product of the reports' pace.

Change: each tick the leader stops a gang if a started member has waited for half of `gang_wait_ms` (new setting, from the bounds) for one that has not started, and no member shows progress. The worker that left the start unanswered gets no work for 3 s, as after a stall. The simulation's workers now let gang members wait, and can break concurrent start commands.

Before, with both tests: 8 runs and 1 run ended as incomplete (after 3,019 ms; the lost member after 3,043 ms), and the second gang was not done after 6 s. Now none, and it is done on another worker.

Not covered: a member whose end as lost can't be written because the store is down still keeps its gang waiting.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -85,6 +85,11 @@
         + "." + std::to_string(key.index);
 }
 
+bool isSameStep(const TaskKey &one, const TaskKey &other)
+{
+    return one.job == other.job && one.occurrence == other.occurrence && one.step == other.step;
+}
+
 } // namespace
 
 /** Takes over the runs that earlier leaders started; workers' reports later show their state. */
@@ -481,16 +486,8 @@
         m_speeds.recordRun({record.task.job, record.task.occurrence, record.task.step}, run.worker,
                            std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt));
     // After a success the other members of a gang end by themselves.
-    if (run.isGang && record.outcome != RunOutcome::Done) {
-        const TaskKey first{record.task.job, record.task.occurrence, record.task.step, 0};
-        for (auto member = m_runs.lower_bound(first);
-             member != m_runs.end() && member->first.job == first.job
-             && member->first.occurrence == first.occurrence && member->first.step == first.step;
-             ++member) {
-            if (member->second.attempt == record.attempt)
-                requestStop(member->first, member->second, "gang_broken");
-        }
-    }
+    if (run.isGang && record.outcome != RunOutcome::Done)
+        stopGang(record.task, record.attempt, "gang_broken");
     if (job && job->isOver() && !wasOver) {
         LOG_EVENT(m_dependencies.log, "job_ended")
             << "job=" << record.task.job.value() << " state=" << stateName(job->state)
@@ -568,6 +565,58 @@
     }
 }
 
+/** Stops every run that belongs to the same attempt of a gang as @p member. */
+void CellScheduler::stopGang(const TaskKey &member, uint32_t attempt, const char *why)
+{
+    const TaskKey first{member.job, member.occurrence, member.step, 0};
+    for (auto run = m_runs.lower_bound(first); run != m_runs.end() && isSameStep(run->first, first);
+         ++run) {
+        if (run->second.attempt == attempt)
+            requestStop(run->first, run->second, why);
+    }
+}
+
+/**
+ * Stops gangs whose members wait for one that has not started, before the workers end them as
+ * incomplete: a lost start command is only confirmed by reports that may arrive later than that.
+ */
+void CellScheduler::stopIncompleteGangs()
+{
+    const Instant now = m_timers.now();
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+        if (!run->second.isGang) {
+            ++run;
+            continue;
+        }
+        const TaskKey &first = run->first;
+        const uint32_t attempt = run->second.attempt;
+        std::vector<WorkerIncarnation> unansweredBy;
+        bool isWaiting = false;
+        bool isIncomplete = false;
+        bool isAtWork = false;
+        for (; run != m_runs.end() && isSameStep(run->first, first); ++run) {
+            const ActiveRun &member = run->second;
+            if (member.isStopRequested || member.isEnding)
+                continue;
+            if (member.phase == RunPhase::Confirmed) {
+                isWaiting |= now - member.beganAt > m_terms.gangWait / 2;
+                // A resumed run shows the progress of its checkpoint while it waits.
+                isAtWork |= member.percent > 0 && !member.hasPartialDuration;
+            } else if (member.phase != RunPhase::Inherited) {
+                isIncomplete = true;
+                if (member.phase == RunPhase::Uncertain)
+                    unansweredBy.push_back(member.worker);
+            }
+        }
+        if (!isWaiting || !isIncomplete || isAtWork)
+            continue;
+        // Otherwise the gang would be placed on the same workers again.
+        for (const WorkerIncarnation &worker : unansweredBy)
+            m_health.recordStall(worker, now);
+        stopGang(first, attempt, "gang_incomplete");
+    }
+}
+
 WorkerSession *CellScheduler::sessionOf(const WorkerIncarnation &incarnation)
 {
     const auto found = m_sessions.find(incarnation.id);
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -319,6 +319,7 @@
     std::erase_if(m_orphanLeasesEndAt,
                   [this](const auto &entry) { return !m_runsByWorker.contains(entry.first); });
     checkStalledRuns();
+    stopIncompleteGangs();
     scheduleDispatch();
     m_load.maxTimerDelay = std::max(m_load.maxTimerDelay, now - m_tickDueAt);
     if (now - m_load.since >= LoadLogInterval)
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -21,6 +21,8 @@
     Duration leaseLength{6000};
     /** How long the status of an ended job can still be queried. */
     Duration statusRetention{120'000};
+    /** How long a worker lets a member of a gang wait for the other members before it ends it. */
+    Duration gangWait{3000};
 };
 
 /** Reads the wall clock. */
@@ -176,6 +178,8 @@
     void moveToNextIncarnation(const WorkerIncarnation &ended, const WorkerIncarnation &next);
     void stopRunsOfEndedJobs();
     void checkStalledRuns();
+    void stopGang(const TaskKey &member, uint32_t attempt, const char *why);
+    void stopIncompleteGangs();
     WorkerSession *sessionOf(const WorkerIncarnation &incarnation);
 
     void scheduleDispatch();
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -149,8 +149,9 @@
         [this](const std::string &name, double by) { m_metrics.count(name, by); },
         [this] { heartbeat(); }};
     m_scheduler = std::make_unique<CellScheduler>(
-        std::move(dependencies), CellTerms{m_settings.workerLease, m_settings.statusRetention},
-        claim, [this] { m_leadership.stepDown(); });
+        std::move(dependencies),
+        CellTerms{m_settings.workerLease, m_settings.statusRetention, m_settings.gangWait}, claim,
+        [this] { m_leadership.stepDown(); });
     m_scheduler->recover();
     m_scheduler->adoptEnds(m_leftoverEnds);
 }
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -460,6 +460,38 @@
     CHECK(reachesState(job, JobState::Done));
 }
 
+// Guards against gang members that wait in vain because a start command of the gang was lost.
+TEST_CASE_METHOD(CellFixture,
+                 "Gang with an unanswered start is stopped before its workers end it as incomplete",
+                 "[cell]")
+{
+    for (FakeCellWorker &worker : m_cell.workers)
+        worker.maxStartsInFlight = 1;
+    const JobId job = m_cell.submit(12, Small, Duration(500), true);
+    m_cell.run(Duration(15'000));
+    CHECK(m_cell.incompleteGangRuns == 0);
+    for (FakeCellWorker &worker : m_cell.workers)
+        worker.maxStartsInFlight = SIZE_MAX;
+    CHECK(reachesState(job, JobState::Done));
+}
+
+// Guards against a gang that is placed again and again on a worker that its commands don't reach.
+TEST_CASE_METHOD(CellFixture, "Gang with an unanswered start is started on another worker",
+                 "[cell]")
+{
+    const JobId first = m_cell.submit(2, Small, Duration(500), true);
+    m_cell.run(Duration(100));
+    const auto hasRuns = [](const FakeCellWorker &worker) { return !worker.running.empty(); };
+    const auto chosen = std::ranges::find_if(m_cell.workers, hasRuns);
+    REQUIRE(chosen != m_cell.workers.end());
+    REQUIRE(chosen->running.size() == 2);
+    REQUIRE(reachesState(first, JobState::Done));
+    chosen->maxStartsInFlight = 1;
+    const JobId second = m_cell.submit(2, Small, Duration(500), true);
+    CHECK(reachesState(second, JobState::Done, Duration(6000)));
+    CHECK(m_cell.incompleteGangRuns == 0);
+}
+
 TEST_CASE_METHOD(CellFixture, "Journal stays short and a new leader still knows every job",
                  "[cell]")
 {
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -17,6 +17,8 @@
 /** Timeout of a forwarded command, beyond the wait of the command itself. */
 constexpr Duration ForwardedCommandTimeout{1300};
 constexpr Duration LeaseLength{6000};
+/** How long a worker lets a member of a gang wait for the others. */
+constexpr Duration GangWait{3000};
 /** Documented for users: no task starts later than this after its cancellation was confirmed. */
 constexpr Duration MaxStartDelayAfterCancel{3000};
 
@@ -244,7 +246,8 @@
         [](const std::string &, double) {},
         [] {}};
     m_schedulers.push_back(std::make_unique<CellScheduler>(
-        std::move(dependencies), CellTerms{LeaseLength, Duration(120'000)}, claim, [] {}));
+        std::move(dependencies), CellTerms{LeaseLength, Duration(120'000), GangWait}, claim,
+        [] {}));
     leader().recover();
     return leader();
 }
@@ -380,6 +383,8 @@
 void CellSimulation::endRun(FakeCellWorker &worker, const TaskKey &task, RunOutcome outcome)
 {
     const auto run = worker.running.extract(task);
+    if (outcome == RunOutcome::GangIncomplete)
+        ++incompleteGangRuns;
     worker.endTimes[worker.nextEnd] = std::min(run.mapped().endsAt, events.now());
     worker.ended.push_back({worker.nextEnd++, task, run.mapped().attempt, outcome, ""});
 }
@@ -441,8 +446,39 @@
     events.at(events.now() + WorkerLatency, [poll] { (*poll)(); });
 }
 
+Duration CellSimulation::lengthOf(const TaskKey &task) const
+{
+    return taskLength.count() > 0 ? taskLength : m_specs.at(task.job).steps[task.step].estimate;
+}
+
+void CellSimulation::beginGang(const TaskKey &task, uint32_t attempt)
+{
+    std::vector<std::pair<FakeCellWorker *, TaskKey>> members;
+    for (FakeCellWorker &worker : workers) {
+        finish(worker);
+        for (const auto &[key, run] : worker.running) {
+            if (key.job == task.job && key.occurrence == task.occurrence && key.step == task.step
+                && run.attempt == attempt && run.isWaiting)
+                members.emplace_back(&worker, key);
+        }
+    }
+    if (members.size() < m_specs.at(task.job).steps[task.step].taskCount)
+        return;
+    for (const auto &[worker, key] : members) {
+        FakeCellWorker::Run &run = worker->running.at(key);
+        run.isWaiting = false;
+        run.startedAt = events.now();
+        if (run.outcome != RunOutcome::GangIncomplete)
+            continue;
+        run.outcome = worker->failsAll ? RunOutcome::Failed : RunOutcome::Done;
+        run.endsAt = events.now() + lengthOf(key);
+    }
+}
+
 int CellSimulation::percentOf(const FakeCellWorker::Run &run) const
 {
+    if (run.isWaiting)
+        return 0;
     if (isProgressStalled)
         return 30;
     const auto length = estimatedLength.count() > 0 ? Instant::duration(estimatedLength)
@@ -493,6 +529,13 @@
         };
         if (!worker || worker->isUnreachable)
             return answer(StartReply::Unknown, CallTimeout);
+        if (worker->startsInFlight >= worker->maxStartsInFlight)
+            return answer(StartReply::Unknown, WorkerLatency);
+        ++worker->startsInFlight;
+        events.at(events.now() + WorkerLatency, [this, to = call.to] {
+            if (FakeCellWorker *again = find(to))
+                --again->startsInFlight;
+        });
         finish(*worker);
         if (call.to.epoch < worker->epoch)
             return answer(StartReply::Fenced, WorkerLatency);
@@ -510,15 +553,20 @@
             worker->incarnationStart + Duration(static_cast<int64_t>(call.leaseUntil.value()));
         worker->leaseUntil =
             std::max(worker->leaseUntil, std::min(until, events.now() + LeaseLength));
-        const Duration length = taskLength.count() > 0
-            ? taskLength
-            : m_specs.at(call.task.job).steps[call.task.step].estimate;
-        worker->running[call.task] = {call.attempt,
-                                      events.now(),
-                                      events.now() + length,
-                                      "",
-                                      worker->failsAll ? RunOutcome::Failed : RunOutcome::Done,
-                                      need};
+        const bool isGang = m_specs.at(call.task.job).steps[call.task.step].isGang;
+        FakeCellWorker::Run &run = worker->running[call.task];
+        run = {call.attempt,
+               events.now(),
+               events.now() + lengthOf(call.task),
+               "",
+               worker->failsAll ? RunOutcome::Failed : RunOutcome::Done,
+               need};
+        if (isGang) {
+            run.isWaiting = true;
+            run.outcome = RunOutcome::GangIncomplete;
+            run.endsAt = events.now() + GangWait;
+            beginGang(call.task, call.attempt);
+        }
         answer(worker->losesReplies ? StartReply::Unknown : StartReply::Started,
                worker->losesReplies ? CallTimeout : WorkerLatency);
     });
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -62,6 +62,8 @@
         RunOutcome outcome;
         Resources need;
         bool isStopping = false;
+        /** A member of a gang that waits until all members run. */
+        bool isWaiting = false;
     };
 
     CellWorker info;
@@ -80,6 +82,10 @@
     bool failsAll = false;
     /** Starts are executed, but their replies are lost. */
     bool losesReplies = false;
+    /** Start commands beyond this number in flight lose their connection at once and have no
+     * effect, as on a worker whose limit of connections is reached. */
+    std::size_t maxStartsInFlight = SIZE_MAX;
+    std::size_t startsInFlight = 0;
 };
 
 /**
@@ -141,6 +147,8 @@
     std::map<JobId, Instant> cancelled;
     std::vector<std::string> violations;
     std::size_t startCount = 0;
+    /** Runs that a worker ended because the other members of their gang did not start in time. */
+    std::size_t incompleteGangRuns = 0;
     /** Number of calls to readOperators() and readWorkers(). */
     std::size_t viewReads = 0;
     /** Number of calls to hold(). */
@@ -163,6 +171,9 @@
     /** Ends the runs of @p worker whose time is over, or all of them if its lease has lapsed. */
     void finish(FakeCellWorker &worker);
     void endRun(FakeCellWorker &worker, const TaskKey &task, RunOutcome outcome);
+    /** Lets the members of the gang of @p task begin their work if all of them run now. */
+    void beginGang(const TaskKey &task, uint32_t attempt);
+    Duration lengthOf(const TaskKey &task) const;
     /** Adds a violation for each rule that the start would break. */
     void checkStart(const FakeCellWorker &worker, const StartCall &call, const Resources &need);
     WorkerClock clockOf(const FakeCellWorker &worker) const;
