Tests: Compare the least of five measurements of processor time

'Open long polls do not double the processor time of other calls' failed 2 of 8 times within the unit tests beside load (203.6 ms against a bound of 159.7 ms). It compared two single measurements of some 0.1 s; beside other processes a single one is inflated.

--- a/Tests/Unit/HttpClientTest.cpp
+++ b/Tests/Unit/HttpClientTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <ctime>
 #include <functional>
 #include <memory>
@@ -19,6 +20,8 @@
 constexpr uint16_t FirstPort = 20'872;
 constexpr uint16_t LastPort = 20'899;
 constexpr int ShortCallCount = 1000;
+/** A busy machine inflates single measurements; the least of these is compared. */
+constexpr int MeasurementCount = 5;
 
 /** A server that answers at once, except for the path /held, which it never answers. */
 class HttpClientFixture
@@ -32,13 +35,20 @@
             std::this_thread::yield();
     }
 
-    /** @return the processor time that client and server use for ShortCallCount short calls. */
+    /** @return the least processor time that client and server use for ShortCallCount short calls.
+     */
     std::chrono::nanoseconds processorTimeOfShortCalls()
     {
-        const std::clock_t before = std::clock();
-        for (int call = 0; call < ShortCallCount; ++call)
-            REQUIRE(m_client.sendAndWait(callTo("/short", Duration(5000))).isOk());
-        return std::chrono::nanoseconds((std::clock() - before) * (1'000'000'000 / CLOCKS_PER_SEC));
+        auto least = std::chrono::nanoseconds::max();
+        for (int measurement = 0; measurement < MeasurementCount; ++measurement) {
+            const std::clock_t before = std::clock();
+            for (int call = 0; call < ShortCallCount; ++call)
+                REQUIRE(m_client.sendAndWait(callTo("/short", Duration(5000))).isOk());
+            least = std::min(least,
+                             std::chrono::nanoseconds((std::clock() - before)
+                                                      * (1'000'000'000 / CLOCKS_PER_SEC)));
+        }
+        return least;
     }
 
     std::size_t heldCount()
