--- a/Tests/Unit/CellFaultHistoryTest.cpp
+++ b/Tests/Unit/CellFaultHistoryTest.cpp
@@ -11,10 +11,13 @@
 class FaultHistory
 {
 public:
-    FaultHistory(uint64_t seed, bool lateCommandsOutliveWorkers)
+    FaultHistory(uint64_t seed, bool lateCommandsOutliveWorkers, std::size_t forwarders)
         : m_cell(seed)
+        , m_forwarders(forwarders)
     {
         m_cell.lateCommandsOutliveWorkers = lateCommandsOutliveWorkers;
+        if (m_forwarders > 0)
+            m_cell.addForwarders(m_forwarders);
         m_cell.elect();
         m_cell.runUntil([this] { return m_cell.leader().isReady(); }, Duration(1000));
     }
@@ -53,6 +56,8 @@
 
     void takeStep()
     {
+        if (m_forwarders > 0 && below(4) == 0)
+            return blockReplies();
         switch (below(16)) {
         case 0:
             anyWorker().isUnreachable ^= true;
@@ -103,10 +108,20 @@
         }
     }
 
-    /** Restarts some workers together; none restarts sooner than WorkerSession assumes. */
+    /** Delays the replies of a forwarder, as a link does that is cut in one direction. */
+    void blockReplies()
+    {
+        const std::size_t forwarder = below(static_cast<uint32_t>(m_forwarders));
+        m_cell.blockReplies(forwarder);
+        m_cell.events.at(m_cell.events.now() + Duration(300 + below(2500)),
+                         [this, forwarder] { m_cell.releaseReplies(forwarder); });
+    }
+
+    /** Restarts some workers together; none restarts sooner than WorkerSession assumes, and a
+     * forwarder may hold a command for a moment. */
     void restartWorkers()
     {
-        const Duration downTime(500 + below(1500));
+        const Duration downTime(510 + below(1500));
         std::vector<std::size_t> indices;
         for (std::size_t index = 0; index < m_cell.workers.size(); ++index) {
             if (below(2) == 0)
@@ -148,15 +163,17 @@
     }
 
     CellSimulation m_cell;
+    std::size_t m_forwarders;
 };
 
-void runFaultHistories(uint64_t defaultCount, bool lateCommandsOutliveWorkers)
+void runFaultHistories(uint64_t defaultCount, bool lateCommandsOutliveWorkers,
+                       std::size_t forwarders = 0)
 {
     const uint64_t first = numberFromEnvironment("HISTORY_SEED", 1);
     const uint64_t count = numberFromEnvironment("HISTORY_COUNT", defaultCount);
     for (uint64_t seed = first; seed < first + count; ++seed) {
         CAPTURE(seed);
-        FaultHistory history(seed, lateCommandsOutliveWorkers);
+        FaultHistory history(seed, lateCommandsOutliveWorkers, forwarders);
         history.play();
         history.check();
     }
@@ -179,3 +196,10 @@
 {
     runFaultHistories(150, true);
 }
+
+TEST_CASE(
+    "Random histories with forwarders whose replies are delayed lose no job and run no job twice",
+    "[cell][cellhistory]")
+{
+    runFaultHistories(150, false, 2);
+}
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -315,18 +315,43 @@
     // A follower does not execute commands that arrive later than this.
     const auto latest = static_cast<uint32_t>(CommandRelay::MaxCommandDelay.count());
     const Duration delay = isFaulty ? Duration(random(latest)) : WorkerLatency;
-    events.at(events.now() + delay, [this, call = std::move(call), method, finish, fault] {
-        (this->*method)(call, [finish, fault](Reply reply) {
-            if (fault != 2)
-                finish(std::move(reply));
-        });
-    });
+    events.at(events.now() + delay,
+              [this, forwarder, call = std::move(call), method, finish, fault] {
+                  (this->*method)(call, [this, forwarder, finish, fault](Reply reply) {
+                      if (fault == 2)
+                          return;
+                      if (m_areRepliesBlocked[forwarder])
+                          m_blockedReplies[forwarder].push_back([finish, reply] { finish(reply); });
+                      else
+                          finish(std::move(reply));
+                  });
+              });
+}
+
+void CellSimulation::releaseReplies(std::size_t forwarder)
+{
+    m_areRepliesBlocked.at(forwarder) = false;
+    auto &blocked = m_blockedReplies[forwarder];
+    while (!blocked.empty()) {
+        const std::function<void()> deliver = std::move(blocked.front());
+        blocked.pop_front();
+        deliver();
+    }
+}
+
+void CellSimulation::resetConnections(std::size_t index)
+{
+    workers[index].holdsReplies = false;
+    for (const std::function<void()> &resend : std::exchange(workers[index].resends, {}))
+        resend();
 }
 
 void CellSimulation::addForwarders(std::size_t count)
 {
     m_commandRelay = std::make_unique<CommandRelay>(*this, timers, 0);
     m_faultyUntil.resize(count);
+    m_areRepliesBlocked.resize(count);
+    m_blockedReplies.resize(count);
     for (std::size_t index = 0; index < count; ++index) {
         CommandRelay::Forwarder forwarder;
         forwarder.processor = CpuMillis(100);
@@ -599,9 +624,17 @@
             // Documented for users: a task that is done does not start again, unless its worker
             // lost its lease between the end and the acknowledgement.
             const EndReport &end = worker->ended.front();
-            if (end.outcome == RunOutcome::Done
-                && worker->leaseLapsedAt < worker->endTimes.at(end.number))
+            const Instant endedAt = worker->endTimes.at(end.number);
+            if (end.outcome == RunOutcome::Done && worker->leaseLapsedAt < endedAt) {
                 m_doneTasks.insert(end.task);
+                const auto started = m_lastStarts.find(end.task);
+                if (started != m_lastStarts.end() && started->second > endedAt)
+                    addViolation(
+                        fmt::format("{}.{}.{}: an end on {} is acknowledged after the task "
+                                    "was started again",
+                                    end.task.job.value(), end.task.step, end.task.index,
+                                    worker->info.incarnation.id.value()));
+            }
             worker->ended.pop_front();
         }
         if (worker->ended.empty() && events.now() < limit)
@@ -609,6 +642,11 @@
                 if (*poll)
                     (*poll)();
             });
+        if (worker->holdsReplies) {
+            worker->resends.push_back([this, call, done] { hold(call, done); });
+            *poll = {};
+            return;
+        }
         for (const auto &[task, run] : worker->running)
             reply.running.push_back({task, run.attempt, "", percentOf(run)});
         reply.ended.assign(worker->ended.begin(), worker->ended.end());
@@ -716,6 +754,12 @@
 void CellSimulation::start(StartCall call, std::function<void(StartReply)> done)
 {
     events.at(events.now() + WorkerLatency, [this, call, done = std::move(done)] {
+        FakeCellWorker *worker = find(call.to);
+        if (worker && worker->holdsReplies && !worker->isUnreachable) {
+            executeStart(call, [](const StartReply &) {});
+            worker->resends.push_back([this, call, done] { executeStart(call, done); });
+            return;
+        }
         if (!isExecutedLate(call.to, done,
                             [this, call] { executeStart(call, [](const StartReply &) {}); }))
             executeStart(call, done);
@@ -746,12 +790,16 @@
     worker->epoch = call.to.epoch;
     if (call.leaseUntil <= clockOf(*worker))
         return answer(StartReply::LeaseExpired, WorkerLatency);
+    const auto running = worker->running.find(call.task);
+    if (running != worker->running.end() && running->second.attempt == call.attempt)
+        return answer(StartReply::Started, WorkerLatency);
     uint32_t &highest = worker->highestAttempt[call.task];
     if (call.attempt <= highest)
         return answer(StartReply::Outdated, WorkerLatency);
     const Resources need = needOf(call.task);
     checkStart(*worker, call, need);
     ++startCount;
+    m_lastStarts[call.task] = events.now();
     highest = call.attempt;
     const Instant until =
         worker->incarnationStart + Duration(static_cast<int64_t>(call.leaseUntil.value()));
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -91,6 +91,10 @@
      * effect, as on a worker whose limit of connections is reached. */
     std::size_t maxStartsInFlight = SIZE_MAX;
     std::size_t startsInFlight = 0;
+    /** Replies don't leave the worker until resetConnections(). */
+    bool holdsReplies = false;
+    /** Calls that libcurl sends again when the connections are reset. */
+    std::vector<std::function<void()>> resends;
 };
 
 /**
@@ -169,6 +173,12 @@
     void addForwarders(std::size_t count);
     /** For @p time the forwarder delays commands and loses some of them and of their replies. */
     void setForwarderFaulty(std::size_t forwarder, Duration time);
+    /** Replies of the forwarder wait on its link to the leader until releaseReplies(). */
+    void blockReplies(std::size_t forwarder) { m_areRepliesBlocked.at(forwarder) = true; }
+    void releaseReplies(std::size_t forwarder);
+    /** Resets the connections of a worker whose replies are held; an HTTP client that finds its
+     * reused connection reset sends the request again on a new one. */
+    void resetConnections(std::size_t worker);
 
     /** Creates a new leader; earlier ones continue until they notice it. */
     CellScheduler &elect();
@@ -269,6 +279,8 @@
     AdviceCallScheduler m_advice;
     std::unique_ptr<CommandRelay> m_commandRelay;
     std::vector<Instant> m_faultyUntil;
+    std::vector<bool> m_areRepliesBlocked;
+    std::vector<std::deque<std::function<void()>>> m_blockedReplies;
     struct Leader
     {
         LeaderProcess *process;
@@ -279,6 +291,7 @@
     std::vector<Leader> m_leaders;
     std::map<JobId, WorkflowSpec> m_specs;
     std::set<TaskKey> m_doneTasks;
+    std::map<TaskKey, Instant> m_lastStarts;
     uint64_t m_nextJob = 1;
     int m_claimCount = 0;
 };
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -51,6 +51,13 @@
     CHECK(configuration.teams.front().cap.cpu == CpuMillis(5000));
 }
 
+// Guards against a session that cannot tell a worker's incarnations apart: every entry that a
+// worker writes says when it started, so one that doesn't comes from another writer.
+TEST_CASE("Worker's entry without the time of its start names no worker", "[platform]")
+{
+    CHECK_THROWS(decodeWorker("i-1", replaced(WorkerEntry, "\"born\":1700000000000,", "")));
+}
+
 TEST_CASE("Worker's entry is decoded, and a malformed one fails", "[platform]")
 {
     const CellWorker worker = decodeWorker("i-1", WorkerEntry);
