Cell, platform: Do not take the refusal of a start that was sent twice for its end

Callers saw a task run again after its end (TWICE). Cause: libcurl sends a POST again if a reused connection breaks before the response; the worker has carried out the first copy, its run may have ended meanwhile, and the second copy is refused as outdated (409 old). The leader recorded the run as lost, ignored the end that the worker listed as done, acknowledged it, and started the task again. Class: a lost answer is taken for a refusal.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -50,8 +50,6 @@
 const char *refusalName(StartReply::Outcome outcome)
 {
     switch (outcome) {
-    case StartReply::Outdated:
-        return "outdated_attempt";
     case StartReply::LeaseExpired:
         return "lease_over";
     case StartReply::NoCapacity:
@@ -251,6 +249,9 @@
         if (run.isStopRequested)
             sendStop(key, run);
         return;
+    case StartReply::Outdated:
+        // The HTTP client sends a start again if a reused connection breaks: the run may have ended
+        // between the two. The next report lists its end.
     case StartReply::Unknown:
         // If the next report doesn't list the run, it is stopped, so that it can't start later.
         run.phase = RunPhase::Uncertain;
--- a/Libraries/Protocol/WorkerCommands.h
+++ b/Libraries/Protocol/WorkerCommands.h
@@ -89,7 +89,8 @@
     enum Outcome {
         Started,
         Fenced,
-        /** The attempt's number is not above that of one that was stopped or has ended there. */
+        /** The attempt's number is not above that of one that was stopped or has ended there; that
+         * may be this attempt, if the command was sent twice. */
         Outdated,
         /** The lease in the command had already expired. */
         LeaseExpired,
