Tests: Let the simulated leaders' clock advance with each reading

With equal times the first report to a new leader counts for no run that it has taken over, so that a successor needed a second more than on a real machine.

--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -110,7 +110,11 @@
     LeaderProcess(TimerService &timers, TransactionalStore &store, WorkerCommands &commands,
                   OperatorSource &operators);
 
-    Instant now() const override { return m_timers.now(); }
+    /** Later with each call, as on a real machine: calls in one event get different times. */
+    Instant now() const override
+    {
+        return m_timers.now() + std::chrono::nanoseconds(++m_clockReads);
+    }
     void after(Duration delay, std::function<void()> callback) override;
     void list(const std::string &prefix, std::function<void(StoreRead)> done) override;
     void probe(std::function<void(bool answers)> done) override;
@@ -147,6 +151,7 @@
     WorkerCommands &m_commands;
     OperatorSource &m_operators;
     bool m_isFrozen = false;
+    mutable int64_t m_clockReads = 0;
     std::deque<std::function<void()>> m_delayed;
 };
 
