--- a/Tests/Unit/PlatformWorkersTest.cpp
+++ b/Tests/Unit/PlatformWorkersTest.cpp
@@ -117,6 +117,28 @@
     CHECK((reply.outcome == StartReply::Unknown || reply.outcome == StartReply::Outdated));
 }
 
+// Guards against a run that is taken for lost: the start was sent, though libcurl could not open
+// the connection on which it would send it again.
+TEST_CASE("Start that was read before its worker became unreachable counts as unanswered",
+          "[platform]")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    const uint16_t port = acceptor.local_endpoint().port();
+    std::thread server([&] {
+        asio::ip::tcp::socket socket(context);
+        acceptor.accept(socket);
+        asio::streambuf buffer;
+        readRequest(socket, buffer);
+        answer(socket, "200 OK", R"({"clockMs":5,"born":1,"running":[],"finished":[]})");
+        readRequest(socket, buffer);
+        acceptor.close();
+    });
+    const StartReply reply = startAt(port, true);
+    server.join();
+    CHECK(reply.outcome == StartReply::Unknown);
+}
+
 // Guards against a run that is taken for lost: only 400, 409, 421, 429 and 503 are documented to
 // mean that a start was not executed.
 TEST_CASE("Start that is answered with an undocumented status counts as unanswered", "[platform]")
--- a/Tests/Unit/TwiceReviewTest.cpp
+++ b/Tests/Unit/TwiceReviewTest.cpp
@@ -86,6 +86,8 @@
     former.freeze();
     m_cell.events.at(m_cell.events.now() + frozen, [&former] { former.thaw(); });
     m_cell.evacuated = {m_cell.workers[0].info.zone};
+    // The store applies the commits in flight.
+    m_cell.run(Duration(30));
     m_cell.elect();
     m_cell.run(fenced);
     std::vector<std::size_t> restarting;
