Cell: Count the age of a worker's report from when the worker sent it

Callers could see a task run again after its end (TWICE). Cause: an acknowledgement goes out only while the last report is younger than a worker needs to restart; the age counted from the report's arrival. A report that had waited on a forwarder's link let the leader acknowledge a number to the worker's next incarnation, which dropped an end that nobody had seen. Class: evidence is aged from its arrival. The worker's own clock bounds when it sent a response: after the request, and at least as long after the response before as the clock has advanced. Ruled out as a way: the time of the request alone, since held requests take up to a second and each acknowledgement would need a call more.

--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -16,7 +16,7 @@
 constexpr Duration CommandTransitTime{300};
 /** A worker that ends takes longer than this to restart under the same id. */
 constexpr Duration MinRestartTime{500};
-/** If the last response is older, an acknowledgement may reach another incarnation. */
+/** If the worker's last response is older, an acknowledgement may reach another incarnation. */
 constexpr Duration MaxAcknowledgementAge = MinRestartTime - CommandRelay::MaxCommandDelay;
 /** Delays between calls to an unresponsive worker, growing from the first to the maximum. */
 constexpr Duration FirstRetryDelay{100};
@@ -82,7 +82,7 @@
     call.to = commandAddress();
     // After a loss of contact another incarnation may answer, which numbers its ends anew.
     const bool isSameIncarnation =
-        m_isReachable && m_timers.now() - m_clockReadAt < MaxAcknowledgementAge;
+        m_isReachable && m_timers.now() - m_respondedAt < MaxAcknowledgementAge;
     call.acknowledgedEnds = isSameIncarnation ? m_acknowledged : 0;
     if (m_isReachable) {
         call.wait = MaxReportWait;
@@ -122,6 +122,11 @@
         return m_timers.after(pause, [this] { requestReport(); });
     }
     m_consecutiveFailures = 0;
+    // The response may have waited on its way. The worker sent it after the request, and at least
+    // as long after the response before as its clock, which may be slow, has advanced.
+    const bool isFirst = m_respondedAt == Instant();
+    const Duration advanced(static_cast<int64_t>(reply.clock.value() - m_clock.value()));
+    m_respondedAt = isFirst ? sentAt : std::max(sentAt, m_respondedAt + advanced);
     m_clock = reply.clock;
     // The worker read its clock before now, so counting from the arrival of its response can only
     // shorten leases.
--- a/Libraries/Coordination/WorkerSession.h
+++ b/Libraries/Coordination/WorkerSession.h
@@ -85,6 +85,8 @@
     uint64_t m_acknowledged = 0;
     WorkerClock m_clock;
     Instant m_clockReadAt{};
+    /** The worker sent its latest response at this time or later. */
+    Instant m_respondedAt{};
     Instant m_lastLeaseExtension{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
