--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -112,6 +112,7 @@
 {
     suspendedSinceLastCall();
     m_loadLoggedAt = m_timers.now();
+    m_processorTimeAtLastLog = readSystemClock(CLOCK_PROCESS_CPUTIME_ID);
     m_leaderSeenAt = m_timers.now();
     m_leadership.begin();
     tick();
