Cell: Answer the calls of a scheduler that loses its claim

Callers of a leader that lost its claim while their submission or cancellation was being written got no answer at all: the scheduler was destroyed with their responders, and the node kept the call. Now a responder that is dropped answers that the outcome is open (504), so that the client repeats the call, which its id makes safe. Calls that a follower passed on were not affected: its link or its timeout ends them.

'Submission that is being stored is answered when its node ceases to lead' failed before (no reply after 1.5 s).

--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -111,6 +111,11 @@
                                 });
 }
 
+CellNode::~CellNode()
+{
+    m_heldCalls.clear();
+}
+
 void CellNode::start()
 {
     suspendedSinceLastCall();
@@ -196,7 +201,9 @@
     };
     const uint64_t id = m_nextCall++;
     m_heldCalls.emplace(id, HeldCall{call.kind, call.path, respondAndRecord});
-    const auto respondOnce = [this, id](ClientReply reply) {
+    // A scheduler that loses its claim drops the responders of calls that it has not finished.
+    const std::shared_ptr<void> dropGuard(nullptr, [this, id](void *) { answerUndetermined(id); });
+    const auto respondOnce = [this, id, dropGuard](ClientReply reply) {
         const auto held = m_heldCalls.extract(id);
         if (!held.empty())
             held.mapped().respond(std::move(reply));
@@ -205,6 +212,19 @@
     route({std::move(call), respondOnce, now + limit, false});
 }
 
+void CellNode::answerUndetermined(uint64_t call)
+{
+    const auto held = m_heldCalls.extract(call);
+    if (held.empty())
+        return;
+    WaitingCall waiting;
+    waiting.call.kind = held.mapped().kind;
+    waiting.call.path = held.mapped().path;
+    waiting.respond = held.mapped().respond;
+    waiting.wasSent = true;
+    refuse(waiting);
+}
+
 void CellNode::countStopReply(ClientReply::Outcome outcome)
 {
     if (!m_isRetiring)
@@ -237,14 +257,8 @@
     for (const WaitingCall &waiting : std::exchange(m_waitingCalls, {}))
         refuse(waiting);
     // This node's own scheduler, or an earlier one, has the others.
-    for (auto &[id, held] : std::exchange(m_heldCalls, {})) {
-        WaitingCall call;
-        call.call.kind = held.kind;
-        call.call.path = held.path;
-        call.respond = held.respond;
-        call.wasSent = true;
-        refuse(call);
-    }
+    while (!m_heldCalls.empty())
+        answerUndetermined(m_heldCalls.begin()->first);
 }
 
 void CellNode::route(WaitingCall waiting)
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -33,6 +33,11 @@
     /** @throws TransportError if the peer address cannot be bound. */
     CellNode(asio::io_context &context, CellSettings settings, Platform platform);
 
+    ~CellNode();
+
+    CellNode(const CellNode &) = delete;
+    CellNode &operator=(const CellNode &) = delete;
+
     void start();
 
     /** Responds to a submitter's call within @p timeout; 0 stands for a default. */
@@ -72,6 +77,8 @@
         ClientResponder respond;
     };
 
+    /** Responds to a held call that may have run. */
+    void answerUndetermined(uint64_t call);
     /** Counts the response to a call if this node is retiring. */
     void countStopReply(ClientReply::Outcome outcome);
     /** Handles the call here or sends it to the leader; without a leader the call waits. */
@@ -110,6 +117,9 @@
     LogRateLimiter m_logLimiter;
     Metrics m_metrics;
     pcg32 m_random;
+    /** Outlives what holds the calls' responders. */
+    std::map<uint64_t, HeldCall> m_heldCalls;
+    uint64_t m_nextCall = 1;
     AdviceCallScheduler m_adviceScheduler;
     CommandRelay m_commandRelay;
     PeerHub m_peers;
@@ -117,8 +127,6 @@
     std::unique_ptr<CellScheduler> m_scheduler;
     /** Schedulers of lost leadership claims, kept until their callbacks have returned. */
     std::vector<std::unique_ptr<CellScheduler>> m_retiredSchedulers;
-    std::map<uint64_t, HeldCall> m_heldCalls;
-    uint64_t m_nextCall = 1;
     /** Calls that wait for a leader. */
     std::deque<WaitingCall> m_waitingCalls;
     /** Ends of runs that this node could not write when it was last the leader. */
--- a/Tests/Unit/CellNodeTest.cpp
+++ b/Tests/Unit/CellNodeTest.cpp
@@ -281,6 +281,16 @@
     CHECK(m_node.stopCounts().left == 0);
 }
 
+// LOST: a scheduler without its claim dropped the submissions that it was storing.
+TEST_CASE_METHOD(LeadingNodeFixture,
+                 "Submission that is being stored is answered when its node ceases to lead",
+                 "[cellnode][shutdown]")
+{
+    m_node.retire([] {});
+    runFor(Duration(1500));
+    CHECK(m_replies == std::vector{ClientReply::Undetermined});
+}
+
 TEST_CASE(
     "Submission that an earlier leader may have stored is undetermined if a later one refuses it",
     "[cellnode]")
