Daemon: Wait for unwritten responses before the process ends

A client that read slowly could lose the rest of its answer when its entry stopped: shutDown() counted a request as ended once its response was queued. Found from reading. Left: calls in flight after 20 s are dropped, and answers close connections only from stopAccepting() on.

--- a/Services/cranberrymountd/main.cpp
+++ b/Services/cranberrymountd/main.cpp
@@ -45,7 +45,9 @@
         [&] { node.controlPlane().releaseAll([&releasePromise] { releasePromise.set_value(); }); });
     released.wait_until(deadline);
     server.stopAccepting();
-    waitUntil(deadline, [&server] { return server.requestsInFlight() == 0; });
+    waitUntil(deadline, [&server] {
+        return server.requestsInFlight() == 0 && server.responsesUnwritten() == 0;
+    });
     LOG(INFO) << "event=shutdown_ends in_flight=" << server.requestsInFlight();
 }
 
