--- a/Tests/Unit/CellNodeTest.cpp
+++ b/Tests/Unit/CellNodeTest.cpp
@@ -175,6 +175,7 @@
     CHECK(m_replies.size() == 5);
 }
 
+// A refusal during a plain rolling restart, although there is a leader.
 TEST_CASE_METHOD(SilentLeaderFixture, "Stopping node with a leader serves a late call",
                  "[cellnode][shutdown]")
 {
--- a/Tests/Unit/HttpServerTest.cpp
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -118,6 +118,7 @@
     CHECK(becomesWritten());
 }
 
+// A stopping node waited in vain for clients that had left.
 TEST_CASE_METHOD(SlowReaderFixture, "Response to a client that leaves does not stay unwritten",
                  "[transport][shutdown]")
 {
