--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -33,6 +33,11 @@
     /** @throws TransportError if the peer address cannot be bound. */
     CellNode(asio::io_context &context, CellSettings settings, Platform platform);
 
+    ~CellNode();
+
+    CellNode(const CellNode &) = delete;
+    CellNode &operator=(const CellNode &) = delete;
+
     void start();
 
     /** Responds to a submitter's call within @p timeout; 0 stands for a default. */
@@ -44,9 +49,38 @@
     /** Transfers leadership if this node has it; @p done runs once the node is not the leader. */
     void retire(std::function<void()> done);
 
+    /** Responds to all calls that this node still holds, and from now on to each call at once. */
+    void answerHeldCalls();
+
+    /** Calls of submitters around the end of this node; a metric of the same name has each. */
+    struct StopCounts
+    {
+        /** Calls without a response when the node began to retire. */
+        std::size_t held = 0;
+        /** Responses since then, by kind. */
+        std::size_t served = 0;
+        std::size_t refused = 0;
+        std::size_t undetermined = 0;
+        /** Calls without a response now. */
+        std::size_t left = 0;
+    };
+    StopCounts stopCounts() const;
+
     Metrics &metrics() { return m_metrics; }
 
 private:
+    /** A call to which this node has not responded; its job is left out. */
+    struct HeldCall
+    {
+        ClientCall::Kind kind;
+        std::string path;
+        ClientResponder respond;
+    };
+
+    /** Responds to a held call that may have run. */
+    void answerUndetermined(uint64_t call);
+    /** Counts the response to a call if this node is retiring. */
+    void countStopReply(ClientReply::Outcome outcome);
     /** Handles the call here or sends it to the leader; without a leader the call waits. */
     void route(WaitingCall waiting);
     void sendToLeader(WaitingCall waiting);
@@ -83,6 +117,9 @@
     LogRateLimiter m_logLimiter;
     Metrics m_metrics;
     pcg32 m_random;
+    /** Outlives what holds the calls' responders. */
+    std::map<uint64_t, HeldCall> m_heldCalls;
+    uint64_t m_nextCall = 1;
     AdviceCallScheduler m_adviceScheduler;
     CommandRelay m_commandRelay;
     PeerHub m_peers;
@@ -104,6 +141,9 @@
     Instant m_offeredAt{};
     std::size_t m_nextOffer = 0;
     bool m_isRetiring = false;
+    /** Set if each call is answered at once, since the process ends. */
+    bool m_isEnding = false;
+    StopCounts m_stopCounts;
 };
 
 } // namespace Cranberrymount
