--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -19,8 +19,8 @@
 /** No decision is made on older views: changes to them must take effect within 2 s. */
 constexpr Duration MaxViewAge{1800};
 constexpr Duration TickInterval{100};
-/** A process that has not run for this long counts as frozen: in the time that is left a successor
- * that is offered the claim can't start a task elsewhere. */
+/** A process that has not run for this long counts as frozen: meanwhile a node that was offered the
+ * claim may have started tasks elsewhere. */
 constexpr Duration MaxStandstill{300};
 /** Time between two log lines about the leader's load. */
 constexpr Duration LoadLogInterval{1000};
@@ -257,6 +257,9 @@
             beginSession(worker);
         }
     }
+    // None of them is on the stack here; until it is destroyed a session goes on to ask for
+    // reports.
+    m_endedSessions.clear();
     std::erase_if(m_endedIncarnations, [&](const auto &entry) {
         return !listedIncarnations.contains(entry.first) && !m_runsByWorker.contains(entry.first);
     });
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -214,7 +214,7 @@
     CellConfiguration m_configuration;
     std::set<ZoneId> m_evacuatedZones;
     std::map<WorkerId, std::unique_ptr<WorkerSession>> m_sessions;
-    /** Sessions that ended during one of their own callbacks. */
+    /** Ended sessions, one of which may be on the stack. */
     std::vector<std::unique_ptr<WorkerSession>> m_endedSessions;
     /** Incarnations that have ended but are listed or have runs assigned to them, and when a
      * command to them last extended a lease: it may have reached the worker's next incarnation. */
