review: a start order that is sent twice makes a task run twice

Cause: libcurl repeats an unanswered start order on a new connection; a refusal of the copy is taken for proof that the order was not done.

--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -226,6 +226,7 @@
     """One life of a worker. A spec "lasts" runs until it is stopped; "work N" takes N ms."""
 
     STARTUP_MS = 500
+    LATE_S = (2, 12)
 
     def __init__(self, store, record, name, zone, labels, cpu, service):
         self.store, self.record, self.name, self.zone = store, record, name, zone
@@ -240,6 +241,11 @@
         self.highest = {}
         self.ends = []
         self.done = set()
+        # Rows of (time, "start" or how the run ended, task, attempt, number of the end).
+        self.history = []
+        self.acknowledged = 0
+        # Chooses what happens to a start order: None, "late" or "refused".
+        self.order_fate = lambda: None
         self.end_count = 0
         self.sequence = 0
         self.is_alive = True
@@ -265,6 +271,7 @@
         run = self.running.pop(task)
         self.highest[task] = max(self.highest.get(task, 0), run.attempt)
         self.end_count += 1
+        self.history.append((time.monotonic(), how, task, run.attempt, self.end_count))
         self.ends.append([self.end_count, task, run.attempt, how, run.checkpoint])
         if how == "done":
             self.done.add(task)
@@ -306,7 +313,22 @@
         if headers.get("X-Expected-Instance", self.name) != self.name:
             return 421, {}
         data = json.loads(body) if body else {}
+        fate = self.order_fate() if path == "/-/run-start" else None
+        if fate == "refused":
+            self.record.add(f"worker {self.name}: refuses {data['task']} run {data['attempt']} with 503, not done")
+            return 503, {}
+        if fate == "late":
+            delay = random.uniform(*self.LATE_S)
+            self.record.add(f"worker {self.name}: gives no answer to {data['task']} run {data['attempt']}, carries it "
+                            f"out {delay:.1f} s later")
+            threading.Timer(delay, self.obey, (path, data)).start()
+            return None
+        return self.obey(path, data)
+
+    def obey(self, path, data):
         with self.changed:
+            if not self.is_alive:
+                return None
             stamp = {"clockMs": self.clock(), "born": self.born}
             if data.get("fencingToken", 0) < self.fence:
                 return 409, {**stamp, "reason": "fence"}
@@ -337,12 +359,14 @@
         if data["untilMs"] <= self.clock():
             return 409, {**stamp, "reason": "late"}
         self.extend(data["untilMs"])
+        self.history.append((time.monotonic(), "start", task, attempt, 0))
         self.running[task] = Run(attempt, data["spec"], data.get("checkpoint", ""), self.clock())
         self.record.add(f"worker {self.name}: {task} run {attempt} starts ({data['spec']})")
         return 200, stamp
 
     def hold(self, data):
-        self.ends = [one for one in self.ends if one[0] > data.get("ackCursor", 0)]
+        self.acknowledged = max(self.acknowledged, data.get("ackCursor", 0))
+        self.ends = [one for one in self.ends if one[0] > self.acknowledged]
         if "untilMs" in data:
             self.extend(data["untilMs"])
         deadline = time.monotonic() + min(2000, data.get("waitMs", 0)) / 1000
