review: each run of a script has a loopback address of its own

Cause: runs at the same time could take each other's ports, and ended with 2. Change: a random address of 127.0.0.0/8 for each run.

--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -15,7 +15,8 @@
 import time
 import urllib.parse
 
-HOST = "127.0.0.1"
+# Each run has a loopback address of its own, so that several can run at a time.
+HOST = f"127.{random.randrange(1, 255)}.{random.randrange(255)}.{random.randrange(1, 255)}"
 HOLD_MAX_MS = 6000
 HEARTBEAT_S = 1.5
 SILENT_HEARTBEATS = 3
@@ -40,7 +41,7 @@
 
 
 def free_ports(count):
-    """Returns ports below those that the system gives to outgoing connections."""
+    """Returns ports of HOST, below those that the system gives to outgoing connections."""
     ports = []
     while len(ports) < count:
         port = random.randrange(20000, 32000)
