--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -2,14 +2,17 @@
 
 They speak what the users' protocol page says. Everything that was sent, answered and run goes to the record.
 """
+import atexit
 import base64
 import http.client
 import http.server
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -386,6 +389,7 @@
         self.folder = folder
         self.nodes = []
         root = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+        atexit.register(self.end)
         ports = free_ports(4 * len(zones))
         for number, zone in enumerate(zones):
             front, readiness, peer, metrics = ports[4 * number:4 * number + 4]
@@ -484,6 +488,8 @@
 
 def run_case(folder, case):
     """Runs case(store, record, temporary folder) and returns its exit code."""
+    # Whoever ends the script early ends the nodes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(os.path.join(folder, "record.txt"))
     with tempfile.TemporaryDirectory() as temporary:
         code = case(Store(), record, temporary)
