Transport, platform: Send the commands to workers at most once

Cause: libcurl sends a request again by itself if a reused connection ends before any byte of the response. The result is that of the copy. If the worker refuses the copy with 503, 429 or 400, the run is recorded as lost and the task starts elsewhere, while the first order was executed without an answer or is executed late.

HttpCall::sendsBodyOnce hands libcurl the body through a callback that refuses to rewind: a request is still sent on a new connection if none of its body was sent, and otherwise ends as unanswered, which leads to a report and a stop. Reused connections stay in use. It holds for reports too: a copy of a report request could acknowledge ends to the worker's next incarnation.

Weighed: a new connection for each start (connections are dear), and counting 503 as unanswered after a reused connection (a true refusal would then cost a report and a stop).

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -252,8 +252,8 @@
             sendStop(key, run);
         return;
     case StartReply::Outdated:
-        // The HTTP client sends a start again if a reused connection breaks: the run may have ended
-        // between the two. The next report lists its end.
+        // The worker knows this attempt or a later one; it may have ended, and the next report
+        // lists its end.
     case StartReply::Unknown:
         // If the next report doesn't list the run, it is stopped, so that it can't start later.
         run.phase = RunPhase::Uncertain;
--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -24,6 +24,8 @@
     HttpClient::Callback callback;
     HttpResult result;
     curl_slist *headers = nullptr;
+    /** Bytes of the body that libcurl has read, if the body must be sent at most once. */
+    std::size_t bodyBytesRead = 0;
 
     ~Exchange() { curl_slist_free_all(headers); }
 };
@@ -34,6 +36,35 @@
     return size * count;
 }
 
+std::size_t readBody(char *buffer, std::size_t size, std::size_t count, void *userData)
+{
+    Exchange &exchange = *static_cast<Exchange *>(userData);
+    const std::size_t copied =
+        exchange.call.body.copy(buffer, size * count, exchange.bodyBytesRead);
+    exchange.bodyBytesRead += copied;
+    return copied;
+}
+
+/** libcurl rewinds a body of which it has read a part before it sends the request again. */
+int refuseRewind(void *, curl_off_t, int)
+{
+    return CURL_SEEKFUNC_FAIL;
+}
+
+void configureBody(CURL *handle, Exchange &exchange)
+{
+    const std::string &body = exchange.call.body;
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+    if (!exchange.call.sendsBodyOnce || body.empty()) {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.data());
+        return;
+    }
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_READFUNCTION, &readBody);
+    curl_easy_setopt(handle, CURLOPT_READDATA, &exchange);
+    curl_easy_setopt(handle, CURLOPT_SEEKFUNCTION, &refuseRewind);
+}
+
 void configure(CURL *handle, Exchange &exchange)
 {
     const HttpCall &call = exchange.call;
@@ -52,10 +83,8 @@
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &collectBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &exchange);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
-    if (!call.body.empty() || call.method != "GET") {
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
-    }
+    if (!call.body.empty() || call.method != "GET")
+        configureBody(handle, exchange);
     exchange.headers = curl_slist_append(exchange.headers, "Expect:");
     exchange.headers = curl_slist_append(exchange.headers, "Accept:");
     exchange.headers = curl_slist_append(exchange.headers, "Content-Type: application/json");
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -27,6 +27,12 @@
      * request again if it fails on a reused connection.
      */
     bool atMostOnce = false;
+    /**
+     * True if the body must be sent at most once. Unlike atMostOnce, the request may use a reused
+     * connection; if that fails after part of the body was sent, the outcome is Unknown. A request
+     * without a body may still be sent again.
+     */
+    bool sendsBodyOnce = false;
 };
 
 /** The result of a call. */
