Protocol: Send the daemon's starts at most once

If the worker refuses the copy with 409, as after its lease has ended, WorkerPool takes all attempts of the batch for not started, and they start on other workers while the first copy's run on. Found by reading; no run of the daemon has shown it.

Test "Start of the daemon that is left unanswered on a reused connection is not sent again" failed before: two copies received, the outcome refused. Now the outcome is unknown, which asks for a complete report.

--- a/Libraries/Protocol/HttpWorkerLink.cpp
+++ b/Libraries/Protocol/HttpWorkerLink.cpp
@@ -149,7 +149,10 @@
                          {"payload", command.payload}});
     }
     const Json body = {{"epoch", epoch.value()}, {"tasks", tasks}};
-    send({"POST", worker.url + "/start", body.dump(), {}, m_timeout},
+    HttpCall call{"POST", worker.url + "/start", body.dump(), {}, m_timeout};
+    // The refusal of a copy would not mean that the first one was refused.
+    call.sendsBodyOnce = true;
+    send(std::move(call),
          [done = std::move(done)](const HttpResult &result) { done(decodeStart(result)); });
 }
 
