Protocol: Send the daemon's writes to the store at most once

The same cause on a related path: libcurl sends an unanswered conditional write again, and the copy conflicts with the first one, which the store has carried out. A lookup whose claim was written that way was answered as in doubt although it had not run, and its claim blocked later tries. Found by reading; no run of the daemon has shown it.

Test "Write to the daemon's store that is left unanswered on a reused connection is not sent again" failed before: two copies received, the outcome a conflict.

Looked at and left: the cell's commits (a conflict is compared with the commit's own value, and a copy can't be applied twice), its claims of the leadership (a conflict is followed by another election, which finds the claim), leases of the store, advice.

--- a/Libraries/Protocol/HttpStore.cpp
+++ b/Libraries/Protocol/HttpStore.cpp
@@ -118,7 +118,10 @@
 {
     const Json body = {
         {"value", put.value}, {"expected", put.expected.value()}, {"lease", put.lease.value()}};
-    send({"PUT", m_baseUrl + "/kv/" + put.key, body.dump(), {}, m_timeout},
+    HttpCall call{"PUT", m_baseUrl + "/kv/" + put.key, body.dump(), {}, m_timeout};
+    // A copy would conflict with the first one.
+    call.sendsBodyOnce = true;
+    send(std::move(call),
          [done = std::move(done)](const HttpResult &result) { done(decodeWrite(result)); });
 }
 
--- a/Tests/Unit/UnansweredCallTest.cpp
+++ b/Tests/Unit/UnansweredCallTest.cpp
@@ -1,5 +1,6 @@
 #include "UnansweringServer.h"
 
+#include "Protocol/HttpStore.h"
 #include "Protocol/HttpWorkerLink.h"
 
 #include <catch2/catch.hpp>
@@ -43,3 +44,25 @@
     CHECK(outcome == StartResult::Unknown);
     CHECK(server.receivedCount("/w/start") == 1);
 }
+
+// Guards against a lookup that is answered as in doubt although it has not run: libcurl sends an
+// unanswered write of its claim again, and the copy conflicts with the first one.
+TEST_CASE_METHOD(UnansweredCallFixture,
+                 "Write to the daemon's store that is left unanswered on a reused connection is "
+                 "not sent again",
+                 "[protocol]")
+{
+    UnansweringServer server("/kv/claim", {"409 Conflict"}, {"200 OK", R"({"lease":1})"});
+    HttpStore store(m_client, m_context, "http://" + server.address().text(), CallTimeout);
+    StoreWrite::Outcome outcome = StoreWrite::Written;
+    store.createLease(Duration(1000), [&](const StoreLease &lease) {
+        REQUIRE(lease.alive);
+        store.write({"claim", "value", Revision(), lease.id}, [&](const StoreWrite &write) {
+            outcome = write.outcome;
+            m_context.stop();
+        });
+    });
+    m_context.run();
+    CHECK(outcome == StoreWrite::Unknown);
+    CHECK(server.receivedCount("/kv/claim") == 1);
+}
