Tests: Random histories with workers that refuse some starts and execute others late

The simulation's workers never refused with 503, so that no history joined a refusal with a late order.

--- a/Tests/Unit/CellFaultHistoryTest.cpp
+++ b/Tests/Unit/CellFaultHistoryTest.cpp
@@ -11,9 +11,11 @@
 class FaultHistory
 {
 public:
-    FaultHistory(uint64_t seed, bool lateCommandsOutliveWorkers, std::size_t forwarders)
+    FaultHistory(uint64_t seed, bool lateCommandsOutliveWorkers, std::size_t forwarders,
+                 double refusalRate)
         : m_cell(seed)
         , m_forwarders(forwarders)
+        , m_refusalRate(refusalRate)
     {
         m_cell.lateCommandsOutliveWorkers = lateCommandsOutliveWorkers;
         if (m_forwarders > 0)
@@ -58,6 +60,11 @@
     {
         if (m_forwarders > 0 && below(4) == 0)
             return blockReplies();
+        if (m_refusalRate > 0 && below(4) == 0) {
+            m_cell.refusalRate = m_refusalRate;
+            m_cell.lateCommandRate = 0.3;
+            return;
+        }
         switch (below(16)) {
         case 0:
             anyWorker().isUnreachable ^= true;
@@ -150,6 +157,7 @@
         m_cell.store.lostResponseRate = 0;
         m_cell.store.latency = Duration(4);
         m_cell.lateCommandRate = 0;
+        m_cell.refusalRate = 0;
         for (std::size_t index = 0; index < m_cell.workers.size(); ++index) {
             m_cell.workers[index].isUnreachable = false;
             m_cell.reconnectToStore(index);
@@ -164,16 +172,17 @@
 
     CellSimulation m_cell;
     std::size_t m_forwarders;
+    double m_refusalRate;
 };
 
 void runFaultHistories(uint64_t defaultCount, bool lateCommandsOutliveWorkers,
-                       std::size_t forwarders = 0)
+                       std::size_t forwarders = 0, double refusalRate = 0)
 {
     const uint64_t first = numberFromEnvironment("HISTORY_SEED", 1);
     const uint64_t count = numberFromEnvironment("HISTORY_COUNT", defaultCount);
     for (uint64_t seed = first; seed < first + count; ++seed) {
         CAPTURE(seed);
-        FaultHistory history(seed, lateCommandsOutliveWorkers, forwarders);
+        FaultHistory history(seed, lateCommandsOutliveWorkers, forwarders, refusalRate);
         history.play();
         history.check();
     }
@@ -203,3 +212,11 @@
 {
     runFaultHistories(150, false, 2);
 }
+
+// Guards against a refusal that is taken for that of an earlier order, which is executed late.
+TEST_CASE("Random histories whose workers refuse some starts and execute others late lose no job "
+          "and run no job twice",
+          "[cell][cellhistory]")
+{
+    runFaultHistories(100, false, 0, 0.3);
+}
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -751,6 +751,11 @@
     return true;
 }
 
+bool CellSimulation::isRefused()
+{
+    return refusalRate > 0 && std::uniform_real_distribution<double>(0, 1)(random) < refusalRate;
+}
+
 void CellSimulation::start(StartCall call, std::function<void(StartReply)> done)
 {
     events.at(events.now() + WorkerLatency, [this, call, done = std::move(done)] {
@@ -760,9 +765,14 @@
             worker->resends.push_back([this, call, done] { executeStart(call, done); });
             return;
         }
-        if (!isExecutedLate(call.to, done,
-                            [this, call] { executeStart(call, [](const StartReply &) {}); }))
-            executeStart(call, done);
+        if (isExecutedLate(call.to, done,
+                           [this, call] { executeStart(call, [](const StartReply &) {}); }))
+            return;
+        if (worker && !worker->isUnreachable && isRefused()) {
+            events.at(events.now() + WorkerLatency, [done] { done({StartReply::Refused}); });
+            return;
+        }
+        executeStart(call, done);
     });
 }
 
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -244,6 +244,8 @@
     bool isProgressStalled = false;
     /** Probability that a start or stop gets no reply and is executed 2 to 12 s later. */
     double lateCommandRate = 0;
+    /** Probability that a worker refuses a start, which it then does not execute. */
+    double refusalRate = 0;
     /** Late commands wait at their sender and reach the worker's next incarnation if it restarts;
      * otherwise they wait in the worker's process and end with it. */
     bool lateCommandsOutliveWorkers = false;
@@ -261,6 +263,8 @@
     template <typename Reply>
     bool isExecutedLate(const CommandTarget &to, const std::function<void(Reply)> &done,
                         std::function<void()> execute);
+    /** @return true if the dice say that a worker refuses a start. */
+    bool isRefused();
     void renewEntry(FakeCellWorker &worker);
     /** Forwards a command to a worker; @p done gets no reply if none arrives within @p timeout. */
     template <typename Reply, typename Call>
