--- a/Meta/cranberrymount.sh
+++ b/Meta/cranberrymount.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs packages, builds and runs one of: demo | test | check | guards | bench | lint | build
+# Installs packages, builds and runs one of: demo | test | soak | check | guards | bench | lint | build
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-Build}
@@ -22,6 +22,10 @@
     build
     exec bash Meta/test.sh "$PWD/$BUILD"
     ;;
+soak)
+    build --quiet cranberrymount-cell
+    exec python3 Tests/Soak/soak.py --program "$PWD/$BUILD/cranberrymount-cell" "${@:2}"
+    ;;
 check)
     Meta/install.sh
     exec bash Meta/check.sh
@@ -39,7 +43,7 @@
     exec bash Meta/lint.sh "$BUILD"
     ;;
 *)
-    echo "usage: Meta/cranberrymount.sh demo|test|check|guards|bench|lint|build" >&2
+    echo "usage: Meta/cranberrymount.sh demo|test|soak|check|guards|bench|lint|build" >&2
     exit 2
     ;;
 esac
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -6,7 +6,7 @@
     librestinio-dev libasio-dev libfmt-dev libhttp-parser-dev libflatbuffers-dev
     libcurl4-openssl-dev libtomlplusplus-dev libtclap-dev libgoogle-glog-dev libboost-dev
     catch2 librapidcheck-dev nlohmann-json3-dev libxxhash-dev libpcg-cpp-dev libbenchmark-dev
-    libssl-dev libzstd-dev prometheus-cpp-dev rumur
+    libssl-dev libzstd-dev prometheus-cpp-dev rumur python3
 )
 missing=()
 for package in "${PACKAGES[@]}"; do
