Tests: Let jobs wait at the end of a soak where the users' rule does

The check now asks what the rule asks: nothing running for 3 s, under half of the capacity and of the tenant's cap in use, room twice over; a task that lasts from 6 s after its last run. Each condition has a test.

--- a/Tests/Soak/checks.py
+++ b/Tests/Soak/checks.py
@@ -4,6 +4,8 @@
 
 # Bounds of the users' pages, in seconds.
 CONTACT_S = 3.0
+# A task that lasts is due again this long after its last run.
+RESTART_S = 6.0
 CONFIG_APPLY_S = 2.0
 EVACUATE_S = 5.0
 CANCEL_S = 3.0
@@ -111,7 +113,7 @@
             self.find("ROUTE", f"{task} on {worker.name} without the label {step['requiredLabel']}")
         for earlier in step.get("after", []):
             for index in range(job.steps[earlier]["count"]):
-                if not any(end.how == "done" for end in self.ends.get(f"{job.id}.0.{earlier}.{index}", [])):
+                if not self.is_done(f"{job.id}.0.{earlier}.{index}"):
                     self.find("ORDER", f"{task} starts before {job.id}.0.{earlier}.{index} is done")
         if not is_late and self.is_calm():
             if job.cancelled_at is not None and now > job.cancelled_at + CANCEL_S:
@@ -206,8 +208,7 @@
             if sent_at > job.accepted_at + VISIBLE_S and self.is_calm(sent_at):
                 self.find("LOST", f"{job.id} is not known, though it was accepted")
         if state == "done":
-            missing = [task for task in self.tasks(job)
-                       if not any(end.how == "done" for end in self.ends.get(task, []))]
+            missing = [task for task in self.tasks(job) if not self.is_done(task)]
             if missing:
                 self.find("MIXED", f"{job.id} is shown as done, and {missing[0]} is not")
         if state == "failed" and not any(
@@ -241,20 +242,71 @@
         if not is_valid and 200 <= status < 300:
             self.find("CONFIG", "a withdrawn key is accepted")
 
-    def finish(self, states):
-        """Checks the jobs' last states, by id; None for a job without an answer."""
+    def used(self, tenant=None):
+        """Returns what runs, of all tenants or of one, by resource."""
+        rows = [(self.need(task), len(starts)) for task, starts in self.running.items()
+                if tenant is None or self.jobs[task.split(".")[0]].tenant == tenant]
+        return {name: sum(need.get(name, 0) * count for need, count in rows) for name in RESOURCES}
+
+    def waiting_in_vain(self, capacity, states):
+        """
+        Returns the jobs, and the tasks that last, that nothing runs of although their turn has come, there is capacity for
+        them twice over, under half of all is in use and their tenant has under half of its cap.
+        """
+        found = set()
+        used = self.used()
+        if any(used[name] * 2 >= capacity[name] for name in RESOURCES):
+            return found
+        for job in self.jobs.values():
+            is_over = states.get(job.id) in ("done", "failed", "cancelled")
+            if job.accepted_at is None or job.cancel_sent_at is not None or is_over or self.is_at_cap(job.tenant):
+                continue
+            due = self.due_tasks(job)
+            need = {name: sum(job.step_of(task).get(name, 0) for task in due) for name in RESOURCES}
+            if not due or any(2 * need[name] > capacity[name] - used[name] for name in RESOURCES):
+                continue
+            if job.lasts():
+                found.update(due)
+            elif not any(task in self.running for task in self.tasks(job)):
+                found.add(job.id)
+        return found
+
+    def is_at_cap(self, tenant):
+        cap = self.caps[tenant][-1][0] if self.caps.get(tenant) else {}
+        used = self.used(tenant)
+        return any(cap.get(name, 0) and used[name] * 2 >= cap[name] for name in RESOURCES)
+
+    def due_tasks(self, job):
+        """Returns the tasks whose turn has come and of which nothing runs."""
+        due = []
+        for task in self.tasks(job):
+            ends = self.ends.get(task, [])
+            after = job.step_of(task).get("after", [])
+            if task in self.running or any(
+                    not self.is_done(f"{job.id}.0.{number}.{index}") for number in after
+                    for index in range(job.steps[number]["count"])):
+                continue
+            if job.lasts():
+                if self.clock() > (ends[-1].at if ends else job.accepted_at) + RESTART_S:
+                    due.append(task)
+            elif not self.is_done(task):
+                due.append(task)
+        return due
+
+    def is_done(self, task):
+        return any(end.how == "done" for end in self.ends.get(task, []))
+
+    def finish(self, states, waiting):
+        """Checks the jobs' last states, by id, and those that have waited in vain for as long as the rule allows."""
         for job in self.jobs.values():
             started = [task for task in self.tasks(job) if task in self.starts]
             if job.is_refused() and started:
                 self.find("REFUSED", f"{started[0]} has started, and all tries were rejected: {job.answers}")
             if job.accepted_at is None:
                 continue
-            state = states.get(job.id)
-            if job.cancelled_at is not None:
-                if any(task.split(".")[0] == job.id for task in self.running):
-                    self.find("UNASKED", f"{job.id} was cancelled, and a task of it runs on")
-            elif job.lasts():
-                if len([task for task in self.tasks(job) if task in self.running]) < len(self.tasks(job)):
-                    self.find("LOST", f"{job.id} lasts, and not all of its tasks run")
-            elif state not in ("done", "failed", "cancelled"):
-                self.find("LOST", f"{job.id} is {state} at the end")
+            if job.cancelled_at is not None and any(task.split(".")[0] == job.id for task in self.running):
+                self.find("UNASKED", f"{job.id} was cancelled, and a task of it runs on")
+            if job.cancel_sent_at is None and states.get(job.id) is None:
+                self.find("LOST", f"{job.id} gets no answer at the end")
+        for name in sorted(waiting):
+            self.find("LOST", f"{name} waits, though there is room")
--- a/Tests/Soak/checks_test.py
+++ b/Tests/Soak/checks_test.py
@@ -113,7 +113,7 @@
         self.add_job([{"count": 1, "cpu": 10}], answers=(503, 429))
         self.checker.jobs["job"].accepted_at = None
         self.start()
-        self.checker.finish({})
+        self.checker.finish({}, set())
         self.expect("REFUSED")
 
     def test_start_in_an_evacuated_zone_is_found(self):
@@ -129,8 +129,8 @@
         self.checker.shown(job, 200, "done", self.now)
         self.checker.shown(job, 200, "failed", self.now)
         self.checker.shown(job, 200, "cancelled", self.now)
-        self.checker.finish({"job": "running"})
-        self.expect("LOST", "MIXED", "LOST", "LOST", "LOST")
+        self.checker.finish({}, {"job"})
+        self.expect("LOST", "MIXED", "LOST", "LOST", "LOST", "LOST")
 
     def test_gang_that_ends_alone_in_a_calm_time_is_found(self):
         self.checker.disturb(self.now - checks.CONTACT_S - 1)
@@ -145,10 +145,32 @@
         self.checker.key_used(False, 200, self.now - 1, self.now)
         self.expect("CONFIG", "CONFIG")
 
-    def test_service_that_stays_down_is_found(self):
-        self.add_job([{"count": 1, "cpu": 10, "longRunning": True}])
-        self.checker.finish({})
-        self.expect("LOST")
+    CAPACITY = {"cpu": 8000, "memMb": 2000}
+
+    def test_service_that_stays_down_waits_in_vain(self):
+        self.add_job([{"count": 1, "cpu": 1000, "longRunning": True}])
+        self.start()
+        self.end("failed")
+        self.assertEqual(self.checker.waiting_in_vain(self.CAPACITY, {}), set())
+        self.now += checks.RESTART_S + 0.1
+        self.assertEqual(self.checker.waiting_in_vain(self.CAPACITY, {}), {"job.0.0.0"})
+
+    def test_job_with_nothing_running_waits_in_vain_while_there_is_room(self):
+        self.assertEqual(self.checker.waiting_in_vain(self.CAPACITY, {}), {"job"})
+        self.assertEqual(self.checker.waiting_in_vain({"cpu": 5000, "memMb": 2000}, {}), set())
+        self.assertEqual(self.checker.waiting_in_vain(self.CAPACITY, {"job": "done"}), set())
+        self.start()
+        self.assertEqual(self.checker.waiting_in_vain(self.CAPACITY, {}), set())
+
+    def test_job_of_a_tenant_at_half_of_its_cap_may_wait(self):
+        self.add_job([{"count": 1, "cpu": 1000}], job="other")
+        self.checker.configure({"team": {"cpu": 2000, "memMb": 0}})
+        self.start("other.0.0.0")
+        self.assertEqual(self.checker.waiting_in_vain(self.CAPACITY, {}), set())
+
+    def test_step_whose_turn_has_not_come_may_wait(self):
+        self.add_job([{"count": 1, "cpu": 1000}, {"count": 1, "cpu": 1000, "after": [0]}])
+        self.assertEqual(self.checker.due_tasks(self.checker.jobs["job"]), ["job.0.0.0"])
 
 
 if __name__ == "__main__":
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -25,6 +25,8 @@
 WORKER_CPU = 16000
 RECOVERY_S = 12.0
 FINISH_S = 14.0
+# A job may wait this long although there is room for it.
+MAX_WAIT_S = 3.0
 TENANTS = ["team-a", "team-b", "team-c"]
 # Share of the run, at its end, in which only what the seed has drawn before is still being undone.
 CALM_SHARE = 0.15
@@ -379,8 +381,9 @@
             thread.join(30)
         self.await_recovery()
         self.await_ends()
+        waiting = self.observe_waiting()
         with self.world.lock:
-            self.checker.finish(self.states)
+            self.checker.finish(self.states, waiting)
         return True
 
     def await_recovery(self):
@@ -407,6 +410,19 @@
                     open_jobs.remove(job)
             time.sleep(0.3)
 
+    def observe_waiting(self):
+        """Returns the jobs and the tasks that last that wait in vain all the while."""
+        waiting = None
+        until = time.monotonic() + MAX_WAIT_S
+        while waiting != set() and time.monotonic() < until:
+            with self.world.lock:
+                alive = [worker.capacity for worker in self.workers if worker.is_alive]
+                capacity = {name: sum(one[name] for one in alive) for name in checks.RESOURCES}
+                now = self.checker.waiting_in_vain(capacity, self.states)
+            waiting = now if waiting is None else waiting & now
+            time.sleep(0.05)
+        return waiting
+
     def show_progress(self):
         with self.world.lock:
             print(f"{base.elapsed():6.1f} s: {len(self.checker.jobs)} jobs, {self.checker.counts.get('starts', 0)} starts, "
