--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -698,7 +698,7 @@
 }
 
 void CellSimulation::checkStart(const FakeCellWorker &worker, const StartCall &call,
-                                const Resources &need)
+                                const Resources &need, Instant sentAt)
 {
     const std::string name =
         fmt::format("{}.{}.{} attempt {} on {}", call.task.job.value(), call.task.step,
@@ -713,8 +713,7 @@
     if (shownDone.contains(call.task.job))
         addViolation(name + " starts after its job was shown as done");
     const auto cancelledAt = cancelled.find(call.task.job);
-    if (cancelledAt != cancelled.end()
-        && events.now() > cancelledAt->second + MaxStartDelayAfterCancel)
+    if (cancelledAt != cancelled.end() && sentAt > cancelledAt->second + MaxStartDelayAfterCancel)
         addViolation(name + " starts after its job was cancelled");
     if (refused.contains(call.task.job) && !accepted.contains(call.task.job))
         addViolation(name + " starts though its job was refused");
@@ -731,6 +730,24 @@
     const Resources cap = configuration.teams.front().cap;
     if (cap.cpu.value() > 0 && team.cpu + need.cpu > cap.cpu)
         addViolation(name + " exceeds the team's limit");
+    checkPlacement(worker, call.task, name);
+}
+
+void CellSimulation::checkPlacement(const FakeCellWorker &worker, const TaskKey &task,
+                                    const std::string &name)
+{
+    const StepSpec &step = m_specs.at(task.job).steps[task.step];
+    if (!step.requiredLabel.empty()
+        && std::ranges::find(worker.info.labels, step.requiredLabel) == worker.info.labels.end())
+        addViolation(name + " starts on a worker without the label " + step.requiredLabel);
+    if (!m_poolsOfQueue.contains(worker.info.pool))
+        addViolation(name + " starts in a pool to which no configuration sends its queue");
+    const auto ofStep = std::ranges::count_if(worker.running, [&task](const auto &entry) {
+        const TaskKey &key = entry.first;
+        return key.job == task.job && key.occurrence == task.occurrence && key.step == task.step;
+    });
+    if (step.maxPerWorker > 0 && ofStep >= static_cast<int64_t>(step.maxPerWorker))
+        addViolation(name + " exceeds the step's limit per worker");
 }
 
 template <typename Reply>
@@ -759,25 +776,30 @@
 void CellSimulation::start(StartCall call, std::function<void(StartReply)> done)
 {
     events.at(events.now() + WorkerLatency, [this, call, done = std::move(done)] {
+        const Instant sentAt = events.now();
         FakeCellWorker *worker = find(call.to);
         if (worker && worker->holdsReplies && !worker->isUnreachable) {
-            executeStart(call, [](const StartReply &) {});
-            worker->resends.push_back([this, call, done] { executeStart(call, done); });
+            executeStart(
+                call, [](const StartReply &) {}, sentAt);
+            worker->resends.push_back(
+                [this, call, done] { executeStart(call, done, events.now()); });
             return;
         }
-        if (isExecutedLate(call.to, done,
-                           [this, call] { executeStart(call, [](const StartReply &) {}); }))
+        if (isExecutedLate(call.to, done, [this, call, sentAt] {
+                executeStart(
+                    call, [](const StartReply &) {}, sentAt);
+            }))
             return;
         if (worker && !worker->isUnreachable && isRefused()) {
             events.at(events.now() + WorkerLatency, [done] { done({StartReply::Refused}); });
             return;
         }
-        executeStart(call, done);
+        executeStart(call, done, sentAt);
     });
 }
 
 void CellSimulation::executeStart(const StartCall &call,
-                                  const std::function<void(StartReply)> &done)
+                                  const std::function<void(StartReply)> &done, Instant sentAt)
 {
     FakeCellWorker *worker = find(call.to);
     const auto answer = [this, done](StartReply::Outcome outcome, Duration delay) {
@@ -807,7 +829,7 @@
     if (call.attempt <= highest)
         return answer(StartReply::Outdated, WorkerLatency);
     const Resources need = needOf(call.task);
-    checkStart(*worker, call, need);
+    checkStart(*worker, call, need, sentAt);
     ++startCount;
     m_lastStarts[call.task] = events.now();
     highest = call.attempt;
@@ -858,7 +880,7 @@
     const auto run = worker->running.find(call.task);
     if (run != worker->running.end() && run->second.attempt == call.attempt) {
         run->second.outcome = RunOutcome::Stopped;
-        run->second.endsAt = std::min(run->second.endsAt, events.now() + Duration(300));
+        run->second.endsAt = std::min(run->second.endsAt, events.now() + stopTime);
     }
     done({StopReply::Accepted});
 }
@@ -878,6 +900,7 @@
 {
     ++viewReads;
     events.at(events.now() + store.latency, [this, done = std::move(done)] {
+        m_poolsOfQueue.insert(configuration.queues.front().pool);
         done({!store.isDown, configuration, evacuated});
     });
 }
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -240,6 +240,8 @@
     Duration taskLength{0};
     /** Duration from which runs compute their progress; 0 means the real duration. */
     Duration estimatedLength{0};
+    /** How long a run goes on after its worker has accepted a stop. */
+    Duration stopTime{300};
     /** All runs report the same progress forever. */
     bool isProgressStalled = false;
     /** Probability that a start or stop gets no reply and is executed 2 to 12 s later. */
@@ -254,7 +256,8 @@
     /** Hands a call to the latest leader, at once or when its process thaws. */
     void handleAtLeader(ClientCall call, const ClientResponder &respond);
     FakeCellWorker *find(const CommandTarget &to);
-    void executeStart(const StartCall &call, const std::function<void(StartReply)> &done);
+    void executeStart(const StartCall &call, const std::function<void(StartReply)> &done,
+                      Instant sentAt);
     void executeStop(const StopCall &call, const std::function<void(StopReply)> &done);
     /**
      * Executes a command late if the dice say so; its sender then gets no reply.
@@ -278,8 +281,12 @@
     /** Lets the members of the gang of @p task begin their work if all of them run now. */
     void beginGang(const TaskKey &task, uint32_t attempt);
     Duration lengthOf(const TaskKey &task) const;
-    /** Adds a violation for each rule that the start would break. */
-    void checkStart(const FakeCellWorker &worker, const StartCall &call, const Resources &need);
+    /** Adds a violation for each rule that the start, which was sent at @p sentAt, would break. */
+    void checkStart(const FakeCellWorker &worker, const StartCall &call, const Resources &need,
+                    Instant sentAt);
+    /** Adds a violation for each limit on the placement of the task's step that a start would break
+     * on @p worker; @p name describes the start. */
+    void checkPlacement(const FakeCellWorker &worker, const TaskKey &task, const std::string &name);
     WorkerClock clockOf(const FakeCellWorker &worker) const;
     Resources needOf(const TaskKey &task) const;
     void addViolation(const std::string &what);
@@ -299,6 +306,8 @@
     std::vector<std::unique_ptr<LeaderProcess>> m_processes;
     std::vector<Leader> m_leaders;
     std::map<JobId, WorkflowSpec> m_specs;
+    /** The pools of the queue in all configurations that were read so far. */
+    std::set<std::string> m_poolsOfQueue;
     std::set<TaskKey> m_doneTasks;
     std::map<TaskKey, Instant> m_lastStarts;
     uint64_t m_nextJob = 1;
