Decision, State: Restart a task of a service however old its job is

Cause: every task was measured from its job's acceptance against an objective for its end. A service has none, so that three objectives later each of its tasks was Leftover work, which leaves 20% of the pool free; other services may never give that back.

Change: a task of a service is due again from the end of its last run. Once a task of a step has run, or has waited 5 s for its first start, the step is Immediate: no reserve of the pool and no reservation of a gang holds it back.

--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -24,6 +24,10 @@
 /** Lower bound for the estimated run time of a task; submitters' estimates may be 0. */
 constexpr Duration MinEstimate{50};
 
+/** By the users' rules, a task of a service that ends or is due must run within 9 s while there is
+ * free capacity, however full the pool is; the rest of that time is for the start itself. */
+constexpr Duration MaxFirstStartDelay{5000};
+
 /** @return for each step the length of the critical path from its start to the end of the job. */
 std::vector<Duration> criticalPathLengths(const WorkflowSpec &spec)
 {
@@ -55,6 +59,27 @@
     return 0;
 }
 
+/**
+ * @return the urgency of a step whose tasks run until the job is cancelled. Unlike other work it
+ * never becomes pointless with age, and what occupies the rest of the pool may never end.
+ */
+StepUrgency urgencyOfService(const JobRecord &job, const StepKey &key, const QueueSettings &queue,
+                             WallTime now)
+{
+    const WallTime due = job.waitingSince(key.occurrence, key.step);
+    StepUrgency urgency;
+    urgency.slack =
+        std::chrono::duration_cast<Duration>(due + queue.startTarget - now) - StartDelay;
+    urgency.rank = urgency.slack.count();
+    if (job.hasTaskToRestart(key.occurrence, key.step) || now - due > MaxFirstStartDelay)
+        urgency.urgencyClass = StepUrgency::Immediate;
+    else if (job.accepted.isOverFairShare)
+        urgency.urgencyClass = StepUrgency::Leftover;
+    else
+        urgency.urgencyClass = queue.priority == 0 ? StepUrgency::Immediate : StepUrgency::InTime;
+    return urgency;
+}
+
 bool hasLabel(const CellWorker &worker, const std::string &label)
 {
     return std::ranges::find(worker.labels, label) != worker.labels.end();
@@ -90,6 +115,8 @@
 StepUrgency Dispatcher::urgencyOf(const JobRecord &job, const StepKey &key,
                                   const QueueSettings &queue, WallTime now)
 {
+    if (job.accepted.spec.steps[key.step].isService)
+        return urgencyOfService(job, key, queue, now);
     const std::vector<Duration> pathLengths = criticalPathLengths(job.accepted.spec);
     Duration criticalPath = std::ranges::max(pathLengths);
     Duration remaining = pathLengths[key.step] + StartDelay;
@@ -289,9 +316,10 @@
 void Dispatcher::countWaitingStep(const Candidate &candidate, std::size_t &counter)
 {
     ++counter;
-    if (m_input.jobs->findStep(candidate.key)->activeCount > 0)
+    if (!candidate.spec().isService && m_input.jobs->findStep(candidate.key)->activeCount > 0)
         return;
-    const auto age = m_input.wallNow - candidate.job->waitingSince(candidate.key.occurrence);
+    const auto age =
+        m_input.wallNow - candidate.job->waitingSince(candidate.key.occurrence, candidate.key.step);
     m_result.waiting.olderThan3s += age > std::chrono::seconds(3);
     m_result.waiting.olderThan10s += age > std::chrono::seconds(10);
 }
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -87,8 +87,8 @@
     std::size_t withoutTicket = 0;
     /** The team is at its limit, or the rest of the pool is kept free for more urgent work. */
     std::size_t atLimit = 0;
-    /** Of all these, steps without a running task whose job was accepted more than 3 s and more
-     * than 10 s ago. */
+    /** Of all these, steps without a running task that have waited for more than 3 s and more than
+     * 10 s; steps of services also if other tasks run, by the task that has waited longest. */
     std::size_t olderThan3s = 0;
     std::size_t olderThan10s = 0;
 };
@@ -108,13 +108,15 @@
 {
     enum Class {
         /** Of a queue with priority 0, within the team's fair share, and can still meet its
-         * objective; may use capacity that is reserved for gangs. */
+         * objective; or a service with a task that has ended or waits too long. May use all free
+         * capacity, also what is reserved for gangs. */
         Immediate,
         /** Within the team's fair share, and can still meet its objective. */
         InTime,
         /** Can no longer meet its objective. */
         Late,
-        /** Too late to earn any credit, or over its team's fair share. */
+        /** Too late to earn any credit, or over its team's fair share; no service, however old its
+         * job is, once a task has run. */
         Leftover,
     };
     Class urgencyClass = InTime;
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -46,6 +46,26 @@
     return std::max(accepted.acceptedAt, dueAt(occurrence));
 }
 
+WallTime JobRecord::waitingSince(uint32_t occurrence, uint32_t step) const
+{
+    const WallTime firstDue = waitingSince(occurrence);
+    if (!accepted.spec.steps[step].isService)
+        return firstDue;
+    WallTime earliest = WallTime::max();
+    for (const TaskProgress &task : occurrences[occurrence][step].tasks) {
+        if (!task.isActive)
+            earliest = std::min(earliest, task.endedAt);
+    }
+    return earliest == WallTime::max() ? firstDue : std::max(firstDue, earliest);
+}
+
+bool JobRecord::hasTaskToRestart(uint32_t occurrence, uint32_t step) const
+{
+    return std::ranges::any_of(occurrences[occurrence][step].tasks, [](const TaskProgress &task) {
+        return !task.isDone && !task.isActive && task.lastAttempt > 0;
+    });
+}
+
 bool JobRecord::isUnblocked(uint32_t occurrence, uint32_t step) const
 {
     const auto &steps = occurrences[occurrence];
@@ -105,6 +125,7 @@
     StepRun &step = job->occurrences[record.task.occurrence][record.task.step];
     const StepSpec &spec = job->accepted.spec.steps[record.task.step];
     task->isActive = false;
+    task->endedAt = now;
     --step.activeCount;
     --job->activeRuns;
     if (record.outcome != RunOutcome::Lost && job->state == JobState::Queued)
--- a/Libraries/State/JobTable.h
+++ b/Libraries/State/JobTable.h
@@ -38,6 +38,11 @@
     /** @return since when the occurrence could run: its due time, or the job's acceptance if that
      * is later. */
     WallTime waitingSince(uint32_t occurrence) const;
+    /** @return since when the longest waiting task of the step could run. A task of a service is
+     * due again from the end of its last run. */
+    WallTime waitingSince(uint32_t occurrence, uint32_t step) const;
+    /** @return true if a waiting task of the step was assigned to a worker before. */
+    bool hasTaskToRestart(uint32_t occurrence, uint32_t step) const;
     /** @return true if all tasks of the steps that @p step waits for are done. */
     bool isUnblocked(uint32_t occurrence, uint32_t step) const;
 };
--- a/Libraries/State/Workload.h
+++ b/Libraries/State/Workload.h
@@ -149,6 +149,9 @@
     bool isActive = false;
     WorkerIncarnation worker;
     std::string checkpoint;
+    /** When the end of the last run was applied; not recorded, so a new leader knows only the time
+     * at which it read the end, and the epoch after a snapshot. */
+    WallTime endedAt{};
 };
 
 /** The whole state of one job; replaces all earlier records of the job. */
