Cell: Do not take the failure of a service that was at work for a faulty worker

Callers would see: tasks of services stay down while there is room.

Cause: three runs of different jobs that fail in a row on a worker close it for 3 s, each further failure for 3 s more, and only a run that ends as done resets the count. Runs of services never end so, and may fail at any time: where a worker's services fail more often than once in 3 s, it gets no start until most of them are down.

Change: a service that had reported to be at work (100%) has shown that its worker can run it; its failure is not counted. The simulated workers report 100% for a service that has started up, as the platform's page says.

Evidence: "Services that fail now and then keep no worker from being used" failed before: a task waited "10600ms < 9000ms". It holds now.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -25,6 +25,8 @@
 /** From this percentage on, a run is not checked for stalls: workers compute progress from the
  * submitter's estimate, so it stays near 100 in a task that takes longer. */
 constexpr int SaturatedPercent = 90;
+/** What a task of a service reports while it is at work, by the platform's documentation. */
+constexpr int ServiceAtWorkPercent = 100;
 
 const char *outcomeName(RunOutcome outcome)
 {
@@ -172,6 +174,7 @@
     run.need = spec.need;
     run.team = job.accepted.team;
     run.isGang = spec.isGang;
+    run.isService = spec.isService;
     run.estimate = spec.estimate;
     return run;
 }
@@ -338,8 +341,12 @@
         const bool isLive = found != m_runs.end() && found->second.attempt == report.attempt
             && found->second.worker == session.incarnation();
         if (isLive && !found->second.isEnding) {
-            m_health.recordOutcome(session.incarnation(), report.task.job, report.outcome,
-                                   m_timers.now());
+            // A service may fail at any time; that it was at work shows that its worker can run it.
+            const bool wasAtWork =
+                found->second.isService && found->second.percent >= ServiceAtWorkPercent;
+            if (!wasAtWork)
+                m_health.recordOutcome(session.incarnation(), report.task.job, report.outcome,
+                                       m_timers.now());
             recordEnd(report.task, found->second, report.outcome,
                       report.checkpoint.empty() ? found->second.checkpoint : report.checkpoint);
         }
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -119,6 +119,7 @@
         Resources need;
         TeamId team;
         bool isGang = false;
+        bool isService = false;
         Duration estimate{0};
     };
 
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -694,7 +694,9 @@
         return 30;
     const auto length = estimatedLength.count() > 0 ? Instant::duration(estimatedLength)
                                                     : run.endsAt - run.startedAt;
-    return std::min<int>(99, static_cast<int>(100 * (events.now() - run.startedAt) / length));
+    // A task of a service is at work after a short startup, and says so.
+    const int most = run.isService ? 100 : 99;
+    return std::min<int>(most, static_cast<int>(100 * (events.now() - run.startedAt) / length));
 }
 
 void CellSimulation::checkStart(const FakeCellWorker &worker, const StartCall &call,
@@ -844,6 +846,7 @@
            "",
            worker->failsAll ? RunOutcome::Failed : RunOutcome::Done,
            need};
+    run.isService = m_specs.at(call.task.job).steps[call.task.step].isService;
     if (isGang) {
         run.isWaiting = true;
         run.outcome = RunOutcome::GangIncomplete;
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -64,6 +64,7 @@
         bool isStopping = false;
         /** A member of a gang that waits until all members run. */
         bool isWaiting = false;
+        bool isService = false;
     };
 
     CellWorker info;
--- a/Tests/Unit/ServiceTest.cpp
+++ b/Tests/Unit/ServiceTest.cpp
@@ -148,3 +148,37 @@
     CHECK(m_cell.runUntil([this] { return atWork() == ServiceTasks; },
                           MaxRestartTime - Duration(1500)));
 }
+
+// Guards against workers that count as faulty, and get no work, because services fail on them.
+TEST_CASE_METHOD(ServiceFixture, "Services that fail now and then keep no worker from being used",
+                 "[cell][service]")
+{
+    // Small ones, each of a job of its own: three that fail in a row make a worker count as faulty.
+    constexpr std::size_t Jobs = 60;
+    for (std::size_t job = 0; job < Jobs; ++job) {
+        WorkflowSpec spec = service(1);
+        spec.steps[0].need.cpu = CpuMillis(200);
+        m_cell.submit(std::move(spec));
+    }
+    REQUIRE(m_cell.runUntil([this] { return atWork() == ServiceTasks + Jobs; }, Duration(9000)));
+    std::map<TaskKey, Instant> lastSeen;
+    Duration longestWait{0};
+    for (int round = 0; round < 300; ++round) {
+        for (FakeCellWorker &worker : m_cell.workers) {
+            for (const auto &[task, run] : worker.running)
+                lastSeen[task] = m_cell.events.now();
+            // The task that is at work for longest fails, once in 1.5 s on each worker.
+            const auto oldest = std::ranges::min_element(
+                worker.running, {}, [](const auto &entry) { return entry.second.startedAt; });
+            if (round % 15 == 0 && oldest != worker.running.end()) {
+                oldest->second.outcome = RunOutcome::Failed;
+                oldest->second.endsAt = m_cell.events.now();
+            }
+        }
+        m_cell.run(Duration(100));
+        for (const auto &[task, seen] : lastSeen)
+            longestWait = std::max(
+                longestWait, std::chrono::duration_cast<Duration>(m_cell.events.now() - seen));
+    }
+    CHECK(longestWait < MaxRestartTime);
+}
