Decision: Try another worker after a task of a service was refused

Callers would see: a task of a service stays down while there is room.

Cause: the worker on which a task failed last is the last choice, by the count of the task's failures. None are counted for services, and the best fit stays the best fit: a worker that refuses starts (429, 503) is chosen each time.

Change: the worker of the last run is the last choice for a service's task, however that run ended. Two workers that both refuse can still be tried in turn.

Evidence: "Refused service task starts on another worker next" failed before ("second.starts[0].worker != refusing: 0 != 0"), and holds now.

--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -282,8 +282,10 @@
                 continue;
             const DispatchWorker &worker = m_input.workers[place.worker];
             int64_t score = placementCost(candidate, place.worker);
-            // The worker on which the task failed last is the last choice.
-            if (task.failures > 0 && task.worker == worker.info->incarnation)
+            // The worker on which the task failed last is the last choice; failures of services are
+            // not counted.
+            const bool hasFailed = task.failures > 0 || (spec.isService && task.lastAttempt > 0);
+            if (hasFailed && task.worker == worker.info->incarnation)
                 score += 4 * worker.info->capacity.cpu.value();
             if (!best || score < bestScore) {
                 best = &place;
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -689,3 +689,20 @@
     CHECK(decide().waiting.olderThan3s == 1);
     CHECK(decide().waiting.olderThan10s == 0);
 }
+
+// Guards against a service task that is sent again and again to a worker that refuses it.
+TEST_CASE_METHOD(DispatcherFixture, "Refused service task starts on another worker next",
+                 "[dispatcher][service]")
+{
+    addWorkers(3, 16'000);
+    const JobId job = addService(1);
+    const DispatchResult first = decide();
+    REQUIRE(first.starts.size() == 1);
+    const std::size_t refusing = first.starts[0].worker;
+    const WorkerIncarnation &incarnation = m_infos[refusing].incarnation;
+    m_jobs.apply(RunAssigned{{job, 0, 0, 0}, 1, incarnation}, m_now);
+    m_jobs.apply(RunEnded{{job, 0, 0, 0}, 1, RunOutcome::Lost, ""}, m_now);
+    const DispatchResult second = decide();
+    REQUIRE(second.starts.size() == 1);
+    CHECK(second.starts[0].worker != refusing);
+}
