--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -145,8 +145,10 @@
 
 std::vector<Dispatcher::Candidate> Dispatcher::sortedCandidates()
 {
+    std::vector<StepKey> steps = m_input.jobs->startableSteps(m_input.wallNow);
     std::vector<Candidate> result;
-    for (StepKey &key : m_input.jobs->startableSteps(m_input.wallNow)) {
+    result.reserve(steps.size());
+    for (StepKey &key : steps) {
         const JobRecord *job = m_input.jobs->find(key.job);
         const QueueSettings *queue = m_input.configuration->findQueue(job->accepted.queue);
         // Accepted jobs of a removed queue are finished in the pool in which they were accepted.
@@ -196,7 +198,7 @@
 {
     if (!candidate.pool)
         return;
-    const StepRun &step = *m_input.jobs->findStep(candidate.key);
+    const StepRun &step = candidate.job->occurrences[candidate.key.occurrence][candidate.key.step];
     if (candidate.spec().isGang)
         placeGang(candidate, step);
     else
@@ -318,10 +320,10 @@
 void Dispatcher::countWaitingStep(const Candidate &candidate, std::size_t &counter)
 {
     ++counter;
-    if (!candidate.spec().isService && m_input.jobs->findStep(candidate.key)->activeCount > 0)
+    const auto &[job, occurrence, step] = candidate.key;
+    if (!candidate.spec().isService && candidate.job->occurrences[occurrence][step].activeCount > 0)
         return;
-    const auto age =
-        m_input.wallNow - candidate.job->waitingSince(candidate.key.occurrence, candidate.key.step);
+    const auto age = m_input.wallNow - candidate.job->waitingSince(occurrence, step);
     m_result.waiting.olderThan3s += age > std::chrono::seconds(3);
     m_result.waiting.olderThan10s += age > std::chrono::seconds(10);
 }
