Tests: Services on a worker that is lost together with the leader, a known failure

The new leader cannot know when the former one last extended the worker's leases, counts 6 s from its own claim, and then the lease.

--- a/Tests/Unit/ServiceTest.cpp
+++ b/Tests/Unit/ServiceTest.cpp
@@ -182,3 +182,17 @@
     }
     CHECK(longestWait < MaxRestartTime);
 }
+
+// Guards against the wait for leases that a former leader may have extended after its end.
+TEST_CASE_METHOD(
+    ServiceFixture,
+    "Service tasks of a worker that is lost together with the leader run again in time",
+    "[cell][service]")
+{
+    losePower(0);
+    m_cell.killLeader();
+    m_cell.run(Duration(1200));
+    m_cell.elect();
+    CHECK(m_cell.runUntil([this] { return atWork() == ServiceTasks; },
+                          MaxRestartTime - Duration(1200)));
+}
