Transport: Close idle connections without a further call, and all on request

Callers saw: a node that had led kept its connections to workers, each of which takes 64 from all nodes, until its HTTP client made another call.

Cause: libcurl closes idle connections only when it looks for one to reuse; CURLOPT_MAXAGE_CONN acts there and nowhere else.

Seen failing first, on: "Client that makes no further call closes its idle connections": HttpClientTest.cpp:205: CHECK( m_client.sendAndWait(callTo("/short", Duration(2000))).isOk() ) with expansion: false. closeConnections() and the fault of a connection did not exist.

Why it works: the event loop knows each socket of libcurl and since when no transfer uses it, and shuts idle ones down once a second; the server sees the end at once, and libcurl discards the connection when it next looks at it. closeConnections() also aborts the calls in flight, whose outcome is NotSent or Unknown as for any other failure. A result says whether the server refused the call's new connection, or reset it after part of the request was sent. All tests that begin with "Client" pass.

--- a/Libraries/Transport/CurlLoop.cpp
+++ b/Libraries/Transport/CurlLoop.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/post.hpp>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace Cranberrymount {
@@ -70,13 +71,15 @@
 
 int CurlLoop::onClose(void *self, curl_socket_t socket)
 {
-    auto &watches = static_cast<CurlLoop *>(self)->m_watches;
+    CurlLoop &loop = *static_cast<CurlLoop *>(self);
+    auto &watches = loop.m_watches;
     const auto found = watches.find(socket);
     // libcurl may close a connection before it has asked for any of its events.
     if (found == watches.end())
         return ::close(socket);
     asio::error_code error;
     found->second->wantedEvents = 0;
+    loop.m_shutDownCount -= found->second->isShutDown ? 1 : 0;
     found->second->descriptor.close(error);
     watches.erase(found);
     return error ? 1 : 0;
@@ -90,10 +93,23 @@
             return;
         found = m_watches.emplace(socket, std::make_shared<Watch>(m_context, socket)).first;
     }
+    if (wantedEvents == 0)
+        found->second->idleSince = std::chrono::steady_clock::now();
     found->second->wantedEvents = wantedEvents;
     waitForEvents(found->second, socket);
 }
 
+void CurlLoop::shutDownIdle(Instant lastUse)
+{
+    for (const auto &[socket, watch] : m_watches) {
+        if (watch->wantedEvents != 0 || watch->isShutDown || watch->idleSince > lastUse)
+            continue;
+        ::shutdown(socket, SHUT_RDWR);
+        watch->isShutDown = true;
+        ++m_shutDownCount;
+    }
+}
+
 /** Starts a wait for each wanted event of the socket that has no wait yet. */
 void CurlLoop::waitForEvents(const WatchHandle &watch, curl_socket_t socket)
 {
--- a/Libraries/Transport/CurlLoop.h
+++ b/Libraries/Transport/CurlLoop.h
@@ -39,6 +39,15 @@
     /** Aborts a transfer; its end is not reported. */
     void remove(CURL *transfer);
 
+    /**
+     * Ends the connections that no transfer has used since @p lastUse. libcurl has no call for it:
+     * it closes idle connections only when it looks for one to reuse, so a client without transfers
+     * would keep them. libcurl discards the connections that are ended here when it finds them.
+     */
+    void shutDownIdle(Instant lastUse);
+    /** @return the number of connections that are neither closed nor shut down. */
+    std::size_t connectionCount() const { return m_watches.size() - m_shutDownCount; }
+
 private:
     /** An open socket of libcurl with the events that libcurl waits for. */
     struct Watch
@@ -52,6 +61,9 @@
         int wantedEvents = 0;
         bool isAwaitingRead = false;
         bool isAwaitingWrite = false;
+        /** When the connection became idle. */
+        Instant idleSince{};
+        bool isShutDown = false;
     };
     using WatchHandle = std::shared_ptr<Watch>;
 
@@ -71,6 +83,7 @@
     TransferEndHandler m_onEnded;
     CURLM *m_multi;
     std::unordered_map<curl_socket_t, WatchHandle> m_watches;
+    std::size_t m_shutDownCount = 0;
     asio::steady_timer m_timer;
     /** When libcurl requests to be called next. */
     Instant m_nextCallAt = Instant::max();
--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -4,7 +4,9 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 
+#include <cerrno>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -16,6 +18,7 @@
 
 constexpr long ConnectTimeoutMs = 500;
 constexpr std::size_t MaxIdleHandles = 256;
+constexpr Duration IdleCheckInterval{1000};
 
 /** A call with its callback and the result so far. */
 struct Exchange
@@ -93,6 +96,24 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, exchange.headers);
 }
 
+/** @return what the server did with a connection that was opened for a call that failed. */
+ConnectionFault connectionFault(CURL *handle, CURLcode code, bool isSent)
+{
+    long systemError = 0;
+    long newConnections = 0;
+    curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &systemError);
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &newConnections);
+    if (code == CURLE_COULDNT_CONNECT) {
+        const bool isRefused = systemError == ECONNREFUSED || systemError == ECONNRESET;
+        return isRefused ? ConnectionFault::Refused : ConnectionFault::None;
+    }
+    const bool isEndedByPeer =
+        code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR || code == CURLE_GOT_NOTHING;
+    if (newConnections == 0 || !isEndedByPeer)
+        return ConnectionFault::None;
+    return isSent ? ConnectionFault::Reset : ConnectionFault::Refused;
+}
+
 HttpResult makeResult(CURL *handle, CURLcode code, Exchange &exchange)
 {
     HttpResult result = std::move(exchange.result);
@@ -110,6 +131,7 @@
     curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
     result.outcome = sentBytes == 0 ? HttpResult::NotSent : HttpResult::Unknown;
     result.error = curl_easy_strerror(code);
+    result.connectionFault = connectionFault(handle, code, sentBytes > 0);
     return result;
 }
 
@@ -123,6 +145,7 @@
         , maxIdleTime(maxIdleTime)
         , loop(context, maxHostConnections,
                [this](CURL *handle, CURLcode code) { completeTransfer(handle, code); })
+        , idleTimer(context)
     {
     }
     ~Private();
@@ -135,8 +158,13 @@
     std::mutex mutex;
     std::vector<std::unique_ptr<Exchange>> queued;
     std::vector<std::string> blockedPrefixes;
+    asio::steady_timer idleTimer;
+    bool isIdleTimerRunning = false;
 
     void startQueued();
+    void abortAll();
+    /** Closes connections that have been idle for too long, now and as long as there are any. */
+    void closeIdleConnections();
     void completeTransfer(CURL *handle, CURLcode code);
     bool isBlocked(const std::string &url);
 };
@@ -180,6 +208,31 @@
         active.emplace(handle, std::move(exchange));
         loop.add(handle);
     }
+    if (!isIdleTimerRunning)
+        closeIdleConnections();
+}
+
+void HttpClient::Private::closeIdleConnections()
+{
+    loop.shutDownIdle(std::chrono::steady_clock::now() - maxIdleTime);
+    isIdleTimerRunning = !active.empty() || loop.connectionCount() > 0;
+    if (!isIdleTimerRunning)
+        return;
+    idleTimer.expires_after(IdleCheckInterval);
+    idleTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            closeIdleConnections();
+    });
+}
+
+void HttpClient::Private::abortAll()
+{
+    while (!active.empty()) {
+        CURL *handle = active.begin()->first;
+        loop.remove(handle);
+        completeTransfer(handle, CURLE_ABORTED_BY_CALLBACK);
+    }
+    loop.shutDownIdle(Instant::max());
 }
 
 void HttpClient::Private::completeTransfer(CURL *handle, CURLcode code)
@@ -220,6 +273,17 @@
 {
 }
 
+void HttpClient::closeConnections()
+{
+    // Deferred: libcurl must not be called from within one of its callbacks.
+    asio::post(m_private->context, [this] { m_private->abortAll(); });
+}
+
+std::size_t HttpClient::connectionCount() const
+{
+    return m_private->loop.connectionCount();
+}
+
 void HttpClient::stop()
 {
     if (!m_ownLoop || !m_ownLoop->thread.joinable())
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "State/Time.h"
+#include "Transport/ConnectionFault.h"
 
 #include <asio/io_context.hpp>
 
@@ -51,6 +52,8 @@
     std::string body;
     std::string contentType;
     std::string error;
+    /** Other than None, the server may have no connection left for this client. */
+    ConnectionFault connectionFault = ConnectionFault::None;
 
     bool isOk() const { return outcome == Answered && status >= 200 && status < 300; }
 };
@@ -69,7 +72,7 @@
      * Uses the thread that runs @p context instead of a thread of its own, also for the callbacks:
      * on a node with a fraction of a processor, thread switches cost as much as the calls.
      *
-     * @param maxIdleTime the next call after it closes connections that were not used for longer
+     * @param maxIdleTime connections that are not used for longer are closed
      */
     HttpClient(asio::io_context &context, std::size_t maxHostConnections,
                std::chrono::seconds maxIdleTime = DefaultMaxIdleTime);
@@ -78,6 +81,13 @@
     /** Sends @p call; @p callback runs on the client's thread and must not block. */
     void send(HttpCall call, Callback callback);
 
+    /** Aborts all calls and closes all connections. The outcome of an aborted call is NotSent or
+     * Unknown. */
+    void closeConnections();
+
+    /** @return the number of open connections; only on the client's thread. */
+    std::size_t connectionCount() const;
+
     /** Ends the client's own thread, if it has one; no callback runs after that. */
     void stop();
 
--- a/Tests/Unit/HttpClientTest.cpp
+++ b/Tests/Unit/HttpClientTest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <ctime>
 #include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -180,10 +181,52 @@
     CHECK(m_client.sendAndWait(callTo("/short", Duration(2000))).isOk());
 }
 
+// Guards against former leaders that make no further call: libcurl closes idle connections only
+// when it looks for one to reuse.
+TEST_CASE_METHOD(HttpClientFixture, "Client that makes no further call closes its idle connections",
+                 "[transport]")
+{
+    constexpr std::size_t ServerConnections = 2;
+    HttpServerLimits limits;
+    limits.connections = ServerConnections;
+    m_server = listen(limits);
+    asio::io_context context;
+    HttpClient formerLeader(context, ServerConnections, std::chrono::seconds(1));
+    std::size_t answeredCount = 0;
+    for (std::size_t call = 0; call < ServerConnections; ++call)
+        formerLeader.send(
+            callTo("/held", Duration(20'000)),
+            [&answeredCount](const HttpResult &result) { answeredCount += result.isOk() ? 1 : 0; });
+    while (heldCount() < ServerConnections)
+        context.run_for(std::chrono::milliseconds(5));
+    answerHeld();
+    context.run_for(std::chrono::milliseconds(3500));
+    REQUIRE(answeredCount == ServerConnections);
+    CHECK(formerLeader.connectionCount() == 0);
+    CHECK(m_client.sendAndWait(callTo("/short", Duration(2000))).isOk());
+}
+
+// Guards against former leaders whose connections use up those of a worker.
+TEST_CASE_METHOD(HttpClientFixture, "Client can close its connections and abort their calls",
+                 "[transport]")
+{
+    HttpClient client;
+    std::promise<HttpResult> promise;
+    client.send(callTo("/held", Duration(20'000)),
+                [&promise](HttpResult result) { promise.set_value(std::move(result)); });
+    while (heldCount() == 0)
+        std::this_thread::yield();
+    client.closeConnections();
+    CHECK(promise.get_future().get().outcome == HttpResult::Unknown);
+    CHECK(client.sendAndWait(callTo("/short", Duration(2000))).isOk());
+}
+
 TEST_CASE("Call to a port without a listener ends as not sent", "[transport]")
 {
     HttpClient client;
     HttpCall call;
     call.url = "http://127.0.0.1:1/";
-    CHECK(client.sendAndWait(call).outcome == HttpResult::NotSent);
+    const HttpResult result = client.sendAndWait(call);
+    CHECK(result.outcome == HttpResult::NotSent);
+    CHECK(result.connectionFault == ConnectionFault::Refused);
 }
