Coordination: Use connections to workers as a budget

From the fifth leader on new connections were refused (13,704 starts logged as refused, nothing of them sent; 426 left unanswered), each was recorded as lost and started again after about 50 ms, and report requests were repeated each 0.1 to 0.5 s, all on new connections: 39,573 reset by the workers.

Now a node opens 4 connections to a worker at most, 2 under little load, for its own commands and those that it forwards (WorkerConnections). A refused or reset new connection means that the worker is full: the next one is tried after a growing, jittered pause, one at a time, and commands share those that are open, down to one. A start that found none is known not to have run; its worker gets no start for 0.25 s to 2 s, so that its task starts elsewhere. One that was sent stays unanswered, as before. A leader that steps down closes its connections at once. 15 x 4 + 4 = 64: fifteen leaders may lose power under load before a worker has closed one of their connections. Metrics and node_load tell connections open, refused and reset.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -49,9 +49,11 @@
     return "unknown";
 }
 
-const char *refusalName(StartReply::Outcome outcome)
+const char *refusalName(const StartReply &reply)
 {
-    switch (outcome) {
+    if (reply.fault == ConnectionFault::Refused)
+        return "no_connection";
+    switch (reply.outcome) {
     case StartReply::LeaseExpired:
         return "lease_over";
     case StartReply::NoCapacity:
@@ -244,8 +246,11 @@
         return;
     ActiveRun &run = found->second;
     run.reportableSince = m_timers.now();
+    if (reply.fault != ConnectionFault::None)
+        m_health.recordConnectionFault(run.worker, run.reportableSince);
     switch (reply.outcome) {
     case StartReply::Started:
+        m_health.recordConnection(run.worker);
         run.phase = RunPhase::Confirmed;
         m_jobs.markStarted(key.job);
         m_startLatency.record(
@@ -272,7 +277,7 @@
     }
     LOG_EVENT(m_dependencies.log, "start_refused")
         << "task=" << taskText(key) << " attempt=" << attempt << " worker=" << run.worker.id.value()
-        << " reason=" << refusalName(reply.outcome);
+        << " reason=" << refusalName(reply);
     m_dependencies.count("starts_refused", 1);
     recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
 }
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/CellScheduler.h"
 
 #include "Coordination/CommandRelay.h"
+#include "Coordination/WorkerConnections.h"
 #include "Protocol/JournalCodec.h"
 #include "Protocol/ProtocolError.h"
 
@@ -38,9 +39,10 @@
 /** Time for commits in flight to finish, so that their callers are answered. The next leader
  * handles later ones: under load the journal never becomes empty. */
 constexpr Duration QuiesceDelay{60};
-/** A start command arrives at a worker within this time or not at all: its timeout, and the time
- * that a forwarder may hold it. */
-constexpr Duration StartDeliveryTime = Duration(800) + CommandRelay::MaxCommandDelay;
+/** A start command arrives at a worker within this time or not at all: its timeout, the time that
+ * it may take to a forwarder, and the time that it may wait for a connection. */
+constexpr Duration StartDeliveryTime =
+    Duration(800) + CommandRelay::MaxCommandDelay + WorkerConnections::MaxQueueTime;
 /** Lower bound of a run's expected duration; submitters' estimates may be 0. */
 constexpr Duration MinRunDuration{100};
 /** Least progress in percent that is used to predict a run's end; smaller values are too coarse. */
@@ -281,6 +283,8 @@
             handleReport(session, reply, sentAt);
     };
     observer.reachabilityChanged = [this](WorkerSession &session, bool isReachable) {
+        if (m_isSuperseded)
+            return;
         LOG(INFO) << "event=worker_" << (isReachable ? "reached" : "unreachable")
                   << " worker=" << session.incarnation().id.value()
                   << " zone=" << session.worker().zone.value() << " epoch=" << m_epoch.value();
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -79,6 +79,8 @@
     /** Stops making decisions; @p done runs after a short delay in which commits in flight can
      * finish. */
     void quiesce(std::function<void()> done);
+    /** Ignores everything that still arrives, since the claim is lost. */
+    void abandon() { m_isSuperseded = true; }
 
 private:
     /** How far the start of a run has come. */
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -1,5 +1,6 @@
 #include "Coordination/PeerHub.h"
 
+#include "Coordination/WorkerConnections.h"
 #include "Protocol/ProtocolError.h"
 #include "Transport/BootClock.h"
 
@@ -16,8 +17,9 @@
 constexpr Duration ConnectTimeout{300};
 constexpr Duration VoteTimeout{300};
 constexpr Duration ExpiryInterval{50};
-/** A command's own timeout of 0.8 s, plus the round trip to its forwarder. */
-constexpr Duration ForwardedCommandTimeout{1300};
+/** A command's own timeout of 0.8 s, plus the round trip to its forwarder, and the time that it may
+ * wait there for a connection. */
+constexpr Duration ForwardedCommandTimeout = Duration(1300) + WorkerConnections::MaxQueueTime;
 
 /** @return the message; if it cannot be decoded, closes the link and returns nothing. */
 std::optional<CellEnvelope> decodeOrClose(const std::shared_ptr<FrameLink> &link,
--- a/Libraries/Coordination/WorkerHealth.cpp
+++ b/Libraries/Coordination/WorkerHealth.cpp
@@ -1,5 +1,7 @@
 #include "Coordination/WorkerHealth.h"
 
+#include <algorithm>
+
 namespace Cranberrymount {
 
 namespace {
@@ -9,6 +11,9 @@
 constexpr uint32_t FailedJobsUntilQuarantine = 3;
 /** Time after which a quarantined worker gets new work again. */
 constexpr Duration QuarantineDuration{3000};
+/** A worker that takes no connection gets no new work for this long, doubling up to the maximum. */
+constexpr Duration FirstConnectionPause{250};
+constexpr Duration MaxConnectionPause{2000};
 
 } // namespace
 
@@ -32,6 +37,25 @@
     m_records[worker].quarantinedUntil = now + QuarantineDuration;
 }
 
+void WorkerHealth::recordConnectionFault(const WorkerIncarnation &worker, Instant now)
+{
+    Record &record = m_records[worker];
+    // Commands that fail together count once.
+    if (record.quarantinedUntil > now)
+        return;
+    const Duration pause = std::min(
+        FirstConnectionPause * (1 << std::min(record.connectionFaults, 8U)), MaxConnectionPause);
+    ++record.connectionFaults;
+    record.quarantinedUntil = now + pause;
+}
+
+void WorkerHealth::recordConnection(const WorkerIncarnation &worker)
+{
+    const auto found = m_records.find(worker);
+    if (found != m_records.end())
+        found->second.connectionFaults = 0;
+}
+
 bool WorkerHealth::isQuarantined(const WorkerIncarnation &worker, Instant now) const
 {
     const auto found = m_records.find(worker);
--- a/Libraries/Coordination/WorkerHealth.h
+++ b/Libraries/Coordination/WorkerHealth.h
@@ -17,6 +17,9 @@
                        Instant now);
     /** Records that a run makes no progress on @p worker. */
     void recordStall(const WorkerIncarnation &worker, Instant now);
+    /** Records that @p worker took no connection for a command. */
+    void recordConnectionFault(const WorkerIncarnation &worker, Instant now);
+    void recordConnection(const WorkerIncarnation &worker);
     /** @return true while the worker should get no new work. */
     bool isQuarantined(const WorkerIncarnation &worker, Instant now) const;
     void forget(const WorkerIncarnation &worker) { m_records.erase(worker); }
@@ -28,6 +31,7 @@
         uint32_t consecutiveFailedJobs = 0;
         JobId lastFailedJob;
         Instant quarantinedUntil{};
+        uint32_t connectionFaults = 0;
     };
 
     std::unordered_map<WorkerIncarnation, Record> m_records;
--- a/Libraries/Protocol/CellMessages.cpp
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -172,7 +172,9 @@
 
 flatbuffers::Offset<void> pack(Builder &builder, const StartReply &message)
 {
-    return CellWire::CreateStartResponse(builder, message.outcome).Union();
+    return CellWire::CreateStartResponse(builder, message.outcome,
+                                         static_cast<uint8_t>(message.fault))
+        .Union();
 }
 
 flatbuffers::Offset<void> pack(Builder &builder, const StopCall &message)
@@ -413,7 +415,9 @@
         break;
     case CellWire::Message::StartResponse:
         envelope.message = StartReply{
-            unpackOutcome(wire->message_as_StartResponse()->outcome(), StartReply::Unknown)};
+            unpackOutcome(wire->message_as_StartResponse()->outcome(), StartReply::Unknown),
+            unpackOutcome(wire->message_as_StartResponse()->connection_fault(),
+                          ConnectionFault::Reset)};
         break;
     case CellWire::Message::StopRequest:
         envelope.message = unpack(*wire->message_as_StopRequest());
--- a/Libraries/Protocol/Generated/Cell_generated.h
+++ b/Libraries/Protocol/Generated/Cell_generated.h
@@ -1726,14 +1726,19 @@
 struct StartResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StartResponseBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_OUTCOME = 4
+    VT_OUTCOME = 4,
+    VT_CONNECTION_FAULT = 6
   };
   uint8_t outcome() const {
     return GetField<uint8_t>(VT_OUTCOME, 0);
   }
+  uint8_t connection_fault() const {
+    return GetField<uint8_t>(VT_CONNECTION_FAULT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CONNECTION_FAULT, 1) &&
            verifier.EndTable();
   }
 };
@@ -1745,6 +1750,9 @@
   void add_outcome(uint8_t outcome) {
     fbb_.AddElement<uint8_t>(StartResponse::VT_OUTCOME, outcome, 0);
   }
+  void add_connection_fault(uint8_t connection_fault) {
+    fbb_.AddElement<uint8_t>(StartResponse::VT_CONNECTION_FAULT, connection_fault, 0);
+  }
   explicit StartResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1758,8 +1766,10 @@
 
 inline flatbuffers::Offset<StartResponse> CreateStartResponse(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint8_t outcome = 0) {
+    uint8_t outcome = 0,
+    uint8_t connection_fault = 0) {
   StartResponseBuilder builder_(_fbb);
+  builder_.add_connection_fault(connection_fault);
   builder_.add_outcome(outcome);
   return builder_.Finish();
 }
--- a/Libraries/Protocol/WorkerCommands.h
+++ b/Libraries/Protocol/WorkerCommands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "State/CellConfiguration.h"
+#include "Transport/ConnectionFault.h"
 
 #include <functional>
 #include <optional>
@@ -69,6 +70,8 @@
     int64_t startedAtMs = 0;
     std::vector<RunReport> running;
     std::vector<EndReport> ended;
+    /** Not sent to the leader by forwarders; Refused if the call was not sent. */
+    ConnectionFault fault = ConnectionFault::None;
 };
 
 /** Starts one attempt of a task. */
@@ -103,6 +106,9 @@
         Unknown,
     };
     Outcome outcome = Unknown;
+    /** Other than None, the worker may have no connection left; Refused if the command was not
+     * sent, in which case the outcome is Refused, too. */
+    ConnectionFault fault = ConnectionFault::None;
 };
 
 /** Stops one attempt of a task. */
@@ -117,6 +123,8 @@
 {
     enum Outcome { Accepted, Fenced, OtherIncarnation, Unknown };
     Outcome outcome = Unknown;
+    /** Not sent to the leader by forwarders; Refused if the command was not sent. */
+    ConnectionFault fault = ConnectionFault::None;
 };
 
 /** Sends commands to workers; callbacks run on the control thread. */
@@ -128,6 +136,11 @@
     virtual void hold(HoldCall call, std::function<void(HoldReply)> done) = 0;
     virtual void start(StartCall call, std::function<void(StartReply)> done) = 0;
     virtual void stop(StopCall call, std::function<void(StopReply)> done) = 0;
+
+    /** Aborts all commands and closes all connections to workers. */
+    virtual void closeConnections() { }
+    /** @return the number of open connections to workers. */
+    virtual std::size_t connectionCount() const { return 0; }
 };
 
 } // namespace Cranberrymount
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -51,7 +51,8 @@
     , m_logLimiter(m_timers)
     , m_random(pcg_extras::seed_seq_from<std::random_device>())
     , m_adviceScheduler(m_timers)
-    , m_commandRelay(m_platform.commands, m_timers)
+    , m_workerConnections(m_platform.commands, m_timers, m_logLimiter, [this] { return random(); })
+    , m_commandRelay(m_workerConnections, m_timers)
     , m_peers(context, m_timers, {m_settings.node, m_settings.processor, m_settings.zone},
               m_settings.peer,
               {.clientCall =
@@ -78,7 +79,7 @@
                        if (m_scheduler)
                            m_scheduler->adoptEnds(ends);
                    },
-               .commands = &m_platform.commands,
+               .commands = &m_workerConnections,
                .followerJoined =
                    [this](const EntryId &node) {
                        LOG(INFO) << "event=follower_joined node=" << node.value();
@@ -170,6 +171,9 @@
 {
     m_leftoverEnds = m_scheduler->unwrittenEnds();
     m_endsForwardedTo = Revision();
+    // The next leader needs the connections: a worker takes a limited number from all nodes.
+    m_scheduler->abandon();
+    m_workerConnections.closeConnections();
     // A later tick destroys the scheduler, since one of its functions may be on the stack.
     m_retiredSchedulers.push_back(std::move(m_scheduler));
     // Reports the loss of leadership, so that followers need not wait until heartbeats are missing.
@@ -340,11 +344,23 @@
 {
     const Instant now = m_timers.now();
     const auto processor = readSystemClock(CLOCK_PROCESS_CPUTIME_ID);
+    const WorkerConnections::Counts connections = m_workerConnections.counts();
+    const std::size_t openConnections = m_workerConnections.connectionCount();
+    m_metrics.set("worker_connections_open", static_cast<double>(openConnections));
+    m_metrics.set("worker_connections_refused", static_cast<double>(connections.refused));
+    m_metrics.set("worker_connections_reset", static_cast<double>(connections.reset));
+    m_metrics.set("worker_commands_unsent", static_cast<double>(connections.unsent));
+    m_metrics.set("workers_full", static_cast<double>(connections.fullWorkers));
     LOG(INFO) << "event=node_load leads=" << (m_scheduler != nullptr)
               << " over_ms=" << std::chrono::duration_cast<Duration>(now - m_loadLoggedAt).count()
               << " processor_ms="
               << std::chrono::duration_cast<Duration>(processor - m_processorTimeAtLastLog).count()
-              << " calls_waiting=" << m_waitingCalls.size();
+              << " calls_waiting=" << m_waitingCalls.size()
+              << " connections_open=" << openConnections
+              << " connections_refused=" << connections.refused
+              << " connections_reset=" << connections.reset
+              << " commands_unsent=" << connections.unsent
+              << " workers_full=" << connections.fullWorkers;
     m_loadLoggedAt = now;
     m_processorTimeAtLastLog = processor;
 }
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -3,6 +3,7 @@
 #include "Coordination/CellScheduler.h"
 #include "Coordination/Leadership.h"
 #include "Coordination/PeerHub.h"
+#include "Coordination/WorkerConnections.h"
 #include "Service/CellSettings.h"
 #include "Service/Metrics.h"
 #include "Service/WaitingCall.h"
@@ -121,6 +122,8 @@
     std::map<uint64_t, HeldCall> m_heldCalls;
     uint64_t m_nextCall = 1;
     AdviceCallScheduler m_adviceScheduler;
+    /** All commands from this node to workers, its own and those that it forwards. */
+    WorkerConnections m_workerConnections;
     CommandRelay m_commandRelay;
     PeerHub m_peers;
     Leadership m_leadership;
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -32,14 +32,10 @@
 constexpr Duration IdleExitMargin{1800};
 constexpr Duration DrainPollInterval{50};
 constexpr Duration WritePollInterval{10};
-/**
- * One connection is for the pending hold call to a worker, the rest for other commands; a worker
- * accepts 64 from all nodes together. An unresponsive store occupies one connection for each commit
- * and probe sent in a second.
- */
-constexpr std::size_t ConnectionsPerHost = 24;
-/** A former leader closes its connections to workers after this, since the next one needs them. */
-constexpr std::chrono::seconds MaxIdleTime{5};
+/** An unresponsive store occupies one connection for each commit and probe sent in a second. */
+constexpr std::size_t StoreConnections = 24;
+/** Connections to the store that are not used for longer are closed. */
+constexpr std::chrono::seconds MaxStoreIdleTime{5};
 constexpr int ServiceUnavailable = 503;
 
 /** A node of a cell with its HTTP servers for clients, readiness probes and metrics. */
@@ -49,11 +45,13 @@
     CellService(asio::io_context &context, const CellSettings &settings)
         : m_context(context)
         , m_settings(settings)
-        , m_client(context, ConnectionsPerHost, MaxIdleTime)
+        , m_client(context, StoreConnections, MaxStoreIdleTime)
+        , m_workerClient(context, WorkerConnections::MaxConnections, WorkerConnections::MaxIdleTime)
         , m_store(m_client, context, settings.store)
         , m_documents(m_store)
-        , m_workers(m_client, context, settings.advisor)
-        , m_node(context, settings, {m_store, m_documents, m_workers, m_workers})
+        , m_workers(m_workerClient, context, {})
+        , m_advisor(m_client, context, settings.advisor)
+        , m_node(context, settings, {m_store, m_documents, m_workers, m_advisor})
         , m_clientServer(context, settings.front, {},
                          [this](const HttpRequest &request, const HttpResponder &respond) {
                              handleClient(request, respond);
@@ -156,9 +154,11 @@
     asio::io_context &m_context;
     CellSettings m_settings;
     HttpClient m_client;
+    HttpClient m_workerClient;
     Platform::PlatformStore m_store;
     Platform::PlatformDocuments m_documents;
     Platform::PlatformWorkers m_workers;
+    Platform::PlatformWorkers m_advisor;
     CellNode m_node;
     HttpServer m_clientServer;
     HttpServer m_readinessServer;
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -780,6 +780,10 @@
     events.at(events.now() + WorkerLatency, [this, call, done = std::move(done)] {
         const Instant sentAt = events.now();
         FakeCellWorker *worker = find(call.to);
+        if (worker && worker->refusesStartConnections) {
+            ++worker->refusedStarts;
+            return done({StartReply::Refused, ConnectionFault::Refused});
+        }
         if (worker && worker->holdsReplies && !worker->isUnreachable) {
             executeStart(
                 call, [](const StartReply &) {}, sentAt);
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -92,6 +92,9 @@
      * effect, as on a worker whose limit of connections is reached. */
     std::size_t maxStartsInFlight = SIZE_MAX;
     std::size_t startsInFlight = 0;
+    /** Refuses the connections of start commands; its report requests use one that is open. */
+    bool refusesStartConnections = false;
+    std::size_t refusedStarts = 0;
     /** Replies don't leave the worker until resetConnections(). */
     bool holdsReplies = false;
     /** Calls that libcurl sends again when the connections are reset. */
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -235,6 +235,13 @@
     CHECK(decodedStart.leaseUntil == WorkerClock(9));
     CHECK(decodedStart.ticket == "t");
     CHECK_THROWS_AS(decodeCellEnvelope("rubbish"), ProtocolError);
+
+    // The leader must learn that a forwarder found no connection, or it would start there again.
+    const CellEnvelope replyEnvelope = decodeCellEnvelope(
+        encodeCellEnvelope({1, StartReply{StartReply::Refused, ConnectionFault::Refused}}));
+    const auto &startReply = std::get<StartReply>(replyEnvelope.message);
+    CHECK(startReply.outcome == StartReply::Refused);
+    CHECK(startReply.fault == ConnectionFault::Refused);
 }
 
 TEST_CASE("Cell node's settings are parsed, and wrong keys and types are refused", "[platform]")
