Coordination: A worker's refusal by epoch is a reason to check the claim, not the proof that it is lost

Cause: WorkerSession, handleStartReply and sendStop took 409 "fence" as the proof that another node of this cell leads. Each new leader asks every listed worker for a report first, so each stepped down at once.

Now a refusal puts the claim in doubt. The leader commits at the usual rate; each commit depends on the claim, so the store says either that another node leads, and the leader steps down, or that the claim held after the refusal. In doubt no command is sent; recorded starts wait, also those whose record a commit sent before the refusal confirms. Without the store only report requests go on, under the rule for leases that a successor counts with, and only while it lets leases be extended. A worker that refused a standing claim is not ours (worker_foreign): no starts, called after 5 s up to once a minute; its further refusals say nothing new.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -52,7 +52,8 @@
 
 bool CellScheduler::isConfirmationStale() const
 {
-    return claimAge() > MaxUnconfirmed;
+    // While the store accepts commits, a doubt is over within milliseconds.
+    return claimAge() > MaxUnconfirmed || (isClaimInDoubt() && !m_isStoreReachable);
 }
 
 void CellScheduler::handle(ClientCall call, ClientResponder respond)
--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -62,6 +62,8 @@
         return "bad_ticket";
     case StartReply::OtherIncarnation:
         return "other_life";
+    case StartReply::Fenced:
+        return "higher_epoch";
     default:
         return "refused";
     }
@@ -205,6 +207,10 @@
     const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.attempt != attempt)
         return;
+    if (isClaimInDoubt()) {
+        m_deferredStarts.emplace_back(key, attempt);
+        return;
+    }
     ActiveRun &run = found->second;
     const JobRecord *job = m_jobs.find(key.job);
     WorkerSession *session = sessionOf(run.worker);
@@ -229,18 +235,32 @@
     call.ticket = run.ticket;
     run.phase = RunPhase::StartSent;
     m_dependencies.count("starts_sent", 1);
-    m_dependencies.commands.start(
-        std::move(call),
-        [this, key, attempt, alive = std::weak_ptr(m_alive)](const StartReply &reply) {
-            if (!alive.expired() && !m_isSuperseded)
-                handleStartReply(key, attempt, reply);
-        });
+    m_dependencies.commands.start(std::move(call),
+                                  [this, key, attempt, worker = run.worker,
+                                   alive = std::weak_ptr(m_alive)](const StartReply &reply) {
+                                      if (alive.expired() || m_isSuperseded)
+                                          return;
+                                      if (reply.outcome == StartReply::Fenced)
+                                          handleRefusedCommand(worker);
+                                      handleStartReply(key, attempt, reply);
+                                  });
+}
+
+void CellScheduler::sendDeferredCommands()
+{
+    if (m_isSuperseded || isClaimInDoubt())
+        return;
+    for (const auto &[key, attempt] : std::exchange(m_deferredStarts, {}))
+        sendStart(key, attempt);
+    for (auto &[key, run] : m_runs) {
+        if (run.isStopRequested && run.phase != RunPhase::Recording
+            && run.phase != RunPhase::StartSent)
+            sendStop(key, run);
+    }
 }
 
 void CellScheduler::handleStartReply(const TaskKey &key, uint32_t attempt, const StartReply &reply)
 {
-    if (reply.outcome == StartReply::Fenced)
-        return m_superseded();
     const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.attempt != attempt || found->second.isEnding)
         return;
@@ -301,7 +321,7 @@
         return;
     WorkerSession *session = sessionOf(run.worker);
     // If the worker is unreachable, the stop is sent after its next report, or the lease expires.
-    if (!session || !session->isReachable())
+    if (!session || !session->isReachable() || isClaimInDoubt())
         return;
     run.isStopInFlight = true;
     const uint32_t attempt = run.attempt;
@@ -311,7 +331,7 @@
                                      if (alive.expired() || m_isSuperseded)
                                          return;
                                      if (reply.outcome == StopReply::Fenced)
-                                         return m_superseded();
+                                         handleRefusedCommand(worker);
                                      const auto found = m_runs.find(key);
                                      if (found == m_runs.end() || found->second.attempt != attempt
                                          || found->second.worker != worker)
@@ -429,6 +449,9 @@
     const bool isKnown = found != m_runs.end() && found->second.attempt == report.attempt
         && found->second.worker == session.incarnation();
     if (!isKnown) {
+        // The next report lists it again.
+        if (isClaimInDoubt())
+            return;
         // The run is obsolete: its end was recorded, or its job is unknown.
         LOG_EVENT(m_dependencies.log, "stray_run_stopped")
             << "task=" << taskText(report.task) << " attempt=" << report.attempt
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -143,6 +143,7 @@
             }
             Journal::Observer observer;
             observer.superseded = m_superseded;
+            observer.claimConfirmed = [this] { handleClaimConfirmed(); };
             observer.reachabilityChanged = [this](bool isReachable) {
                 m_isStoreReachable = isReachable;
                 m_storeOutageBeganAt = m_timers.now();
@@ -223,7 +224,7 @@
     LOG(INFO) << "event=recovery_ended epoch=" << m_epoch.value() << " runs=" << m_runs.size()
               << " workers=" << m_sessions.size() << " configuration=" << m_configuration.version;
     for (auto &[id, session] : m_sessions)
-        session->begin();
+        session->requestReport();
     m_journal->confirmClaim();
     m_load.since = m_lastActiveAt = m_timers.now();
     m_tickDueAt = m_load.since + TickInterval;
@@ -294,7 +295,17 @@
         if (!m_isSuperseded)
             handleOtherIncarnation(session, reply);
     };
-    observer.fenced = m_superseded;
+    observer.refused = [this](WorkerSession &session) {
+        // What it refused while the claim stood, it goes on to refuse: that says nothing new.
+        if (!m_isSuperseded && !session.isForeign())
+            doubtClaim(session.incarnation());
+    };
+    // Without the store the claim can't be confirmed soon; a successor counts on leases that this
+    // leader extends by mayExtendLeases.
+    observer.mayRequestReports = [this] {
+        return !isClaimInDoubt()
+            || (!m_isStoreReachable && claimAge() < MaxUnconfirmedForExtension);
+    };
     observer.mayExtendLeases = [this] { return claimAge() < MaxUnconfirmedForExtension; };
     std::vector<WorkerIncarnation> earlierIncarnations;
     for (const auto &[incarnation, keys] : m_runsByWorker) {
@@ -313,7 +324,7 @@
     session = std::make_unique<WorkerSession>(m_dependencies.commands, m_dependencies.timers,
                                               worker, terms, std::move(observer));
     if (m_isReady)
-        session->begin();
+        session->requestReport();
 }
 
 void CellScheduler::endSession(
@@ -351,6 +362,40 @@
     scheduleDispatch();
 }
 
+void CellScheduler::handleRefusedCommand(const WorkerIncarnation &worker)
+{
+    if (WorkerSession *session = sessionOf(worker))
+        return session->handleRefusal();
+    doubtClaim(worker);
+}
+
+void CellScheduler::doubtClaim(const WorkerIncarnation &worker)
+{
+    m_claimDoubtedAt = m_timers.now();
+    m_refusingWorkers.insert(worker);
+    m_journal->requestConfirmation();
+}
+
+bool CellScheduler::isClaimInDoubt() const
+{
+    return m_claimDoubtedAt && m_journal->claimHeldAt() <= *m_claimDoubtedAt;
+}
+
+void CellScheduler::handleClaimConfirmed()
+{
+    if (!m_claimDoubtedAt || isClaimInDoubt())
+        return;
+    m_claimDoubtedAt.reset();
+    for (const WorkerIncarnation &incarnation : std::exchange(m_refusingWorkers, {})) {
+        LOG_EVENT(m_dependencies.log, "worker_foreign")
+            << "worker=" << incarnation.id.value() << " epoch=" << m_epoch.value();
+        if (WorkerSession *session = sessionOf(incarnation))
+            session->setForeign();
+    }
+    // Deferred: the journal calls this while it handles a commit.
+    m_timers.after(Duration(0), [this] { sendDeferredCommands(); });
+}
+
 void CellScheduler::tick()
 {
     if (m_isSuperseded)
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -162,6 +162,15 @@
     void observeActivity();
     /** @return true if the claim was not confirmed for so long that memory may be out of date. */
     bool isConfirmationStale() const;
+    /** Handles the refusal of a start or stop by a worker that has seen a higher epoch. */
+    void handleRefusedCommand(const WorkerIncarnation &worker);
+    /** Until the store has confirmed the claim again, sends no command but report requests without
+     * the store: @p worker may have refused one because another leader has claimed since. */
+    void doubtClaim(const WorkerIncarnation &worker);
+    /** @return true if the store has not confirmed the claim since a worker refused the epoch. */
+    bool isClaimInDoubt() const;
+    /** Continues with what has waited for the confirmation of the claim. */
+    void handleClaimConfirmed();
 
     // Runs; in CellRuns.cpp.
     void adoptRuns();
@@ -170,6 +179,7 @@
     void addRun(const TaskKey &key, ActiveRun run);
     ActiveRun removeRun(std::map<TaskKey, ActiveRun>::iterator position);
     void sendStart(const TaskKey &key, uint32_t attempt);
+    void sendDeferredCommands();
     void handleStartReply(const TaskKey &key, uint32_t attempt, const StartReply &reply);
     void requestStop(const TaskKey &key, ActiveRun &run, const char *why);
     void sendStop(const TaskKey &key, ActiveRun &run);
@@ -246,6 +256,12 @@
         Instant filledAt{};
     };
     std::map<TeamId, ShareBucket> m_shareBuckets;
+    /** When a worker last refused the epoch while it was unknown whether the claim still holds. */
+    std::optional<Instant> m_claimDoubtedAt;
+    /** Workers whose refusal the next confirmation of the claim explains: they are not ours. */
+    std::set<WorkerIncarnation> m_refusingWorkers;
+    /** Recorded starts that wait until the claim is confirmed. */
+    std::vector<RunRef> m_deferredStarts;
     Instant m_operatorsReadAt{};
     Instant m_workersReadAt{};
     Instant m_lastInheritedExtension{};
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -157,6 +157,12 @@
         commitNext();
 }
 
+void Journal::requestConfirmation()
+{
+    m_isConfirmationRequested = true;
+    scheduleCommit();
+}
+
 Duration Journal::currentCommitInterval() const
 {
     return std::max(MinCommitInterval, m_latency / static_cast<int>(MaxCommitsInFlight));
@@ -178,6 +184,7 @@
 {
     if (m_isSuperseded)
         return;
+    m_isConfirmationRequested = false;
     const auto commit = std::make_shared<Commit>();
     commit->begin = m_lastStartAt = m_timers.now();
     std::size_t taken = 0;
@@ -267,6 +274,7 @@
         if (!m_isReachable)
             resendCommits();
         setReachable(true);
+        m_observer.claimConfirmed();
         return confirmCommits();
     }
     if (tried.number != commit->lastTry)
@@ -338,7 +346,7 @@
                 return;
         }
     }
-    if (!m_waiting.empty() || !m_removals.empty())
+    if (!m_waiting.empty() || !m_removals.empty() || m_isConfirmationRequested)
         scheduleCommit();
 }
 
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -29,6 +29,8 @@
         std::function<void()> superseded;
         /** Called when the store starts or stops accepting commits. */
         std::function<void(bool isReachable)> reachabilityChanged;
+        /** Called when the store has confirmed the claim; claimHeldAt() says for when. */
+        std::function<void()> claimConfirmed;
     };
 
     /** @param claimHeldAt a time at which the claim held for certain. */
@@ -75,6 +77,9 @@
     std::vector<JobId> withdrawUnsent();
     /** Confirms the claim by committing a segment, even an empty one, if no commit is in flight. */
     void confirmClaim();
+    /** Confirms the claim by a commit that is sent after this call, at the usual rate of commits.
+     */
+    void requestConfirmation();
 
 private:
     struct PendingRecord
@@ -129,6 +134,8 @@
     /** Duration of the last try of the most recently written commit. */
     Duration m_latency{0};
     bool m_isScheduled = false;
+    /** A commit must be sent even if nothing waits to be written. */
+    bool m_isConfirmationRequested = false;
     bool m_isSuperseded = false;
     bool m_isReachable = true;
     Instant m_lastCommit;
--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -21,6 +21,9 @@
 /** Delays between calls to an unresponsive worker, growing from the first to the maximum. */
 constexpr Duration FirstRetryDelay{100};
 constexpr Duration MaxRetryDelay{500};
+/** Pause after a refusal; doubles with each refusal up to the maximum. */
+constexpr Duration FirstRefusalPause{5000};
+constexpr Duration MaxRefusalPause{60'000};
 
 } // namespace
 
@@ -34,11 +37,6 @@
 {
 }
 
-void WorkerSession::begin()
-{
-    hold();
-}
-
 CommandTarget WorkerSession::commandAddress() const
 {
     return {m_worker.address, m_worker.incarnation.id, m_terms.epoch, m_worker.zone};
@@ -71,8 +69,27 @@
 
 void WorkerSession::requestReport()
 {
-    if (!m_isHoldInFlight && !m_isEnded)
-        hold();
+    if (m_isHoldInFlight || m_isEnded || m_timers.now() < m_pausedUntil)
+        return;
+    if (!m_observer.mayRequestReports())
+        return m_timers.after(FirstRetryDelay, [this] { requestReport(); });
+    hold();
+}
+
+void WorkerSession::handleRefusal()
+{
+    const Instant now = m_timers.now();
+    m_refusedAt = now;
+    if (now >= m_pausedUntil) {
+        constexpr uint32_t MaxDoublings = 8;
+        const Duration pause = std::min(
+            FirstRefusalPause * (1 << std::min(m_refusals, MaxDoublings)), MaxRefusalPause);
+        ++m_refusals;
+        m_pausedUntil = now + pause;
+        m_timers.after(pause, [this] { requestReport(); });
+    }
+    setReachable(false);
+    m_observer.refused(*this);
 }
 
 void WorkerSession::hold()
@@ -104,7 +121,7 @@
     if (m_isEnded)
         return;
     if (reply.outcome == HoldReply::Fenced)
-        return m_observer.fenced();
+        return handleRefusal();
     const bool isOtherIncarnation = reply.outcome == HoldReply::OtherIncarnation
         || (reply.outcome == HoldReply::Answered && reply.startedAtMs != 0
             && m_worker.incarnation.startedAtMs != 0
@@ -121,7 +138,11 @@
             std::min(FirstRetryDelay * static_cast<int>(m_consecutiveFailures), MaxRetryDelay);
         return m_timers.after(pause, [this] { requestReport(); });
     }
+    // A later command was refused; the worker lists its ends again.
+    if (sentAt <= m_refusedAt)
+        return requestReport();
     m_consecutiveFailures = 0;
+    m_isForeign = false;
     // The response may have waited on its way. The worker sent it after the request, and at least
     // as long after the response before as its clock, which may be slow, has advanced.
     const bool isFirst = m_respondedAt == Instant();
--- a/Libraries/Coordination/WorkerSession.h
+++ b/Libraries/Coordination/WorkerSession.h
@@ -31,8 +31,11 @@
         /** Another incarnation answers, with the reply given; no run of this one is alive any
          * more. */
         std::function<void(WorkerSession &, const HoldReply &)> ended;
-        /** The worker has received commands from a leader with a higher epoch. */
-        std::function<void()> fenced;
+        /** The worker has seen a higher epoch: another leader may hold the claim, or the worker
+         * belongs to another system. */
+        std::function<void(WorkerSession &)> refused;
+        /** @return true while this leader may request reports. */
+        std::function<bool()> mayRequestReports;
         /** @return true while this leader may extend leases. */
         std::function<bool()> mayExtendLeases;
     };
@@ -40,8 +43,6 @@
     WorkerSession(WorkerCommands &commands, TimerService &timers, CellWorker worker,
                   LeaseTerms terms, Observer observer);
 
-    void begin();
-
     const CellWorker &worker() const { return m_worker; }
     const WorkerIncarnation &incarnation() const { return m_worker.incarnation; }
     /** Replaces the worker's announcement by a newer one of the same incarnation. */
@@ -65,9 +66,18 @@
 
     /** Marks ends up to @p number as written; the next call lets the worker drop them. */
     void acknowledge(uint64_t number) { m_acknowledged = std::max(m_acknowledged, number); }
-    /** Requests the next report, unless a request is in flight or the incarnation has ended. */
+    /** Requests the next report, unless a request is in flight, the incarnation has ended or the
+     * worker has just refused a command. */
     void requestReport();
 
+    /** Handles the worker's refusal of a command: the worker counts as unreachable, and a report
+     * request after a growing pause shows whether it still refuses. */
+    void handleRefusal();
+    /** Records that the worker has refused commands although this leader's claim stands. */
+    void setForeign() { m_isForeign = true; }
+    /** @return true if setForeign() was called and the worker has accepted no command since. */
+    bool isForeign() const { return m_isForeign; }
+
 private:
     void hold();
     void handleReply(const HoldReply &reply, Instant sentAt);
@@ -81,7 +91,13 @@
     bool m_isReachable = false;
     bool m_isEnded = false;
     bool m_isHoldInFlight = false;
+    bool m_isForeign = false;
     uint32_t m_consecutiveFailures = 0;
+    /** Refusals in the life of the session that were followed by a pause. */
+    uint32_t m_refusals = 0;
+    Instant m_refusedAt{};
+    /** No report is requested before this time. */
+    Instant m_pausedUntil{};
     uint64_t m_acknowledged = 0;
     WorkerClock m_clock;
     Instant m_clockReadAt{};
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -525,7 +525,8 @@
 namespace {
 
 /** Runs histories with random failures; each is checked after all failures have been repaired. */
-void runRandomHistories(uint64_t defaultCount, std::size_t forwarders)
+void runRandomHistories(uint64_t defaultCount, std::size_t forwarders,
+                        const std::vector<std::string> &foreignPools = {})
 {
     const uint64_t first = numberFromEnvironment("HISTORY_SEED", 1);
     const uint64_t count = numberFromEnvironment("HISTORY_COUNT", defaultCount);
@@ -534,6 +535,8 @@
         CellSimulation cell(seed);
         if (forwarders > 0)
             cell.addForwarders(forwarders);
+        for (const std::string &pool : foreignPools)
+            cell.addForeignWorker(pool);
         cell.configuration.teams.front().cap = {CpuMillis(60'000), MemoryMb(0),
                                                 AcceleratorCount(0)};
         cell.elect();
@@ -593,6 +596,10 @@
             worker.isUnreachable = worker.losesReplies = false;
         cell.elect();
         cell.run(Duration(60'000));
+        const JobId last = cell.submit(1, Small, cell.taskLength);
+        cell.run(Duration(5000));
+        if (!cell.accepted.contains(last))
+            FAIL_CHECK("no job is accepted although all failures are repaired");
         for (const std::string &violation : cell.violations)
             FAIL_CHECK(violation);
         for (const JobId &job : cell.accepted) {
@@ -620,3 +627,11 @@
 {
     runRandomHistories(100, 3);
 }
+
+// Guards against a cell that workers of another system bring to a halt, and against a start that
+// such a worker's refusal should have prevented.
+TEST_CASE("Random histories of a cell that lists foreign workers lose no job and run no job twice",
+          "[cell][cellhistory]")
+{
+    runRandomHistories(100, 0, {"pool", "pool", "unnamed"});
+}
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -23,6 +23,8 @@
 constexpr Duration MaxStartDelayAfterCancel{3000};
 /** An entry that its worker hasn't renewed for this long is removed from the store. */
 constexpr Duration EntryLifetime{4500};
+/** The other system's leader has sent its workers this epoch. */
+constexpr Epoch ForeignEpoch{1'000'000};
 
 } // namespace
 
@@ -206,7 +208,12 @@
         return after(UnresponsiveStoreTimeout, [done = std::move(done)] {
             done({CommitResult::Unknown, {}, {}});
         });
-    m_store.commit(std::move(transaction), delivering(std::move(done)));
+    done = delivering(std::move(done));
+    if (commitResponseDelay == Duration(0))
+        return m_store.commit(std::move(transaction), std::move(done));
+    m_store.commit(std::move(transaction), [this, done = std::move(done)](CommitResult result) {
+        m_timers.after(commitResponseDelay, [done, result = std::move(result)] { done(result); });
+    });
 }
 
 void LeaderProcess::createLease(Duration ttl, std::function<void(StoreLease)> done)
@@ -221,6 +228,7 @@
 
 void LeaderProcess::hold(HoldCall call, std::function<void(HoldReply)> done)
 {
+    ++commandsSent;
     done = delivering(std::move(done));
     if (!failsToReach(call.to, done))
         m_commands.hold(std::move(call), std::move(done));
@@ -228,6 +236,8 @@
 
 void LeaderProcess::start(StartCall call, std::function<void(StartReply)> done)
 {
+    ++commandsSent;
+    ++startsSent;
     done = delivering(std::move(done));
     if (!failsToReach(call.to, done))
         m_commands.start(std::move(call), std::move(done));
@@ -235,6 +245,7 @@
 
 void LeaderProcess::stop(StopCall call, std::function<void(StopReply)> done)
 {
+    ++commandsSent;
     done = delivering(std::move(done));
     if (!failsToReach(call.to, done))
         m_commands.stop(std::move(call), std::move(done));
@@ -295,6 +306,21 @@
 
 CellSimulation::~CellSimulation() = default;
 
+std::size_t CellSimulation::addForeignWorker(const std::string &pool)
+{
+    FakeCellWorker worker;
+    const std::size_t index = workers.size();
+    worker.info = workers.front().info;
+    worker.info.incarnation.id = WorkerId(fmt::format("w{}", index));
+    worker.info.address.port = static_cast<uint16_t>(1000 + index);
+    worker.info.pool = pool;
+    worker.epoch = ForeignEpoch;
+    worker.incarnationStart = events.now();
+    renewEntry(worker);
+    workers.push_back(std::move(worker));
+    return index;
+}
+
 template <typename Reply, typename Call>
 void CellSimulation::forwardCommand(std::size_t forwarder, Call call, Duration timeout,
                                     void (CellSimulation::*method)(Call,
@@ -608,6 +634,7 @@
         reply.clock = clockOf(*worker);
         reply.startedAtMs = worker->info.incarnation.startedAtMs;
         if (call.to.epoch < worker->epoch) {
+            ++worker->fencedCommands;
             reply.outcome = HoldReply::Fenced;
             events.at(events.now() + WorkerLatency, [done, reply] { done(reply); });
             *poll = {};
@@ -823,8 +850,10 @@
     finish(*worker);
     if (call.to.worker != worker->info.incarnation.id)
         return answer(StartReply::OtherIncarnation, WorkerLatency);
-    if (call.to.epoch < worker->epoch)
+    if (call.to.epoch < worker->epoch || worker->fencesStarts) {
+        ++worker->fencedCommands;
         return answer(StartReply::Fenced, WorkerLatency);
+    }
     worker->epoch = call.to.epoch;
     if (call.leaseUntil <= clockOf(*worker))
         return answer(StartReply::LeaseExpired, WorkerLatency);
@@ -880,8 +909,10 @@
     finish(*worker);
     if (call.to.worker != worker->info.incarnation.id)
         return done({StopReply::OtherIncarnation});
-    if (call.to.epoch < worker->epoch)
+    if (call.to.epoch < worker->epoch) {
+        ++worker->fencedCommands;
         return done({StopReply::Fenced});
+    }
     uint32_t &highest = worker->highestAttempt[call.task];
     highest = std::max(highest, call.attempt);
     const auto run = worker->running.find(call.task);
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -95,6 +95,10 @@
     /** Refuses the connections of start commands; its report requests use one that is open. */
     bool refusesStartConnections = false;
     std::size_t refusedStarts = 0;
+    /** Refuses starts, and only them, as if it had seen a higher epoch. */
+    bool fencesStarts = false;
+    /** Commands refused because the worker has seen a higher epoch. */
+    std::size_t fencedCommands = 0;
     /** Replies don't leave the worker until resetConnections(). */
     bool holdsReplies = false;
     /** Calls that libcurl sends again when the connections are reset. */
@@ -139,6 +143,11 @@
     std::set<WorkerId> unreachable;
     /** This process has lost the path to the store; calls to it time out. */
     bool isCutFromStore = false;
+    /** How long responses to this process' commits are on their way. */
+    Duration commitResponseDelay{0};
+    /** Start commands, and all commands, that this process has sent. */
+    std::size_t startsSent = 0;
+    std::size_t commandsSent = 0;
 
     /** Runs @p callback now, or after the process has thawed. */
     void deliver(std::function<void()> callback);
@@ -178,6 +187,9 @@
     void readOperators(std::function<void(OperatorView)> done) override;
     void readWorkers(std::function<void(WorkerDirectory)> done) override;
 
+    /** Adds a worker of another system, whose leader has a much higher epoch.
+     * @return its index. */
+    std::size_t addForeignWorker(const std::string &pool);
     /** Lets @p count followers forward all commands of the leaders that are elected from now on. */
     void addForwarders(std::size_t count);
     /** For @p time the forwarder delays commands and loses some of them and of their replies. */
