Coordination: Workers of services that neither the configuration nor an open job names are not called

Cause: applyDirectory() opened a session with every listed worker; only the placement compared its service.

Now a session begins once the configuration (services, routes) or an open job that was accepted for the service names it, or if the worker has runs of this cell; the latest list is applied again when the configuration changes. A session ends when none of these holds and no acknowledgement is unsent. An entry left out costs one line, worker_unused.

Tests seen failing before: "Worker of a service that no configuration names gets no command" (its epoch was raised), "Job is finished on a service that the configuration has dropped" (114 == 84 and 96 == 66 commands after the job's end). "Workers listed before a configuration names their service are used" guards what held already.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -183,6 +183,8 @@
                           << " queues=" << view.configuration->queues.size()
                           << " teams=" << view.configuration->teams.size();
                 m_configuration = std::move(*view.configuration);
+                if (m_isReady)
+                    applyDirectory();
             }
             if (view.evacuated != m_evacuatedZones) {
                 LOG(INFO) << "event=evacuations_changed zones=" << view.evacuated.size();
@@ -198,13 +200,15 @@
 {
     const Instant sentAt = m_timers.now();
     m_dependencies.operators.readWorkers(
-        [this, sentAt, alive = std::weak_ptr(m_alive)](const WorkerDirectory &directory) {
+        [this, sentAt, alive = std::weak_ptr(m_alive)](WorkerDirectory directory) {
             if (alive.expired() || m_isSuperseded)
                 return;
             if (!directory.answered)
                 return m_timers.after(ViewRetryDelay, [this] { pollWorkers(); });
             m_workersReadAt = sentAt;
-            applyDirectory(directory);
+            m_directory = std::move(directory);
+            if (m_isReady)
+                applyDirectory();
             finishRecovery();
             scheduleDispatch();
             m_timers.after(ViewPollInterval, [this] { pollWorkers(); });
@@ -217,8 +221,11 @@
         && m_workersReadAt != Instant() && m_configuration.version > 0;
     if (m_isReady || !isComplete)
         return;
+    applyDirectory();
     m_isReady = true;
     adoptRuns();
+    // Workers with runs of jobs that are over are used, too.
+    applyDirectory();
     adoptEnds(std::exchange(m_adoptedEnds, {}));
     stopRunsOfEndedJobs();
     LOG(INFO) << "event=recovery_ended epoch=" << m_epoch.value() << " runs=" << m_runs.size()
@@ -232,11 +239,36 @@
     m_timers.after(CleanInterval, [this] { cleanJournal(); });
 }
 
-void CellScheduler::applyDirectory(const WorkerDirectory &directory)
+bool CellScheduler::isPoolNamed(const std::string &pool) const
+{
+    const auto isNamedBy = [&pool](const auto &settings, auto name) {
+        return std::ranges::find(settings, pool, name) != settings.end();
+    };
+    return !pool.empty()
+        && (isNamedBy(m_configuration.pools, &PoolSettings::name)
+            || isNamedBy(m_configuration.queues, &QueueSettings::pool)
+            || std::ranges::any_of(m_jobs.openJobs(), [this, &pool](const JobId &id) {
+                   return m_jobs.find(id)->accepted.pool == pool;
+               }));
+}
+
+void CellScheduler::applyDirectory()
 {
     std::set<WorkerId> listed;
+    std::set<WorkerId> unused;
     std::set<WorkerIncarnation> listedIncarnations;
-    for (const CellWorker &worker : directory.workers) {
+    std::set<WorkerId> withRuns;
+    for (const auto &[incarnation, runs] : m_runsByWorker)
+        withRuns.insert(incarnation.id);
+    std::map<std::string, bool> isNamed;
+    // An entry may be one of another writer, which must have no effect.
+    const auto isUsed = [&](const CellWorker &worker) {
+        const auto [position, isNew] = isNamed.try_emplace(worker.pool);
+        if (isNew)
+            position->second = isPoolNamed(worker.pool);
+        return position->second || withRuns.contains(worker.incarnation.id);
+    };
+    for (const CellWorker &worker : m_directory.workers) {
         listed.insert(worker.incarnation.id);
         listedIncarnations.insert(worker.incarnation);
         // An entry outlives its incarnation until the next one renews it or it expires.
@@ -244,7 +276,14 @@
             continue;
         const auto found = m_sessions.find(worker.incarnation.id);
         if (found == m_sessions.end()) {
-            beginSession(worker);
+            if (isUsed(worker)) {
+                beginSession(worker);
+            } else if (unused.insert(worker.incarnation.id).second
+                       && !m_unusedWorkers.contains(worker.incarnation.id)) {
+                LOG_EVENT(m_dependencies.log, "worker_unused")
+                    << "worker=" << worker.incarnation.id.value()
+                    << " configuration=" << m_configuration.version;
+            }
             continue;
         }
         WorkerSession &session = *found->second;
@@ -260,6 +299,7 @@
             beginSession(worker);
         }
     }
+    m_unusedWorkers = std::move(unused);
     // None of them is on the stack here; until it is destroyed a session goes on to ask for
     // reports.
     m_endedSessions.clear();
@@ -272,7 +312,8 @@
             && m_timers.now() > session.allLeasesExpireAt();
         if (isGone)
             LOG(INFO) << "event=worker_gone worker=" << entry.first.value();
-        return isGone && !m_runsByWorker.contains(session.incarnation());
+        return (isGone && !m_runsByWorker.contains(session.incarnation()))
+            || (!isUsed(session.worker()) && !session.hasUnsentAcknowledgement());
     });
 }
 
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -138,7 +138,10 @@
     void finishRecovery();
     void pollOperators();
     void pollWorkers();
-    void applyDirectory(const WorkerDirectory &directory);
+    /** Begins and ends sessions by the latest worker list, configuration and runs. */
+    void applyDirectory();
+    /** @return true if the configuration or an open job names the pool. */
+    bool isPoolNamed(const std::string &pool) const;
     void beginSession(const CellWorker &worker);
     /** Ends the session with an incarnation that has ended, and remembers its leases. */
     void endSession(std::map<WorkerId, std::unique_ptr<WorkerSession>>::iterator position);
@@ -264,6 +267,9 @@
     std::vector<RunRef> m_deferredStarts;
     Instant m_operatorsReadAt{};
     Instant m_workersReadAt{};
+    WorkerDirectory m_directory;
+    /** Listed workers that are not used. */
+    std::set<WorkerId> m_unusedWorkers;
     Instant m_lastInheritedExtension{};
     bool m_isReady = false;
     bool m_isSuperseded = false;
--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -101,6 +101,7 @@
     const bool isSameIncarnation =
         m_isReachable && m_timers.now() - m_respondedAt < MaxAcknowledgementAge;
     call.acknowledgedEnds = isSameIncarnation ? m_acknowledged : 0;
+    m_sentAcknowledgement = std::max(m_sentAcknowledgement, call.acknowledgedEnds);
     if (m_isReachable) {
         call.wait = MaxReportWait;
         // A call that is executed late must not extend a lease that this leader counts as expired.
--- a/Libraries/Coordination/WorkerSession.h
+++ b/Libraries/Coordination/WorkerSession.h
@@ -66,6 +66,11 @@
 
     /** Marks ends up to @p number as written; the next call lets the worker drop them. */
     void acknowledge(uint64_t number) { m_acknowledged = std::max(m_acknowledged, number); }
+    /** @return true if the next call, and none before it, lets the worker drop some ends. */
+    bool hasUnsentAcknowledgement() const
+    {
+        return m_isReachable && m_acknowledged > m_sentAcknowledgement;
+    }
     /** Requests the next report, unless a request is in flight, the incarnation has ended or the
      * worker has just refused a command. */
     void requestReport();
@@ -99,6 +104,7 @@
     /** No report is requested before this time. */
     Instant m_pausedUntil{};
     uint64_t m_acknowledged = 0;
+    uint64_t m_sentAcknowledgement = 0;
     WorkerClock m_clock;
     Instant m_clockReadAt{};
     /** The worker sent its latest response at this time or later. */
--- a/Tests/Unit/ForeignWorkerTest.cpp
+++ b/Tests/Unit/ForeignWorkerTest.cpp
@@ -109,3 +109,68 @@
     CHECK(reachesState(late, JobState::Done));
     CHECK(m_cell.startCount == 12);
 }
+
+// Guards against a cell that calls, and takes the fence of, whatever worker is listed (review/1).
+TEST_CASE_METHOD(CellFixture, "Worker of a service that no configuration names gets no command",
+                 "[cell]")
+{
+    const std::size_t foreign = m_cell.addForeignWorker("unnamed");
+    m_cell.workers[foreign].epoch = Epoch();
+    m_cell.run(Duration(2000));
+    CHECK(reachesState(m_cell.submit(6, Small, Duration(1000)), JobState::Done));
+    m_cell.elect();
+    m_cell.run(Duration(5000));
+    // A command would have raised it.
+    CHECK(m_cell.workers[foreign].epoch == Epoch());
+}
+
+// Guards against a service that is left out for good because its workers registered first.
+TEST_CASE_METHOD(CellFixture, "Workers listed before a configuration names their service are used",
+                 "[cell]")
+{
+    FakeCellWorker &early = m_cell.workers[m_cell.addForeignWorker("later")];
+    early.epoch = Epoch();
+    m_cell.run(Duration(2000));
+    m_cell.configuration.version = 2;
+    m_cell.configuration.pools.push_back({"later", false});
+    m_cell.configuration.queues.front().pool = "later";
+    m_cell.run(Duration(1000));
+    const JobId job = m_cell.submit(4, Small, Duration(1000));
+    m_cell.run(Duration(500));
+    CHECK(early.running.size() == 4);
+    CHECK(reachesState(job, JobState::Done));
+}
+
+// Guards against tasks that lapse, or never start, because a later configuration drops the service
+// that runs their job.
+TEST_CASE_METHOD(CellFixture, "Job is finished on a service that the configuration has dropped",
+                 "[cell]")
+{
+    const JobId job = m_cell.submit(12, Large, Duration(2000));
+    m_cell.run(Duration(500));
+    REQUIRE(m_cell.startCount == 6);
+    const std::vector<QueueSettings> queues = m_cell.configuration.queues;
+    m_cell.configuration.version = 2;
+    m_cell.configuration.queues.clear();
+    m_cell.configuration.pools = {{"other", false}};
+    m_cell.run(Duration(1000));
+    if (GENERATE(false, true)) {
+        m_cell.killLeader();
+        m_cell.elect();
+    }
+    m_cell.run(Duration(7000));
+    CHECK(m_cell.startCount == 12);
+    for (const FakeCellWorker &worker : m_cell.workers) {
+        CHECK(worker.running.empty());
+        CHECK(worker.ended.empty());
+    }
+    // Nothing of the cell is left there.
+    const std::size_t sent = m_cell.leaderProcess().commandsSent;
+    m_cell.run(Duration(5000));
+    CHECK(m_cell.leaderProcess().commandsSent == sent);
+    m_cell.configuration.version = 3;
+    m_cell.configuration.queues = queues;
+    m_cell.run(Duration(2000));
+    CHECK(m_cell.stateOf(job) == JobState::Done);
+    CHECK(reachesState(m_cell.submit(6, Small, Duration(1000)), JobState::Done));
+}
