Coordination: A leader checks the announcement of another claim against the store

Seen: a frame on a node's peer address with a higher claim made its leader step down at once, whatever the store said; calls in hand ended as undetermined.

Cause: handleAnnouncement() took a peer's word for the claim. Now the leader sends no command and reads the claim. It steps down if the store names another one, or if it cannot read it within 0.3 s: such a leader can do nothing, and the announced one may serve its callers.

Test seen failing before: "Announcement of a claim that the store lacks deposes no leader" (isReady() false, the submission in hand undetermined). "Leader steps down when the store confirms an announcement" guards what held already.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -339,7 +339,7 @@
     observer.refused = [this](WorkerSession &session) {
         // What it refused while the claim stood, it goes on to refuse: that says nothing new.
         if (!m_isSuperseded && !session.isForeign())
-            doubtClaim(session.incarnation());
+            doubtClaimOver(session.incarnation());
     };
     // Without the store the claim can't be confirmed soon; a successor counts on leases that this
     // leader extends by mayExtendLeases.
@@ -407,19 +407,25 @@
 {
     if (WorkerSession *session = sessionOf(worker))
         return session->handleRefusal();
-    doubtClaim(worker);
+    doubtClaimOver(worker);
 }
 
-void CellScheduler::doubtClaim(const WorkerIncarnation &worker)
+void CellScheduler::doubtClaimOver(const WorkerIncarnation &worker)
 {
-    m_claimDoubtedAt = m_timers.now();
     m_refusingWorkers.insert(worker);
-    m_journal->requestConfirmation();
+    doubtClaim();
+}
+
+void CellScheduler::doubtClaim()
+{
+    m_claimDoubtedAt = m_timers.now();
+    if (m_journal)
+        m_journal->requestConfirmation();
 }
 
 bool CellScheduler::isClaimInDoubt() const
 {
-    return m_claimDoubtedAt && m_journal->claimHeldAt() <= *m_claimDoubtedAt;
+    return m_claimDoubtedAt && (!m_journal || m_journal->claimHeldAt() <= *m_claimDoubtedAt);
 }
 
 void CellScheduler::handleClaimConfirmed()
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -67,6 +67,10 @@
     /** @return how long the store has refused or not answered commits; 0 if it accepts them. */
     Duration storeOutageDuration() const;
 
+    /** Until the store has confirmed the claim again, sends no command but report requests without
+     * the store: another leader may have claimed since. */
+    void doubtClaim();
+
     /** Answers a client's call: at once, or after its record is written to the journal. */
     void handle(ClientCall call, ClientResponder respond);
 
@@ -167,9 +171,8 @@
     bool isConfirmationStale() const;
     /** Handles the refusal of a start or stop by a worker that has seen a higher epoch. */
     void handleRefusedCommand(const WorkerIncarnation &worker);
-    /** Until the store has confirmed the claim again, sends no command but report requests without
-     * the store: @p worker may have refused one because another leader has claimed since. */
-    void doubtClaim(const WorkerIncarnation &worker);
+    /** Doubts the claim after @p worker has refused a command that it has not refused before. */
+    void doubtClaimOver(const WorkerIncarnation &worker);
     /** @return true if the store has not confirmed the claim since a worker refused the epoch. */
     bool isClaimInDoubt() const;
     /** Continues with what has waited for the confirmation of the claim. */
--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -41,6 +41,8 @@
 constexpr Duration RegainGrace{250};
 /** Head start of stronger nodes in an election: time for two heartbeat polls and the votes. */
 constexpr Duration YieldPause{400};
+/** A leader that cannot read its claim in this time after an announcement can't use the store. */
+constexpr Duration AnnouncementCheckTime{300};
 
 std::string encodeMember(const CellMember &member, uint64_t nonce)
 {
@@ -375,6 +377,39 @@
 {
     if (announcement.claim <= m_leader.revision)
         return;
+    if (m_isLeading)
+        return checkAnnouncement(announcement);
+    followAnnounced(announcement);
+}
+
+void Leadership::checkAnnouncement(const AnnouncementMessage &announcement)
+{
+    if (m_isCheckingClaim)
+        return;
+    m_isCheckingClaim = true;
+    m_observer.doubted();
+    const auto decide = [this, announcement, check = ++m_claimChecks](bool stands) {
+        if (!m_isCheckingClaim || check != m_claimChecks)
+            return;
+        m_isCheckingClaim = false;
+        if (m_isLeading && stands) {
+            LOG_EVERY_N(WARNING, 20)
+                << "event=announcement_refuted node=" << announcement.node.value()
+                << " claim=" << announcement.claim.value();
+        } else if (announcement.claim > m_leader.revision) {
+            followAnnounced(announcement);
+        }
+    };
+    m_store.list(LeaderKey, [this, decide](const StoreRead &read) {
+        const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
+        decide(read.answered && entry != read.entries.end()
+               && entry->revision == m_leader.revision);
+    });
+    m_timers.after(AnnouncementCheckTime, [decide] { decide(false); });
+}
+
+void Leadership::followAnnounced(const AnnouncementMessage &announcement)
+{
     LOG(INFO) << "event=leader_announced node=" << announcement.node.value()
               << " claim=" << announcement.claim.value();
     m_leader = {announcement.claim, announcement.node, announcement.address};
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -29,6 +29,8 @@
         std::function<void(Revision claim, Instant heldAt)> won;
         /** Another node holds the claim now. */
         std::function<void()> lost;
+        /** Another node may hold the claim; the store has not said so yet. */
+        std::function<void()> doubted;
     };
 
     Leadership(TransactionalStore &store, TimerService &timers, PeerHub &peers, CellMember self,
@@ -49,6 +51,10 @@
     void retire() { m_isRetired = true; }
 
 private:
+    /** Reads the claim; this leader steps down unless the store says that its claim stands. */
+    void checkAnnouncement(const AnnouncementMessage &announcement);
+    void followAnnounced(const AnnouncementMessage &announcement);
+
     struct Leader
     {
         Revision revision;
@@ -94,6 +100,8 @@
     bool m_isLeading = false;
     bool m_isElecting = false;
     bool m_isRetired = false;
+    bool m_isCheckingClaim = false;
+    uint64_t m_claimChecks = 0;
     uint64_t m_claimCount = 0;
 };
 
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -102,7 +102,11 @@
                    {m_settings.node, m_settings.peer, m_settings.processor},
                    [this] { return random(); },
                    {[this](Revision claim, Instant heldAt) { becomeLeader(claim, heldAt); },
-                    [this] { becomeFollower(); }})
+                    [this] { becomeFollower(); },
+                    [this] {
+                        if (m_scheduler)
+                            m_scheduler->doubtClaim();
+                    }})
 {
     if (m_settings.linkBandwidth < NarrowLinkBandwidth)
         m_peers.compressFollowerLinks();
--- a/Tests/Unit/CellNodeTest.cpp
+++ b/Tests/Unit/CellNodeTest.cpp
@@ -220,16 +220,37 @@
         m_context.run_for(time);
     }
 
-    void list(const std::string &, std::function<void(StoreRead)> done) override
+    void list(const std::string &prefix, std::function<void(StoreRead)> done) override
     {
-        respond<StoreRead>({true, {}}, std::move(done));
+        StoreRead read{true, {}};
+        if (prefix == LeaderKey && m_claim)
+            read.entries.push_back(*m_claim);
+        respond<StoreRead>(std::move(read), std::move(done));
     }
     void probe(std::function<void(bool)> done) override { respond<bool>(true, std::move(done)); }
-    void commit(StoreTransaction, std::function<void(CommitResult)> done) override
+    void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override
     {
-        if (m_respondsToCommits)
-            respond<CommitResult>({CommitResult::Committed, Revision(++m_revision), {}},
-                                  std::move(done));
+        if (!m_respondsToCommits)
+            return;
+        const Revision revision(++m_revision);
+        for (const StoreTransaction::Put &put : transaction.puts) {
+            if (put.key == LeaderKey)
+                m_claim = {put.key, put.value, revision};
+        }
+        respond<CommitResult>({CommitResult::Committed, revision, {}}, std::move(done));
+    }
+    /** Another node announces to this one that it holds the claim @p claim. */
+    void announce(Revision claim)
+    {
+        PeerHub::Handlers handlers;
+        handlers.followerJoined = [](const EntryId &) {};
+        handlers.followerLeft = [](const EntryId &) {};
+        m_other = std::make_unique<PeerHub>(
+            m_context, m_timers, HelloMessage{EntryId("other"), CpuMillis(1), {}},
+            Endpoint{"127.0.0.1", m_otherPort.port()}, std::move(handlers));
+        m_other->announce({"127.0.0.1", m_nodePort.port()},
+                          {claim, EntryId("other"), {"127.0.0.1", m_otherPort.port()}});
+        runFor(Duration(800));
     }
     void createLease(Duration, std::function<void(StoreLease)> done) override
     {
@@ -256,6 +277,13 @@
         respond<WorkerDirectory>({true, {}}, std::move(done));
     }
 
+    CellSettings settings() const
+    {
+        CellSettings settings = nodeSettings();
+        settings.peer = {"127.0.0.1", m_nodePort.port()};
+        return settings;
+    }
+
     template <typename Result> void respond(Result result, std::function<void(Result)> done)
     {
         asio::post(m_context,
@@ -263,11 +291,16 @@
     }
 
     CellSimulation m_simulation{1};
+    PortReservation m_nodePort{static_cast<unsigned>(getpid())};
+    PortReservation m_otherPort{static_cast<unsigned>(getpid())};
     asio::io_context m_context{1};
+    AsioTimerService m_timers{m_context};
     bool m_respondsToCommits = true;
     uint64_t m_revision = 0;
+    std::optional<StoreEntry> m_claim;
+    std::unique_ptr<PeerHub> m_other;
     std::vector<ClientReply::Outcome> m_replies;
-    CellNode m_node{m_context, nodeSettings(), {*this, *this, m_simulation, m_simulation}};
+    CellNode m_node{m_context, settings(), {*this, *this, m_simulation, m_simulation}};
 };
 
 } // namespace
@@ -292,6 +325,25 @@
     CHECK(m_replies == std::vector{ClientReply::Undetermined});
 }
 
+// Guards against a leader that steps down for an announcement that the store contradicts.
+TEST_CASE_METHOD(LeadingNodeFixture,
+                 "Announcement of a claim that the store lacks deposes no leader", "[cellnode]")
+{
+    announce(Revision(1'000'000));
+    CHECK(m_node.isReady());
+    CHECK(m_replies.empty());
+}
+
+// Guards against a leader that goes on although the store names the one that was announced.
+TEST_CASE_METHOD(LeadingNodeFixture, "Leader steps down when the store confirms an announcement",
+                 "[cellnode]")
+{
+    m_claim->revision = Revision(1'000'000);
+    announce(Revision(1'000'000));
+    CHECK_FALSE(m_node.isReady());
+    CHECK(m_replies == std::vector{ClientReply::Undetermined});
+}
+
 TEST_CASE(
     "Submission that an earlier leader may have stored is undetermined if a later one refuses it",
     "[cellnode]")
