--- /dev/null
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -0,0 +1,137 @@
+#include "Decision/Dispatcher.h"
+
+#include <algorithm>
+
+namespace Cranberrymount {
+
+namespace {
+
+/** Maximum number of gangs that reserve workers at a time; more would leave too much of the pool
+ * idle. */
+constexpr std::size_t MaxReservingGangs = 2;
+
+} // namespace
+
+bool Dispatcher::mayReserve(const Candidate &candidate) const
+{
+    return candidate.urgency.urgencyClass <= StepUrgency::InTime
+        || &candidate == m_longestWaitingGang;
+}
+
+void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted)
+{
+    const bool isLongestWaiting = &candidate == m_longestWaitingGang;
+    if (!mayReserve(candidate) || (!isLongestWaiting && m_reservingGangs >= MaxReservingGangs)
+        || teamHeadroom(candidate.job->accepted.team, candidate.spec().need) < wanted)
+        return;
+    const StepSpec &spec = candidate.spec();
+    struct Choice
+    {
+        std::size_t worker;
+        Instant freeAt;
+        int64_t places;
+    };
+    std::vector<Choice> choices;
+    const auto addChoice = [&](std::size_t worker) {
+        const Candidate *holder = m_reservations[worker].holder;
+        if (!isEligible(candidate, worker) || (holder && holder != &candidate))
+            return;
+        // FIXME: Only whole workers are considered; a gang may fit beside long runs earlier.
+        DispatchWorker &workerState = m_input.workers[worker];
+        std::ranges::sort(workerState.allocations, {}, &RunAllocation::expectedEnd);
+        Resources freeCapacity = workerState.freeCapacity();
+        Choice choice{worker, m_input.now, spec.need.countFittingIn(freeCapacity)};
+        for (const RunAllocation &allocation : workerState.allocations) {
+            if (choice.places > 0)
+                break;
+            freeCapacity += allocation.need;
+            choice.freeAt = allocation.expectedEnd;
+            choice.places = spec.need.countFittingIn(freeCapacity);
+        }
+        if (choice.places > 0)
+            choices.push_back(choice);
+    };
+    if (candidate.queue->advice) {
+        for (const AllowedWorker &allowed : candidate.allowed)
+            addChoice(allowed.worker);
+    } else {
+        std::ranges::for_each(candidate.pool->workers, addChoice);
+    }
+    std::ranges::sort(choices, {}, &Choice::freeAt);
+    int64_t places = 0;
+    std::size_t used = 0;
+    while (used < choices.size() && places < wanted)
+        places += choices[used++].places;
+    if (places < wanted)
+        return;
+    m_reservingGangs += !isLongestWaiting;
+    for (std::size_t index = 0; index < used; ++index) {
+        const Choice &choice = choices[index];
+        m_reservations[choice.worker] = {&candidate, m_input.workers[choice.worker].info->capacity,
+                                         choice.freeAt, choice.places};
+    }
+}
+
+void Dispatcher::findLongestWaitingGang()
+{
+    // Late gangs, which can still earn credit, come before Leftover ones.
+    const auto order = [](const Candidate &candidate) {
+        return std::pair(candidate.urgency.urgencyClass, candidate.job->accepted.acceptedAt);
+    };
+    for (const Candidate &candidate : m_candidates) {
+        const bool isLateGang = candidate.spec().isGang && candidate.pool
+            && candidate.urgency.urgencyClass > StepUrgency::InTime
+            && m_input.jobs->findStep(candidate.key)->activeCount == 0;
+        if (isLateGang
+            && (!m_longestWaitingGang || order(candidate) < order(*m_longestWaitingGang)))
+            m_longestWaitingGang = &candidate;
+    }
+}
+
+std::vector<Dispatcher::PlacementOption>
+Dispatcher::optionsWithTickets(const Candidate &candidate) const
+{
+    std::vector<PlacementOption> places;
+    for (const auto &[worker, verdict] : candidate.allowed) {
+        if (m_reservations[worker].holder || !isEligible(candidate, worker))
+            continue;
+        const bool hasTicket = isTicketValid(*verdict, m_input.now)
+            || candidate.stepAdvice->workersInFlight.contains(
+                m_input.workers[worker].info->incarnation);
+        const int64_t count = hasTicket ? placesOnWorker(candidate, worker) : 0;
+        if (count > 0)
+            places.push_back({worker, nullptr, count});
+    }
+    // Workers that can take the most members come first, so that the gang reserves few workers.
+    std::ranges::sort(places, [](const PlacementOption &left, const PlacementOption &right) {
+        return std::pair(-left.count, left.worker) < std::pair(-right.count, right.worker);
+    });
+    return places;
+}
+
+void Dispatcher::reserveForGangsWithTickets()
+{
+    for (const Candidate &candidate : m_candidates) {
+        const StepSpec &spec = candidate.spec();
+        if (!spec.isGang || !candidate.pool || !candidate.stepAdvice
+            || m_input.jobs->findStep(candidate.key)->activeCount > 0
+            || teamHeadroom(candidate.job->accepted.team, spec.need) < spec.taskCount)
+            continue;
+        const std::vector<PlacementOption> places = optionsWithTickets(candidate);
+        int64_t wanted = spec.taskCount;
+        for (const PlacementOption &place : places)
+            wanted -= place.count;
+        if (wanted > 0)
+            continue;
+        wanted = spec.taskCount;
+        for (const PlacementOption &place : places) {
+            const int64_t taken = std::min(place.count, wanted);
+            if (taken == 0)
+                break;
+            wanted -= taken;
+            m_reservations[place.worker] = {&candidate, spec.need.times(taken), m_input.now, taken};
+        }
+    }
+}
+
+} // namespace Cranberrymount
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -298,7 +298,7 @@
     void addAdviceCalls(const Candidate &candidate, const std::vector<std::size_t> &workers,
                         std::size_t calls);
 
-    // Reservations.
+    // Reservations; in DispatchReservations.cpp.
     /** @return true if the gang may reserve whole workers: it can still meet its objective, or is
      * the late one that has waited longest. */
     bool mayReserve(const Candidate &candidate) const;
