Decision, Coordination: Let no reservation rest on runs that do not end

Cause, traced in virtual time: reserveForGang() took each run to end at its estimate, also tasks that last and runs that were long overdue, so the reservation never came true and was made again in each round.

A service frees nothing; a run that is overdue is expected to go on for a quarter of that time, and frees nothing once it is overdue by more than twice its expected length (1 s at least, 10 s at most). The length comes from the reported progress where known. A gang that does not fit beside what stays reserves nothing and asks the advisor nothing; `gang_blocked` (once for each reason), `gangs_blocked` in the load line and as a metric say why. It is looked at again in each round.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -47,6 +47,8 @@
 constexpr Duration MinRunDuration{100};
 /** Least progress in percent that is used to predict a run's end; smaller values are too coarse. */
 constexpr int MinUsablePercent = 10;
+/** Least time between two log lines about one gang that can't be placed. */
+constexpr Duration BlockedGangLogPause{10'000};
 /** Delay after a failed call to the advisor. */
 constexpr Duration AdviceRetryDelay{150};
 /** Subtracted from a ticket's lifetime: it is counted from the arrival of the response here, but
@@ -484,7 +486,8 @@
               << " ends_unwritten=" << m_unwrittenEnds.size()
               << " store_age_ms=" << timeSinceStoreConfirmation().count()
               << " start_delay_ms=" << m_startLatency.upperEstimate().count();
-    m_load = SchedulerLoad{.since = m_timers.now(), .waiting = m_load.waiting};
+    m_load = SchedulerLoad{
+        .since = m_timers.now(), .waiting = m_load.waiting, .blockedGangs = m_load.blockedGangs};
 }
 
 bool CellScheduler::acceptsStarts(const WorkerSession &session) const
@@ -528,6 +531,8 @@
     m_load.decidingTime += m_timers.now() - gatheredAt;
     m_load.starts += static_cast<uint32_t>(result.starts.size());
     m_load.waiting = result.waiting;
+    m_load.blockedGangs = result.blockedGangs.size();
+    logBlockedGangs(result.blockedGangs);
     for (const StartDecision &decision : result.starts) {
         LOG_EVENT(m_dependencies.log, "start_decided")
             << "job=" << decision.task.job.value() << " step=" << decision.task.step
@@ -541,6 +546,30 @@
         requestAdvice(decision);
 }
 
+Instant CellScheduler::expectedEndOf(const ActiveRun &run)
+{
+    // From here on the reported progress is a better predictor than the submitter's estimate.
+    if (run.percent >= MinUsablePercent)
+        return run.beganAt + (run.percentChangedAt - run.beganAt) * 100 / run.percent;
+    return run.beganAt + std::max(run.estimate, MinRunDuration);
+}
+
+void CellScheduler::logBlockedGangs(const std::vector<BlockedGang> &gangs)
+{
+    const Instant now = m_timers.now();
+    for (const auto &[step, obstacle] : gangs) {
+        BlockedGangLog &last = m_blockedGangLogs[step];
+        if (last.obstacle == obstacle
+            || (last.obstacle != GangObstacle::None && now - last.loggedAt < BlockedGangLogPause))
+            continue;
+        last = {obstacle, now};
+        LOG_EVENT(m_dependencies.log, "gang_blocked")
+            << "job=" << step.job.value() << " occurrence=" << step.occurrence
+            << " step=" << step.step << " why=" << nameOf(obstacle);
+        m_dependencies.count("gangs_blocked", 1);
+    }
+}
+
 DispatchInput CellScheduler::makeDispatchInput() const
 {
     DispatchInput input;
@@ -564,15 +593,10 @@
             for (const auto &[key, activeRun] : runs->second) {
                 const ActiveRun &run = *activeRun;
                 worker.used += run.need;
-                RunAllocation allocation{&key.job, key.occurrence, key.step, run.need,
-                                         run.beganAt + std::max(run.estimate, MinRunDuration)};
-                // From here on the reported progress is a better predictor than the submitter's
-                // estimate.
-                if (run.percent >= MinUsablePercent) {
-                    const auto ran = run.percentChangedAt - run.beganAt;
-                    allocation.expectedEnd = run.beganAt + ran * 100 / run.percent;
-                }
-                worker.allocations.push_back(allocation);
+                const Instant end = expectedEndOf(run);
+                worker.allocations.push_back(
+                    {&key.job, key.occurrence, key.step, run.need, end,
+                     std::chrono::duration_cast<Duration>(end - run.beganAt), run.isService});
             }
         }
         input.workers.push_back(std::move(worker));
@@ -631,6 +655,7 @@
 void CellScheduler::forgetDecisions(const JobId &job)
 {
     m_adviceCache.forget(job);
+    eraseStepsOf(job, m_blockedGangLogs);
     m_speeds.forget(job);
 }
 
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -211,10 +211,14 @@
     void scheduleDispatch();
     void dispatch();
     DispatchInput makeDispatchInput() const;
+    /** @return when the run is expected to end: from its reported progress, else the estimate. */
+    static Instant expectedEndOf(const ActiveRun &run);
+    /** Logs for each gang that can't be placed why, again only after the reason has changed. */
+    void logBlockedGangs(const std::vector<BlockedGang> &gangs);
     bool acceptsStarts(const WorkerSession &session) const;
     void requestAdvice(const AdviceDecision &decision);
     void handleAdvice(const AdviceDecision &decision, const AdviceReply &reply, Instant sentAt);
-    /** Drops the cached advice and speed measurements of an ended job. */
+    /** Drops the cached advice, speed measurements and log state of an ended job. */
     void forgetDecisions(const JobId &job);
     void cleanJournal();
 
@@ -227,6 +231,13 @@
     std::unique_ptr<Journal> m_journal;
     JobTable m_jobs;
     AdviceCache m_adviceCache;
+    struct BlockedGangLog
+    {
+        GangObstacle obstacle = GangObstacle::None;
+        Instant loggedAt{};
+    };
+    /** The last log line about each gang that could not be placed. */
+    std::map<StepKey, BlockedGangLog> m_blockedGangLogs;
     WorkerHealth m_health;
     WorkerSpeeds m_speeds;
     StartLatency m_startLatency;
--- a/Libraries/Coordination/SchedulerLoad.cpp
+++ b/Libraries/Coordination/SchedulerLoad.cpp
@@ -15,7 +15,8 @@
                << " steps_without_ticket=" << load.waiting.withoutTicket
                << " steps_at_limit=" << load.waiting.atLimit
                << " steps_over_3s=" << load.waiting.olderThan3s
-               << " steps_over_10s=" << load.waiting.olderThan10s;
+               << " steps_over_10s=" << load.waiting.olderThan10s
+               << " gangs_blocked=" << load.blockedGangs;
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Coordination/SchedulerLoad.h
+++ b/Libraries/Coordination/SchedulerLoad.h
@@ -22,6 +22,8 @@
     Instant::duration maxTimerDelay{0};
     /** State after the last round. */
     WaitingSteps waiting;
+    /** Gangs that could not be placed in the last round even if the other runs ended. */
+    std::size_t blockedGangs = 0;
 };
 
 std::ostream &operator<<(std::ostream &out, const SchedulerLoad &load);
--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -9,9 +9,103 @@
 /** Maximum number of gangs that reserve workers at a time; more would leave too much of the pool
  * idle. */
 constexpr std::size_t MaxReservingGangs = 2;
+/** A run that is overdue is expected to run on for its overdue time divided by this. */
+constexpr int OverdueRemainingDivisor = 4;
+/** A run that is overdue by more than this multiple of its expected length, within the bounds
+ * below, is not relied on to end. Slow workers and remote data together triple a length. */
+constexpr int MaxOverdueFactor = 2;
+/** Submitters' estimates of short tasks are rough. */
+constexpr Duration MinOverdueLimit{1000};
+/** No reservation rests on an overdue run for longer than this. */
+constexpr Duration MaxOverdueLimit{10'000};
 
 } // namespace
 
+const char *nameOf(GangObstacle obstacle)
+{
+    switch (obstacle) {
+    case GangObstacle::None:
+        return "none";
+    case GangObstacle::NoWorkers:
+        return "no_workers";
+    case GangObstacle::TeamLimit:
+        return "team_limit";
+    case GangObstacle::TooLarge:
+        return "too_large";
+    case GangObstacle::Advice:
+        return "advice";
+    case GangObstacle::EndlessRuns:
+        return "endless_runs";
+    }
+    return "unknown";
+}
+
+std::optional<Instant> Dispatcher::expectedRelease(const RunAllocation &allocation) const
+{
+    if (allocation.isService)
+        return std::nullopt;
+    const auto overdue = std::chrono::duration_cast<Duration>(m_input.now - allocation.expectedEnd);
+    if (overdue <= Duration(0))
+        return allocation.expectedEnd;
+    const Duration limit =
+        std::clamp(MaxOverdueFactor * allocation.expectedLength, MinOverdueLimit, MaxOverdueLimit);
+    if (overdue > limit)
+        return std::nullopt;
+    return m_input.now + overdue / OverdueRemainingDivisor;
+}
+
+bool Dispatcher::mayBeAllowed(const Candidate &candidate, std::size_t worker) const
+{
+    if (!candidate.queue->advice || !candidate.stepAdvice)
+        return true;
+    const AdviceCache::Verdict *verdict =
+        candidate.stepAdvice->find(m_input.workers[worker].info->incarnation);
+    return !verdict || verdict->isAllowed;
+}
+
+int64_t Dispatcher::membersFittingIn(const Candidate &candidate, const Resources &freeCapacity)
+{
+    return candidate.spec().need.countFittingIn(freeCapacity);
+}
+
+GangObstacle Dispatcher::obstacleOf(const Candidate &candidate) const
+{
+    const StepSpec &spec = candidate.spec();
+    if (!candidate.pool)
+        return GangObstacle::NoWorkers;
+    if (teamHeadroomBeside({}, candidate.job->accepted.team, spec.need) < spec.taskCount)
+        return GangObstacle::TeamLimit;
+    const auto releasable = [this](std::size_t worker) { return m_releasable[worker]; };
+    const auto whole = [this](std::size_t worker) {
+        return m_input.workers[worker].info->capacity;
+    };
+    const auto fits = [&](const auto &capacityOf, bool needsAdvice) {
+        int64_t places = 0;
+        for (const std::size_t worker : candidate.pool->workers) {
+            if (!isEligible(candidate, worker) || (needsAdvice && !mayBeAllowed(candidate, worker)))
+                continue;
+            places += membersFittingIn(candidate, capacityOf(worker));
+            if (places >= spec.taskCount)
+                return true;
+        }
+        return false;
+    };
+    if (fits(releasable, true))
+        return GangObstacle::None;
+    if (fits(whole, true))
+        return GangObstacle::EndlessRuns;
+    return fits(whole, false) ? GangObstacle::Advice : GangObstacle::TooLarge;
+}
+
+bool Dispatcher::noteObstacle(const Candidate &candidate)
+{
+    const GangObstacle obstacle = obstacleOf(candidate);
+    if (obstacle == GangObstacle::None)
+        return false;
+    m_result.blockedGangs.push_back({candidate.key, obstacle});
+    return true;
+}
+
 bool Dispatcher::mayReserve(const Candidate &candidate) const
 {
     return candidate.urgency.urgencyClass <= StepUrgency::InTime
@@ -37,16 +131,21 @@
         if (!isEligible(candidate, worker) || (holder && holder != &candidate))
             return;
         // FIXME: Only whole workers are considered; a gang may fit beside long runs earlier.
-        DispatchWorker &workerState = m_input.workers[worker];
-        std::ranges::sort(workerState.allocations, {}, &RunAllocation::expectedEnd);
-        Resources freeCapacity = workerState.freeCapacity();
-        Choice choice{worker, m_input.now, spec.need.countFittingIn(freeCapacity)};
+        const DispatchWorker &workerState = m_input.workers[worker];
+        std::vector<std::pair<Instant, Resources>> releases;
         for (const RunAllocation &allocation : workerState.allocations) {
+            if (const std::optional<Instant> when = expectedRelease(allocation))
+                releases.emplace_back(*when, allocation.need);
+        }
+        std::ranges::sort(releases);
+        Resources freeCapacity = workerState.freeCapacity();
+        Choice choice{worker, m_input.now, membersFittingIn(candidate, freeCapacity)};
+        for (const auto &[when, need] : releases) {
             if (choice.places > 0)
                 break;
-            freeCapacity += allocation.need;
-            choice.freeAt = allocation.expectedEnd;
-            choice.places = spec.need.countFittingIn(freeCapacity);
+            freeCapacity += need;
+            choice.freeAt = when;
+            choice.places = membersFittingIn(candidate, freeCapacity);
         }
         if (choice.places > 0)
             choices.push_back(choice);
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -88,6 +88,7 @@
     : m_input(std::move(input))
     , m_poolOf(m_input.workers.size(), nullptr)
     , m_reservations(m_input.workers.size())
+    , m_releasable(m_input.workers.size())
     , m_callsNaming(m_input.workers.size(), 0)
 {
     m_positions.reserve(m_input.workers.size());
@@ -101,6 +102,11 @@
         m_positions.emplace(worker.info->incarnation.id.value(), index);
         pool.capacity = pool.capacity + worker.info->capacity.cpu;
         pool.used = pool.used + worker.used.cpu;
+        m_releasable[index] = worker.info->capacity;
+        for (const RunAllocation &allocation : worker.allocations) {
+            if (!expectedRelease(allocation))
+                m_releasable[index] -= allocation.need;
+        }
     }
 }
 
@@ -193,9 +199,12 @@
 
 void Dispatcher::placeStep(const Candidate &candidate)
 {
-    if (!candidate.pool)
-        return;
     const StepRun &step = candidate.job->occurrences[candidate.key.occurrence][candidate.key.step];
+    if (!candidate.pool) {
+        if (candidate.spec().isGang && step.activeCount == 0)
+            noteObstacle(candidate);
+        return;
+    }
     if (candidate.spec().isGang)
         placeGang(candidate, step);
     else
@@ -350,6 +359,7 @@
     const auto members = static_cast<uint32_t>(step.tasks.size());
     if (teamHeadroom(candidate.job->accepted.team, spec.need) < members) {
         countWaitingStep(candidate, m_result.waiting.atLimit);
+        noteObstacle(candidate);
         return;
     }
     const bool mayStart =
@@ -378,6 +388,8 @@
         chosen = chooseForGang(order, members, nullptr);
     if (chosen.empty()) {
         countWaitingStep(candidate, missingOf(candidate));
+        if (noteObstacle(candidate))
+            return;
         reserveForGang(candidate, members);
         if (candidate.queue->advice)
             requestGangAdvice(candidate, members, mayStart);
@@ -440,13 +452,18 @@
 }
 
 int64_t Dispatcher::teamHeadroom(const TeamId &team, const Resources &need) const
+{
+    const auto use = m_input.teamUse.find(team);
+    return teamHeadroomBeside(use == m_input.teamUse.end() ? Resources() : use->second, team, need);
+}
+
+int64_t Dispatcher::teamHeadroomBeside(const Resources &used, const TeamId &team,
+                                       const Resources &need) const
 {
     const TeamSettings *settings = m_input.configuration->findTeam(team);
     // Jobs of open queues have no team; jobs of a removed team are finished without a limit.
     if (!settings)
         return INT32_MAX;
-    const auto use = m_input.teamUse.find(team);
-    const Resources used = use == m_input.teamUse.end() ? Resources() : use->second;
     int64_t count = INT32_MAX;
     const auto limitBy = [&count](int64_t cap, int64_t inUse, int64_t wanted) {
         if (cap > 0 && wanted > 0)
@@ -478,8 +495,11 @@
         {{key.job, key.occurrence, key.step, index}, attempt, worker, ticket});
     DispatchWorker &workerState = m_input.workers[worker];
     workerState.used += spec.need;
+    const Duration length = std::max(spec.estimate, MinEstimate);
     workerState.allocations.push_back({&key.job, key.occurrence, key.step, spec.need,
-                                       m_input.now + std::max(spec.estimate, MinEstimate)});
+                                       m_input.now + length, length, spec.isService});
+    if (spec.isService)
+        m_releasable[worker] -= spec.need;
     candidate.pool->used = candidate.pool->used + spec.need.cpu;
     m_input.teamUse[candidate.job->accepted.team] += spec.need;
 }
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -17,8 +17,12 @@
     uint32_t occurrence = 0;
     uint32_t step = 0;
     Resources need;
-    /** When the run is expected to end. */
+    /** When the run is expected to end; has no meaning for a service. */
     Instant expectedEnd{};
+    /** How long the run was expected to take when it began. */
+    Duration expectedLength{0};
+    /** The run does not end by itself. */
+    bool isService = false;
 };
 
 /** A worker as the dispatcher sees it. */
@@ -93,6 +97,32 @@
     std::size_t olderThan10s = 0;
 };
 
+/** Why a gang could not start even if all other runs that are expected to end had ended. */
+enum class GangObstacle {
+    None,
+    /** No worker of the pool accepts work. */
+    NoWorkers,
+    /** The gang is larger than its team's limit. */
+    TeamLimit,
+    /** It would fit beside no other run either: the workers are too small or too few, or lack the
+     * label. */
+    TooLarge,
+    /** The advisor does not allow the step on enough workers. */
+    Advice,
+    /** Runs that do not end, or are long overdue, use the capacity. */
+    EndlessRuns,
+};
+
+/** @return the name of @p obstacle in log lines. */
+const char *nameOf(GangObstacle obstacle);
+
+/** A gang that can't be placed on the present workers beside the runs that do not end. */
+struct BlockedGang
+{
+    StepKey step;
+    GangObstacle obstacle = GangObstacle::None;
+};
+
 /** The decisions of one scheduling round. */
 struct DispatchResult
 {
@@ -101,6 +131,8 @@
      * many can be made now depends on the callers that are free. */
     std::vector<AdviceDecision> advice;
     WaitingSteps waiting;
+    /** Gangs that hold and request nothing until workers or runs change. */
+    std::vector<BlockedGang> blockedGangs;
 };
 
 /** How urgent a step is; steps with smaller class and rank are placed first. */
@@ -132,7 +164,8 @@
  *
  * Steps are placed in the order of their urgency. A gang starts whole or not at all. The most
  * urgent gangs that do not fit reserve workers until they fit, and so does the late gang that has
- * waited longest. Free capacity for which a gang has or requests tickets is reserved for it.
+ * waited longest. Free capacity for which a gang has or requests tickets is reserved for it. A gang
+ * that would not fit even after all runs that are expected to end have ended reserves nothing.
  */
 class Dispatcher
 {
@@ -249,6 +282,9 @@
     int64_t placesOnWorker(const Candidate &candidate, std::size_t worker) const;
     /** @return how many more tasks of size @p need the team may run. */
     int64_t teamHeadroom(const TeamId &team, const Resources &need) const;
+    /** @return the same if the team's runs used @p used. */
+    int64_t teamHeadroomBeside(const Resources &used, const TeamId &team,
+                               const Resources &need) const;
     /** @return how many more tasks of size @p need fit into the step's pool beside the capacity
      * that is kept for more urgent work. */
     int64_t poolHeadroom(const Candidate &candidate, const Resources &need) const;
@@ -302,6 +338,21 @@
     /** @return true if the gang may reserve whole workers: it can still meet its objective, or is
      * the late one that has waited longest. */
     bool mayReserve(const Candidate &candidate) const;
+    /**
+     * @return when the run is expected to have freed its capacity; nothing if it is a service or so
+     * long overdue that it can't be relied on to end.
+     */
+    std::optional<Instant> expectedRelease(const RunAllocation &allocation) const;
+    /** @return what keeps the gang from being placed once all runs that are expected to end have
+     * ended. */
+    GangObstacle obstacleOf(const Candidate &candidate) const;
+    /** Adds the gang to the result's blocked gangs if something keeps it from being placed.
+     * @return true if so. */
+    bool noteObstacle(const Candidate &candidate);
+    /** @return how many members of the gang fit on one worker with this free capacity. */
+    static int64_t membersFittingIn(const Candidate &candidate, const Resources &freeCapacity);
+    /** @return true if the advisor has allowed the step on the worker or was not asked about it. */
+    bool mayBeAllowed(const Candidate &candidate, std::size_t worker) const;
     /** Reserves whole workers for the gang: those that will be the first to have free capacity for
      * its members. */
     void reserveForGang(const Candidate &candidate, uint32_t wanted);
@@ -330,6 +381,8 @@
     };
     /** By worker. */
     std::vector<Reservation> m_reservations;
+    /** By worker: its capacity without what runs use that are not expected to end. */
+    std::vector<Resources> m_releasable;
     std::vector<Candidate> m_candidates;
     /** By worker: number of steps whose advice calls in flight or planned name it. */
     std::vector<uint32_t> m_callsNaming;
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -74,6 +74,20 @@
         return job.job;
     }
 
+    /** Adds a run of another job to each worker. */
+    void addRunEverywhere(int64_t cpu, Duration endsIn, Duration length, bool isService = false)
+    {
+        static const JobId OtherJob("x");
+        const Resources need{CpuMillis(cpu), MemoryMb(0), AcceleratorCount(0)};
+        for (DispatchWorker &worker : m_workers) {
+            worker.used += need;
+            worker.allocations.push_back(
+                {&OtherJob, 0, 0, need, m_instant + endsIn, length, isService});
+        }
+    }
+
+    StepSpec &stepOf(const JobId &job) { return m_jobs.find(job)->accepted.spec.steps[0]; }
+
     DispatchResult decide()
     {
         DispatchInput input;
@@ -217,6 +231,83 @@
     CHECK(startsOf(result, other) == 0);
 }
 
+// Guards against a gang that waits for the end of tasks that last and keeps all workers for good.
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Gang that only fits beside no task that lasts reserves nothing and says why",
+                 "[dispatcher][gang]")
+{
+    addWorkers(2, 10'000);
+    addRunEverywhere(2'500, Duration(-20'000), Duration(1000), true);
+    const JobId gang = addJob("batch", 2, 10'000, Duration(5000), true);
+    const JobId other = addJob("batch", 6, 1'000, Duration(5000));
+    for (const Duration waited : {Duration(0), Duration(30'000), Duration(600'000)}) {
+        m_now += waited;
+        const DispatchResult result = decide();
+        CHECK(startsOf(result, other) == 6);
+        REQUIRE(result.blockedGangs.size() == 1);
+        CHECK(result.blockedGangs[0].step.job == gang);
+        CHECK(result.blockedGangs[0].obstacle == GangObstacle::EndlessRuns);
+    }
+    // It is looked at again when these tasks are gone.
+    for (DispatchWorker &worker : m_workers) {
+        worker.used = {};
+        worker.allocations.clear();
+    }
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, gang) == 2);
+    CHECK(result.blockedGangs.empty());
+}
+
+// Guards against a reservation that rests for minutes on runs whose estimate was far too low.
+TEST_CASE_METHOD(DispatcherFixture, "Reservation does not rest on a run that is long overdue",
+                 "[dispatcher][gang]")
+{
+    addWorkers(2, 10'000);
+    addJob("batch", 2, 10'000, Duration(60'000), true);
+    const JobId other = addJob("batch", 2, 1'000, Duration(60'000));
+    const auto startsBesideOverdueRuns = [&](Duration overdue, Duration length) {
+        for (DispatchWorker &worker : m_workers) {
+            worker.used = {};
+            worker.allocations.clear();
+        }
+        addRunEverywhere(2'500, -overdue, length);
+        return startsOf(decide(), other);
+    };
+    CHECK(startsBesideOverdueRuns(Duration(900), Duration(0)) == 0);
+    CHECK(startsBesideOverdueRuns(Duration(1'100), Duration(0)) == 2);
+    CHECK(startsBesideOverdueRuns(Duration(3'900), Duration(2'000)) == 0);
+    CHECK(startsBesideOverdueRuns(Duration(4'100), Duration(2'000)) == 2);
+    CHECK(startsBesideOverdueRuns(Duration(9'900), Duration(60'000)) == 0);
+    CHECK(startsBesideOverdueRuns(Duration(10'100), Duration(60'000)) == 2);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "Gang that can't be placed says why", "[dispatcher][gang]")
+{
+    const auto obstacle = [this](const JobId &gang) {
+        const DispatchResult result = decide();
+        REQUIRE(startsOf(result, gang) == 0);
+        REQUIRE(result.blockedGangs.size() == 1);
+        CHECK(result.blockedGangs[0].step.job == gang);
+        m_jobs.discard(gang);
+        return result.blockedGangs[0].obstacle;
+    };
+    CHECK(obstacle(addJob("batch", 2, 8'000, Duration(1000), true)) == GangObstacle::NoWorkers);
+    addWorkers(2, 10'000);
+    CHECK(obstacle(addJob("batch", 3, 8'000, Duration(1000), true)) == GangObstacle::TooLarge);
+    m_configuration.teams.front().cap = {CpuMillis(15'000), MemoryMb(0), AcceleratorCount(0)};
+    CHECK(obstacle(addJob("batch", 2, 8'000, Duration(1000), true)) == GangObstacle::TeamLimit);
+    m_configuration.teams.clear();
+    const JobId advised = addJob("advised", 2, 8'000, Duration(1000), true);
+    m_advice.recordAnswer(m_jobs.startableSteps(m_now).at(0),
+                          {m_infos[0].incarnation, m_infos[1].incarnation},
+                          {{m_infos[0].incarnation.id, "ticket"}}, m_instant + Duration(1500));
+    CHECK(obstacle(advised) == GangObstacle::Advice);
+    // A gang that has to wait for its room only is not blocked.
+    addRunEverywhere(2'500, Duration(1000), Duration(1000));
+    addJob("batch", 2, 8'000, Duration(1000), true);
+    CHECK(decide().blockedGangs.empty());
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Team's limit caps its starts", "[dispatcher]")
 {
     addWorkers(2, 10'000);
