Decision: Let the longest waiting gang that can be placed reserve workers

Of the late gangs only the one that has waited longest may reserve. If it could never be placed, or its team was at its limit, no late gang reserved any more, and all starved under steady load. The choice leaves out gangs that can't be placed now.

Seen failing on the old decisions: "Late gang reserves workers although an older one can't be placed": 8 == 0, both for a gang that is too large and for one whose team is at its limit.

--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -173,18 +173,25 @@
 
 void Dispatcher::findLongestWaitingGang()
 {
-    // Late gangs, which can still earn credit, come before Leftover ones.
-    const auto order = [](const Candidate &candidate) {
-        return std::pair(candidate.urgency.urgencyClass, candidate.job->accepted.acceptedAt);
-    };
+    std::vector<const Candidate *> lateGangs;
     for (const Candidate &candidate : m_candidates) {
-        const bool isLateGang = candidate.spec().isGang && candidate.pool
-            && candidate.urgency.urgencyClass > StepUrgency::InTime
-            && m_input.jobs->findStep(candidate.key)->activeCount == 0;
-        if (isLateGang
-            && (!m_longestWaitingGang || order(candidate) < order(*m_longestWaitingGang)))
-            m_longestWaitingGang = &candidate;
+        const StepSpec &spec = candidate.spec();
+        if (spec.isGang && candidate.urgency.urgencyClass > StepUrgency::InTime
+            && m_input.jobs->findStep(candidate.key)->activeCount == 0
+            && teamHeadroom(candidate.job->accepted.team, spec.need) >= spec.taskCount)
+            lateGangs.push_back(&candidate);
     }
+    // Late gangs, which can still earn credit, come before Leftover ones.
+    std::ranges::sort(lateGangs, {}, [](const Candidate *candidate) {
+        return std::tuple(candidate->urgency.urgencyClass, candidate->job->accepted.acceptedAt,
+                          candidate->key);
+    });
+    // A gang that can't be placed must not keep its place in front of those that can.
+    const auto longest = std::ranges::find_if(lateGangs, [this](const Candidate *candidate) {
+        return obstacleOf(*candidate) == GangObstacle::None;
+    });
+    if (longest != lateGangs.end())
+        m_longestWaitingGang = *longest;
 }
 
 std::vector<Dispatcher::PlacementOption>
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -360,7 +360,8 @@
     void reserveForGangsWithTickets();
     /** @return a gang's workers with free capacity and a ticket that is valid or requested. */
     std::vector<PlacementOption> optionsWithTickets(const Candidate &candidate) const;
-    /** Sets m_longestWaitingGang to the late gang that has waited longest. */
+    /** Sets m_longestWaitingGang to the late gang that has waited longest of those that can be
+     * placed. */
     void findLongestWaitingGang();
 
     DispatchInput m_input;
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -281,6 +281,31 @@
     CHECK(startsBesideOverdueRuns(Duration(10'100), Duration(60'000)) == 2);
 }
 
+// Guards against gangs that starve because an older one, which can never be placed, is the only one
+// that may reserve workers.
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Late gang reserves workers although an older one can't be placed",
+                 "[dispatcher][gang]")
+{
+    addWorkers(4, 10'000);
+    const bool isAtTeamsLimit = GENERATE(false, true);
+    const JobId hopeless = addJob("batch", 5, 10'000, Duration(1000), true);
+    if (isAtTeamsLimit) {
+        m_configuration.teams.push_back(
+            {TeamId("full"), {}, 10, {CpuMillis(20'000), MemoryMb(0), AcceleratorCount(0)}});
+        m_teamUse[TeamId("full")] = {CpuMillis(5'000), MemoryMb(0), AcceleratorCount(0)};
+        m_jobs.find(hopeless)->accepted.team = TeamId("full");
+        stepOf(hopeless).taskCount = 2;
+        m_jobs.find(hopeless)->occurrences[0][0].tasks.resize(2);
+    }
+    m_now += Duration(10);
+    addJob("batch", 4, 8'000, Duration(1000), true);
+    m_now += Duration(30'000);
+    addRunEverywhere(5'000, Duration(300), Duration(1000));
+    const JobId other = addJob("batch", 8, 1'000, Duration(5000));
+    CHECK(startsOf(decide(), other) == 0);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Gang that can't be placed says why", "[dispatcher][gang]")
 {
     const auto obstacle = [this](const JobId &gang) {
