Decision: Count the limit per worker in a gang's reservation

Seen failing on the old decisions: "Gang that its limit per worker keeps from being placed reserves nothing": 0 == 6.

--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -65,7 +65,9 @@
 
 int64_t Dispatcher::membersFittingIn(const Candidate &candidate, const Resources &freeCapacity)
 {
-    return candidate.spec().need.countFittingIn(freeCapacity);
+    const StepSpec &spec = candidate.spec();
+    const int64_t count = spec.need.countFittingIn(freeCapacity);
+    return spec.maxPerWorker == 0 ? count : std::min<int64_t>(count, spec.maxPerWorker);
 }
 
 GangObstacle Dispatcher::obstacleOf(const Candidate &candidate) const
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -306,6 +306,21 @@
     CHECK(startsOf(decide(), other) == 0);
 }
 
+// Guards against a reservation for more members on a worker than the step allows there.
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Gang that its limit per worker keeps from being placed reserves nothing",
+                 "[dispatcher][gang]")
+{
+    addWorkers(2, 10'000);
+    const JobId gang = addJob("batch", 4, 5'000, Duration(5000), true);
+    stepOf(gang).maxPerWorker = 1;
+    const JobId other = addJob("batch", 6, 1'000, Duration(5000));
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, other) == 6);
+    REQUIRE(result.blockedGangs.size() == 1);
+    CHECK(result.blockedGangs[0].obstacle == GangObstacle::TooLarge);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Gang that can't be placed says why", "[dispatcher][gang]")
 {
     const auto obstacle = [this](const JobId &gang) {
