Decision: Follow all ends on a worker when a gang reserves

A worker counted with the places at the first end that makes room for a member. A gang that needs two members on one worker came out as not fitting, reserved nothing, and kept its turn as the longest waiting: it starved, and so did late gangs behind it. All expected ends are followed in order until the gang fits.

Seen failing on the old decisions: "Gang reserves a worker on which several runs have to end for its members": 1 == 0.

--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -120,37 +120,38 @@
     if (!mayReserve(candidate) || (!isLongestWaiting && m_reservingGangs >= MaxReservingGangs)
         || teamHeadroom(candidate.job->accepted.team, candidate.spec().need) < wanted)
         return;
-    const StepSpec &spec = candidate.spec();
+    // FIXME: Only whole workers are reserved; a gang may fit beside long runs earlier.
     struct Choice
     {
-        std::size_t worker;
-        Instant freeAt;
-        int64_t places;
+        std::size_t worker = 0;
+        Resources freeCapacity;
+        int64_t places = 0;
+        /** When the worker is expected to have its first and its last place. */
+        Instant firstFreeAt{};
+        Instant freeAt{};
+    };
+    struct Release
+    {
+        Instant when;
+        std::size_t choice = 0;
+        Resources amount;
     };
     std::vector<Choice> choices;
+    std::vector<Release> releases;
+    int64_t places = 0;
     const auto addChoice = [&](std::size_t worker) {
         const Candidate *holder = m_reservations[worker].holder;
         if (!isEligible(candidate, worker) || (holder && holder != &candidate))
             return;
-        // FIXME: Only whole workers are considered; a gang may fit beside long runs earlier.
         const DispatchWorker &workerState = m_input.workers[worker];
-        std::vector<std::pair<Instant, Resources>> releases;
+        const Resources freeCapacity = workerState.freeCapacity();
+        const int64_t placesNow = membersFittingIn(candidate, freeCapacity);
         for (const RunAllocation &allocation : workerState.allocations) {
             if (const std::optional<Instant> when = expectedRelease(allocation))
-                releases.emplace_back(*when, allocation.need);
-        }
-        std::ranges::sort(releases);
-        Resources freeCapacity = workerState.freeCapacity();
-        Choice choice{worker, m_input.now, membersFittingIn(candidate, freeCapacity)};
-        for (const auto &[when, need] : releases) {
-            if (choice.places > 0)
-                break;
-            freeCapacity += need;
-            choice.freeAt = when;
-            choice.places = membersFittingIn(candidate, freeCapacity);
+                releases.push_back({*when, choices.size(), allocation.need});
         }
-        if (choice.places > 0)
-            choices.push_back(choice);
+        choices.push_back({worker, freeCapacity, placesNow, m_input.now, m_input.now});
+        places += placesNow;
     };
     if (candidate.queue->advice) {
         for (const AllowedWorker &allowed : candidate.allowed)
@@ -158,13 +159,29 @@
     } else {
         std::ranges::for_each(candidate.pool->workers, addChoice);
     }
-    std::ranges::sort(choices, {}, &Choice::freeAt);
-    int64_t places = 0;
-    std::size_t used = 0;
-    while (used < choices.size() && places < wanted)
-        places += choices[used++].places;
+    std::ranges::make_heap(releases, std::ranges::greater(), &Release::when);
+    while (places < wanted && !releases.empty()) {
+        std::ranges::pop_heap(releases, std::ranges::greater(), &Release::when);
+        const Release release = releases.back();
+        releases.pop_back();
+        Choice &choice = choices[release.choice];
+        choice.freeCapacity += release.amount;
+        const int64_t more = membersFittingIn(candidate, choice.freeCapacity) - choice.places;
+        if (more == 0)
+            continue;
+        if (choice.places == 0)
+            choice.firstFreeAt = release.when;
+        choice.freeAt = release.when;
+        choice.places += more;
+        places += more;
+    }
     if (places < wanted)
         return;
+    std::erase_if(choices, [](const Choice &choice) { return choice.places == 0; });
+    std::ranges::sort(choices, {}, &Choice::firstFreeAt);
+    std::size_t used = 0;
+    for (places = 0; places < wanted; ++used)
+        places += choices[used].places;
     m_reservingGangs += !isLongestWaiting;
     for (std::size_t index = 0; index < used; ++index) {
         const Choice &choice = choices[index];
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -321,6 +321,20 @@
     CHECK(result.blockedGangs[0].obstacle == GangObstacle::TooLarge);
 }
 
+// Guards against starvation of a gang that needs room for several members on a worker.
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Gang reserves a worker on which several runs have to end for its members",
+                 "[dispatcher][gang]")
+{
+    addWorkers(1, 10'000);
+    addRunEverywhere(2'500, Duration(300), Duration(500));
+    addRunEverywhere(2'500, Duration(400), Duration(500));
+    addRunEverywhere(2'500, Duration(500), Duration(500));
+    addJob("batch", 2, 5'000, Duration(1000), true);
+    const JobId other = addJob("batch", 1, 1'000, Duration(5000));
+    CHECK(startsOf(decide(), other) == 0);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Gang that can't be placed says why", "[dispatcher][gang]")
 {
     const auto obstacle = [this](const JobId &gang) {
