Decision: Let a gang ask about other workers if those it knows are taken for good

A gang without room learns workers until their capacity is twice what it needs. Capacity that tasks that last use was counted, so it asked about no other worker and waited for ever. Only capacity that can become free counts.

Seen failing on the old decisions: "Gang whose allowed workers are taken by tasks that last asks about others": 0 == 1 calls.

--- a/Libraries/Decision/DispatchAdvice.cpp
+++ b/Libraries/Decision/DispatchAdvice.cpp
@@ -117,7 +117,7 @@
     for (const auto &[worker, verdict] : candidate.allowed) {
         if (!isEligible(candidate, worker))
             continue;
-        plan.allowedCapacity += spec.need.countFittingIn(m_input.workers[worker].info->capacity);
+        plan.allowedCapacity += membersFittingIn(candidate, m_releasable[worker]);
         const int64_t places = placesAt(candidate, worker, answerAt);
         if (places <= 0)
             continue;
@@ -245,9 +245,11 @@
     double expected = 0;
     std::vector<std::size_t> named;
     visitUnknownWorkers(candidate, [&](std::size_t worker) {
-        const Resources &capacity = m_input.workers[worker].info->capacity;
+        const int64_t members = membersFittingIn(candidate, m_releasable[worker]);
+        if (members == 0)
+            return true;
         named.push_back(worker);
-        expected += fraction * static_cast<double>(candidate.spec().need.countFittingIn(capacity));
+        expected += fraction * static_cast<double>(members);
         return named.size() < maxNamed && expected < static_cast<double>(missing);
     });
     const std::size_t calls = callsFor(named.size(), callSize);
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -238,7 +238,8 @@
         int64_t allowedPlaces = 0;
         /** Places with tickets that are valid when the answer to a call made now arrives. */
         int64_t placesWithTicket = 0;
-        /** Tasks that fit on the allowed workers when nothing else runs there. */
+        /** Tasks that fit on the allowed workers once all runs that are expected to end have ended.
+         */
         int64_t allowedCapacity = 0;
     };
 
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -335,6 +335,31 @@
     CHECK(startsOf(decide(), other) == 0);
 }
 
+// Guards against a gang that waits for ever for the workers that it knows, on which tasks last.
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Gang whose allowed workers are taken by tasks that last asks about others",
+                 "[dispatcher][gang]")
+{
+    addWorkers(4, 10'000);
+    addRunEverywhere(5'000, Duration(-20'000), Duration(1000), true);
+    addWorkers(4, 10'000);
+    for (std::size_t index = 4; index < 8; ++index)
+        m_workers[index].used = m_workers[index].info->capacity;
+    addJob("advised", 2, 8'000, Duration(5000), true);
+    std::vector<WorkerIncarnation> known;
+    std::map<WorkerId, std::string> tickets;
+    for (std::size_t index = 0; index < 4; ++index) {
+        known.push_back(m_infos[index].incarnation);
+        tickets.emplace(known.back().id, "ticket");
+    }
+    m_advice.recordAnswer(m_jobs.startableSteps(m_now).at(0), known, tickets,
+                          m_instant + Duration(1500));
+    const DispatchResult result = decide();
+    REQUIRE(result.advice.size() == 1);
+    CHECK(std::ranges::find(result.advice[0].workers, m_infos[4].incarnation)
+          != result.advice[0].workers.end());
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Gang that can't be placed says why", "[dispatcher][gang]")
 {
     const auto obstacle = [this](const JobId &gang) {
