Decision: Let work that does not delay a gang use its reserved room

With a legitimate reservation all other work but that of class Immediate waited for the longest run in the gang's way, however short it was: a job of a second waited an hour beside free capacity. Now a task that by its estimate ends before the gang can start uses the room, as in the daemon's shards (EASY backfilling); a service does; and in a pool that is less than half used, so does a step of which nothing has run for 10 s, since the rule on LOST allows none to wait so 14 s after the traffic. In a fuller pool the gang's room is kept as before.

--- a/Libraries/Decision/DispatchAdvice.cpp
+++ b/Libraries/Decision/DispatchAdvice.cpp
@@ -106,7 +106,6 @@
 Dispatcher::AdvicePlan Dispatcher::planAdvice(const Candidate &candidate, Instant answerAt,
                                               std::size_t maxUnknown) const
 {
-    const StepSpec &spec = candidate.spec();
     const double limit = slownessLimit(candidate.urgency);
     AdvicePlan plan;
     const auto addChoice = [&](std::size_t worker, bool isAllowed, int64_t places) {
--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -9,7 +9,9 @@
 /** Maximum number of gangs that reserve workers at a time; more would leave too much of the pool
  * idle. */
 constexpr std::size_t MaxReservingGangs = 2;
-/** A run that is overdue is expected to run on for its overdue time divided by this. */
+/** A run that is overdue is expected to run on for its overdue time divided by this: tasks that use
+ * the room until then delay the gang by less than the run has, even if they take as much longer
+ * than expected. */
 constexpr int OverdueRemainingDivisor = 4;
 /** A run that is overdue by more than this multiple of its expected length, within the bounds
  * below, is not relied on to end. Slow workers and remote data together triple a length. */
@@ -18,6 +20,10 @@
 constexpr Duration MinOverdueLimit{1000};
 /** No reservation rests on an overdue run for longer than this. */
 constexpr Duration MaxOverdueLimit{10'000};
+/** How long a step of which nothing runs waits beside capacity that is reserved for a gang while
+ * most of the pool is free; by the users' rules a job must not do so 14 s after the last
+ * submission. */
+constexpr Duration MaxWaitBehindGang{10'000};
 
 } // namespace
 
@@ -114,6 +120,31 @@
         || &candidate == m_longestWaitingGang;
 }
 
+bool Dispatcher::isLeftBehind(const Candidate &candidate) const
+{
+    const Pool &pool = *candidate.pool;
+    return 2 * pool.used.value() < pool.capacity.value()
+        && m_input.jobs->findStep(candidate.key)->activeCount == 0
+        && m_input.wallNow - candidate.job->waitingSince(candidate.key.occurrence)
+        > MaxWaitBehindGang;
+}
+
+bool Dispatcher::mayUseReserved(const Candidate &candidate, std::size_t worker) const
+{
+    const StepSpec &spec = candidate.spec();
+    // A service that is not running is missed by its users; a gang only starts later.
+    if (candidate.urgency.urgencyClass == StepUrgency::Immediate || spec.isService)
+        return true;
+    if (isLeftBehind(candidate))
+        return true;
+    if (spec.estimate <= Duration(0))
+        return false;
+    const auto slowness = std::max(m_input.workers[worker].slowness, 1.0);
+    const auto length =
+        Duration(static_cast<int64_t>(static_cast<double>(spec.estimate.count()) * slowness));
+    return m_input.now + m_input.startDelay + length <= m_reservations[worker].startsAt;
+}
+
 void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted)
 {
     const bool isLongestWaiting = &candidate == m_longestWaitingGang;
@@ -182,11 +213,12 @@
     std::size_t used = 0;
     for (places = 0; places < wanted; ++used)
         places += choices[used].places;
+    choices.resize(used);
+    const Instant startsAt = std::ranges::max(choices, {}, &Choice::freeAt).freeAt;
     m_reservingGangs += !isLongestWaiting;
-    for (std::size_t index = 0; index < used; ++index) {
-        const Choice &choice = choices[index];
+    for (const Choice &choice : choices) {
         m_reservations[choice.worker] = {&candidate, m_input.workers[choice.worker].info->capacity,
-                                         choice.freeAt, choice.places};
+                                         choice.freeAt, choice.places, startsAt};
     }
 }
 
@@ -254,7 +286,8 @@
             if (taken == 0)
                 break;
             wanted -= taken;
-            m_reservations[place.worker] = {&candidate, spec.need.times(taken), m_input.now, taken};
+            m_reservations[place.worker] = {&candidate, spec.need.times(taken), m_input.now, taken,
+                                            m_input.now};
         }
     }
 }
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -431,7 +431,7 @@
     const Resources freeCapacity = m_input.workers[worker].freeCapacity();
     const Reservation &reservation = m_reservations[worker];
     const bool isReserved = reservation.holder && reservation.holder != &candidate
-        && candidate.urgency.urgencyClass != StepUrgency::Immediate;
+        && !mayUseReserved(candidate, worker);
     return isReserved ? freeCapacity - reservation.amount : freeCapacity;
 }
 
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -276,6 +276,12 @@
     int64_t placementCost(const Candidate &candidate, std::size_t worker) const;
     /** @return true if the worker has the label that the step requires. */
     bool isEligible(const Candidate &candidate, std::size_t worker) const;
+    /** @return true if nothing of the step runs, it has waited long, and most of the pool is free.
+     */
+    bool isLeftBehind(const Candidate &candidate) const;
+    /** @return true if a task of the step may use capacity of the worker that is reserved for a
+     * gang: it is more urgent than any gang, ends before the gang can start, or is left behind. */
+    bool mayUseReserved(const Candidate &candidate, std::size_t worker) const;
     /** @return the worker's free capacity without what is reserved for another step. */
     Resources freeCapacityFor(const Candidate &candidate, std::size_t worker) const;
     /** @return how many more tasks of the step the worker can take, by its free capacity and by the
@@ -380,6 +386,8 @@
         /** When the gang's members are expected to fit, and how many of them. */
         Instant freeAt{};
         int64_t places = 0;
+        /** When the gang is expected to start; tasks that end by then may use the worker. */
+        Instant startsAt{};
     };
     /** By worker. */
     std::vector<Reservation> m_reservations;
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -360,6 +360,28 @@
           != result.advice[0].workers.end());
 }
 
+// Guards against short jobs and tasks that last that wait beside free capacity for the end of a
+// long run that a gang waits for.
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Work that ends before a gang can start, and a service, use its reserved room",
+                 "[dispatcher][gang]")
+{
+    addWorkers(2, 10'000);
+    addRunEverywhere(5'000, Duration(3000), Duration(20'000));
+    const JobId gang = addJob("batch", 2, 8'000, Duration(0), true);
+    const JobId brief = addJob("batch", 2, 1'000, Duration(2500));
+    const JobId longer = addJob("batch", 2, 1'000, Duration(3000));
+    const JobId unknown = addJob("batch", 2, 1'000, Duration(0));
+    const JobId service = addJob("batch", 2, 1'000, Duration(60'000));
+    stepOf(service).isService = true;
+    const DispatchResult result = decide();
+    CHECK(startsOf(result, gang) == 0);
+    CHECK(startsOf(result, brief) == 2);
+    CHECK(startsOf(result, longer) == 0);
+    CHECK(startsOf(result, unknown) == 0);
+    CHECK(startsOf(result, service) == 2);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Gang that can't be placed says why", "[dispatcher][gang]")
 {
     const auto obstacle = [this](const JobId &gang) {
