Decision: Keep free for lookups a share of what tasks that last leave

Leftover work keeps a fifth of the pool free. The share was taken of the whole pool and the use of tasks that last counted against it: with 85% of the pool in use by these, no late job started ever again. The share is taken of the rest. In a pool where nothing else runs any task starts, also one that needs nearly all of it.

Seen failing on the old decisions: "Leftover work starts beside tasks that last, and in an idle pool": 0 == 4 and 0 == 1.

--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -60,6 +60,24 @@
     return m_input.now + overdue / OverdueRemainingDivisor;
 }
 
+void Dispatcher::findEndlessRuns()
+{
+    for (auto &[name, pool] : m_pools) {
+        for (const std::size_t index : pool.workers) {
+            const DispatchWorker &worker = m_input.workers[index];
+            m_releasable[index] = worker.info->capacity;
+            for (const RunAllocation &allocation : worker.allocations) {
+                const bool isInTime =
+                    !allocation.isService && allocation.expectedEnd >= m_input.now;
+                if (isInTime || expectedRelease(allocation))
+                    continue;
+                m_releasable[index] -= allocation.need;
+                pool.usedForGood = pool.usedForGood + allocation.need.cpu;
+            }
+        }
+    }
+}
+
 bool Dispatcher::mayBeAllowed(const Candidate &candidate, std::size_t worker) const
 {
     if (!candidate.queue->advice || !candidate.stepAdvice)
@@ -83,6 +101,13 @@
         return GangObstacle::NoWorkers;
     if (teamHeadroomBeside({}, candidate.job->accepted.team, spec.need) < spec.taskCount)
         return GangObstacle::TeamLimit;
+    int64_t placesOnAllowed = 0;
+    for (const AllowedWorker &allowed : candidate.allowed) {
+        if (isEligible(candidate, allowed.worker))
+            placesOnAllowed += membersFittingIn(candidate, m_releasable[allowed.worker]);
+        if (placesOnAllowed >= spec.taskCount)
+            return GangObstacle::None;
+    }
     const auto releasable = [this](std::size_t worker) { return m_releasable[worker]; };
     const auto whole = [this](std::size_t worker) {
         return m_input.workers[worker].info->capacity;
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -102,11 +102,6 @@
         m_positions.emplace(worker.info->incarnation.id.value(), index);
         pool.capacity = pool.capacity + worker.info->capacity.cpu;
         pool.used = pool.used + worker.used.cpu;
-        m_releasable[index] = worker.info->capacity;
-        for (const RunAllocation &allocation : worker.allocations) {
-            if (!expectedRelease(allocation))
-                m_releasable[index] -= allocation.need;
-        }
     }
 }
 
@@ -180,6 +175,11 @@
 DispatchResult Dispatcher::decide()
 {
     m_candidates = sortedCandidates();
+    const auto dependsOnEndlessRuns = [](const Candidate &candidate) {
+        return candidate.spec().isGang || candidate.urgency.urgencyClass != StepUrgency::Immediate;
+    };
+    if (std::ranges::any_of(m_candidates, dependsOnEndlessRuns))
+        findEndlessRuns();
     reserveForGangsWithTickets();
     findLongestWaitingGang();
     countCallsNamingWorkers();
@@ -482,8 +482,12 @@
         return INT32_MAX;
     const int64_t reserve = reservePercent(candidate.urgency.urgencyClass);
     const Pool &pool = *candidate.pool;
-    const int64_t freeCapacity = pool.capacity.value() * (100 - reserve) / 100 - pool.used.value();
-    return std::max<int64_t>(0, freeCapacity) / need.cpu.value();
+    const CpuMillis shared = pool.capacity - pool.usedForGood;
+    const CpuMillis used = pool.used - pool.usedForGood;
+    const int64_t freeCapacity = shared.value() * (100 - reserve) / 100 - used.value();
+    const int64_t count = std::max<int64_t>(0, freeCapacity) / need.cpu.value();
+    // In an idle pool any task may start, even one that needs nearly all of it.
+    return used <= CpuMillis(0) ? std::max<int64_t>(count, 1) : count;
 }
 
 void Dispatcher::start(const Candidate &candidate, uint32_t index, uint32_t attempt,
@@ -498,8 +502,10 @@
     const Duration length = std::max(spec.estimate, MinEstimate);
     workerState.allocations.push_back({&key.job, key.occurrence, key.step, spec.need,
                                        m_input.now + length, length, spec.isService});
-    if (spec.isService)
+    if (spec.isService) {
         m_releasable[worker] -= spec.need;
+        candidate.pool->usedForGood = candidate.pool->usedForGood + spec.need.cpu;
+    }
     candidate.pool->used = candidate.pool->used + spec.need.cpu;
     m_input.teamUse[candidate.job->accepted.team] += spec.need;
 }
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -185,6 +185,8 @@
         std::vector<std::size_t> workers;
         CpuMillis capacity;
         CpuMillis used;
+        /** The part of @c used of runs that are not expected to end. */
+        CpuMillis usedForGood;
     };
     /** A worker on which the advisor allows a step. */
     struct AllowedWorker
@@ -293,7 +295,7 @@
     int64_t teamHeadroomBeside(const Resources &used, const TeamId &team,
                                const Resources &need) const;
     /** @return how many more tasks of size @p need fit into the step's pool beside the capacity
-     * that is kept for more urgent work. */
+     * that is kept for more urgent work: a percentage of what runs that do not end leave. */
     int64_t poolHeadroom(const Candidate &candidate, const Resources &need) const;
     /** Adds a start to the result and its resources to those in use. */
     void start(const Candidate &candidate, uint32_t index, uint32_t attempt, std::size_t worker,
@@ -350,6 +352,8 @@
      * long overdue that it can't be relied on to end.
      */
     std::optional<Instant> expectedRelease(const RunAllocation &allocation) const;
+    /** Sets m_releasable and usedForGood of all pools. */
+    void findEndlessRuns();
     /** @return what keeps the gang from being placed once all runs that are expected to end have
      * ended. */
     GangObstacle obstacleOf(const Candidate &candidate) const;
@@ -391,7 +395,8 @@
     };
     /** By worker. */
     std::vector<Reservation> m_reservations;
-    /** By worker: its capacity without what runs use that are not expected to end. */
+    /** By worker: its capacity without what runs use that are not expected to end; zero if no step
+     * depends on it. */
     std::vector<Resources> m_releasable;
     std::vector<Candidate> m_candidates;
     /** By worker: number of steps whose advice calls in flight or planned name it. */
--- a/Tests/Unit/DispatcherTest.cpp
+++ b/Tests/Unit/DispatcherTest.cpp
@@ -382,6 +382,22 @@
     CHECK(startsOf(result, service) == 2);
 }
 
+// Guards against late jobs that never start because tasks that last use most of the pool.
+TEST_CASE_METHOD(DispatcherFixture,
+                 "Leftover work starts beside tasks that last, and in an idle pool", "[dispatcher]")
+{
+    addWorkers(4, 10'000);
+    addRunEverywhere(8'500, Duration(-20'000), Duration(1000), true);
+    const JobId leftover = addJob("batch", 10, 1'000, Duration(500), false, true);
+    CHECK(startsOf(decide(), leftover) == 4);
+    for (DispatchWorker &worker : m_workers)
+        worker.acceptsWork = false;
+    addWorkers(1, 10'000);
+    m_jobs.discard(leftover);
+    const JobId whole = addJob("batch", 1, 10'000, Duration(500), false, true);
+    CHECK(startsOf(decide(), whole) == 1);
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "Gang that can't be placed says why", "[dispatcher][gang]")
 {
     const auto obstacle = [this](const JobId &gang) {
