Decision: Let a shard's gang reserve although an older one can't be placed

The same cause in the daemon's shards: only the gang of the team furthest below its share, then the oldest, could reserve. If it could not be placed even after all runs had ended, no other gang got a reservation. The first that can be placed gets it.

--- a/Libraries/Decision/ShardScheduler.cpp
+++ b/Libraries/Decision/ShardScheduler.cpp
@@ -47,7 +47,8 @@
 
     /** Sorts the waiting groups into the queues of their teams. */
     void buildQueues();
-    /** Places the first of the gangs that have waited long enough, or reserves capacity for it. */
+    /** Places the first of the gangs that have waited long enough and can be placed, or reserves
+     * capacity for it. */
     void reserveForFirstGang();
     /** Places the urgent or the other groups; the team furthest below its share goes next. */
     void placeByShares(bool urgent);
@@ -140,29 +141,30 @@
 
 void SchedulingPass::reserveForFirstGang()
 {
-    const WaitingGroup *first = nullptr;
-    std::pair<double, Instant> firstRank;
+    using Rank = std::tuple<double, Instant, JobId>;
+    std::map<Rank, const WaitingGroup *> gangs;
     for (const WaitingGroup &group : m_view.waiting) {
         if (!std::holds_alternative<GangPolicy>(group.policy)
             || m_view.now - group.since < m_settings.gangReservationDelay
             || countWithinSlice(group) < static_cast<int64_t>(group.indexes.size()))
             continue;
-        const std::pair rank(weightedShare(group.team), group.since);
-        if (!first || rank < firstRank) {
-            first = &group;
-            firstRank = rank;
-        }
+        gangs.emplace(Rank(weightedShare(group.team), group.since, group.job), &group);
     }
-    if (!first)
-        return;
-    m_firstGang = first->job;
-    if (placeGang(*first))
+    // A gang that can't be placed must not keep its place in front of those that can.
+    for (const auto &[rank, gang] : gangs) {
+        m_firstGang = gang->job;
+        if (placeGang(*gang))
+            return;
+        m_decision.reasons[gang->job] = WaitReason::GangIncomplete;
+        const auto reserved =
+            reserveWorkersFor(*gang, m_allocator.workers(), m_view.running, m_view.now);
+        m_hasReservation = !reserved.empty();
+        if (!m_hasReservation)
+            continue;
+        m_allocator.reserve(reserved);
         return;
-    const auto reserved =
-        reserveWorkersFor(*first, m_allocator.workers(), m_view.running, m_view.now);
-    m_hasReservation = !reserved.empty();
-    m_allocator.reserve(reserved);
-    m_decision.reasons[first->job] = WaitReason::GangIncomplete;
+    }
+    m_firstGang = JobId();
 }
 
 void SchedulingPass::placeByShares(bool urgent)
--- a/Tests/Unit/ShardSchedulerTest.cpp
+++ b/Tests/Unit/ShardSchedulerTest.cpp
@@ -107,6 +107,21 @@
     CHECK(decision.reasons.at(JobId("batch")) == WaitReason::BehindReservation);
 }
 
+// Guards against gangs that starve because an older one, which can never be placed, is the only one
+// that may reserve workers.
+TEST_CASE_METHOD(SchedulerFixture, "Gang reserves workers although an older one can't be placed",
+                 "[scheduler]")
+{
+    view.workers[0].free = OneCore;
+    view.workers[1].free = OneCore;
+    addWaitingJob("hopeless", "red", GangPolicy(), 9, Duration(90'000));
+    addWaitingJob("gang", "red", GangPolicy(), 8, Duration(60'000));
+    addWaitingJob("batch", "blue", BatchPolicy(), 8, Duration(1000));
+    decide();
+    CHECK(placedCount("batch") == 0);
+    CHECK(decision.reasons.at(JobId("batch")) == WaitReason::BehindReservation);
+}
+
 TEST_CASE_METHOD(SchedulerFixture,
                  "Capacity reserved for a gang may be used by work that ends in time",
                  "[scheduler]")
