--- a/Tests/Unit/CellGangTest.cpp
+++ b/Tests/Unit/CellGangTest.cpp
@@ -28,7 +28,7 @@
         spec.steps[0].isService = true;
         spec.steps[0].maxPerWorker = 1;
         m_cell.taskLength = Duration(3'600'000);
-        const JobId job = m_cell.submit(std::move(spec));
+        JobId job = m_cell.submit(std::move(spec));
         REQUIRE(m_cell.runUntil(
             [this] {
                 return std::ranges::none_of(m_cell.workers, [](const FakeCellWorker &worker) {
