--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -296,13 +296,22 @@
 
     def __init__(self, store, folder, zones, program):
         self.program = program
+        self.has_ended = False
+        self.lock = threading.Lock()
         super().__init__(store, folder, zones)
 
     def start(self, number, root=ROOT):
         node = self.nodes[number]
-        with open(os.path.join(self.folder, f"node-{number}.log"), "ab") as log:
-            node["process"] = subprocess.Popen([self.program, node["path"]], cwd=root, stdout=log,
-                                               stderr=subprocess.STDOUT)
+        # A fault that is still being undone must not start a node that nobody ends.
+        with self.lock, open(os.path.join(self.folder, f"node-{number}.log"), "ab") as log:
+            if not self.has_ended:
+                node["process"] = subprocess.Popen([self.program, node["path"]], cwd=root, stdout=log,
+                                                   stderr=subprocess.STDOUT)
+
+    def end(self):
+        with self.lock:
+            self.has_ended = True
+        super().end()
 
     def is_up(self, number):
         return self.nodes[number]["process"].poll() is None
