Tests: Use the clock and heartbeat of the review's worker in the soak

The soak's worker repeated both word for word, with a state that never changed. Also gone: a wrapper of one call, and a comment on a case that does not exist.

--- a/Tests/Soak/checks.py
+++ b/Tests/Soak/checks.py
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass
 class End:
-    """An end that a worker has listed; number 0 stands for one that no report can list any more."""
+    """An end that a worker has listed."""
     worker: object
     number: int
     how: str
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -259,7 +259,7 @@
     def fault_reset(self, choice, length):
         self.disturb(0.1)
         if choice < 0.3:
-            return self.store.reset_connections()
+            return standins.reset_connections(self.store.server)
         for worker in self.some_workers(choice):
             standins.reset_connections(worker.server)
 
--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -14,7 +14,6 @@
 GANG_WAIT_MS = 3000
 STOP_MS = 900
 GRACE_S = 6
-STARTUP_MS = 500
 CALL_LIMIT_S = 1.0
 
 
@@ -42,9 +41,6 @@
         reply = super().answer(method, path, headers, body)
         return None if mode == "lost" and is_write and self.rng.random() < 0.3 else reply
 
-    def reset_connections(self):
-        reset_connections(self.server)
-
 
 def reset_connections(server):
     """Ends all connections of a stand-in's server, which goes on to listen."""
@@ -101,26 +97,15 @@
         self.fence = self.lease = self.acknowledged = self.end_count = self.lapses = self.sequence = 0
         self.is_lapsed = False
         self.running, self.highest, self.ends = {}, {}, []
-        self.is_alive, self.is_silent, self.state = True, False, "ready"
+        self.is_alive, self.is_silent = True, False
         # Shares of the orders that are refused, lost, or executed late.
         self.refuses = self.loses = self.delays = 0.0
         self.server = base.Server(self.answer)
         threading.Thread(target=self.work, daemon=True).start()
         threading.Thread(target=self.beat, daemon=True).start()
 
-    def clock(self):
-        return int((time.monotonic() - self.began) * 1000)
-
-    def beat(self):
-        while self.is_alive:
-            self.sequence += 1
-            entry = {"service": self.service, "addr": f"{base.HOST}:{self.server.port}", "zone": self.zone,
-                     "version": "v1", "slots": 8, "state": self.state, "coldRemainingMs": 0, "seqNo": self.sequence,
-                     "capacity": self.capacity, "labels": self.labels, "born": self.born, "clockMs": self.clock()}
-            self.store.put(f"servers/{self.name}", json.dumps(entry).encode())
-            time.sleep(base.HEARTBEAT_S)
-        time.sleep(base.SILENT_HEARTBEATS * base.HEARTBEAT_S)
-        self.store.delete(f"servers/{self.name}")
+    clock = base.Worker.clock
+    beat = base.Worker.beat
 
     def end(self, task, how):
         run = self.running.pop(task)
@@ -188,7 +173,7 @@
 
     def percent(self, run, now):
         if run.kind() == "lasts":
-            return 100 if now - run.started >= STARTUP_MS else 0
+            return 100 if now - run.started >= base.Worker.STARTUP_MS else 0
         spent = 0 if run.works_since is None else now - run.works_since
         return min(99, 100 * spent // max(1, run.work_ms()))
 
