--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -281,8 +281,7 @@
         return;
     setReachable(false);
     ++commit->retries;
-    const Duration pause =
-        std::min(BaseRetryPause * (1 << std::min(commit->retries, 4U)), MaxRetryPause);
+    const Duration pause = exponentialBackoff(BaseRetryPause, commit->retries, MaxRetryPause);
     m_timers.after(pause, [this, commit, number = tried.number] {
         if (!m_isSuperseded && !commit->isWritten && commit->lastTry == number)
             sendCommit(commit);
--- a/Libraries/Coordination/ShardController.cpp
+++ b/Libraries/Coordination/ShardController.cpp
@@ -17,7 +17,6 @@
 constexpr Duration MovePeriod{200};
 constexpr Duration MaxJobBackoff{60'000};
 constexpr Duration FirstJobBackoff{200};
-constexpr unsigned MaxDoublings = 10;
 /** Waiting tasks of one job that one scheduling pass considers. */
 constexpr std::size_t MaxGroupSize = 256;
 constexpr std::size_t MaxHistoryEntries = 24;
@@ -455,10 +454,8 @@
     // not grow faster for jobs with many tasks.
     const std::size_t tasks = m_record.record().portions.at(id.job).tasks.size();
     const auto rounds =
-        static_cast<unsigned>(jobState.failuresInRow / std::max<std::size_t>(tasks, 1));
-    const Duration backoff =
-        std::min(FirstJobBackoff * (1U << std::min(rounds, MaxDoublings)), MaxJobBackoff);
-    jobState.retryAt = m_timers.now() + backoff;
+        static_cast<uint32_t>(jobState.failuresInRow / std::max<std::size_t>(tasks, 1));
+    jobState.retryAt = m_timers.now() + exponentialBackoff(FirstJobBackoff, rounds, MaxJobBackoff);
     addHistory(id.job,
                "task " + std::to_string(task.index) + " failed, failure "
                    + std::to_string(task.failures));
--- a/Libraries/Coordination/WorkerConnections.cpp
+++ b/Libraries/Coordination/WorkerConnections.cpp
@@ -249,7 +249,7 @@
     Worker &worker = found->second;
     --(sent.isHold ? worker.holdsInFlight : worker.ordersInFlight);
     if (fault != ConnectionFault::None) {
-        const auto pause = std::min(FirstPause * (1 << std::min(worker.failures, 8U)), MaxPause);
+        const Duration pause = exponentialBackoff(FirstPause, worker.failures, MaxPause);
         ++worker.failures;
         worker.lastFault = fault;
         worker.mayOpenAt = m_timers.now()
--- a/Libraries/Coordination/WorkerHealth.cpp
+++ b/Libraries/Coordination/WorkerHealth.cpp
@@ -1,7 +1,5 @@
 #include "Coordination/WorkerHealth.h"
 
-#include <algorithm>
-
 namespace Cranberrymount {
 
 namespace {
@@ -43,10 +41,9 @@
     // Commands that fail together count once.
     if (record.quarantinedUntil > now)
         return;
-    const Duration pause = std::min(
-        FirstConnectionPause * (1 << std::min(record.connectionFaults, 8U)), MaxConnectionPause);
+    record.quarantinedUntil =
+        now + exponentialBackoff(FirstConnectionPause, record.connectionFaults, MaxConnectionPause);
     ++record.connectionFaults;
-    record.quarantinedUntil = now + pause;
 }
 
 void WorkerHealth::recordConnection(const WorkerIncarnation &worker)
--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -81,9 +81,7 @@
     const Instant now = m_timers.now();
     m_refusedAt = now;
     if (now >= m_pausedUntil) {
-        constexpr uint32_t MaxDoublings = 8;
-        const Duration pause = std::min(
-            FirstRefusalPause * (1 << std::min(m_refusals, MaxDoublings)), MaxRefusalPause);
+        const Duration pause = exponentialBackoff(FirstRefusalPause, m_refusals, MaxRefusalPause);
         ++m_refusals;
         m_pausedUntil = now + pause;
         m_timers.after(pause, [this] { requestReport(); });
