--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -426,20 +426,16 @@
     return label.empty() || hasLabel(*m_input.workers[worker].info, label);
 }
 
-Resources Dispatcher::freeCapacityFor(const Candidate &candidate, std::size_t worker) const
-{
-    const Resources freeCapacity = m_input.workers[worker].freeCapacity();
-    const Reservation &reservation = m_reservations[worker];
-    const bool isReserved = reservation.holder && reservation.holder != &candidate
-        && !mayUseReserved(candidate, worker);
-    return isReserved ? freeCapacity - reservation.amount : freeCapacity;
-}
-
 int64_t Dispatcher::placesOnWorker(const Candidate &candidate, std::size_t worker) const
 {
     const StepSpec &spec = candidate.spec();
     const DispatchWorker &workerState = m_input.workers[worker];
-    const int64_t places = spec.need.countFittingIn(freeCapacityFor(candidate, worker));
+    Resources freeCapacity = workerState.freeCapacity();
+    const Reservation &reservation = m_reservations[worker];
+    if (reservation.holder && reservation.holder != &candidate
+        && !mayUseReserved(candidate, worker))
+        freeCapacity -= reservation.amount;
+    const int64_t places = spec.need.countFittingIn(freeCapacity);
     if (spec.maxPerWorker == 0 || places <= 0)
         return places;
     const StepKey &key = candidate.key;
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -284,10 +284,8 @@
     /** @return true if a task of the step may use capacity of the worker that is reserved for a
      * gang: it is more urgent than any gang, ends before the gang can start, or is left behind. */
     bool mayUseReserved(const Candidate &candidate, std::size_t worker) const;
-    /** @return the worker's free capacity without what is reserved for another step. */
-    Resources freeCapacityFor(const Candidate &candidate, std::size_t worker) const;
-    /** @return how many more tasks of the step the worker can take, by its free capacity and by the
-     * step's limit per worker. */
+    /** @return how many more tasks of the step the worker can take, by its free capacity without
+     * what is reserved for another step, and by the step's limit per worker. */
     int64_t placesOnWorker(const Candidate &candidate, std::size_t worker) const;
     /** @return how many more tasks of size @p need the team may run. */
     int64_t teamHeadroom(const TeamId &team, const Resources &need) const;
