Decision: Work out once a round when a run frees its capacity

Each gang that reserves worked it out anew for each run of its workers, and each round for all of them; a run carried its expected end, its length and whether it is a service for it. Whoever builds the input now says when the capacity is free, by the same function, and never for a service. Decisions are unchanged: the dispatcher's tests and the random mixes hold with their assertions.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -546,12 +546,15 @@
         requestAdvice(decision);
 }
 
-Instant CellScheduler::expectedEndOf(const ActiveRun &run)
+Instant CellScheduler::expectedReleaseOf(const ActiveRun &run, Instant now)
 {
+    if (run.isService)
+        return NeverReleased;
+    Instant end = run.beganAt + std::max(run.estimate, MinRunDuration);
     // From here on the reported progress is a better predictor than the submitter's estimate.
     if (run.percent >= MinUsablePercent)
-        return run.beganAt + (run.percentChangedAt - run.beganAt) * 100 / run.percent;
-    return run.beganAt + std::max(run.estimate, MinRunDuration);
+        end = run.beganAt + (run.percentChangedAt - run.beganAt) * 100 / run.percent;
+    return expectedRelease(now, end, std::chrono::duration_cast<Duration>(end - run.beganAt));
 }
 
 void CellScheduler::logBlockedGangs(const std::vector<BlockedGang> &gangs)
@@ -593,10 +596,8 @@
             for (const auto &[key, activeRun] : runs->second) {
                 const ActiveRun &run = *activeRun;
                 worker.used += run.need;
-                const Instant end = expectedEndOf(run);
-                worker.allocations.push_back(
-                    {&key.job, key.occurrence, key.step, run.need, end,
-                     std::chrono::duration_cast<Duration>(end - run.beganAt), run.isService});
+                worker.allocations.push_back({&key.job, key.occurrence, key.step, run.need,
+                                              expectedReleaseOf(run, input.now)});
             }
         }
         input.workers.push_back(std::move(worker));
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -211,8 +211,9 @@
     void scheduleDispatch();
     void dispatch();
     DispatchInput makeDispatchInput() const;
-    /** @return when the run is expected to end: from its reported progress, else the estimate. */
-    static Instant expectedEndOf(const ActiveRun &run);
+    /** @return when the run is expected to free its capacity: by its reported progress, else by the
+     * estimate. */
+    static Instant expectedReleaseOf(const ActiveRun &run, Instant now);
     /** Logs for each gang that can't be placed why, again only after the reason has changed. */
     void logBlockedGangs(const std::vector<BlockedGang> &gangs);
     bool acceptsStarts(const WorkerSession &session) const;
--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -46,18 +46,14 @@
     return "unknown";
 }
 
-std::optional<Instant> Dispatcher::expectedRelease(const RunAllocation &allocation) const
+Instant expectedRelease(Instant now, Instant expectedEnd, Duration expectedLength)
 {
-    if (allocation.isService)
-        return std::nullopt;
-    const auto overdue = std::chrono::duration_cast<Duration>(m_input.now - allocation.expectedEnd);
+    const auto overdue = std::chrono::duration_cast<Duration>(now - expectedEnd);
     if (overdue <= Duration(0))
-        return allocation.expectedEnd;
+        return expectedEnd;
     const Duration limit =
-        std::clamp(MaxOverdueFactor * allocation.expectedLength, MinOverdueLimit, MaxOverdueLimit);
-    if (overdue > limit)
-        return std::nullopt;
-    return m_input.now + overdue / OverdueRemainingDivisor;
+        std::clamp(MaxOverdueFactor * expectedLength, MinOverdueLimit, MaxOverdueLimit);
+    return overdue > limit ? NeverReleased : now + overdue / OverdueRemainingDivisor;
 }
 
 void Dispatcher::findEndlessRuns()
@@ -67,9 +63,7 @@
             const DispatchWorker &worker = m_input.workers[index];
             m_releasable[index] = worker.info->capacity;
             for (const RunAllocation &allocation : worker.allocations) {
-                const bool isInTime =
-                    !allocation.isService && allocation.expectedEnd >= m_input.now;
-                if (isInTime || expectedRelease(allocation))
+                if (allocation.releasedAt != NeverReleased)
                     continue;
                 m_releasable[index] -= allocation.need;
                 pool.usedForGood = pool.usedForGood + allocation.need.cpu;
@@ -203,8 +197,8 @@
         const Resources freeCapacity = workerState.freeCapacity();
         const int64_t placesNow = membersFittingIn(candidate, freeCapacity);
         for (const RunAllocation &allocation : workerState.allocations) {
-            if (const std::optional<Instant> when = expectedRelease(allocation))
-                releases.push_back({*when, choices.size(), allocation.need});
+            if (allocation.releasedAt != NeverReleased)
+                releases.push_back({allocation.releasedAt, choices.size(), allocation.need});
         }
         choices.push_back({worker, freeCapacity, placesNow, m_input.now, m_input.now});
         places += placesNow;
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -497,7 +497,7 @@
     workerState.used += spec.need;
     const Duration length = std::max(spec.estimate, MinEstimate);
     workerState.allocations.push_back({&key.job, key.occurrence, key.step, spec.need,
-                                       m_input.now + length, length, spec.isService});
+                                       spec.isService ? NeverReleased : m_input.now + length});
     if (spec.isService) {
         m_releasable[worker] -= spec.need;
         candidate.pool->usedForGood = candidate.pool->usedForGood + spec.need.cpu;
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -17,14 +17,21 @@
     uint32_t occurrence = 0;
     uint32_t step = 0;
     Resources need;
-    /** When the run is expected to end; has no meaning for a service. */
-    Instant expectedEnd{};
-    /** How long the run was expected to take when it began. */
-    Duration expectedLength{0};
-    /** The run does not end by itself. */
-    bool isService = false;
+    /** When the run is expected to have freed its capacity; NeverReleased for a service. */
+    Instant releasedAt{};
 };
 
+/** Release time of a run that does not end by itself, or can't be relied on to end. */
+inline constexpr Instant NeverReleased = Instant::max();
+
+/**
+ * @param expectedEnd when the run is expected to end
+ * @param expectedLength how long it is expected to take
+ * @return when it is expected to have freed its capacity: later than @p expectedEnd if it is
+ * overdue at @p now, and NeverReleased if it is long overdue
+ */
+Instant expectedRelease(Instant now, Instant expectedEnd, Duration expectedLength);
+
 /** A worker as the dispatcher sees it. */
 struct DispatchWorker
 {
@@ -345,11 +352,6 @@
     /** @return true if the gang may reserve whole workers: it can still meet its objective, or is
      * the late one that has waited longest. */
     bool mayReserve(const Candidate &candidate) const;
-    /**
-     * @return when the run is expected to have freed its capacity; nothing if it is a service or so
-     * long overdue that it can't be relied on to end.
-     */
-    std::optional<Instant> expectedRelease(const RunAllocation &allocation) const;
     /** Sets m_releasable and usedForGood of all pools. */
     void findEndlessRuns();
     /** @return what keeps the gang from being placed once all runs that are expected to end have
--- a/Tests/Unit/DispatchHistoryTest.cpp
+++ b/Tests/Unit/DispatchHistoryTest.cpp
@@ -199,8 +199,11 @@
         for (const Run &run : m_runs) {
             DispatchWorker &worker = input.workers[run.worker];
             worker.used += run.need;
-            worker.allocations.push_back({&run.task.job, 0, 0, run.need, run.beganAt + run.estimate,
-                                          run.estimate, run.isService});
+            worker.allocations.push_back(
+                {&run.task.job, 0, 0, run.need,
+                 run.isService
+                     ? NeverReleased
+                     : expectedRelease(input.now, run.beganAt + run.estimate, run.estimate)});
             input.teamUse[m_jobs.find(run.task.job)->accepted.team] += run.need;
         }
         return input;
--- a/Tests/Unit/DispatcherFixture.h
+++ b/Tests/Unit/DispatcherFixture.h
@@ -80,7 +80,9 @@
         for (DispatchWorker &worker : m_workers) {
             worker.used += need;
             worker.allocations.push_back(
-                {&OtherJob, 0, 0, need, m_instant + endsIn, length, isService});
+                {&OtherJob, 0, 0, need,
+                 isService ? NeverReleased
+                           : expectedRelease(m_instant, m_instant + endsIn, length)});
         }
     }
 
