Tests: Let the io_context of the stopping node's test outlive its clients

The fixture declared the io_context after the list of sockets, so it was destroyed first and the sockets' destructors used freed memory. The program under test is not involved; no check changes.

--- a/Tests/EndToEnd/StoppingNodeTest.cpp
+++ b/Tests/EndToEnd/StoppingNodeTest.cpp
@@ -171,6 +171,8 @@
         return {std::istreambuf_iterator<char>(stream), {}};
     }
 
+    /** Outlives the clients' sockets. */
+    asio::io_context m_context;
     std::list<Client> m_clients;
     std::unique_ptr<SilentLeader> m_leader;
     Instant m_signalledAt{};
@@ -213,7 +215,6 @@
         return m_leader->callCount() > 0;
     }
 
-    asio::io_context m_context;
     std::filesystem::path m_folder;
     PortReservation m_frontPort{static_cast<unsigned>(getpid())};
     PortReservation m_readinessPort{static_cast<unsigned>(getpid())};
