Coordination: Log each try to claim the leadership and its answer

The log did not say which tries were open and which of them the store had answered. claim_sent and claim_answered do, two lines for each try; no logic changes.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -327,11 +327,15 @@
 void Leadership::claimLeadership(Revision expected)
 {
     m_claimValue = encodeMember(m_self, ++m_claimCount);
+    LOG(INFO) << "event=claim_sent try=" << m_claimCount << " expected=" << expected.value();
     StoreTransaction transaction;
     transaction.conditions = {{LeaderKey, expected}};
     transaction.puts = {{LeaderKey, m_claimValue, {}}};
     m_store.commit(
-        std::move(transaction), [this, sentAt = m_timers.now()](const CommitResult &result) {
+        std::move(transaction),
+        [this, number = m_claimCount, sentAt = m_timers.now()](const CommitResult &result) {
+            LOG(INFO) << "event=claim_answered try=" << number << " outcome=" << result.outcome
+                      << " revision=" << result.revision.value() << " leads=" << m_isLeading;
             if (result.outcome == CommitResult::Committed)
                 return becomeLeader(result.revision, sentAt);
             if (result.outcome != CommitResult::Unknown)
