--- /dev/null
+++ b/Tests/Unit/LeadershipTest.cpp
@@ -0,0 +1,136 @@
+// A node leads once for each claim that it has written, whatever becomes of its other tries.
+
+#include "Coordination/Leadership.h"
+#include "Coordination/Journal.h"
+#include "Transport/AsioTimerService.h"
+
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Cranberrymount;
+
+namespace {
+
+/** A node that is offered another node's claim; the test answers its tries to write it. */
+class ClaimFixture : public TransactionalStore
+{
+protected:
+    struct Try
+    {
+        StoreTransaction transaction;
+        std::function<void(CommitResult)> answer;
+    };
+
+    ClaimFixture()
+    {
+        m_leadership.handleAnnouncement({OtherClaim, EntryId("other"), {"127.0.0.1", 1}});
+    }
+
+    void offerClaim() { m_leadership.takeOver({OtherClaim, false}); }
+
+    /** The store executes @p number if its condition holds. @return the answer to it */
+    CommitResult execute(std::size_t number)
+    {
+        const StoreTransaction &transaction = m_tries.at(number).transaction;
+        if (transaction.conditions.front().revision != m_claim.revision)
+            return {CommitResult::Conflict, {}, {m_claim}};
+        m_claim = {LeaderKey, transaction.puts.front().value,
+                   Revision(m_claim.revision.value() + 1)};
+        return {CommitResult::Committed, m_claim.revision, {}};
+    }
+
+    void answer(std::size_t number, const CommitResult &result)
+    {
+        m_tries.at(number).answer(result);
+        runFor(Duration(20));
+    }
+
+    void runFor(Duration time)
+    {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+
+    void list(const std::string &prefix, std::function<void(StoreRead)> done) override
+    {
+        StoreRead read{true, {}};
+        if (prefix == LeaderKey)
+            read.entries.push_back(m_claim);
+        asio::post(m_context, [read, done = std::move(done)] { done(read); });
+    }
+    void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override
+    {
+        m_tries.push_back({std::move(transaction), std::move(done)});
+    }
+    void probe(std::function<void(bool)>) override { }
+    void createLease(Duration, std::function<void(StoreLease)>) override { }
+    void renewLease(StoreLeaseId, std::function<void(StoreLease)>) override { }
+
+    static constexpr Revision OtherClaim{7};
+
+    StoreEntry m_claim{LeaderKey, "{}", OtherClaim};
+    std::vector<Try> m_tries;
+    std::vector<Revision> m_won;
+    asio::io_context m_context{1};
+    AsioTimerService m_timers{m_context};
+    PeerHub m_peers{m_context,
+                    m_timers,
+                    {EntryId("n"), CpuMillis(1000), {}},
+                    {"127.0.0.1", 0},
+                    PeerHub::Handlers{}};
+    Leadership m_leadership{
+        *this,
+        m_timers,
+        m_peers,
+        {EntryId("n"), {"127.0.0.1", 2}, CpuMillis(1000)},
+        [] { return 0.5; },
+        {[this](Revision claim, Instant) { m_won.push_back(claim); }, [] {}, [] {}}};
+};
+
+} // namespace
+
+// TWICE: a node whose first try was never answered became leader again with the claim of its
+// second one, and two schedulers acted with one epoch.
+TEST_CASE_METHOD(ClaimFixture, "Claim that another try has won makes no second leader",
+                 "[leadership]")
+{
+    offerClaim();
+    offerClaim();
+    REQUIRE(m_tries.size() == 2);
+    const CommitResult second = execute(1);
+    answer(1, second);
+    REQUIRE(m_won == std::vector{second.revision});
+    answer(0, {});
+    CHECK(m_won == std::vector{second.revision});
+}
+
+// TWICE, the same with a late answer to a try that a later one of the node has replaced.
+TEST_CASE_METHOD(ClaimFixture, "Late answer to a replaced claim makes no leader", "[leadership]")
+{
+    m_leadership.begin();
+    offerClaim();
+    offerClaim();
+    REQUIRE(m_tries.size() == 2);
+    const CommitResult first = execute(0);
+    answer(1, execute(1));
+    CHECK(m_won.empty());
+    // The node finds its own claim in the store, for which it does not lead, and writes another.
+    for (int attempt = 0; attempt < 100 && m_tries.size() == 2; ++attempt)
+        runFor(Duration(20));
+    REQUIRE(m_tries.size() == 3);
+    answer(0, first);
+    const CommitResult third = execute(2);
+    answer(2, third);
+    CHECK(m_won == std::vector{third.revision});
+}
+
+// TWICE, the same with an unanswered try that was written: its value counts, not the latest one.
+TEST_CASE_METHOD(ClaimFixture, "Node leads with the claim whose answer was lost", "[leadership]")
+{
+    offerClaim();
+    offerClaim();
+    const Revision written = execute(0).revision;
+    answer(1, execute(1));
+    answer(0, {});
+    CHECK(m_won == std::vector{written});
+}
