Coordination: Judge each try to claim the leadership by its own answer

Cause: a node may have several tries to claim open at a time, one of its own election and those of the leader's offers. If one stayed unanswered, the node read the claim and compared it with the value of its latest try, so that it took the success of another try for that of this one and became leader a second time with the same claim. Two schedulers then had one epoch: workers fence nothing, both write segments under one claim, and the second takes starts of the first that are on their way for runs that never began.

Now the value belongs to the try, and a node that leads, that stops, or that knows the claim or a later one already does not become leader with it. Several tries stay allowed: the first may hang for a second while the next one is answered.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -326,14 +326,15 @@
 
 void Leadership::claimLeadership(Revision expected)
 {
-    m_claimValue = encodeMember(m_self, ++m_claimCount);
-    LOG(INFO) << "event=claim_sent try=" << m_claimCount << " expected=" << expected.value();
+    const uint64_t number = ++m_claimCount;
+    const std::string value = encodeMember(m_self, number);
+    LOG(INFO) << "event=claim_sent try=" << number << " expected=" << expected.value();
     StoreTransaction transaction;
     transaction.conditions = {{LeaderKey, expected}};
-    transaction.puts = {{LeaderKey, m_claimValue, {}}};
+    transaction.puts = {{LeaderKey, value, {}}};
     m_store.commit(
         std::move(transaction),
-        [this, number = m_claimCount, sentAt = m_timers.now()](const CommitResult &result) {
+        [this, number, value, sentAt = m_timers.now()](const CommitResult &result) {
             LOG(INFO) << "event=claim_answered try=" << number << " outcome=" << result.outcome
                       << " revision=" << result.revision.value() << " leads=" << m_isLeading;
             if (result.outcome == CommitResult::Committed)
@@ -341,17 +342,21 @@
             if (result.outcome != CommitResult::Unknown)
                 return endElection(ElectionPause);
             // The claim may have been written; reading it back and comparing the value shows this.
-            m_store.list(LeaderKey, [this, readAt = m_timers.now()](const StoreRead &read) {
+            m_store.list(LeaderKey, [this, value, readAt = m_timers.now()](const StoreRead &read) {
                 const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
-                if (entry != read.entries.end() && entry->value == m_claimValue)
+                if (entry != read.entries.end() && entry->value == value)
                     return becomeLeader(entry->revision, readAt);
                 endElection(ElectionPause);
             });
         });
 }
 
+/** Leads with the claim @p revision, unless another try of this node has won or a later claim is
+ * known: the leader's offers and this node's elections may have several tries open at a time. */
 void Leadership::becomeLeader(Revision revision, Instant heldAt)
 {
+    if (m_isLeading || m_isRetired || revision <= m_leader.revision)
+        return endElection(ElectionPause);
     m_leader = {revision, m_self.node, m_self.address};
     m_isLeading = true;
     m_isElecting = false;
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -94,7 +94,6 @@
     /** The last claim for which this node let stronger nodes go first. */
     std::optional<Revision> m_lastYieldedClaim;
     StoreLeaseId m_lease;
-    std::string m_claimValue;
     Instant m_followedAt{};
     Instant m_noElectionUntil{};
     bool m_isLeading = false;
