Transport: Call no command refused that was sent on an earlier connection

A command that a worker has read on a reused connection, which then ends without an answer, makes libcurl open another connection. It checks only there that the body must not be sent again. If that connection is refused, the call ended with outcome Unknown, but with the fault Refused, and WorkerConnections repeats a command with this fault on a connection that is still open: a start that may have been executed is sent again. The fault of such a call is Reset now.

--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -105,7 +105,10 @@
     curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &newConnections);
     if (code == CURLE_COULDNT_CONNECT) {
         const bool isRefused = systemError == ECONNREFUSED || systemError == ECONNRESET;
-        return isRefused ? ConnectionFault::Refused : ConnectionFault::None;
+        if (!isRefused)
+            return ConnectionFault::None;
+        // libcurl may have sent the request on a reused connection before it opened this one.
+        return isSent ? ConnectionFault::Reset : ConnectionFault::Refused;
     }
     const bool isEndedByPeer =
         code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR || code == CURLE_GOT_NOTHING;
