--- a/Tests/Unit/PlatformWorkersTest.cpp
+++ b/Tests/Unit/PlatformWorkersTest.cpp
@@ -151,3 +151,18 @@
                       });
     CHECK(startAt({"127.0.0.1", StatusPort}).outcome == StartReply::Unknown);
 }
+
+// Guards against a second run of a task: a refusal that the documentation does not know says
+// nothing about whether the start was executed, or will be.
+TEST_CASE("Start that is refused for an undocumented reason counts as unanswered", "[platform]")
+{
+    const std::string body = GENERATE(R"({"clockMs":5,"reason":"shut"})", R"({"clockMs":5})",
+                                      R"({"clockMs":5,"reason":7})", "refused", "");
+    INFO(body);
+    asio::io_context context(1);
+    HttpServer server({"127.0.0.1", StatusPort}, HttpServerLimits(),
+                      [&body](const HttpRequest &, const HttpResponder &respond) {
+                          respond({409, body});
+                      });
+    CHECK(startAt({"127.0.0.1", StatusPort}).outcome == StartReply::Unknown);
+}
