--- a/Tests/Unit/PlatformStoreTest.cpp
+++ b/Tests/Unit/PlatformStoreTest.cpp
@@ -12,6 +12,25 @@
 
 constexpr uint16_t StorePort = 18'471;
 
+/** @return the outcome of a commit that is answered with @p status. */
+CommitResult::Outcome commitAnsweredWith(int status)
+{
+    asio::io_context context(1);
+    HttpServer server(context, {"127.0.0.1", StorePort}, {},
+                      [status](const HttpRequest &, const HttpResponder &respond) {
+                          respond({status, "{}"});
+                      });
+    HttpClient client(context, 2);
+    PlatformStore store(client, context, {"127.0.0.1", StorePort});
+    CommitResult::Outcome outcome = CommitResult::Committed;
+    store.commit({}, [&](const CommitResult &result) {
+        outcome = result.outcome;
+        context.stop();
+    });
+    context.run();
+    return outcome;
+}
+
 } // namespace
 
 // Guards against losing the whole list because of one value that cannot be decoded.
@@ -39,3 +58,20 @@
     CHECK(read.entries[0].value == "one");
     CHECK(read.entries[1].value == "four");
 }
+
+// Guards against a write that is taken for not done: of the server's errors, only 503 is documented
+// to mean that nothing was done.
+TEST_CASE("Commit that is answered with an undocumented server error may have been done",
+          "[platform]")
+{
+    const int status = GENERATE(500, 502, 504);
+    INFO(status);
+    CHECK(commitAnsweredWith(status) == CommitResult::Unknown);
+}
+
+TEST_CASE("Commit that the store refuses was not done", "[platform]")
+{
+    const int status = GENERATE(400, 403, 429, 503);
+    INFO(status);
+    CHECK(commitAnsweredWith(status) == CommitResult::NotDone);
+}
