Tests: A start is sent once if new connections are refused after it

Over real sockets and WorkerConnections: a worker executes a start, closes its connection without an answer and refuses new ones, while a report request keeps another one open.

--- a/Tests/Unit/LimitedServer.cpp
+++ b/Tests/Unit/LimitedServer.cpp
@@ -96,6 +96,12 @@
 void LimitedServer::respond(const std::shared_ptr<Connection> &connection, const std::string &path)
 {
     const bool isStart = path == "/-/run-start";
+    if (isStart && closesAfterNextStart.exchange(false)) {
+        ++m_startCount;
+        --m_openCount;
+        m_acceptor.close();
+        return connection->socket.close();
+    }
     const std::string body =
         isStart ? R"({"clockMs":5})" : R"({"clockMs":5,"born":1,"running":[],"finished":[]})";
     connection->response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
--- a/Tests/Unit/LimitedServer.h
+++ b/Tests/Unit/LimitedServer.h
@@ -28,6 +28,10 @@
     /** @return the number of responses to requests to start a run. */
     std::size_t startCount() const { return m_startCount; }
 
+    /** The next start is executed, but its connection is closed without a response, and new
+     * connections are refused from then on. Those that are open stay in use. */
+    std::atomic<bool> closesAfterNextStart = false;
+
 private:
     struct Connection;
 
--- a/Tests/Unit/WorkerConnectionsTest.cpp
+++ b/Tests/Unit/WorkerConnectionsTest.cpp
@@ -6,6 +6,7 @@
 #include "Coordination/WorkerConnections.h"
 #include "Transport/AsioTimerService.h"
 
+#include <optional>
 #include <thread>
 
 using namespace Cranberrymount;
@@ -57,6 +58,16 @@
         return runUntil([this] { return m_missing == 0 && m_reportCount > 0; });
     }
 
+    /** Sends a start once. @return its outcome */
+    StartReply::Outcome startOnce()
+    {
+        std::optional<StartReply> result;
+        m_connections.start(startCall(m_worker, m_next++),
+                            [&result](const StartReply &reply) { result = reply; });
+        REQUIRE(runUntil([&result] { return result.has_value(); }));
+        return result->outcome;
+    }
+
     bool runUntil(const std::function<bool()> &condition)
     {
         const Instant limit = std::chrono::steady_clock::now() + Duration(5000);
@@ -180,6 +191,19 @@
     CHECK(server.resetCount() < 10);
 }
 
+// Guards against two runs of a task: a start that was executed and not answered was sent again on
+// another connection, because libcurl could not open the new one to which it moved.
+TEST_CASE_METHOD(LimitedServerFixture,
+                 "Start that is left unanswered before new connections are refused is sent once",
+                 "[connections]")
+{
+    Leader leader(m_server.address());
+    REQUIRE(leader.serve(BurstSize, false));
+    m_server.closesAfterNextStart = true;
+    CHECK(leader.startOnce() == StartReply::Unknown);
+    CHECK(m_server.startCount() == BurstSize + 1);
+}
+
 namespace {
 
 /** A worker that takes a given number of connections, in virtual time. */
