Coordination: Leadership uses the peers through an interface

The links of PeerHub run on sockets in real time, so that no history in virtual time can play an election with votes, heartbeats and announcements. Leadership now takes ElectionPeers, which PeerHub implements; no logic changes.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -84,7 +84,7 @@
 
 } // namespace
 
-Leadership::Leadership(TransactionalStore &store, TimerService &timers, PeerHub &peers,
+Leadership::Leadership(TransactionalStore &store, TimerService &timers, ElectionPeers &peers,
                        CellMember self, std::function<double()> random, Observer observer)
     : m_store(store)
     , m_timers(timers)
@@ -137,7 +137,7 @@
     if (followed < RecoveryGrace && beat->claim == m_leader.revision)
         return true;
     return beat->claim == m_leader.revision
-        && m_timers.now() - m_peers.heartbeatAt() < PeerHub::HeartbeatTimeout
+        && m_timers.now() - m_peers.heartbeatAt() < ElectionPeers::HeartbeatTimeout
         && beat->timeSinceStoreConfirmation < UnconfirmedLimit;
 }
 
@@ -188,7 +188,8 @@
         followLeader();
         return endElection(LinkGrace);
     }
-    if (!m_peers.isLinked() || m_timers.now() - m_peers.heartbeatAt() > PeerHub::HeartbeatTimeout) {
+    if (!m_peers.isLinked()
+        || m_timers.now() - m_peers.heartbeatAt() > ElectionPeers::HeartbeatTimeout) {
         // Only the link may have failed; a new link shows whether the leader still responds.
         followLeader();
         return awaitLeader();
@@ -257,7 +258,7 @@
             return endElection(ElectionPause);
         // The leader is alive and has only lost access to the store.
         if (m_peers.isLinked()
-            && m_timers.now() - m_peers.heartbeatAt() < PeerHub::HeartbeatTimeout)
+            && m_timers.now() - m_peers.heartbeatAt() < ElectionPeers::HeartbeatTimeout)
             return m_timers.after(RegainGrace, [this, claim] { claimIfStillLost(claim); });
         claimLeadership(claim);
     };
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -1,7 +1,9 @@
 #pragma once
 
-#include "Coordination/PeerHub.h"
+#include "Coordination/ElectionPeers.h"
+#include "Decision/LeaderChoice.h"
 #include "Protocol/TransactionalStore.h"
+#include "Transport/ScopedTimers.h"
 
 namespace Cranberrymount {
 
@@ -33,8 +35,8 @@
         std::function<void()> doubted;
     };
 
-    Leadership(TransactionalStore &store, TimerService &timers, PeerHub &peers, CellMember self,
-               std::function<double()> random, Observer observer);
+    Leadership(TransactionalStore &store, TimerService &timers, ElectionPeers &peers,
+               CellMember self, std::function<double()> random, Observer observer);
 
     void begin();
     Revision claim() const { return m_leader.revision; }
@@ -86,7 +88,7 @@
 
     TransactionalStore &m_store;
     ScopedTimers m_timers;
-    PeerHub &m_peers;
+    ElectionPeers &m_peers;
     CellMember m_self;
     std::function<double()> m_random;
     Observer m_observer;
--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/CommandRelay.h"
+#include "Coordination/ElectionPeers.h"
 #include "Decision/LeaderChoice.h"
 #include "Protocol/CellMessages.h"
 #include "Transport/MessageDelay.h"
@@ -19,7 +20,7 @@
  *
  * Everything runs on the control thread.
  */
-class PeerHub
+class PeerHub : public ElectionPeers
 {
 public:
     struct Handlers
@@ -48,16 +49,11 @@
     void retire();
 
     // As a follower.
-    /** Replaces the link to the leader by one to @p leader; unset closes it. */
-    void follow(std::optional<Endpoint> leader);
-    bool isLinked() const { return m_leaderLink != nullptr; }
-    /** @return true if the last follow() could not connect, or its link broke. */
-    bool hasFailedToLink() const { return m_hasFailedToLink; }
-    /** @return the last heartbeat received on the current link, if any. */
-    const std::optional<HeartbeatMessage> &heartbeat() const { return m_heartbeat; }
-    Instant heartbeatAt() const { return m_heartbeatAt; }
-    /** Heartbeats are sent five times a second; after this time three in a row are missing. */
-    static constexpr Duration HeartbeatTimeout{700};
+    void follow(std::optional<Endpoint> leader) override;
+    bool isLinked() const override { return m_leaderLink != nullptr; }
+    bool hasFailedToLink() const override { return m_hasFailedToLink; }
+    const std::optional<HeartbeatMessage> &heartbeat() const override { return m_heartbeat; }
+    Instant heartbeatAt() const override { return m_heartbeatAt; }
     /**
      * Sends a call to the leader; @p respond gets Undetermined if the link breaks or no reply
      * arrives within @p replyTimeout.
@@ -79,14 +75,11 @@
     std::vector<LeaderCandidate> followers() const;
     /** @return true if a follower is so much stronger that it should lead instead of this node. */
     bool hasStrongerFollower() const;
-    bool hasFollower(const EntryId &node) const { return m_followers.contains(node); }
+    bool hasFollower(const EntryId &node) const override { return m_followers.contains(node); }
 
-    /** Asks @p peer for its vote; @p done gets no value if it does not answer in time. */
     void askVote(const Endpoint &peer, Revision claim,
-                 std::function<void(std::optional<bool>)> done);
-
-    /** Announces the leader to @p peer. */
-    void announce(const Endpoint &peer, const AnnouncementMessage &announcement);
+                 std::function<void(std::optional<bool>)> done) override;
+    void announce(const Endpoint &peer, const AnnouncementMessage &announcement) override;
 
 private:
     using Link = std::shared_ptr<FrameLink>;
--- a/Tests/Unit/LeadershipTest.cpp
+++ b/Tests/Unit/LeadershipTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Coordination/Leadership.h"
 #include "Coordination/Journal.h"
+#include "Coordination/PeerHub.h"
 #include "Transport/AsioTimerService.h"
 
 #include <asio.hpp>
