Soak: A claim makes one scheduler; the store turns the leader away and loses claims

It now reads the nodes' logs while it runs: each leadership_won claim=N may appear once over all nodes and processes. In the new store mode "apart" the node that leads gets no answer while writes of the others are slow, lost or late; half of the lost ones keep the caller waiting until its time-out. The store knows a node by an address of its own. checks_test.py passes.

--- a/Tests/Soak/checks.py
+++ b/Tests/Soak/checks.py
@@ -1,5 +1,6 @@
 """Checks of the users' rules over what callers and workers have seen."""
 import dataclasses
+import re
 import time
 
 # Bounds of the users' pages, in seconds.
@@ -72,6 +73,7 @@
         self.ends = {}
         self.caps = {}
         self.evacuated = {}
+        self.led = {}
         self.disturbed_until = 0.0
 
     def find(self, rule, text):
@@ -97,6 +99,17 @@
                 history[-1][1] = now + CONFIG_APPLY_S + MAX_STRETCH_S
             history.append([cap, float("inf")])
 
+    def logged(self, node, line):
+        """Checks a line of a node's log: one claim makes one scheduler, over all nodes and their processes."""
+        won = re.search(r"event=leadership_won claim=(\d+)", line)
+        if not won:
+            return
+        self.count("leaders")
+        claim = int(won.group(1))
+        if claim in self.led:
+            self.find("LEADER", f"{node} wins claim {claim}, which {self.led[claim]} has won")
+        self.led[claim] = node
+
     def started(self, worker, task, attempt, spec, is_late=False):
         """Checks a start that the worker executes now."""
         now = self.clock()
--- a/Tests/Soak/checks_test.py
+++ b/Tests/Soak/checks_test.py
@@ -145,6 +145,15 @@
         self.checker.key_used(False, 200, self.now - 1, self.now)
         self.expect("CONFIG", "CONFIG")
 
+    def test_claim_that_makes_two_schedulers_is_found(self):
+        for node, claim in (("node 0", 7), ("node 1", 8), ("node 0", 77)):
+            self.checker.logged(node, f"I1206 Leadership.cpp:371] event=leadership_won claim={claim}")
+            self.checker.logged(node, f"I1206 Leadership.cpp:371] event=leadership_lost claim={claim}")
+        self.expect()
+        self.checker.logged("node 1", "I1206 Leadership.cpp:371] event=leadership_won claim=8")
+        self.checker.logged("node 2", "I1206 Leadership.cpp:371] event=leadership_won claim=7")
+        self.expect("LEADER", "LEADER")
+
     CAPACITY = {"cpu": 8000, "memMb": 2000}
 
     def test_service_that_stays_down_waits_in_vain(self):
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -65,7 +65,8 @@
 
 class Soak:
     def __init__(self, options, folder):
-        self.options = options
+        self.options, self.folder = options, folder
+        self.logs_read = {}
         self.rng = random.Random(options.seed)
         self.record = base.Record(os.path.join(folder, "record.txt"))
         self.checker = checks.Checker()
@@ -252,14 +253,17 @@
 
     def fault_store(self, choice, length):
         self.disturb(length + 6)
-        self.store.mode = ["silent", "busy", "slow", "lost", "late"][int(choice * 5)]
+        self.store.turned_away = self.victim(0)
+        self.store.mode = ["silent", "busy", "slow", "lost", "late", "apart", "apart"][int(choice * 7)]
         time.sleep(length)
         self.store.mode = ""
 
     def fault_reset(self, choice, length):
         self.disturb(0.1)
         if choice < 0.3:
-            return standins.reset_connections(self.store.server)
+            for server in self.store.gates.values():
+                standins.reset_connections(server)
+            return
         for worker in self.some_workers(choice):
             standins.reset_connections(worker.server)
 
@@ -352,6 +356,19 @@
                     self.checker.key_used(is_valid, status, since, sent_at)
             time.sleep(0.3)
 
+    def read_logs(self):
+        """Passes what the nodes have logged since the last call to the checks."""
+        for number in range(len(self.cell.nodes)):
+            with open(os.path.join(self.folder, f"node-{number}.log"), "rb") as log:
+                log.seek(self.logs_read.get(number, 0))
+                lines = log.read().rpartition(b"\n")[0] + b"\n"
+            if len(lines) == 1:
+                continue
+            self.logs_read[number] = self.logs_read.get(number, 0) + len(lines)
+            with self.world.lock:
+                for line in lines.decode(errors="replace").splitlines():
+                    self.checker.logged(f"node {number}", line)
+
     # The run.
 
     def spawn(self, target, *arguments):
@@ -376,12 +393,14 @@
             if time.monotonic() - shown_at >= 10:
                 shown_at = time.monotonic()
                 self.show_progress()
+            self.read_logs()
             time.sleep(0.05)
         for thread in self.threads:
             thread.join(30)
         self.await_recovery()
         self.await_ends()
         waiting = self.observe_waiting()
+        self.read_logs()
         with self.world.lock:
             self.checker.finish(self.states, waiting)
         return True
--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -18,28 +18,46 @@
 
 
 class FaultyStore(base.Store):
-    """The platform's store; `mode` is "", "silent", "busy", "slow", "lost" (executed, not answered) or "late"."""
+    """
+    The platform's store; `mode` is "", "silent", "busy", "slow", "lost" (executed, not answered), "late" (executed later, not
+    answered) or "apart": silent to the node `turned_away`, and slow, lost or late for the writes of the others.
+    """
 
     def __init__(self, rng):
         self.rng = rng
         self.mode = ""
+        self.turned_away = None
+        self.gates = {}
         super().__init__()
 
-    def answer(self, method, path, headers, body):
+    def gate(self, node):
+        """Returns the address at which the store knows the node by its number."""
+        if node not in self.gates:
+            self.gates[node] = base.Server(lambda *call: self.answer(*call, node=node))
+        return f"{base.HOST}:{self.gates[node].port}"
+
+    def answer(self, method, path, headers, body, node=None):
         mode = self.mode
         is_write = path.startswith("/-/kv-txn")
-        if mode == "silent":
+        if mode == "silent" or mode == "apart" and node == self.turned_away:
             time.sleep(CALL_LIMIT_S)
             return None
+        if mode == "apart":
+            mode = self.rng.choice(["", "slow", "lost", "late"]) if is_write else ""
         if mode == "busy":
             return 503, {}
         if mode == "slow":
             time.sleep(self.rng.uniform(0.05, 0.4))
         if mode == "late" and is_write and self.rng.random() < 0.3:
             threading.Timer(self.rng.uniform(1, 6), super().answer, (method, path, headers, body)).start()
-            return None
+            return self.leave_unanswered()
         reply = super().answer(method, path, headers, body)
-        return None if mode == "lost" and is_write and self.rng.random() < 0.3 else reply
+        return self.leave_unanswered() if mode == "lost" and is_write and self.rng.random() < 0.3 else reply
+
+    def leave_unanswered(self):
+        """Ends the connection, at half of all times only when the caller has given the call up."""
+        if self.rng.random() < 0.5:
+            time.sleep(CALL_LIMIT_S)
 
 
 def reset_connections(server):
@@ -280,13 +298,18 @@
     """The processes of the system, which signals stop, pause, kill and start again."""
 
     def __init__(self, store, folder, zones, program):
-        self.program = program
+        self.program, self.store = program, store
         self.has_ended = False
         self.lock = threading.Lock()
         super().__init__(store, folder, zones)
 
     def start(self, number, root=ROOT):
         node = self.nodes[number]
+        if not node["process"]:
+            with open(node["path"]) as file:
+                settings = file.read()
+            with open(node["path"], "w") as file:
+                file.write(settings.replace(f'store = "{self.store.address}"', f'store = "{self.store.gate(number)}"'))
         # A fault that is still being undone must not start a node that nobody ends.
         with self.lock, open(os.path.join(self.folder, f"node-{number}.log"), "ab") as log:
             if not self.has_ended:
