Leadership: A node whose own claim stands claims again and never follows itself

Cause: a node that finds its own claim in the store (of an earlier process, or of a try whose answer came too late) claims again. If the store refused that try, the next election found the same revision, opened a link from the node to itself and asked for votes. Two effects: without a majority the node never leads although the claim is its own, and when it does lead, the link's end removes the node's own caller to the advisor for the life of the process (CellNode's followerLeft), so that a leader without followers asks no advice at all.

Since becomeLeader passes over a claim that the node knows already, the late answer to the first try does not end this state either.

Evidence (x86-64): both tests failed before: no fourth try within 2 s; 0 starts instead of 1, log: claim_answered outcome=2, follower_joined node=n, leadership_won, follower_left node=n. The whole of the unit tests was not run.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -182,12 +182,15 @@
             LOG(ERROR) << "event=leader_entry_unreadable error=" << error.what();
             return claimLeadership(entry->revision);
         }
-        // The claim belongs to an earlier process of this node, which no longer runs.
-        if (m_leader.node == m_self.node)
-            return claimLeadership(m_leader.revision);
-        followLeader();
-        return endElection(LinkGrace);
+        if (m_leader.node != m_self.node) {
+            followLeader();
+            return endElection(LinkGrace);
+        }
     }
+    // The claim belongs to an earlier process of this node, which no longer runs, or to an earlier
+    // try. A node must never follow itself.
+    if (m_leader.node == m_self.node)
+        return claimLeadership(m_leader.revision);
     if (!m_peers.isLinked()
         || m_timers.now() - m_peers.heartbeatAt() > ElectionPeers::HeartbeatTimeout) {
         // Only the link may have failed; a new link shows whether the leader still responds.
--- a/Tests/Unit/CellNodeTest.cpp
+++ b/Tests/Unit/CellNodeTest.cpp
@@ -367,3 +367,143 @@
     CHECK(outcomeOf(ClientCall::Status, true, refusal) == refusal);
     CHECK(outcomeOf(ClientCall::Submit, true, ClientReply::Accepted) == ClientReply::Accepted);
 }
+
+namespace {
+
+/**
+ * A node that finds the claim of its former process; the store refuses its first try to write
+ * another one. It has one worker, which the advisor must allow.
+ */
+class RestartedNodeFixture : public TransactionalStore,
+                             public OperatorSource,
+                             public WorkerCommands,
+                             public PlacementAdvisor
+{
+protected:
+    RestartedNodeFixture()
+    {
+        m_claim.value = R"({"host":"127.0.0.1","node":"n","nonce":0,"port":)"
+            + std::to_string(m_nodePort.port()) + "}";
+        m_node.start();
+        for (int attempt = 0; attempt < 200 && !m_node.isReady(); ++attempt)
+            runFor(Duration(20));
+        REQUIRE(m_node.isReady());
+        REQUIRE(m_claimTries > 1);
+    }
+
+    void runFor(Duration time)
+    {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+
+    void list(const std::string &prefix, std::function<void(StoreRead)> done) override
+    {
+        StoreRead read{true, {}};
+        if (prefix == LeaderKey)
+            read.entries.push_back(m_claim);
+        respond<StoreRead>(std::move(read), std::move(done));
+    }
+    void probe(std::function<void(bool)> done) override { respond<bool>(true, std::move(done)); }
+    void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override
+    {
+        const StoreTransaction::Put &put = transaction.puts.front();
+        if (put.key == LeaderKey && ++m_claimTries == 1)
+            return respond<CommitResult>({CommitResult::NotDone, {}, {}}, std::move(done));
+        const Revision revision(++m_revision);
+        if (put.key == LeaderKey)
+            m_claim = {put.key, put.value, revision};
+        respond<CommitResult>({CommitResult::Committed, revision, {}}, std::move(done));
+    }
+    void createLease(Duration, std::function<void(StoreLease)> done) override
+    {
+        respond<StoreLease>({true, true, StoreLeaseId(1)}, std::move(done));
+    }
+    void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) override
+    {
+        respond<StoreLease>({true, true, id}, std::move(done));
+    }
+    void readOperators(std::function<void(OperatorView)> done) override
+    {
+        OperatorView view{true, CellConfiguration(), {}};
+        view.configuration->version = 1;
+        view.configuration->pools.push_back({"pool", false});
+        view.configuration->queues.resize(1);
+        QueueSettings &queue = view.configuration->queues.front();
+        queue.id = QueueId("queue");
+        queue.host = "host";
+        queue.pathPrefix = "/queue/";
+        queue.pool = "pool";
+        queue.isOpenToAll = true;
+        queue.advice = AdviceCost{Duration(5), {}, Duration(10'000)};
+        respond<OperatorView>(std::move(view), std::move(done));
+    }
+    void readWorkers(std::function<void(WorkerDirectory)> done) override
+    {
+        CellWorker worker;
+        worker.incarnation = {WorkerId("w"), 1};
+        worker.address = {"127.0.0.1", 1};
+        worker.zone = ZoneId("a");
+        worker.pool = "pool";
+        worker.capacity = {CpuMillis(16'000), MemoryMb(64'000), AcceleratorCount(0)};
+        respond<WorkerDirectory>({true, {worker}}, std::move(done));
+    }
+    void hold(HoldCall call, std::function<void(HoldReply)> done) override
+    {
+        HoldReply reply;
+        reply.outcome = HoldReply::Answered;
+        reply.clock = WorkerClock(1);
+        reply.startedAtMs = 1;
+        m_timers.after(call.wait + Duration(1), [reply, done = std::move(done)] { done(reply); });
+    }
+    void start(StartCall, std::function<void(StartReply)>) override { ++m_starts; }
+    void stop(StopCall, std::function<void(StopReply)>) override { }
+    void ask(AdviceCall call, std::function<void(AdviceReply)> done) override
+    {
+        AdviceReply reply{true, {}};
+        for (const WorkerId &worker : call.workers)
+            reply.allowed.push_back({worker, "ticket"});
+        respond<AdviceReply>(std::move(reply), std::move(done));
+    }
+
+    CellSettings settings() const
+    {
+        CellSettings settings = nodeSettings();
+        settings.peer = {"127.0.0.1", m_nodePort.port()};
+        return settings;
+    }
+
+    template <typename Result> void respond(Result result, std::function<void(Result)> done)
+    {
+        asio::post(m_context,
+                   [result = std::move(result), done = std::move(done)] { done(result); });
+    }
+
+    PortReservation m_nodePort{static_cast<unsigned>(getpid())};
+    asio::io_context m_context{1};
+    AsioTimerService m_timers{m_context};
+    uint64_t m_revision = 10;
+    StoreEntry m_claim{LeaderKey, {}, Revision(10)};
+    std::size_t m_claimTries = 0;
+    std::size_t m_starts = 0;
+    CellNode m_node{m_context, settings(), {*this, *this, *this, *this}};
+};
+
+} // namespace
+
+// Guards against a node that followed itself for the time between two tries to claim, and as the
+// leader made no calls to the advisor any more.
+TEST_CASE_METHOD(RestartedNodeFixture,
+                 "Node whose first claim after a restart was refused goes on to ask the advisor",
+                 "[cellnode]")
+{
+    ClientCall call;
+    call.kind = ClientCall::Submit;
+    call.host = "host";
+    call.path = "/queue/0123456789abcdef";
+    call.spec.steps.resize(1);
+    call.spec.steps.front().taskCount = 1;
+    m_node.handle(std::move(call), Duration(5000), [](const ClientReply &) {});
+    runFor(Duration(1500));
+    CHECK(m_starts == 1);
+}
--- a/Tests/Unit/LeadershipTest.cpp
+++ b/Tests/Unit/LeadershipTest.cpp
@@ -52,11 +52,28 @@
         m_context.run_for(time);
     }
 
+    /** Waits until the node has sent @p count tries. @return true if it has */
+    bool sendsTries(std::size_t count)
+    {
+        for (int attempt = 0; attempt < 100 && m_tries.size() < count; ++attempt)
+            runFor(Duration(20));
+        return m_tries.size() == count;
+    }
+
+    /** @return the value of a member's entry, and of a claim of that member */
+    static std::string memberValue(const std::string &node, int port)
+    {
+        return R"({"host":"127.0.0.1","node":")" + node + R"(","nonce":0,"port":)"
+            + std::to_string(port) + R"(,"processor":1000})";
+    }
+
     void list(const std::string &prefix, std::function<void(StoreRead)> done) override
     {
         StoreRead read{true, {}};
         if (prefix == LeaderKey)
             read.entries.push_back(m_claim);
+        else
+            read.entries = m_members;
         asio::post(m_context, [read, done = std::move(done)] { done(read); });
     }
     void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override
@@ -70,6 +87,7 @@
     static constexpr Revision OtherClaim{7};
 
     StoreEntry m_claim{LeaderKey, "{}", OtherClaim};
+    std::vector<StoreEntry> m_members;
     std::vector<Try> m_tries;
     std::vector<Revision> m_won;
     asio::io_context m_context{1};
@@ -135,3 +153,26 @@
     answer(0, {});
     CHECK(m_won == std::vector{written});
 }
+
+// LATE: a node that found its own claim in the store, and whose next try was refused, followed
+// itself and waited for the votes of a majority.
+TEST_CASE_METHOD(ClaimFixture, "Node whose own claim stands needs no votes to claim again",
+                 "[leadership]")
+{
+    // Both peers are cut off from this node.
+    m_members = {{"cell/member/a", memberValue("a", 3), Revision(1)},
+                 {"cell/member/b", memberValue("b", 4), Revision(2)}};
+    m_leadership.begin();
+    offerClaim();
+    offerClaim();
+    REQUIRE(m_tries.size() == 2);
+    const CommitResult first = execute(0);
+    answer(1, execute(1));
+    REQUIRE(sendsTries(3));
+    answer(2, {CommitResult::NotDone, {}, {}});
+    answer(0, first);
+    REQUIRE(sendsTries(4));
+    const CommitResult fourth = execute(3);
+    answer(3, fourth);
+    CHECK(m_won == std::vector{fourth.revision});
+}
