Leadership: A member's entry keeps the lease that is renewed

Cause: after an unanswered write of its member entry a node took a new lease and wrote the entry again under that one. If the store executed the first write later, the entry had the lease that the node had given up: it expired, and the node, which renewed the other lease, never noticed. It was then missing from the member list for the life of its process: asked for no vote, sent no announcement.

Now the entry is written again under the same lease until the store confirms it; a new lease is taken only once the store says that the old one has ended, after which the store refuses writes under it.

The whole of the unit tests was not run.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -108,22 +108,30 @@
         if (!lease.answered || !lease.alive)
             return m_timers.after(MemberRenewalInterval, [this] { registerMember(); });
         m_lease = lease.id;
-        StoreTransaction transaction;
-        transaction.puts = {{MemberPrefix + m_self.node.value(), encodeMember(m_self, 0), m_lease}};
-        m_store.commit(std::move(transaction), [this](const CommitResult &result) {
-            if (result.outcome != CommitResult::Committed)
-                return m_timers.after(MemberRenewalInterval, [this] { registerMember(); });
-            m_timers.after(MemberRenewalInterval, [this] { renewMember(); });
-        });
+        writeMember();
+    });
+}
+
+/** Writes the entry under the lease that is renewed: a try with another lease may be executed late
+ * and would let the entry expire. */
+void Leadership::writeMember()
+{
+    StoreTransaction transaction;
+    transaction.puts = {{MemberPrefix + m_self.node.value(), encodeMember(m_self, 0), m_lease}};
+    m_store.commit(std::move(transaction), [this](const CommitResult &result) {
+        const bool isWritten = result.outcome == CommitResult::Committed;
+        m_timers.after(MemberRenewalInterval, [this, isWritten] { renewMember(isWritten); });
     });
 }
 
-void Leadership::renewMember()
+void Leadership::renewMember(bool isWritten)
 {
-    m_store.renewLease(m_lease, [this](const StoreLease &lease) {
+    m_store.renewLease(m_lease, [this, isWritten](const StoreLease &lease) {
         if (lease.answered && !lease.alive)
             return registerMember();
-        m_timers.after(MemberRenewalInterval, [this] { renewMember(); });
+        if (lease.answered && !isWritten)
+            return writeMember();
+        m_timers.after(MemberRenewalInterval, [this, isWritten] { renewMember(isWritten); });
     });
 }
 
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -65,7 +65,9 @@
     };
 
     void registerMember();
-    void renewMember();
+    void writeMember();
+    /** @param isWritten false if the entry must be written again */
+    void renewMember(bool isWritten);
     void tick();
     bool isLeaderHealthy() const;
     void readLeader();
