Tests: Measure the time between two attempts of one task

The simulation records, for each attempt that starts after an earlier one, how long ago that one ended at its worker (AttemptGaps); the histories check that no attempt starts before an earlier one's lapse and print the gaps with HISTORY_GAPS=1. Workers' clocks may run slow (a new history).

--- a/Tests/Unit/CellFaultHistoryTest.cpp
+++ b/Tests/Unit/CellFaultHistoryTest.cpp
@@ -1,6 +1,8 @@
 #include "CellFixture.h"
 #include "TestEnvironment.h"
 
+#include <iostream>
+
 using namespace Cranberrymount;
 
 namespace {
@@ -16,6 +18,37 @@
     /** Jobs have limits on their placement and are cancelled at times, the team has a limit, the
      * queue moves between two pools, and restarted workers may be of another kind. */
     bool hasPlacementLimits = false;
+    /** The clocks of half of the workers run as slow as the platform allows. */
+    bool hasSlowClocks = false;
+};
+
+/** Counts the gaps between attempts whose leases lapsed and the next ones, by length. */
+class GapHistogram
+{
+public:
+    void add(uint64_t seed, const AttemptGaps &gaps)
+    {
+        for (const bool onlyAfterLapse : {true, false}) {
+            if (const auto smallest = gaps.smallest(onlyAfterLapse))
+                std::cout << "gap seed=" << seed << " ms=" << smallest->time.count()
+                          << " lapsed=" << smallest->isAfterLapse << " start=" << smallest->start
+                          << "\n";
+        }
+        for (const AttemptGaps::Gap &gap : gaps.all()) {
+            if (gap.isAfterLapse)
+                ++m_counts[gap.time.count() / BucketMs];
+        }
+    }
+    void print() const
+    {
+        for (const auto &[bucket, count] : m_counts)
+            std::cout << "gaps after a lapse from " << bucket * BucketMs << " ms: " << count
+                      << "\n";
+    }
+
+private:
+    static constexpr int64_t BucketMs = 250;
+    std::map<int64_t, std::size_t> m_counts;
 };
 
 /** Plays one history: jobs, and faults of workers, leaders and store that overlap. */
@@ -31,6 +64,9 @@
         m_cell.lateCommandsOutliveWorkers = options.lateCommandsOutliveWorkers;
         if (m_hasPlacementLimits)
             setPlacementLimits();
+        for (std::size_t worker = 0; options.hasSlowClocks && worker < FirstOfSecondPool;
+             worker += 2)
+            m_cell.workers[worker].clockRate = SlowestClockRate;
         if (m_forwarders > 0)
             m_cell.addForwarders(m_forwarders);
         m_cell.elect();
@@ -54,6 +90,10 @@
     {
         for (const std::string &violation : m_cell.violations)
             FAIL_CHECK(violation);
+        if (const auto smallest = m_cell.gaps.smallest(true)) {
+            INFO(smallest->start);
+            CHECK(smallest->time >= LeastGapAfterLapse);
+        }
         for (const JobId &job : m_cell.accepted) {
             const bool isCancelled =
                 m_cell.cancelRequested.contains(job) && m_cell.stateOf(job) == JobState::Cancelled;
@@ -62,6 +102,8 @@
         }
     }
 
+    const AttemptGaps &gaps() const { return m_cell.gaps; }
+
 private:
     uint32_t below(uint32_t bound) { return m_cell.random(bound); }
     FakeCellWorker &anyWorker()
@@ -256,6 +298,10 @@
 
     /** Index of the first worker of the second pool. */
     static constexpr std::size_t FirstOfSecondPool = 4;
+    /** From the platform's documentation of leases. */
+    static constexpr double SlowestClockRate = 0.98;
+    /** Least time between the lapse of an attempt and the start of the next one. */
+    static constexpr Duration LeastGapAfterLapse{0};
 
     CellSimulation m_cell;
     std::size_t m_forwarders;
@@ -267,12 +313,18 @@
 {
     const uint64_t first = numberFromEnvironment("HISTORY_SEED", 1);
     const uint64_t count = numberFromEnvironment("HISTORY_COUNT", defaultCount);
+    const bool printsGaps = numberFromEnvironment("HISTORY_GAPS", 0) != 0;
+    GapHistogram histogram;
     for (uint64_t seed = first; seed < first + count; ++seed) {
         CAPTURE(seed);
         FaultHistory history(seed, options);
         history.play();
         history.check();
+        if (printsGaps)
+            histogram.add(seed, history.gaps());
     }
+    if (printsGaps)
+        histogram.print();
 }
 
 } // namespace
@@ -315,3 +367,10 @@
 {
     runFaultHistories(100, {.refusalRate = 0.3, .hasPlacementLimits = true});
 }
+
+// Guards against a bound of the leases that is too short for a worker whose clock is slow.
+TEST_CASE("Random histories of workers with slow clocks lose no job and run no job twice",
+          "[cell][cellhistory]")
+{
+    runFaultHistories(100, {.hasSlowClocks = true});
+}
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -239,8 +239,13 @@
     ++commandsSent;
     ++startsSent;
     done = delivering(std::move(done));
-    if (!failsToReach(call.to, done))
-        m_commands.start(std::move(call), std::move(done));
+    if (failsToReach(call.to, done))
+        return;
+    if (startDelay == Duration(0))
+        return m_commands.start(std::move(call), std::move(done));
+    m_timers.after(startDelay, [this, call = std::move(call), done = std::move(done)] {
+        m_commands.start(call, done);
+    });
 }
 
 void LeaderProcess::stop(StopCall call, std::function<void(StopReply)> done)
@@ -565,8 +570,20 @@
 
 WorkerClock CellSimulation::clockOf(const FakeCellWorker &worker) const
 {
-    return WorkerClock(static_cast<uint64_t>(
-        std::chrono::duration_cast<Duration>(events.now() - worker.incarnationStart).count()));
+    const auto elapsed =
+        std::chrono::duration_cast<Duration>(events.now() - worker.incarnationStart);
+    return WorkerClock(
+        static_cast<uint64_t>(static_cast<double>(elapsed.count()) * worker.clockRate));
+}
+
+void CellSimulation::extendLease(FakeCellWorker &worker, WorkerClock until)
+{
+    const auto onRealClock = [&worker](auto time) {
+        return Duration(static_cast<int64_t>(static_cast<double>(time) / worker.clockRate));
+    };
+    const Instant wanted = worker.incarnationStart + onRealClock(until.value());
+    const Instant longest = events.now() + onRealClock(LeaseLength.count());
+    worker.leaseUntil = std::max(worker.leaseUntil, std::min(wanted, longest));
 }
 
 void CellSimulation::addViolation(const std::string &what)
@@ -601,6 +618,8 @@
 void CellSimulation::endRun(FakeCellWorker &worker, const TaskKey &task, RunOutcome outcome)
 {
     const auto run = worker.running.extract(task);
+    gaps.recordEnd(task, std::min(run.mapped().endsAt, worker.leaseUntil),
+                   outcome == RunOutcome::Lapsed);
     if (outcome == RunOutcome::GangIncomplete)
         ++incompleteGangRuns;
     worker.endTimes[worker.nextEnd] = std::min(run.mapped().endsAt, events.now());
@@ -641,12 +660,8 @@
             return;
         }
         worker->epoch = call.to.epoch;
-        if (call.leaseUntil) {
-            const Instant until =
-                worker->incarnationStart + Duration(static_cast<int64_t>(call.leaseUntil->value()));
-            worker->leaseUntil =
-                std::max(worker->leaseUntil, std::min(until, events.now() + LeaseLength));
-        }
+        if (call.leaseUntil)
+            extendLease(*worker, *call.leaseUntil);
         while (!worker->ended.empty() && worker->ended.front().number <= call.acknowledgedEnds) {
             // Documented for users: a task that is done does not start again, unless its worker
             // lost its lease between the end and the acknowledgement.
@@ -734,9 +749,15 @@
                     call.task.index, call.attempt, worker.info.incarnation.id.value());
     for (FakeCellWorker &other : workers) {
         finish(other);
-        if (other.running.contains(call.task))
-            addViolation(name + " starts while it runs on " + other.info.incarnation.id.value());
+        const auto run = other.running.find(call.task);
+        if (run == other.running.end())
+            continue;
+        addViolation(name + " starts while it runs on " + other.info.incarnation.id.value());
+        const Instant leaseUntil = other.leaseUntil;
+        gaps.recordOverlap(events.now(), std::min(run->second.endsAt, leaseUntil),
+                           leaseUntil < run->second.endsAt, name);
     }
+    gaps.recordStart(call.task, events.now(), name);
     if (m_doneTasks.contains(call.task))
         addViolation(name + " starts after its end was acknowledged");
     if (shownDone.contains(call.task.job))
@@ -868,9 +889,7 @@
     ++startCount;
     m_lastStarts[call.task] = events.now();
     highest = call.attempt;
-    const Instant until =
-        worker->incarnationStart + Duration(static_cast<int64_t>(call.leaseUntil.value()));
-    worker->leaseUntil = std::max(worker->leaseUntil, std::min(until, events.now() + LeaseLength));
+    extendLease(*worker, call.leaseUntil);
     const bool isGang = m_specs.at(call.task.job).steps[call.task.step].isGang;
     FakeCellWorker::Run &run = worker->running[call.task];
     run = {call.attempt,
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AttemptGaps.h"
 #include "ClusterSimulation.h"
 #include "MemoryStore.h"
 
@@ -36,6 +37,8 @@
     Duration latency{4};
 
     std::size_t keyCount(const std::string &prefix) const;
+    /** Gives an existing key another value at once, as a fault of the store does. */
+    void damage(const std::string &key) { m_values.at(key).value = "damaged"; }
     /** Transactions that were committed. */
     std::size_t commitCount = 0;
 
@@ -69,6 +72,8 @@
 
     CellWorker info;
     Epoch epoch;
+    /** How far the worker's clock advances in one second of real time; it may run 2% slow. */
+    double clockRate = 1;
     Instant incarnationStart{};
     Instant leaseUntil{};
     std::map<TaskKey, Run> running;
@@ -145,6 +150,8 @@
     bool isCutFromStore = false;
     /** How long responses to this process' commits are on their way. */
     Duration commitResponseDelay{0};
+    /** How long start commands of this process are on their way. */
+    Duration startDelay{0};
     /** Start commands, and all commands, that this process has sent. */
     std::size_t startsSent = 0;
     std::size_t commandsSent = 0;
@@ -248,6 +255,8 @@
     std::size_t startCount = 0;
     /** Runs that a worker ended because the other members of their gang did not start in time. */
     std::size_t incompleteGangRuns = 0;
+    /** Times between the attempts of each task; those of an ended incarnation don't count. */
+    AttemptGaps gaps;
     /** Number of calls to readOperators() and readWorkers(). */
     std::size_t viewReads = 0;
     /** Number of calls to hold(). */
@@ -304,6 +313,8 @@
      * on @p worker; @p name describes the start. */
     void checkPlacement(const FakeCellWorker &worker, const TaskKey &task, const std::string &name);
     WorkerClock clockOf(const FakeCellWorker &worker) const;
+    /** Extends the worker's lease until @p until by its clock, but not beyond the longest lease. */
+    void extendLease(FakeCellWorker &worker, WorkerClock until);
     Resources needOf(const TaskKey &task) const;
     void addViolation(const std::string &what);
 
