--- a/Tests/Unit/MemberEntryTest.cpp
+++ b/Tests/Unit/MemberEntryTest.cpp
@@ -3,6 +3,7 @@
 #include "MemoryStore.h"
 
 #include "Coordination/Leadership.h"
+#include "Coordination/PeerHub.h"
 #include "Transport/AsioTimerService.h"
 
 #include <catch2/catch.hpp>
