Tests: Check the findings of an election's history by empty()

clang-tidy (readability-container-size-empty) rejected the comparison with an empty vector. The findings are still printed; as strict as before.

--- a/Tests/Unit/LeadershipHistoryTest.cpp
+++ b/Tests/Unit/LeadershipHistoryTest.cpp
@@ -652,7 +652,9 @@
         CAPTURE(seed);
         ElectionHistory history(seed);
         history.play();
-        CHECK(history.findings() == std::vector<std::string>());
+        const std::vector<std::string> findings = history.findings();
+        CAPTURE(findings);
+        CHECK(findings.empty());
         wins += history.winCount();
     }
     CHECK(wins > count);
