--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -22,6 +22,9 @@
 /** When a team that is over its fair share may retry; bursts in the users' deployment files
  * last 4 to 8 s. */
 constexpr Duration OverShareRetryAfter{4000};
+/** Nothing is accepted while a commit has waited for longer: its caller may not get an answer in
+ * time, and confirmations keep their order. */
+constexpr Duration MaxCommitAge{800};
 constexpr std::size_t JobIdLength = 16;
 
 ClientReply makeUnavailable(const char *detail)
@@ -56,6 +59,11 @@
     return claimAge() > MaxUnconfirmed || (isClaimInDoubt() && !m_isStoreReachable);
 }
 
+bool CellScheduler::canWriteSoon() const
+{
+    return m_isStoreReachable && m_journal->oldestCommitAge() < MaxCommitAge;
+}
+
 void CellScheduler::handle(ClientCall call, ClientResponder respond)
 {
     if (!m_isReady || m_isSuperseded) {
@@ -123,8 +131,8 @@
 void CellScheduler::submit(const QueueSettings &queue, const TeamId &team, const JobId &id,
                            ClientCall call, ClientResponder respond)
 {
-    if (!m_isStoreReachable)
-        return respond(makeUnavailable("the store cannot be reached; the job was not stored"));
+    if (!canWriteSoon())
+        return respond(makeUnavailable("the store does not answer; the job was not stored"));
     JobAccepted record;
     record.job = id;
     record.queue = queue.id;
@@ -166,7 +174,7 @@
 
 void CellScheduler::refuseUnsentSubmissions()
 {
-    if (m_isStoreReachable || m_isSuperseded)
+    if (m_isSuperseded || canWriteSoon())
         return;
     for (const JobId &id : m_journal->withdrawUnsent()) {
         // Its runs were only planned: no start command is sent before the assignment is written.
@@ -196,8 +204,8 @@
         return respond(makeReply(ClientReply::NoSuchJob, "no such job"));
     if (job->isOver())
         return respond(makeReply(ClientReply::Cancelled));
-    if (!m_isStoreReachable)
-        return respond(makeUnavailable("the store cannot be reached"));
+    if (!canWriteSoon())
+        return respond(makeUnavailable("the store does not answer"));
     m_journal->append(JobCancelled{id}, [this, id, respond = std::move(respond)] {
         m_jobs.apply(JobCancelled{id}, m_dependencies.wallClock());
         LOG_EVENT(m_dependencies.log, "job_cancelled") << "job=" << id.value();
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -124,24 +124,36 @@
                 return;
             if (!read.answered)
                 return m_timers.after(RecoveryRetryDelay, [this] { readJournal(); });
-            uint64_t last = 0;
-            std::vector<std::pair<uint64_t, std::set<JobId>>> segments;
-            std::size_t records = 0;
+            std::map<uint64_t, JournalSegment> segments;
+            Journal::Start start{Revision(m_epoch.value()), m_claimHeldAt};
             for (const StoreEntry &entry : read.entries) {
                 const uint64_t number = segmentNumber(entry.key);
-                last = std::max(last, number);
-                std::set<JobId> jobs;
+                JournalSegment &segment = segments[number];
                 try {
-                    for (const JournalRecord &record : decodeSegment(entry.value)) {
+                    segment = decodeSegment(entry.value);
+                } catch (const ProtocolError &error) {
+                    LOG(ERROR) << "event=segment_unreadable key=" << entry.key
+                               << " error=" << error.what();
+                }
+                start.floor = std::max(start.floor, segment.floor);
+                start.nextSegment = std::max({start.nextSegment, number + 1, segment.floor});
+            }
+            std::size_t records = 0;
+            std::vector<std::pair<uint64_t, std::set<JobId>>> adopted;
+            for (const auto &[number, segment] : segments) {
+                std::set<JobId> jobs;
+                if (number < start.floor) {
+                    LOG(WARNING) << "event=segment_removed_before number=" << number
+                                 << " floor=" << start.floor
+                                 << " records=" << segment.records.size();
+                } else {
+                    for (const JournalRecord &record : segment.records) {
                         m_jobs.apply(record, m_dependencies.wallClock());
                         jobs.insert(jobOf(record));
                         ++records;
                     }
-                } catch (const ProtocolError &error) {
-                    LOG(ERROR) << "event=segment_unreadable key=" << entry.key
-                               << " error=" << error.what();
                 }
-                segments.emplace_back(number, std::move(jobs));
+                adopted.emplace_back(number, std::move(jobs));
             }
             Journal::Observer observer;
             observer.superseded = m_superseded;
@@ -157,10 +169,12 @@
                     scheduleDispatch();
                 }
             };
-            m_journal = std::make_unique<Journal>(m_dependencies.store, m_dependencies.timers,
-                                                  Revision(m_epoch.value()), m_claimHeldAt,
-                                                  last + 1, std::move(observer));
-            for (auto &[number, jobs] : segments)
+            observer.count = m_dependencies.count;
+            m_journal = std::make_unique<Journal>(
+                Journal::Dependencies{m_dependencies.store, m_dependencies.timers,
+                                      m_dependencies.resends, m_dependencies.log},
+                start, std::move(observer));
+            for (auto &[number, jobs] : adopted)
                 m_journal->adoptSegment(number, std::move(jobs));
             LOG(INFO) << "event=journal_read epoch=" << m_epoch.value()
                       << " segments=" << segments.size() << " records=" << records
@@ -454,6 +468,7 @@
     const Instant now = m_timers.now();
     if (timeSinceStoreConfirmation() > ClaimConfirmationInterval)
         m_journal->confirmClaim();
+    refuseUnsentSubmissions();
     for (const auto &[id, session] : m_sessions) {
         if (!session->isReachable() && now > session->allLeasesExpireAt())
             recordLostRuns(session->incarnation(), "lease_over");
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -40,6 +40,8 @@
     struct Dependencies
     {
         TransactionalStore &store;
+        /** When calls to the store are sent again. */
+        ResendPolicy &resends;
         OperatorSource &operators;
         WorkerCommands &commands;
         AdviceCallScheduler &advice;
@@ -158,7 +160,10 @@
     void submit(const QueueSettings &queue, const TeamId &team, const JobId &id, ClientCall call,
                 ClientResponder respond);
     void cancel(const JobId &id, ClientResponder respond);
-    /** Refuses the submissions whose records were never sent to the store. */
+    /** @return true if a record that is appended now will be written soon. */
+    bool canWriteSoon() const;
+    /** While nothing can be written soon, refuses the submissions whose records were never sent to
+     * the store. */
     void refuseUnsentSubmissions();
     /** Takes a token from the team's bucket.
      * @return true if none is left: the team is over its fair share. */
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -19,14 +19,19 @@
 constexpr Duration MinCommitInterval{25};
 /** With a slow store, at most this many commits overlap; with a fast one they do not overlap. */
 constexpr std::size_t MaxCommitsInFlight = 6;
-/** The store counts as unresponsive if it answers no commit for this long, or for
+/** The store counts as unresponsive if it answers no call for this long, or for
  * ResponseTimeoutFactor times the latency of the last commit if that is longer. The slow store
  * in the platform's documentation takes 0.24 s per commit. */
 constexpr Duration MinResponseTimeout{400};
 constexpr int ResponseTimeoutFactor = 3;
 /** Commits that take longer are logged. */
 constexpr Duration SlowCommitThreshold{250};
-/** Base and maximum of the pause before a commit is retried; the pause doubles with each retry. */
+/** Reads of an unresponsive store hang; each occupies a connection. */
+constexpr std::size_t MaxOpenReadBacks = 2;
+/** An answer that arrived while this process was busy is handled within this time. */
+constexpr Duration BusyMargin{5};
+/** Base and maximum of the pause after a try that was refused or ended without an answer; the pause
+ * doubles with each such try. */
 constexpr Duration BaseRetryPause{50};
 constexpr Duration MaxRetryPause{400};
 /** Interval between probes while the store accepts no commits. An unresponsive store lets each
@@ -99,16 +104,18 @@
     return std::visit(Visitor(), record);
 }
 
-Journal::Journal(TransactionalStore &store, TimerService &timers, Revision claim,
-                 Instant claimHeldAt, uint64_t nextSegment, Observer observer)
-    : m_store(store)
-    , m_timers(timers)
-    , m_claim(claim)
+Journal::Journal(Dependencies dependencies, const Start &start, Observer observer)
+    : m_store(dependencies.store)
+    , m_timers(dependencies.timers)
+    , m_resends(dependencies.resends)
+    , m_log(dependencies.log)
+    , m_claim(start.claim)
     , m_observer(std::move(observer))
-    , m_nextSegment(nextSegment)
-    , m_lastCommit(timers.now())
-    , m_claimHeldAt(claimHeldAt)
-    , m_lastStartAt(timers.now() - MinCommitInterval)
+    , m_nextSegment(start.nextSegment)
+    , m_floor(start.floor)
+    , m_lastCommit(m_timers.now())
+    , m_claimHeldAt(start.claimHeldAt)
+    , m_lastStartAt(m_timers.now() - MinCommitInterval)
 {
 }
 
@@ -146,7 +153,7 @@
             && jobs.contains(jobOf(pending.record));
     };
     return std::ranges::none_of(m_waiting, concerns)
-        && std::ranges::none_of(m_commits, [&concerns](const std::shared_ptr<Commit> &commit) {
+        && std::ranges::none_of(m_commits, [&concerns](const CommitHandle &commit) {
                return std::ranges::any_of(commit->records, concerns);
            });
 }
@@ -170,7 +177,7 @@
 
 void Journal::scheduleCommit()
 {
-    if (m_commits.size() >= MaxCommitsInFlight || m_isScheduled || m_isSuperseded || !m_isReachable)
+    if (m_commits.size() >= MaxCommitsInFlight || m_isScheduled || m_isSuperseded || !isReachable())
         return;
     m_isScheduled = true;
     const auto sinceLast = std::chrono::duration_cast<Duration>(m_timers.now() - m_lastStartAt);
@@ -196,21 +203,24 @@
     commit->records.assign(std::make_move_iterator(m_waiting.begin()),
                            std::make_move_iterator(m_waiting.begin() + static_cast<long>(taken)));
     m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<long>(taken));
-    std::vector<JournalRecord> records;
+    JournalSegment stored{{}, m_claim, m_floor};
     Segment segment{m_nextSegment++, {}};
     for (const PendingRecord &pending : commit->records) {
         segment.jobs.insert(jobOf(pending.record));
-        records.push_back(pending.record);
+        stored.records.push_back(pending.record);
     }
     StoreTransaction &transaction = commit->transaction;
-    transaction.conditions = {{LeaderKey, m_claim}, {segmentKey(segment.number), Revision(0)}};
-    transaction.puts = {{segmentKey(segment.number), encodeSegment(records), {}}};
     // Removes old segments only if all snapshots that replace them are written or in this commit.
     if (m_waiting.empty() && m_commits.empty()) {
-        for (const uint64_t number : m_removals)
+        for (const uint64_t number : m_removals) {
             transaction.removals.push_back(segmentKey(number));
+            stored.floor = std::max(stored.floor, number + 1);
+        }
         m_removals.clear();
     }
+    commit->floor = stored.floor;
+    transaction.conditions = {{LeaderKey, m_claim}, {segmentKey(segment.number), Revision(0)}};
+    transaction.puts = {{segmentKey(segment.number), encodeSegment(stored), {}}};
     m_segments.push_back(std::move(segment));
     m_commits.push_back(commit);
     sendCommit(commit);
@@ -218,12 +228,13 @@
         scheduleCommit();
 }
 
-void Journal::sendCommit(const std::shared_ptr<Commit> &commit)
+void Journal::sendCommit(const CommitHandle &commit)
 {
-    commit->sentAt = m_timers.now();
-    const Try tried{++commit->lastTry, commit->sentAt};
+    const Try tried{++commit->lastTry, m_timers.now()};
+    m_observer.count("journal_tries", 1);
     m_timers.after(std::max(MinResponseTimeout, ResponseTimeoutFactor * m_latency),
-                   [this, sentAt = m_timers.now()] { checkStoreResponse(sentAt); });
+                   [this, sentAt = tried.sentAt] { checkSilence(sentAt); });
+    awaitAnswer(commit);
     m_store.commit(
         commit->transaction,
         [this, commit, tried, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
@@ -236,8 +247,61 @@
         });
 }
 
-void Journal::handleResult(const std::shared_ptr<Commit> &commit, const Try &tried,
-                           const CommitResult &result)
+void Journal::awaitAnswer(const CommitHandle &commit)
+{
+    m_timers.after(
+        m_resends.delayAfter(1 + commit->readBacks), [this, commit, number = commit->lastTry] {
+            // The answer may have arrived while this process was busy.
+            m_timers.after(BusyMargin, [this, commit, number] { checkAnswer(commit, number); });
+        });
+}
+
+void Journal::checkAnswer(const CommitHandle &commit, uint32_t number)
+{
+    // While the store is unreachable, probe() finds out when a further try makes sense.
+    if (m_isSuperseded || commit->isWritten || commit->lastTry != number || !isReachable())
+        return;
+    if (m_openReadBacks >= MaxOpenReadBacks)
+        return awaitAnswer(commit);
+    if (!m_resends.takeExtraCall()) {
+        m_observer.count("store_extra_calls_refused", 1);
+        return awaitAnswer(commit);
+    }
+    readBack(commit);
+}
+
+void Journal::readBack(const CommitHandle &commit)
+{
+    ++commit->readBacks;
+    ++m_openReadBacks;
+    m_observer.count("journal_read_backs", 1);
+    const StoreTransaction::Put &segment = commit->transaction.puts.front();
+    m_store.list(segment.key,
+                 [this, commit, number = commit->lastTry, sentAt = m_timers.now(),
+                  alive = std::weak_ptr(m_alive)](const StoreRead &read) {
+                     if (alive.expired())
+                         return;
+                     --m_openReadBacks;
+                     if (m_isSuperseded || commit->isWritten)
+                         return;
+                     if (!read.answered) {
+                         if (m_lastAnswerAt < sentAt)
+                             setStoreState(StoreState::Silent);
+                         return awaitAnswer(commit);
+                     }
+                     m_lastAnswerAt = m_timers.now();
+                     // The segment holds this leader's claim, so no other leader has written the
+                     // same bytes.
+                     const std::string &written = commit->transaction.puts.front().value;
+                     if (std::ranges::find(read.entries, written, &StoreEntry::value)
+                         != read.entries.end())
+                         return markWritten(commit, {1, commit->begin}, Evidence::Read);
+                     if (commit->lastTry == number)
+                         sendCommit(commit);
+                 });
+}
+
+void Journal::handleResult(const CommitHandle &commit, const Try &tried, const CommitResult &result)
 {
     const StoreTransaction::Put &segment = commit->transaction.puts.front();
     bool isWritten = result.outcome == CommitResult::Committed;
@@ -261,37 +325,75 @@
         }
     }
     if (isWritten) {
-        commit->isWritten = true;
-        // Measures the last try only: the duration of an outage says nothing about later latency.
-        m_latency = std::chrono::duration_cast<Duration>(m_timers.now() - commit->sentAt);
-        const auto took = std::chrono::duration_cast<Duration>(m_timers.now() - commit->begin);
-        if (took > SlowCommitThreshold)
-            LOG(INFO) << "event=commit_slow segment=" << segment.key << " took_ms=" << took.count()
-                      << " records=" << commit->records.size() << " bytes=" << segment.value.size()
-                      << " tries=" << commit->lastTry;
-        m_lastCommit = m_timers.now();
-        m_claimHeldAt = std::max(m_claimHeldAt, tried.sentAt);
-        if (!m_isReachable)
-            resendCommits();
-        setReachable(true);
-        m_observer.claimConfirmed();
-        return confirmCommits();
+        m_latency = std::chrono::duration_cast<Duration>(m_timers.now() - tried.sentAt);
+        m_resends.recordResponse(m_latency);
+        return markWritten(commit, tried,
+                           tried.number == 1 ? Evidence::FirstTry : Evidence::LaterTry);
     }
     if (tried.number != commit->lastTry)
         return;
-    setReachable(false);
-    ++commit->retries;
-    const Duration pause = exponentialBackoff(BaseRetryPause, commit->retries, MaxRetryPause);
-    m_timers.after(pause, [this, commit, number = tried.number] {
+    if (result.outcome != CommitResult::Unknown)
+        setStoreState(StoreState::Refusing);
+    const bool wasRefused = !isReachable();
+    const Duration pause = exponentialBackoff(BaseRetryPause, ++commit->failures, MaxRetryPause);
+    m_timers.after(pause, [this, commit, number = tried.number, wasRefused] {
+        if (!wasRefused)
+            return checkAnswer(commit, number);
         if (!m_isSuperseded && !commit->isWritten && commit->lastTry == number)
             sendCommit(commit);
     });
 }
 
-void Journal::checkStoreResponse(Instant sentAt)
+void Journal::markWritten(const CommitHandle &commit, const Try &tried, Evidence evidence)
+{
+    commit->isWritten = true;
+    m_floor = std::max(m_floor, commit->floor);
+    m_lastCommit = m_timers.now();
+    m_claimHeldAt = std::max(m_claimHeldAt, tried.sentAt);
+    const auto took = std::chrono::duration_cast<Duration>(m_lastCommit - commit->begin);
+    const StoreTransaction::Put &segment = commit->transaction.puts.front();
+    if (took > SlowCommitThreshold)
+        LOG(INFO) << "event=commit_slow segment=" << segment.key << " took_ms=" << took.count()
+                  << " records=" << commit->records.size() << " bytes=" << segment.value.size()
+                  << " tries=" << commit->lastTry;
+    if (commit->lastTry > 1 || commit->readBacks > 0) {
+        LOG_EVENT(m_log, "commit_retried")
+            << "segment=" << segment.key << " took_ms=" << took.count()
+            << " tries=" << commit->lastTry << " read_backs=" << commit->readBacks
+            << " answered_by=" << nameOf(evidence) << " try=" << tried.number;
+    }
+    m_observer.count("journal_answered_by_" + std::string(nameOf(evidence)), 1);
+    if (!isReachable())
+        resendCommits();
+    setStoreState(StoreState::Reachable);
+    m_observer.claimConfirmed();
+    confirmCommits();
+}
+
+const char *Journal::nameOf(Evidence evidence)
+{
+    switch (evidence) {
+    case Evidence::FirstTry:
+        return "first_try";
+    case Evidence::LaterTry:
+        return "later_try";
+    case Evidence::Read:
+        return "read";
+    }
+    return "unknown";
+}
+
+void Journal::checkSilence(Instant sentAt)
 {
     if (!m_commits.empty() && m_lastAnswerAt < sentAt && !m_isSuperseded)
-        setReachable(false);
+        setStoreState(StoreState::Silent);
+}
+
+Duration Journal::oldestCommitAge() const
+{
+    if (m_commits.empty())
+        return Duration(0);
+    return std::chrono::duration_cast<Duration>(m_timers.now() - m_commits.front()->begin);
 }
 
 std::vector<JobId> Journal::withdrawUnsent()
@@ -312,7 +414,7 @@
 void Journal::resendCommits()
 {
     m_lastResendAt = m_timers.now();
-    for (const std::shared_ptr<Commit> &commit : m_commits) {
+    for (const CommitHandle &commit : m_commits) {
         if (!commit->isWritten)
             sendCommit(commit);
     }
@@ -320,17 +422,27 @@
 
 void Journal::probe()
 {
-    if (m_isReachable || m_isSuperseded)
+    if (isReachable() || m_isSuperseded)
         return;
     m_store.probe([this, alive = std::weak_ptr(m_alive)](bool answers) {
-        if (alive.expired() || !answers || m_isReachable || m_isSuperseded
-            || m_timers.now() - m_lastResendAt < MaxRetryPause)
-            return;
-        resendCommits();
+        if (!alive.expired() && answers && !isReachable() && !m_isSuperseded)
+            handleProbe();
     });
     m_timers.after(ProbeInterval, [this] { probe(); });
 }
 
+void Journal::handleProbe()
+{
+    m_lastAnswerAt = m_timers.now();
+    const bool wasSilent = m_storeState == StoreState::Silent;
+    if (wasSilent || m_timers.now() - m_lastResendAt >= MaxRetryPause)
+        resendCommits();
+    if (!wasSilent)
+        return;
+    setStoreState(StoreState::Reachable);
+    scheduleCommit();
+}
+
 /** Confirms written commits in order, up to the first one that is not written yet. */
 void Journal::confirmCommits()
 {
@@ -349,16 +461,21 @@
         scheduleCommit();
 }
 
-void Journal::setReachable(bool isReachable)
+void Journal::setStoreState(StoreState state)
 {
-    if (m_isReachable == isReachable)
+    const bool wasReachable = isReachable();
+    // A store that has refused a commit stays unreachable until it writes one.
+    if (m_storeState == StoreState::Refusing && state == StoreState::Silent)
+        return;
+    m_storeState = state;
+    if (wasReachable == isReachable())
         return;
-    m_isReachable = isReachable;
-    LOG(INFO) << "event=store_" << (isReachable ? "regained" : "lost")
-              << " claim=" << m_claim.value() << " waiting=" << m_waiting.size();
-    if (!isReachable)
+    LOG(INFO) << "event=store_" << (isReachable() ? "regained" : "lost")
+              << " claim=" << m_claim.value() << " waiting=" << m_waiting.size()
+              << " in_flight=" << m_commits.size();
+    if (!isReachable())
         probe();
-    m_observer.reachabilityChanged(isReachable);
+    m_observer.reachabilityChanged(isReachable());
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Coordination/ResendPolicy.h"
 #include "Protocol/TransactionalStore.h"
 #include "State/Workload.h"
+#include "Transport/LogRateLimiter.h"
 #include "Transport/ScopedTimers.h"
 
 #include <deque>
@@ -17,8 +19,13 @@
  *
  * Every commit is conditional on the leader's claim, so that a superseded leader cannot write.
  * Several commits may be in flight. Each is confirmed only after all earlier ones, so that callers
- * never act on a record that follows a gap. A commit whose response is lost is retried with the
- * same content and the same key until its outcome is known.
+ * never act on a record that follows a gap.
+ *
+ * A commit that is not answered in the usual time is looked for in the store and, if it is not
+ * there, sent again with the same content and key while the earlier tries are open; the answer to
+ * any of them, or the segment itself, ends it. A copy that the store executes later fails, since
+ * the segment exists; once the segment is removed it may be written again, so each segment names
+ * the lowest number that is part of the journal.
  */
 class Journal
 {
@@ -31,11 +38,28 @@
         std::function<void(bool isReachable)> reachabilityChanged;
         /** Called when the store has confirmed the claim; claimHeldAt() says for when. */
         std::function<void()> claimConfirmed;
+        /** Adds to a counter. */
+        std::function<void(const std::string &name, double by)> count;
+    };
+    struct Dependencies
+    {
+        TransactionalStore &store;
+        TimerService &timers;
+        ResendPolicy &resends;
+        LogRateLimiter &log;
+    };
+    /** Where a new leader continues the journal. */
+    struct Start
+    {
+        Revision claim;
+        /** A time at which the claim held for certain. */
+        Instant claimHeldAt;
+        uint64_t nextSegment = 1;
+        /** The lowest number of a segment that is part of the journal. */
+        uint64_t floor = 0;
     };
 
-    /** @param claimHeldAt a time at which the claim held for certain. */
-    Journal(TransactionalStore &store, TimerService &timers, Revision claim, Instant claimHeldAt,
-            uint64_t nextSegment, Observer observer);
+    Journal(Dependencies dependencies, const Start &start, Observer observer);
 
     /** Adds a record; @p onWritten is called once the store has confirmed it. */
     void append(JournalRecord record, std::function<void()> onWritten);
@@ -63,6 +87,8 @@
     uint64_t nextSegment() const { return m_nextSegment; }
     std::size_t segmentCount() const { return m_segments.size(); }
 
+    /** @return for how long the oldest commit in flight has not been confirmed. */
+    Duration oldestCommitAge() const;
     /** @return when the store last confirmed a commit. */
     Instant lastCommitAt() const { return m_lastCommit; }
     /**
@@ -93,54 +119,81 @@
         StoreTransaction transaction;
         std::vector<PendingRecord> records;
         bool isWritten = false;
-        uint32_t retries = 0;
-        /** Number of the last try; a failure of an earlier try causes no retry. */
+        /** Tries that the store refused or that ended without an answer. */
+        uint32_t failures = 0;
+        /** Number of the last try; a failure of an earlier try has no effect. */
         uint32_t lastTry = 0;
+        /** How often an answer was missing for so long that the segment was looked for. */
+        uint32_t readBacks = 0;
         Instant begin{};
-        /** When the last try was sent. */
-        Instant sentAt{};
+        /** The lowest number of a segment that is part of the journal once this one is written. */
+        uint64_t floor = 0;
     };
-
-    void scheduleCommit();
-    void commitNext();
-    void sendCommit(const std::shared_ptr<Commit> &commit);
+    using CommitHandle = std::shared_ptr<Commit>;
     /** A try of a commit. */
     struct Try
     {
         uint32_t number;
         Instant sentAt;
     };
-    void handleResult(const std::shared_ptr<Commit> &commit, const Try &tried,
-                      const CommitResult &result);
+    enum class StoreState : uint8_t {
+        Reachable,
+        /** It has refused a commit; it is reachable again once it has written one. */
+        Refusing,
+        /** It has answered no call; it is reachable again once it answers one. */
+        Silent,
+    };
+
+    void scheduleCommit();
+    void commitNext();
+    void sendCommit(const CommitHandle &commit);
+    void handleResult(const CommitHandle &commit, const Try &tried, const CommitResult &result);
+    /** Checks after the usual response time whether the last try of @p commit was answered. */
+    void awaitAnswer(const CommitHandle &commit);
+    void checkAnswer(const CommitHandle &commit, uint32_t number);
+    /** Reads the segment of @p commit, and sends the commit again if it is not there. */
+    void readBack(const CommitHandle &commit);
+    /** What has shown that a commit was executed. */
+    enum class Evidence : uint8_t { FirstTry, LaterTry, Read };
+    static const char *nameOf(Evidence evidence);
+    /** @param tried the answered try, or the first one if a read has shown the segment */
+    void markWritten(const CommitHandle &commit, const Try &tried, Evidence evidence);
     /** Probes the store until it answers, so that commits need not wait for calls that hang. */
     void probe();
+    void handleProbe();
     void resendCommits();
-    /** Reports the store as unreachable if it has answered no commit since @p sentAt. */
-    void checkStoreResponse(Instant sentAt);
+    /** Reports the store as unreachable if it has answered no call since @p sentAt. */
+    void checkSilence(Instant sentAt);
     void confirmCommits();
-    void setReachable(bool isReachable);
+    void setStoreState(StoreState state);
+    bool isReachable() const { return m_storeState == StoreState::Reachable; }
     Duration currentCommitInterval() const;
 
     TransactionalStore &m_store;
     ScopedTimers m_timers;
+    ResendPolicy &m_resends;
+    LogRateLimiter &m_log;
     Revision m_claim;
     Observer m_observer;
     uint64_t m_nextSegment;
+    /** The lowest number of a segment that is part of the journal. */
+    uint64_t m_floor;
     std::deque<Segment> m_segments;
     std::vector<PendingRecord> m_waiting;
     /** Commits in flight, ordered by segment number. */
-    std::deque<std::shared_ptr<Commit>> m_commits;
+    std::deque<CommitHandle> m_commits;
+    std::size_t m_openReadBacks = 0;
     std::vector<uint64_t> m_removals;
-    /** Duration of the last try of the most recently written commit. */
+    /** How long the store took to answer the last try that it executed. */
     Duration m_latency{0};
     bool m_isScheduled = false;
     /** A commit must be sent even if nothing waits to be written. */
     bool m_isConfirmationRequested = false;
     bool m_isSuperseded = false;
-    bool m_isReachable = true;
+    StoreState m_storeState = StoreState::Reachable;
     Instant m_lastCommit;
     Instant m_claimHeldAt;
-    /** When the store last answered a commit, whatever the outcome. */
+    /** When the store last answered a call, whatever the outcome. */
     Instant m_lastAnswerAt{};
     Instant m_lastStartAt;
     /** When unwritten commits were last resent because the store had recovered. */
--- a/Libraries/Protocol/Generated/Journal_generated.h
+++ b/Libraries/Protocol/Generated/Journal_generated.h
@@ -1257,16 +1257,26 @@
 struct Segment FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SegmentBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4
+    VT_ENTRIES = 4,
+    VT_CLAIM = 6,
+    VT_FLOOR = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::JournalWire::Entry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::JournalWire::Entry>> *>(VT_ENTRIES);
   }
+  uint64_t claim() const {
+    return GetField<uint64_t>(VT_CLAIM, 0);
+  }
+  uint64_t floor() const {
+    return GetField<uint64_t>(VT_FLOOR, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_CLAIM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FLOOR, 8) &&
            verifier.EndTable();
   }
 };
@@ -1278,6 +1288,12 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::JournalWire::Entry>>> entries) {
     fbb_.AddOffset(Segment::VT_ENTRIES, entries);
   }
+  void add_claim(uint64_t claim) {
+    fbb_.AddElement<uint64_t>(Segment::VT_CLAIM, claim, 0);
+  }
+  void add_floor(uint64_t floor) {
+    fbb_.AddElement<uint64_t>(Segment::VT_FLOOR, floor, 0);
+  }
   explicit SegmentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1291,19 +1307,27 @@
 
 inline flatbuffers::Offset<Segment> CreateSegment(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::JournalWire::Entry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Cranberrymount::JournalWire::Entry>>> entries = 0,
+    uint64_t claim = 0,
+    uint64_t floor = 0) {
   SegmentBuilder builder_(_fbb);
+  builder_.add_floor(floor);
+  builder_.add_claim(claim);
   builder_.add_entries(entries);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Segment> CreateSegmentDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<Cranberrymount::JournalWire::Entry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<Cranberrymount::JournalWire::Entry>> *entries = nullptr,
+    uint64_t claim = 0,
+    uint64_t floor = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<Cranberrymount::JournalWire::Entry>>(*entries) : 0;
   return Cranberrymount::JournalWire::CreateSegment(
       _fbb,
-      entries__);
+      entries__,
+      claim,
+      floor);
 }
 
 inline bool VerifyRecord(flatbuffers::Verifier &verifier, const void *obj, Record type) {
--- a/Libraries/Protocol/JournalCodec.cpp
+++ b/Libraries/Protocol/JournalCodec.cpp
@@ -239,9 +239,7 @@
     return static_cast<Wire::Record>(record.index() + 1);
 }
 
-} // namespace
-
-std::string encodeJournal(const std::vector<JournalRecord> &records)
+std::string encode(const std::vector<JournalRecord> &records, Revision claim, uint64_t floor)
 {
     Builder builder;
     std::vector<Offset<Wire::Entry>> entries;
@@ -252,29 +250,43 @@
             record);
         entries.push_back(Wire::CreateEntry(builder, unionTypeOf(record), packed));
     }
-    builder.Finish(Wire::CreateSegment(builder, builder.CreateVector(entries)));
+    builder.Finish(
+        Wire::CreateSegment(builder, builder.CreateVector(entries), claim.value(), floor));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
-std::vector<JournalRecord> decodeJournal(const std::string &bytes)
+JournalSegment decode(const std::string &bytes)
 {
     const auto *data = reinterpret_cast<const uint8_t *>(bytes.data());
     flatbuffers::Verifier verifier(data, bytes.size(), MaxVerifierDepth, MaxVerifierTables);
     if (!Wire::VerifySegmentBuffer(verifier))
         throw ProtocolError("journal segment is not a well-formed FlatBuffer");
-    std::vector<JournalRecord> records;
-    const auto *entries = Wire::GetSegment(data)->entries();
+    const Wire::Segment *wire = Wire::GetSegment(data);
+    JournalSegment segment{{}, Revision(wire->claim()), wire->floor()};
+    const auto *entries = wire->entries();
     if (!entries)
-        return records;
-    records.reserve(entries->size());
+        return segment;
+    segment.records.reserve(entries->size());
     for (const auto *entry : *entries)
-        records.push_back(unpackEntry(*entry));
-    return records;
+        segment.records.push_back(unpackEntry(*entry));
+    return segment;
+}
+
+} // namespace
+
+std::string encodeJournal(const std::vector<JournalRecord> &records)
+{
+    return encode(records, {}, 0);
+}
+
+std::vector<JournalRecord> decodeJournal(const std::string &bytes)
+{
+    return decode(bytes).records;
 }
 
-std::string encodeSegment(const std::vector<JournalRecord> &records)
+std::string encodeSegment(const JournalSegment &segment)
 {
-    std::string bytes = encodeJournal(records);
+    std::string bytes = encode(segment.records, segment.claim, segment.floor);
     std::string compressed(ZSTD_compressBound(bytes.size()), '\0');
     const std::size_t size = ZSTD_compress(compressed.data(), compressed.size(), bytes.data(),
                                            bytes.size(), CompressionLevel);
@@ -285,18 +297,18 @@
     return compressed;
 }
 
-std::vector<JournalRecord> decodeSegment(const std::string &bytes)
+JournalSegment decodeSegment(const std::string &bytes)
 {
     const unsigned long long size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
     if (size == ZSTD_CONTENTSIZE_ERROR)
-        return decodeJournal(bytes);
+        return decode(bytes);
     if (size == ZSTD_CONTENTSIZE_UNKNOWN || size > MaxSegmentBytes)
         throw ProtocolError("journal segment is too large or names no size");
     std::string decompressed(size, '\0');
     if (ZSTD_decompress(decompressed.data(), decompressed.size(), bytes.data(), bytes.size())
         != size)
         throw ProtocolError("journal segment cannot be decompressed");
-    return decodeJournal(decompressed);
+    return decode(decompressed);
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Protocol/JournalCodec.h
+++ b/Libraries/Protocol/JournalCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Protocol/Store.h"
 #include "State/Workload.h"
 
 #include <string>
@@ -16,13 +17,24 @@
  */
 std::vector<JournalRecord> decodeJournal(const std::string &bytes);
 
-/** @return the records as they are stored: the output of encodeJournal(), compressed. */
-std::string encodeSegment(const std::vector<JournalRecord> &records);
+/** A segment of the journal as it is stored. */
+struct JournalSegment
+{
+    std::vector<JournalRecord> records;
+    /** The claim of the leader that wrote it; 0 in segments of earlier programs. */
+    Revision claim;
+    /** Segments with lower numbers were removed: one that is still there was written by a copy of a
+     * commit that the store executed late, and is not part of the journal. */
+    uint64_t floor = 0;
+};
+
+/** @return the segment as it is stored: a FlatBuffer, compressed. */
+std::string encodeSegment(const JournalSegment &segment);
 
 /**
- * @return the records of a stored segment; earlier programs stored it uncompressed.
+ * @return a stored segment; earlier programs stored it uncompressed.
  * @throws ProtocolError if @p bytes are not an output of encodeSegment() or encodeJournal().
  */
-std::vector<JournalRecord> decodeSegment(const std::string &bytes);
+JournalSegment decodeSegment(const std::string &bytes);
 
 } // namespace Cranberrymount
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -50,6 +50,7 @@
     , m_timers(context)
     , m_logLimiter(m_timers)
     , m_random(pcg_extras::seed_seq_from<std::random_device>())
+    , m_storeResends(m_timers)
     , m_adviceScheduler(m_timers)
     , m_workerConnections(m_platform.commands, m_timers, m_logLimiter, [this] { return random(); })
     , m_commandRelay(m_workerConnections, m_timers)
@@ -155,6 +156,7 @@
 {
     CellScheduler::Dependencies dependencies{
         m_platform.store,
+        m_storeResends,
         m_platform.operators,
         m_commandRelay,
         m_adviceScheduler,
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -121,6 +121,8 @@
     /** Outlives what holds the calls' responders. */
     std::map<uint64_t, HeldCall> m_heldCalls;
     uint64_t m_nextCall = 1;
+    /** For all writes of this node to the store. */
+    ResendPolicy m_storeResends;
     AdviceCallScheduler m_adviceScheduler;
     /** All commands from this node to workers, its own and those that it forwards. */
     WorkerConnections m_workerConnections;
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -32,8 +32,9 @@
 constexpr Duration IdleExitMargin{1800};
 constexpr Duration DrainPollInterval{50};
 constexpr Duration WritePollInterval{10};
-/** An unresponsive store occupies one connection for each commit and probe sent in a second. */
-constexpr std::size_t StoreConnections = 24;
+/** An unresponsive store occupies one connection for each commit, copy of a commit and probe sent
+ * in a second. */
+constexpr std::size_t StoreConnections = 96;
 /** Connections to the store that are not used for longer are closed. */
 constexpr std::chrono::seconds MaxStoreIdleTime{5};
 constexpr int ServiceUnavailable = 503;
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -418,6 +418,7 @@
     LeaderProcess &process = *m_processes.back();
     CellScheduler::Dependencies dependencies{
         process,
+        process.storeResends,
         process,
         process,
         m_advice,
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -144,6 +144,7 @@
     void freeze() { m_isFrozen = true; }
     /** Delivers what has arrived meanwhile, in the order of arrival. */
     void thaw();
+    ResendPolicy storeResends{*this};
     /** Workers to which this process has lost the path; calls to them time out. */
     std::set<WorkerId> unreachable;
     /** This process has lost the path to the store; calls to it time out. */
--- a/Tests/Unit/CompressionTest.cpp
+++ b/Tests/Unit/CompressionTest.cpp
@@ -124,11 +124,13 @@
         records.emplace_back(RunAssigned{
             {JobId("5c0e7a21d94b36f8"), 0, 1, index}, 1, {WorkerId("i-24fbe1e91e"), 1}});
     const std::string plain = encodeJournal(records);
-    const std::string stored = encodeSegment(records);
+    const std::string stored = encodeSegment({records, Revision(7), 5});
     CHECK(stored.size() < plain.size() / 3);
-    CHECK(decodeSegment(stored).size() == 100);
-    CHECK(encodeJournal(decodeSegment(stored)) == plain);
-    CHECK(encodeJournal(decodeSegment(plain)) == plain);
+    CHECK(decodeSegment(stored).records.size() == 100);
+    CHECK(decodeSegment(stored).claim == Revision(7));
+    CHECK(decodeSegment(stored).floor == 5);
+    CHECK(encodeJournal(decodeSegment(stored).records) == plain);
+    CHECK(encodeJournal(decodeSegment(plain).records) == plain);
     CHECK_THROWS_AS(decodeSegment(stored.substr(0, stored.size() / 2)), ProtocolError);
     CHECK_THROWS_AS(decodeSegment("rubbish"), ProtocolError);
     CHECK_THROWS_AS(decodeSegment(""), ProtocolError);
--- a/Tests/Unit/TwiceWaysTest.cpp
+++ b/Tests/Unit/TwiceWaysTest.cpp
@@ -16,7 +16,7 @@
         const auto isAssignment = [](const JournalRecord &record) {
             return std::holds_alternative<RunAssigned>(record);
         };
-        return std::ranges::any_of(decodeSegment(value), isAssignment);
+        return std::ranges::any_of(decodeSegment(value).records, isAssignment);
     } catch (const ProtocolError &) {
         return false;
     }
