--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -185,7 +185,8 @@
         forgetDecisions(id);
         LOG_EVENT(m_dependencies.log, "job_refused")
             << "job=" << id.value()
-            << " why=store_silent store_age_ms=" << timeSinceStoreConfirmation().count();
+            << " why=store_silent store_age_ms=" << timeSinceStoreConfirmation().count()
+            << " commit_age_ms=" << m_journal->oldestCommitAge().count();
         m_dependencies.count("jobs_refused", 1);
         const auto node = m_unwrittenSubmissions.extract(id);
         if (node.empty())
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -28,6 +28,8 @@
 constexpr Duration SlowCommitThreshold{250};
 /** Reads of an unresponsive store hang; each occupies a connection. */
 constexpr std::size_t MaxOpenReadBacks = 2;
+/** Larger segments may take longer to be written than the usual response time. */
+constexpr std::size_t UsualSegmentBytes = 16'384;
 /** An answer that arrived while this process was busy is handled within this time. */
 constexpr Duration BusyMargin{5};
 /** Base and maximum of the pause after a try that was refused or ended without an answer; the pause
@@ -249,11 +251,14 @@
 
 void Journal::awaitAnswer(const CommitHandle &commit)
 {
-    m_timers.after(
-        m_resends.delayAfter(1 + commit->readBacks), [this, commit, number = commit->lastTry] {
-            // The answer may have arrived while this process was busy.
-            m_timers.after(BusyMargin, [this, commit, number] { checkAnswer(commit, number); });
-        });
+    // Copies of a large segment would fill a narrow link before the first one has been sent.
+    const std::size_t bytes = commit->transaction.puts.front().value.size();
+    const Duration delay = m_resends.delayAfter(1 + commit->readBacks)
+        * static_cast<int64_t>(1 + bytes / UsualSegmentBytes);
+    m_timers.after(delay, [this, commit, number = commit->lastTry] {
+        // The answer may have arrived while this process was busy.
+        m_timers.after(BusyMargin, [this, commit, number] { checkAnswer(commit, number); });
+    });
 }
 
 void Journal::checkAnswer(const CommitHandle &commit, uint32_t number)
