--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -82,9 +82,8 @@
 
 Duration CellScheduler::timeSinceStoreConfirmation() const
 {
-    if (!m_journal)
-        return Duration(0);
-    return std::chrono::duration_cast<Duration>(m_timers.now() - m_journal->lastCommitAt());
+    const Instant confirmedAt = m_journal ? m_journal->lastCommitAt() : m_claimHeldAt;
+    return std::chrono::duration_cast<Duration>(m_timers.now() - confirmedAt);
 }
 
 Duration CellScheduler::claimAge() const
@@ -122,8 +121,13 @@
         SegmentPrefix, [this, alive = std::weak_ptr(m_alive)](const StoreRead &read) {
             if (alive.expired() || m_isSuperseded)
                 return;
-            if (!read.answered)
+            if (!read.answered) {
+                if (m_isStoreReachable)
+                    m_storeOutageBeganAt = m_timers.now();
+                m_isStoreReachable = false;
                 return m_timers.after(RecoveryRetryDelay, [this] { readJournal(); });
+            }
+            m_isStoreReachable = true;
             std::map<uint64_t, JournalSegment> segments;
             Journal::Start start{Revision(m_epoch.value()), m_claimHeldAt};
             for (const StoreEntry &entry : read.entries) {
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -377,7 +377,7 @@
     if (!m_scheduler || m_isRetiring || now - m_offeredAt < StoreOutageOfferInterval)
         return;
     // The store may still respond to some peer: offer to one after the other.
-    if (m_scheduler->isReady() && m_scheduler->storeOutageDuration() >= StoreOutageBeforeOffer) {
+    if (m_scheduler->storeOutageDuration() >= StoreOutageBeforeOffer) {
         m_offeredAt = now;
         return offerLeadershipTo(m_nextOffer++, true);
     }
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -329,6 +329,21 @@
     CHECK(m_cell.store.maxHangingCalls <= MaxHangingCalls);
 }
 
+// Guards against a cell that waits for a new leader which cannot read the journal.
+TEST_CASE("Leader that cannot read the journal tells that it cannot use the store", "[cell]")
+{
+    CellSimulation cell(1);
+    cell.store.isUnresponsive = true;
+    cell.elect();
+    cell.run(Duration(2500));
+    CHECK_FALSE(cell.leader().isReady());
+    CHECK(cell.leader().timeSinceStoreConfirmation() >= Duration(2500));
+    CHECK(cell.leader().storeOutageDuration() > Duration(1000));
+    cell.store.isUnresponsive = false;
+    CHECK(cell.runUntil([&cell] { return cell.leader().isReady(); }, Duration(2500)));
+    CHECK(cell.leader().storeOutageDuration() == Duration(0));
+}
+
 TEST_CASE_METHOD(CellFixture, "Slow store is not taken for an unresponsive one", "[cell]")
 {
     m_cell.store.latency = Duration(240);
