--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -54,12 +54,7 @@
 /** Subtracted from a ticket's lifetime: it is counted from the arrival of the response here, but
  * the advisor counts from when it sent the response. */
 constexpr Duration TicketLifetimeMargin{100};
-/** Segments kept before old ones are replaced by snapshots: 10 s of a busy cell, so that a new
- * leader reads little more than the open jobs. */
-constexpr std::size_t MaxSegments = 400;
 constexpr Duration CleanInterval{250};
-/** Ended jobs are removed from memory this long after their status retention is over. */
-constexpr Duration ForgetMargin{30'000};
 
 } // namespace
 
@@ -679,11 +674,11 @@
 {
     if (m_isSuperseded)
         return;
-    const auto limit = m_terms.statusRetention + ForgetMargin;
+    const auto limit = m_terms.statusRetention + m_terms.forgetMargin;
     if (m_jobs.removeEndedBefore(m_dependencies.wallClock() - limit) > 0)
         std::erase_if(m_latestSnapshotSegments,
                       [this](const auto &entry) { return !m_jobs.find(entry.first); });
-    while (m_journal->segmentCount() > MaxSegments) {
+    while (m_journal->segmentCount() > m_terms.maxSegments) {
         const Journal::Segment *oldest = m_journal->oldestSegment();
         // The job table applies an end only once it is written; a snapshot taken earlier would undo
         // the end.
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -14,7 +14,8 @@
 
 namespace Cranberrymount {
 
-/** Lease and retention times of the cell, from the platform's settings. */
+/** Lease and retention times of the cell, from the platform's settings, and how much of its journal
+ * it keeps. */
 struct CellTerms
 {
     /** Longest lease that a worker grants. */
@@ -23,6 +24,11 @@
     Duration statusRetention{120'000};
     /** How long a worker lets a member of a gang wait for the other members before it ends it. */
     Duration gangWait{3000};
+    /** Ended jobs are removed from memory this long after their status retention is over. */
+    Duration forgetMargin{30'000};
+    /** Segments kept before old ones are replaced by snapshots: 10 s of a busy cell, so that a new
+     * leader reads little more than the open jobs. */
+    std::size_t maxSegments = 400;
 };
 
 /** Reads the wall clock. */
