Tests: Let the cell's store drop commits and execute them at a set lateness

CellStore executes commits whose response is lost within set bounds (0 to 3 s as before), and a test may choose commits that are neither executed nor answered. CellSimulation takes the terms of the leaders and asks for the state of a job without waiting.

--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -16,9 +16,9 @@
 constexpr Duration WorkerLatency{1};
 /** Timeout of a forwarded command, beyond the wait of the command itself. */
 constexpr Duration ForwardedCommandTimeout{1300};
-constexpr Duration LeaseLength{6000};
+constexpr Duration LeaseLength = CellTerms().leaseLength;
 /** How long a worker lets a member of a gang wait for the others. */
-constexpr Duration GangWait{3000};
+constexpr Duration GangWait = CellTerms().gangWait;
 /** Documented for users: no task starts later than this after its cancellation was confirmed. */
 constexpr Duration MaxStartDelayAfterCancel{3000};
 /** An entry that its worker hasn't renewed for this long is removed from the store. */
@@ -77,6 +77,13 @@
         });
         return;
     }
+    const auto leaveUnanswered = [this, done] {
+        m_events.at(m_events.now() + CallTimeout, [done] {
+            done({CommitResult::Unknown, {}, {}});
+        });
+    };
+    if (dropsCommit && dropsCommit(transaction))
+        return leaveUnanswered();
     const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < lostResponseRate;
     if (!isLost) {
         m_events.at(m_events.now() + latency,
@@ -85,12 +92,12 @@
                     });
         return;
     }
-    const Duration executionDelay(std::uniform_int_distribution<int>(0, 3000)(m_random));
+    const Duration executionDelay(
+        std::uniform_int_distribution<int>(static_cast<int>(minExecutionDelay.count()),
+                                           static_cast<int>(maxExecutionDelay.count()))(m_random));
     m_events.at(m_events.now() + executionDelay,
                 [this, transaction = std::move(transaction)] { apply(transaction); });
-    m_events.at(m_events.now() + CallTimeout, [done = std::move(done)] {
-        done({CommitResult::Unknown, {}, {}});
-    });
+    leaveUnanswered();
 }
 
 CommitResult CellStore::apply(const StoreTransaction &transaction)
@@ -429,11 +436,9 @@
         m_log,
         [](const std::string &, double) {},
         [] {}};
-    m_leaders.push_back(
-        {&process,
-         std::make_unique<CellScheduler>(std::move(dependencies),
-                                         CellTerms{LeaseLength, Duration(120'000), GangWait}, claim,
-                                         events.now(), [] {})});
+    m_leaders.push_back({&process,
+                         std::make_unique<CellScheduler>(std::move(dependencies), terms, claim,
+                                                         events.now(), [] {})});
     leader().recover();
     return leader();
 }
@@ -529,6 +534,24 @@
     return call(ClientCall::Status, id).state;
 }
 
+void CellSimulation::poll(const JobId &id)
+{
+    ClientCall call;
+    call.kind = ClientCall::Status;
+    call.host = "host";
+    call.path = "/queue/" + id.value();
+    call.key = "key";
+    handleAtLeader(std::move(call), [this, id](const ClientReply &answer) {
+        if (answer.outcome == ClientReply::JobShown && answer.state == JobState::Done)
+            shownDone.insert(id);
+    });
+}
+
+bool CellSimulation::hasAcknowledgedEnd(const JobId &id) const
+{
+    return std::ranges::any_of(m_doneTasks, [&id](const TaskKey &task) { return task.job == id; });
+}
+
 void CellSimulation::crash(std::size_t index)
 {
     FakeCellWorker &worker = workers[index];
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -32,8 +32,13 @@
     /** Calls that wait for their timeout now, and the largest number of them so far. */
     std::size_t hangingCalls = 0;
     std::size_t maxHangingCalls = 0;
-    /** Probability that the response to a commit is lost; the commit is then up to 3 s late. */
+    /** Probability that the response to a commit is lost; the commit is then executed late. */
     double lostResponseRate = 0;
+    /** Bounds of the time after which a commit whose response is lost is executed. */
+    Duration minExecutionDelay{0};
+    Duration maxExecutionDelay{3000};
+    /** If set, commits for which it returns true are neither executed nor answered. */
+    std::function<bool(const StoreTransaction &transaction)> dropsCommit;
     Duration latency{4};
 
     std::size_t keyCount(const std::string &prefix) const;
@@ -229,6 +234,10 @@
     /** Sends a call to the leader. @return its reply, or a default one after 3 s without one. */
     ClientReply call(ClientCall::Kind kind, const JobId &id, const std::string &key = "key");
     JobState stateOf(const JobId &id);
+    /** Asks the leader for the state of a job without waiting; the reply counts for shownDone. */
+    void poll(const JobId &id);
+    /** @return true if a leader has acknowledged that a task of the job is done. */
+    bool hasAcknowledgedEnd(const JobId &id) const;
     /** Restarts a worker as a new incarnation that has lost its runs and ends. */
     void crash(std::size_t worker);
     /** Like crash(), but the next incarnation has another id at the same address. */
@@ -239,6 +248,8 @@
     EventQueue events;
     EventQueueTimers timers;
     CellStore store;
+    /** Of the leaders that are elected from now on. */
+    CellTerms terms;
     CellConfiguration configuration;
     std::set<ZoneId> evacuated;
     std::vector<FakeCellWorker> workers;
