--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -32,9 +32,6 @@
 constexpr Duration IdleExitMargin{1800};
 constexpr Duration DrainPollInterval{50};
 constexpr Duration WritePollInterval{10};
-/** An unresponsive store occupies one connection for each commit, copy of a commit and probe sent
- * in a second. */
-constexpr std::size_t StoreConnections = 96;
 /** Connections to the store that are not used for longer are closed. */
 constexpr std::chrono::seconds MaxStoreIdleTime{5};
 constexpr int ServiceUnavailable = 503;
@@ -46,7 +43,7 @@
     CellService(asio::io_context &context, const CellSettings &settings)
         : m_context(context)
         , m_settings(settings)
-        , m_client(context, StoreConnections, MaxStoreIdleTime)
+        , m_client(context, Platform::PlatformStore::MaxConnections, MaxStoreIdleTime)
         , m_workerClient(context, WorkerConnections::MaxConnections, WorkerConnections::MaxIdleTime)
         , m_store(m_client, context, settings.store)
         , m_documents(m_store)
