--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -207,13 +207,16 @@
         return respond(makeReply(ClientReply::Cancelled));
     if (!canWriteSoon())
         return respond(makeUnavailable("the store does not answer"));
-    m_journal->append(JobCancelled{id}, [this, id, respond = std::move(respond)] {
+    const auto onWritten = [this, id, respond] {
         m_jobs.apply(JobCancelled{id}, m_dependencies.wallClock());
         LOG_EVENT(m_dependencies.log, "job_cancelled") << "job=" << id.value();
         forgetDecisions(id);
         respond(makeReply(ClientReply::Cancelled));
         stopRunsOfEndedJobs();
         scheduleDispatch();
+    };
+    m_journal->append(JobCancelled{id}, onWritten, [respond] {
+        respond(makeUnavailable("the store does not answer; the job was not cancelled"));
     });
 }
 
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -77,6 +77,9 @@
 
 Duration CellScheduler::timeSinceStoreConfirmation() const
 {
+    // Reading a long journal is no reason to replace this leader.
+    if (!m_journal && m_isStoreReachable)
+        return Duration(0);
     const Instant confirmedAt = m_journal ? m_journal->lastCommitAt() : m_claimHeldAt;
     return std::chrono::duration_cast<Duration>(m_timers.now() - confirmedAt);
 }
@@ -116,12 +119,8 @@
         SegmentPrefix, [this, alive = std::weak_ptr(m_alive)](const StoreRead &read) {
             if (alive.expired() || m_isSuperseded)
                 return;
-            if (!read.answered) {
-                if (m_isStoreReachable)
-                    m_storeOutageBeganAt = m_timers.now();
-                m_isStoreReachable = false;
-                return m_timers.after(RecoveryRetryDelay, [this] { readJournal(); });
-            }
+            if (!read.answered)
+                return retryReadingJournal();
             m_isStoreReachable = true;
             std::map<uint64_t, JournalSegment> segments;
             Journal::Start start{Revision(m_epoch.value()), m_claimHeldAt};
@@ -182,6 +181,21 @@
         });
 }
 
+/** Reads the journal again; if the store doesn't answer a probe either, this leader can't use it.
+ */
+void CellScheduler::retryReadingJournal()
+{
+    m_dependencies.store.probe([this, alive = std::weak_ptr(m_alive)](bool answers) {
+        if (alive.expired() || m_isSuperseded)
+            return;
+        if (m_isStoreReachable && !answers) {
+            m_isStoreReachable = false;
+            m_storeOutageBeganAt = m_timers.now();
+        }
+        m_timers.after(RecoveryRetryDelay, [this] { readJournal(); });
+    });
+}
+
 void CellScheduler::pollOperators()
 {
     const Instant sentAt = m_timers.now();
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -147,6 +147,7 @@
     };
 
     void readJournal();
+    void retryReadingJournal();
     void finishRecovery();
     void pollOperators();
     void pollWorkers();
--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -28,6 +28,8 @@
 constexpr Duration SlowCommitThreshold{250};
 /** Reads of an unresponsive store hang; each occupies a connection. */
 constexpr std::size_t MaxOpenReadBacks = 2;
+/** After a missing answer, a read shows within this time whether the store answers at all. */
+constexpr Duration ReadBackMargin{200};
 /** Larger segments may take longer to be written than the usual response time. */
 constexpr std::size_t UsualSegmentBytes = 16'384;
 /** An answer that arrived while this process was busy is handled within this time. */
@@ -121,9 +123,10 @@
 {
 }
 
-void Journal::append(JournalRecord record, std::function<void()> onWritten)
+void Journal::append(JournalRecord record, std::function<void()> onWritten,
+                     std::function<void()> onWithdrawn)
 {
-    m_waiting.push_back({std::move(record), std::move(onWritten)});
+    m_waiting.push_back({std::move(record), std::move(onWritten), std::move(onWithdrawn)});
     scheduleCommit();
 }
 
@@ -234,7 +237,8 @@
 {
     const Try tried{++commit->lastTry, m_timers.now()};
     m_observer.count("journal_tries", 1);
-    m_timers.after(std::max(MinResponseTimeout, ResponseTimeoutFactor * m_latency),
+    m_timers.after(std::max({MinResponseTimeout, ResponseTimeoutFactor * m_latency,
+                             answerDelay(*commit) + ReadBackMargin}),
                    [this, sentAt = tried.sentAt] { checkSilence(sentAt); });
     awaitAnswer(commit);
     m_store.commit(
@@ -249,13 +253,17 @@
         });
 }
 
-void Journal::awaitAnswer(const CommitHandle &commit)
+Duration Journal::answerDelay(const Commit &commit) const
 {
     // Copies of a large segment would fill a narrow link before the first one has been sent.
-    const std::size_t bytes = commit->transaction.puts.front().value.size();
-    const Duration delay = m_resends.delayAfter(1 + commit->readBacks)
+    const std::size_t bytes = commit.transaction.puts.front().value.size();
+    return m_resends.delayAfter(1 + commit.readBacks)
         * static_cast<int64_t>(1 + bytes / UsualSegmentBytes);
-    m_timers.after(delay, [this, commit, number = commit->lastTry] {
+}
+
+void Journal::awaitAnswer(const CommitHandle &commit)
+{
+    m_timers.after(answerDelay(*commit), [this, commit, number = commit->lastTry] {
         // The answer may have arrived while this process was busy.
         m_timers.after(BusyMargin, [this, commit, number] { checkAnswer(commit, number); });
     });
@@ -266,13 +274,13 @@
     // While the store is unreachable, probe() finds out when a further try makes sense.
     if (m_isSuperseded || commit->isWritten || commit->lastTry != number || !isReachable())
         return;
-    if (m_openReadBacks >= MaxOpenReadBacks)
-        return awaitAnswer(commit);
-    if (!m_resends.takeExtraCall()) {
+    const bool hasFreeRead = m_openReadBacks < MaxOpenReadBacks;
+    if (hasFreeRead && m_resends.takeExtraCall())
+        return readBack(commit);
+    if (hasFreeRead)
         m_observer.count("store_extra_calls_refused", 1);
-        return awaitAnswer(commit);
-    }
-    readBack(commit);
+    m_timers.after(m_resends.delayAfter(1),
+                   [this, commit, number] { checkAnswer(commit, number); });
 }
 
 void Journal::readBack(const CommitHandle &commit)
@@ -409,9 +417,16 @@
             jobs.push_back(accepted->job);
     }
     const std::set<JobId> withdrawn(jobs.begin(), jobs.end());
+    std::vector<std::function<void()>> notices;
+    for (const PendingRecord &pending : m_waiting) {
+        if (pending.onWithdrawn)
+            notices.push_back(pending.onWithdrawn);
+    }
     std::erase_if(m_waiting, [&withdrawn](const PendingRecord &pending) {
-        return withdrawn.contains(jobOf(pending.record));
+        return pending.onWithdrawn || withdrawn.contains(jobOf(pending.record));
     });
+    for (const auto &notify : notices)
+        notify();
     return jobs;
 }
 
@@ -427,7 +442,8 @@
 
 void Journal::probe()
 {
-    if (isReachable() || m_isSuperseded)
+    m_isProbing = !isReachable() && !m_isSuperseded;
+    if (!m_isProbing)
         return;
     m_store.probe([this, alive = std::weak_ptr(m_alive)](bool answers) {
         if (!alive.expired() && answers && !isReachable() && !m_isSuperseded)
@@ -439,13 +455,16 @@
 void Journal::handleProbe()
 {
     m_lastAnswerAt = m_timers.now();
-    const bool wasSilent = m_storeState == StoreState::Silent;
-    if (wasSilent || m_timers.now() - m_lastResendAt >= MaxRetryPause)
+    if (m_storeState == StoreState::Silent) {
+        resendCommits();
+        setStoreState(StoreState::Reachable);
+        return scheduleCommit();
+    }
+    // An earlier try may have been executed, and its answer lost.
+    if (!m_commits.empty() && m_openReadBacks < MaxOpenReadBacks && m_resends.takeExtraCall())
+        readBack(m_commits.front());
+    if (m_timers.now() - m_lastResendAt >= MaxRetryPause)
         resendCommits();
-    if (!wasSilent)
-        return;
-    setStoreState(StoreState::Reachable);
-    scheduleCommit();
 }
 
 /** Confirms written commits in order, up to the first one that is not written yet. */
@@ -478,7 +497,7 @@
     LOG(INFO) << "event=store_" << (isReachable() ? "regained" : "lost")
               << " claim=" << m_claim.value() << " waiting=" << m_waiting.size()
               << " in_flight=" << m_commits.size();
-    if (!isReachable())
+    if (!isReachable() && !m_isProbing)
         probe();
     m_observer.reachabilityChanged(isReachable());
 }
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -61,8 +61,13 @@
 
     Journal(Dependencies dependencies, const Start &start, Observer observer);
 
-    /** Adds a record; @p onWritten is called once the store has confirmed it. */
-    void append(JournalRecord record, std::function<void()> onWritten);
+    /**
+     * Adds a record.
+     * @param onWritten called once the store has confirmed it
+     * @param onWithdrawn if set, withdrawUnsent() may discard the record, and calls this
+     */
+    void append(JournalRecord record, std::function<void()> onWritten,
+                std::function<void()> onWithdrawn = {});
 
     /** Adds a segment that was found at recovery, so that it can be replaced and deleted later. */
     void adoptSegment(uint64_t segment, std::set<JobId> jobs);
@@ -97,7 +102,8 @@
      */
     Instant claimHeldAt() const { return m_claimHeldAt; }
     /**
-     * Discards the records of jobs whose acceptance was never sent to the store.
+     * Discards the records that were never sent to the store and that may be withdrawn, and those
+     * of jobs whose acceptance was never sent.
      * @return those jobs; none of their records will be written.
      */
     std::vector<JobId> withdrawUnsent();
@@ -112,6 +118,7 @@
     {
         JournalRecord record;
         std::function<void()> onWritten;
+        std::function<void()> onWithdrawn;
     };
     /** One transaction in flight. */
     struct Commit
@@ -148,6 +155,8 @@
     void commitNext();
     void sendCommit(const CommitHandle &commit);
     void handleResult(const CommitHandle &commit, const Try &tried, const CommitResult &result);
+    /** @return how long to wait for an answer to the last try of @p commit. */
+    Duration answerDelay(const Commit &commit) const;
     /** Checks after the usual response time whether the last try of @p commit was answered. */
     void awaitAnswer(const CommitHandle &commit);
     void checkAnswer(const CommitHandle &commit, uint32_t number);
@@ -183,6 +192,7 @@
     /** Commits in flight, ordered by segment number. */
     std::deque<CommitHandle> m_commits;
     std::size_t m_openReadBacks = 0;
+    bool m_isProbing = false;
     std::vector<uint64_t> m_removals;
     /** How long the store took to answer the last try that it executed. */
     Duration m_latency{0};
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -344,6 +344,39 @@
     CHECK(cell.leader().storeOutageDuration() == Duration(0));
 }
 
+// Guards against elections for as long as it takes to read a long journal.
+TEST_CASE("Leader that reads a long journal does not look as if it could not use the store",
+          "[cell]")
+{
+    CellSimulation cell(1);
+    cell.store.latency = Duration(3500);
+    cell.elect();
+    cell.run(Duration(3000));
+    CHECK_FALSE(cell.leader().isReady());
+    CHECK(cell.leader().timeSinceStoreConfirmation() == Duration(0));
+    CHECK(cell.leader().storeOutageDuration() == Duration(0));
+}
+
+// Guards against cancellations that wait for their deadline although they were sent nowhere.
+TEST_CASE_METHOD(CellFixture, "Cancellation that waits for an unresponsive store is refused",
+                 "[cell]")
+{
+    const JobId job = m_cell.submit(1, Small, Duration(20'000));
+    REQUIRE(m_cell.runUntil([&] { return m_cell.accepted.contains(job); }, Duration(100)));
+    m_cell.store.isUnresponsive = true;
+    // Fills the commits that may be in flight.
+    for (int count = 0; count < 10; ++count) {
+        m_cell.submit(1, Small, Duration(400));
+        m_cell.run(Duration(25));
+    }
+    const Instant sentAt = m_cell.events.now();
+    CHECK(m_cell.call(ClientCall::Cancel, job).outcome == ClientReply::Unavailable);
+    CHECK(m_cell.events.now() - sentAt < Duration(1000));
+    m_cell.store.isUnresponsive = false;
+    m_cell.run(Duration(2000));
+    CHECK(m_cell.stateOf(job) == JobState::Running);
+}
+
 TEST_CASE_METHOD(CellFixture, "Slow store is not taken for an unresponsive one", "[cell]")
 {
     m_cell.store.latency = Duration(240);
--- a/Tests/Unit/JournalTest.cpp
+++ b/Tests/Unit/JournalTest.cpp
@@ -345,6 +345,34 @@
     CHECK(m_leader->confirmed == std::vector<uint32_t>{1});
 }
 
+// Guards against a store that counts as lost, although it has written all that it was sent.
+TEST_CASE_METHOD(JournalFixture,
+                 "Commit that is executed without an answer after a refusal is confirmed by a read",
+                 "[journal]")
+{
+    settle();
+    m_store.fate = [](int number, const StoreTransaction &) {
+        return number == 1 ? Fate::Refused : Fate::Executed;
+    };
+    m_leader->append(1);
+    CHECK(runUntil([this] { return !m_leader->confirmed.empty(); }, Duration(300)));
+    REQUIRE(m_leader->reachability.size() == 2);
+    CHECK(m_leader->reachability.back().first);
+}
+
+// Guards against probes that multiply each time the store is lost.
+TEST_CASE_METHOD(JournalFixture, "Store that refuses every other commit is probed at one pace",
+                 "[journal]")
+{
+    settle();
+    m_store.fate = [](int number, const StoreTransaction &) {
+        return number == 1 ? Fate::Refused : Fate::Answered;
+    };
+    const std::size_t before = m_store.probes;
+    runUnderLoad(*m_leader, Duration(10'000));
+    CHECK(m_store.probes - before <= 101);
+}
+
 TEST_CASE_METHOD(JournalFixture,
                  "Store that answers no call for 0.4 s is lost until one probe is answered",
                  "[journal]")
