Soak: Let the store lose a share of all answers for longer

Without the option a seed plays as before. Not compared with the rate without loss; no bound is checked.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -156,6 +156,8 @@
             for repeat in range(rng.choice([1, 1, 2, 3])):
                 rows.append((at + repeat * rng.uniform(0.3, 2.0), name, rng.random(), length))
             at += rng.uniform(0.3, 3.5)
+        if self.options.loss_share:
+            rows.append((5.0, "loss", 0.0, self.options.loss_s))
         return sorted(rows)
 
     # Faults. Each undoes itself.
@@ -258,6 +260,17 @@
         time.sleep(length)
         self.store.mode = ""
 
+    def fault_loss(self, choice, length):
+        """Lets the store lose the answers to a share of all writes, and counts the commits meanwhile."""
+        self.disturb(length + 6)
+        self.store.loss_share = self.options.loss_share
+        begun = time.monotonic()
+        time.sleep(length)
+        self.store.loss_share = 0.0
+        written = sum(begun <= at < begun + length for at in self.store.segment_times)
+        with self.world.lock:
+            self.checker.counts["commits_per_s_in_loss"] = round(written / length, 1)
+
     def fault_reset(self, choice, length):
         self.disturb(0.1)
         if choice < 0.3:
@@ -466,6 +479,8 @@
     parser.add_argument("--workers", type=int, default=18)
     parser.add_argument("--clients", type=int, default=6)
     parser.add_argument("--pause", type=float, default=0.5, help="mean seconds between two jobs of a client")
+    parser.add_argument("--loss-share", type=float, default=0.0, help="share of the writes whose answers the store loses")
+    parser.add_argument("--loss-s", type=float, default=20.0, help="for how long the store loses them, in seconds")
     parser.add_argument("--program", default=os.path.join(standins.ROOT, "Build", "cranberrymount-cell"))
     parser.add_argument("--report", help="file for the report as JSON")
     parser.add_argument("--keep", help="folder for logs and the record of a run that broke a rule")
@@ -480,8 +495,8 @@
         while seeds and len(running) < options.jobs:
             seed = seeds.pop(0)
             command = [sys.executable, os.path.abspath(__file__), "--seed", str(seed)]
-            for name in ("minutes", "nodes", "workers", "clients", "pause", "program"):
-                command += [f"--{name}", str(getattr(options, name))]
+            for name in ("minutes", "nodes", "workers", "clients", "pause", "loss_share", "loss_s", "program"):
+                command += [f"--{name.replace('_', '-')}", str(getattr(options, name))]
             for name in ("report", "keep"):
                 if getattr(options, name):
                     command += [f"--{name}", f"{getattr(options, name)}-{seed}"]
--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -27,6 +27,10 @@
         self.rng = rng
         self.mode = ""
         self.turned_away = None
+        # Share of the writes that get no answer on a connection that stays open, in addition to `mode`; half of them are late.
+        self.loss_share = 0.0
+        # When each segment of the journal was written.
+        self.segment_times = []
         self.gates = {}
         super().__init__()
 
@@ -48,12 +52,25 @@
             return 503, {}
         if mode == "slow":
             time.sleep(self.rng.uniform(0.05, 0.4))
+        if is_write and self.loss_share and self.rng.random() < self.loss_share:
+            delay = self.rng.choice([0, self.rng.uniform(1, 6)])
+            threading.Timer(delay, self.execute, (method, path, headers, body)).start()
+            time.sleep(CALL_LIMIT_S)
+            return None
         if mode == "late" and is_write and self.rng.random() < 0.3:
-            threading.Timer(self.rng.uniform(1, 6), super().answer, (method, path, headers, body)).start()
+            threading.Timer(self.rng.uniform(1, 6), self.execute, (method, path, headers, body)).start()
             return self.leave_unanswered()
-        reply = super().answer(method, path, headers, body)
+        reply = self.execute(method, path, headers, body)
         return self.leave_unanswered() if mode == "lost" and is_write and self.rng.random() < 0.3 else reply
 
+    def execute(self, method, path, headers, body):
+        reply = super().answer(method, path, headers, body)
+        if path.startswith("/-/kv-txn") and reply and reply[0] == 200:
+            rows = json.loads(body).get("put", [])
+            if any(row["key"].startswith("cell/journal/") for row in rows):
+                self.segment_times.append(time.monotonic())
+        return reply
+
     def leave_unanswered(self):
         """Ends the connection, at half of all times only when the caller has given the call up."""
         if self.rng.random() < 0.5:
