CellScheduler: After an unreadable segment, learn what runs before starting anything

Now a leader that has passed over a segment starts nothing until each listed worker has reported known runs only, or all leases that the former leader can have extended are over (the bound that tick() uses for unlisted workers). JobTable takes an assignment for proof of the end before it, and an end for proof of its assignment, so that the records after a gap count. Nothing changes while all segments are readable.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -146,6 +146,67 @@
     }
 }
 
+bool CellScheduler::mayHaveUnknownRuns()
+{
+    if (!m_isJournalIncomplete)
+        return false;
+    const Instant now = m_timers.now();
+    const bool isAnyUnknown = std::ranges::any_of(m_sessions, [&](const auto &entry) {
+        const WorkerSession &session = *entry.second;
+        return !m_fullyKnownWorkers.contains(session.incarnation())
+            && (session.isReachable() || now <= session.allLeasesExpireAt());
+    });
+    if (!isAnyUnknown
+        && now > WorkerSession::leaseExpiry(m_lastInheritedExtension, m_terms.leaseLength)) {
+        m_isJournalIncomplete = false;
+        m_fullyKnownWorkers.clear();
+        LOG(INFO) << "event=unread_runs_over epoch=" << m_epoch.value();
+    }
+    return isAnyUnknown;
+}
+
+void CellScheduler::adoptReportedRun(const WorkerSession &session, const TaskKey &task,
+                                     uint32_t attempt)
+{
+    const JobRecord *job = m_jobs.find(task.job);
+    const TaskProgress *progress = m_jobs.findTask(task);
+    if (!progress || job->isOver() || progress->isDone || attempt <= progress->lastAttempt)
+        return;
+    // An attempt follows only the end of the one before it, which was not read either.
+    const auto earlier = m_runs.find(task);
+    if (earlier != m_runs.end()) {
+        if (earlier->second.phase != RunPhase::Inherited)
+            return;
+        removeRun(earlier);
+    }
+    LOG(WARNING) << "event=unread_run_adopted task=" << taskText(task) << " attempt=" << attempt
+                 << " worker=" << session.incarnation().id.value();
+    ActiveRun run = makeRun(*job, task.step);
+    run.attempt = attempt;
+    run.worker = session.incarnation();
+    run.phase = RunPhase::Confirmed;
+    run.hasPartialDuration = true;
+    run.checkpoint = progress->checkpoint;
+    addRun(task, std::move(run));
+    const RunAssigned record{task, attempt, session.incarnation()};
+    m_jobs.apply(record, m_dependencies.wallClock());
+    m_journal->append(record, [] {});
+}
+
+void CellScheduler::noteKnownRuns(const WorkerSession &session, const HoldReply &reply)
+{
+    const auto isKnown = [&](const RunReport &report) {
+        const auto found = m_runs.find(report.task);
+        return found != m_runs.end() && found->second.attempt == report.attempt
+            && found->second.worker == session.incarnation();
+    };
+    if (reply.ended.size() < MaxEndsPerReport && std::ranges::all_of(reply.running, isKnown))
+        m_fullyKnownWorkers.insert(session.incarnation());
+    else
+        m_fullyKnownWorkers.erase(session.incarnation());
+    scheduleDispatch();
+}
+
 /** Reserves capacity for a run at once; sends the start command after the assignment is in the
  * journal. */
 void CellScheduler::recordStart(const StartDecision &decision, const WorkerIncarnation &worker)
@@ -354,6 +415,13 @@
 void CellScheduler::handleReport(WorkerSession &session, const HoldReply &reply, Instant sentAt)
 {
     ++m_load.reports;
+    if (m_isJournalIncomplete) {
+        for (const RunReport &report : reply.running)
+            adoptReportedRun(session, report.task, report.attempt);
+        for (const EndReport &report : reply.ended)
+            adoptReportedRun(session, report.task, report.attempt);
+        noteKnownRuns(session, reply);
+    }
     for (const RunReport &report : reply.running)
         applyRunningReport(session, report);
     if (reply.ended.size() < MaxEndsPerReport)
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -125,6 +125,7 @@
             if (!read.answered)
                 return m_timers.after(RecoveryRetryDelay, [this] { readJournal(); });
             std::map<uint64_t, JournalSegment> segments;
+            uint64_t lastUnreadable = 0;
             Journal::Start start{Revision(m_epoch.value()), m_claimHeldAt};
             for (const StoreEntry &entry : read.entries) {
                 const uint64_t number = segmentNumber(entry.key);
@@ -134,10 +135,12 @@
                 } catch (const ProtocolError &error) {
                     LOG(ERROR) << "event=segment_unreadable key=" << entry.key
                                << " error=" << error.what();
+                    lastUnreadable = std::max(lastUnreadable, number);
                 }
                 start.floor = std::max(start.floor, segment.floor);
                 start.nextSegment = std::max({start.nextSegment, number + 1, segment.floor});
             }
+            m_isJournalIncomplete = lastUnreadable > 0 && lastUnreadable >= start.floor;
             std::size_t records = 0;
             std::vector<std::pair<uint64_t, std::set<JobId>>> adopted;
             for (const auto &[number, segment] : segments) {
@@ -391,6 +394,7 @@
     m_endedIncarnations[incarnation] = position->second->lastLeaseExtension();
     m_health.forget(incarnation);
     m_speeds.forget(incarnation);
+    m_fullyKnownWorkers.erase(incarnation);
     // Destroyed later, because this may run inside one of the session's methods.
     m_endedSessions.push_back(std::move(position->second));
     m_sessions.erase(position);
@@ -533,7 +537,7 @@
 {
     const Instant now = m_timers.now();
     const bool isFresh = now - m_operatorsReadAt < MaxViewAge && now - m_workersReadAt < MaxViewAge;
-    if (m_isSuperseded || m_isQuiescing || !isFresh || !m_isStoreReachable)
+    if (m_isSuperseded || m_isQuiescing || !isFresh || !m_isStoreReachable || mayHaveUnknownRuns())
         return;
     DispatchInput input = makeDispatchInput();
     std::vector<WorkerIncarnation> incarnations;
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -185,6 +185,18 @@
 
     // Runs; in CellRuns.cpp.
     void adoptRuns();
+    /**
+     * After a part of the journal could not be read, workers may have runs that this leader does
+     * not know of. Such a run is known once its worker has reported, and over once all leases that
+     * an earlier leader can have extended have expired.
+     * @return true while a listed worker may have such a run
+     */
+    bool mayHaveUnknownRuns();
+    /** Takes over a run that a worker has reported and whose assignment could not be read. */
+    void adoptReportedRun(const WorkerSession &session, const TaskKey &task, uint32_t attempt);
+    /** Notes whether @p reply has shown all runs of the worker, and none of them is to be stopped.
+     */
+    void noteKnownRuns(const WorkerSession &session, const HoldReply &reply);
     void recordStart(const StartDecision &decision, const WorkerIncarnation &worker);
     ActiveRun makeRun(const JobRecord &job, uint32_t step) const;
     void addRun(const TaskKey &key, ActiveRun run);
@@ -291,6 +303,11 @@
     /** Listed workers that are not used. */
     std::set<WorkerId> m_unusedWorkers;
     Instant m_lastInheritedExtension{};
+    /** A part of the journal could not be read, and leases of runs that only this part names may
+     * not have expired yet. */
+    bool m_isJournalIncomplete = false;
+    /** While the journal is incomplete: workers whose latest report has listed known runs only. */
+    std::set<WorkerIncarnation> m_fullyKnownWorkers;
     bool m_isReady = false;
     bool m_isSuperseded = false;
     bool m_isQuiescing = false;
--- a/Libraries/State/JobTable.cpp
+++ b/Libraries/State/JobTable.cpp
@@ -106,13 +106,16 @@
 {
     JobRecord *job = find(record.task.job);
     TaskProgress *task = job ? taskIn(*job, record.task) : nullptr;
-    if (!task || record.attempt <= task->lastAttempt || task->isActive)
+    if (!task || task->isDone || record.attempt <= task->lastAttempt)
         return;
+    // An attempt follows only the recorded end of the one before it, even if that end is missing.
+    if (!task->isActive) {
+        ++job->occurrences[record.task.occurrence][record.task.step].activeCount;
+        ++job->activeRuns;
+    }
     task->lastAttempt = record.attempt;
     task->isActive = true;
     task->worker = record.worker;
-    ++job->occurrences[record.task.occurrence][record.task.step].activeCount;
-    ++job->activeRuns;
     refreshIndices(*job);
 }
 
@@ -120,6 +123,9 @@
 {
     JobRecord *job = find(record.task.job);
     TaskProgress *task = job ? taskIn(*job, record.task) : nullptr;
+    // Only an assigned attempt can end, even if its assignment is missing.
+    if (task && record.attempt > task->lastAttempt)
+        applyRecord(RunAssigned{record.task, record.attempt, {}}, now);
     if (!task || record.attempt != task->lastAttempt || !task->isActive)
         return;
     StepRun &step = job->occurrences[record.task.occurrence][record.task.step];
--- a/Libraries/State/JobTable.h
+++ b/Libraries/State/JobTable.h
@@ -73,7 +73,9 @@
 class JobTable
 {
 public:
-    /** Applies @p record; records of unknown jobs and of superseded attempts change nothing. */
+    /** Applies @p record; records of unknown jobs and of superseded attempts change nothing. A
+     * record of an attempt whose assignment, or whose predecessor's end, could not be read counts
+     * as if those had been read. */
     void apply(const JournalRecord &record, WallTime now);
 
     /** Removes a job and its assignments, of which no record was or will be written. */
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -510,6 +510,9 @@
     call.host = "host";
     call.path = "/queue/" + id.value();
     call.key = key;
+    const auto spec = m_specs.find(id);
+    if (kind == ClientCall::Submit && spec != m_specs.end())
+        call.spec = spec->second;
     if (kind == ClientCall::Cancel)
         cancelRequested.insert(id);
     auto reply = std::make_shared<std::optional<ClientReply>>();
--- a/Tests/Unit/JobTableTest.cpp
+++ b/Tests/Unit/JobTableTest.cpp
@@ -114,6 +114,37 @@
     CHECK_FALSE(m_table.findTask({m_job, 0, 0, 0})->isDone);
 }
 
+// Guards against a task that is started again after its end, whose assignment could not be read.
+TEST_CASE_METHOD(JobTableFixture, "End counts if the assignment of its attempt is missing",
+                 "[jobtable]")
+{
+    const bool isEarlierAttemptActive = GENERATE(false, true);
+    if (isEarlierAttemptActive)
+        assign(0, 0, 1);
+    end(0, 0, 2, RunOutcome::Done);
+    const TaskProgress &task = *m_table.findTask({m_job, 0, 0, 0});
+    CHECK(task.isDone);
+    CHECK_FALSE(task.isActive);
+    CHECK(task.lastAttempt == 2);
+    CHECK(m_table.find(m_job)->activeRuns == 0);
+    CHECK(m_table.findStep({m_job, 0, 0})->waitingCount() == 1);
+}
+
+// Guards against a run that nobody counts, because the end of the attempt before could not be read.
+TEST_CASE_METHOD(JobTableFixture, "Assignment counts if the end of the attempt before is missing",
+                 "[jobtable]")
+{
+    assign(0, 0, 1);
+    apply(RunAssigned{{m_job, 0, 0, 0}, 2, {WorkerId("other"), 1}});
+    const TaskProgress &task = *m_table.findTask({m_job, 0, 0, 0});
+    CHECK(task.isActive);
+    CHECK(task.lastAttempt == 2);
+    CHECK(task.worker.id == WorkerId("other"));
+    CHECK(m_table.find(m_job)->activeRuns == 1);
+    end(0, 0, 2, RunOutcome::Lost);
+    CHECK(m_table.find(m_job)->activeRuns == 0);
+}
+
 TEST_CASE_METHOD(JobTableFixture,
                  "Replaying a snapshot gives the same table as replaying the whole journal",
                  "[jobtable]")
--- a/Tests/Unit/TwiceWaysTest.cpp
+++ b/Tests/Unit/TwiceWaysTest.cpp
@@ -45,6 +45,15 @@
         return m_cell.workers[worker].info.incarnation.id;
     }
 
+    /** Damages the segments and lets another leader read the journal. */
+    void electAfterDamage(const std::vector<std::string> &segments)
+    {
+        m_cell.leaderProcess().isCutFromStore = true;
+        for (const std::string &key : segments)
+            m_cell.store.damage(key);
+        m_cell.elect();
+    }
+
     /** Lets the leader start @p tasks tasks, all of them on the first worker. */
     JobId startOnFirstWorker(uint32_t tasks, Duration length)
     {
@@ -136,11 +145,107 @@
     REQUIRE(
         m_cell.runUntil([this] { return m_cell.workers[0].running.size() == 6; }, Duration(1000)));
     m_cell.run(Duration(1000));
-    m_cell.leaderProcess().isCutFromStore = true;
-    for (const std::string &key : assignments())
-        m_cell.store.damage(key);
-    m_cell.elect();
+    electAfterDamage(assignments());
+    if (!isReachable)
+        m_cell.leaderProcess().unreachable.insert(idOf(0));
+    CHECK(reachesState(job, JobState::Done, Duration(90'000)));
+}
+
+// Guards against second runs when only the middle or only the end of the journal can't be read.
+TEST_CASE_METHOD(TwoLeadersFixture,
+                 "Runs of one unreadable segment are not repeated, those of others go on", "[cell]")
+{
+    const bool isLast = GENERATE(false, true);
+    const bool isReachable = GENERATE(true, false);
+    CAPTURE(isLast, isReachable);
+    startOnFirstWorker(2, Duration(20'000));
+    REQUIRE(
+        m_cell.runUntil([this] { return m_cell.workers[0].running.size() == 2; }, Duration(1000)));
+    const std::vector<std::string> former = assignments();
+    m_cell.run(Duration(500));
+    const JobId middle = m_cell.submit(2, Small, Duration(20'000));
+    REQUIRE(
+        m_cell.runUntil([this] { return m_cell.workers[0].running.size() == 4; }, Duration(1000)));
+    std::vector<std::string> damaged = assignments();
+    std::erase_if(damaged, [&former](const std::string &key) {
+        return std::ranges::find(former, key) != former.end();
+    });
+    REQUIRE_FALSE(damaged.empty());
+    JobId last = middle;
+    if (!isLast) {
+        m_cell.run(Duration(500));
+        last = m_cell.submit(2, Small, Duration(20'000));
+        REQUIRE(m_cell.runUntil([this] { return m_cell.workers[0].running.size() == 6; },
+                                Duration(1000)));
+    }
+    electAfterDamage(damaged);
+    if (!isReachable)
+        m_cell.leaderProcess().unreachable.insert(idOf(0));
+    CHECK(reachesState(middle, JobState::Done, Duration(90'000)));
+    CHECK(reachesState(last, JobState::Done, Duration(90'000)));
+    if (isReachable)
+        CHECK(m_cell.startCount == (isLast ? 4 : 6));
+}
+
+// Guards against work that is stopped or delayed although all workers have shown what they run.
+TEST_CASE_METHOD(
+    TwoLeadersFixture,
+    "Unread runs of reachable workers go on, and other work starts after their reports", "[cell]")
+{
+    const JobId job = startOnFirstWorker(6, Duration(20'000));
+    REQUIRE(
+        m_cell.runUntil([this] { return m_cell.workers[0].running.size() == 6; }, Duration(1000)));
+    electAfterDamage(assignments());
+    REQUIRE(m_cell.runUntil([this] { return m_cell.leader().isReady(); }, Duration(1000)));
+    const JobId other = m_cell.submit(1, Small, Duration(200));
+    CHECK(reachesState(other, JobState::Done, Duration(600)));
+    CHECK(m_cell.workers[0].running.size() == 6);
+    CHECK(reachesState(job, JobState::Done, Duration(25'000)));
+    CHECK(m_cell.startCount == 7);
+}
+
+// Guards against a second run after an end that only the worker can still tell.
+TEST_CASE_METHOD(TwoLeadersFixture,
+                 "Task whose assignment can't be read does not run again if its worker lists its "
+                 "end",
+                 "[cell]")
+{
+    const JobId job = startOnFirstWorker(6, Duration(1000));
+    REQUIRE(
+        m_cell.runUntil([this] { return m_cell.workers[0].running.size() == 6; }, Duration(1000)));
+    electAfterDamage(assignments());
+    const bool isReachableSoon = GENERATE(true, false);
+    if (!isReachableSoon) {
+        m_cell.leaderProcess().unreachable.insert(idOf(0));
+        m_cell.run(Duration(5000));
+        m_cell.leaderProcess().unreachable.clear();
+    }
+    CHECK(reachesState(job, JobState::Done, Duration(5000)));
+    CHECK(m_cell.startCount == 6);
+}
+
+// Guards against a second run of a job that its client submits again, since no leader knows it.
+TEST_CASE_METHOD(TwoLeadersFixture,
+                 "Job whose acceptance can't be read does not run beside its unread runs", "[cell]")
+{
+    const bool isReachable = GENERATE(true, false);
+    CAPTURE(isReachable);
+    for (std::size_t worker = 1; worker < m_cell.workers.size(); ++worker)
+        m_cell.leaderProcess().unreachable.insert(idOf(worker));
+    m_cell.run(Duration(2500));
+    const JobId job = m_cell.submit(2, Small, Duration(20'000));
+    REQUIRE(
+        m_cell.runUntil([this] { return m_cell.workers[0].running.size() == 2; }, Duration(1000)));
+    std::vector<std::string> all;
+    m_cell.store.list(SegmentPrefix, [&all](const StoreRead &read) {
+        for (const StoreEntry &entry : read.entries)
+            all.push_back(entry.key);
+    });
+    m_cell.run(m_cell.store.latency);
+    electAfterDamage(all);
     if (!isReachable)
         m_cell.leaderProcess().unreachable.insert(idOf(0));
+    REQUIRE(m_cell.runUntil([this] { return m_cell.leader().isReady(); }, Duration(1000)));
+    CHECK(m_cell.call(ClientCall::Submit, job).outcome == ClientReply::Accepted);
     CHECK(reachesState(job, JobState::Done, Duration(90'000)));
 }
