--- a/Libraries/Protocol/JournalCodec.cpp
+++ b/Libraries/Protocol/JournalCodec.cpp
@@ -5,6 +5,8 @@
 
 #include <zstd.h>
 
+#include <algorithm>
+
 namespace Cranberrymount {
 
 namespace {
@@ -19,6 +21,9 @@
 constexpr int CompressionLevel = 1;
 /** Limit on the size of a segment when it is decompressed. */
 constexpr unsigned long long MaxSegmentBytes = 16ULL * 1024 * 1024;
+/** Limit on the tasks, and on the steps, of all occurrences of a job; ten times what is accepted.
+ */
+constexpr uint64_t MaxTasksPerJob = 1'000'000;
 
 int64_t toMillis(WallTime time)
 {
@@ -35,6 +40,43 @@
     return string ? string->str() : std::string();
 }
 
+/** @return the value @p wire of an enumeration. @throws ProtocolError if it is above @p last. */
+template <typename Value> Value unpackValue(uint8_t wire, Value last)
+{
+    if (wire > static_cast<uint8_t>(last))
+        throw ProtocolError("journal record has an unknown outcome or state");
+    return static_cast<Value>(wire);
+}
+
+/** @throws ProtocolError if a step waits for one that does not precede it, or the job is too large
+ * to be kept. */
+void checkSpec(const WorkflowSpec &spec)
+{
+    uint64_t tasks = 0;
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        const StepSpec &step = spec.steps[index];
+        tasks += step.taskCount;
+        if (std::ranges::any_of(step.after, [index](uint32_t earlier) { return earlier >= index; }))
+            throw ProtocolError("journal record has a step that waits for a later one");
+    }
+    const uint64_t largest = std::max<uint64_t>({tasks, spec.steps.size(), 1});
+    if (largest > MaxTasksPerJob || spec.occurrences > MaxTasksPerJob / largest)
+        throw ProtocolError("journal record has a job of too many tasks");
+}
+
+/** @throws ProtocolError if the snapshot's tasks are not those of its job. */
+void checkSnapshot(const JobSnapshot &record)
+{
+    const std::vector<StepSpec> &steps = record.accepted.spec.steps;
+    for (const auto &occurrence : record.tasks) {
+        const auto hasCount = [](const auto &tasks, const StepSpec &step) {
+            return tasks.size() == step.taskCount;
+        };
+        if (!std::ranges::equal(occurrence, steps, hasCount))
+            throw ProtocolError("journal snapshot does not have the tasks of its job");
+    }
+}
+
 /** Stores a string that recurs within a segment, such as an id, once; leaves out an empty one. */
 Offset<flatbuffers::String> sharedString(Builder &builder, const std::string &string)
 {
@@ -110,6 +152,7 @@
     record.spec.occurrences = wire.occurrences();
     record.spec.firstDue = toWallTime(wire.first_due_ms());
     record.spec.period = Duration(wire.period_ms());
+    checkSpec(record.spec);
     return record;
 }
 
@@ -185,7 +228,7 @@
 {
     return RunEnded{{JobId(text(wire.job())), wire.occurrence(), wire.step(), wire.index()},
                     wire.attempt(),
-                    static_cast<RunOutcome>(wire.outcome()),
+                    unpackValue(wire.outcome(), RunOutcome::Lost),
                     text(wire.checkpoint())};
 }
 
@@ -195,11 +238,15 @@
     if (!wire.accepted() || !wire.occurrences())
         throw ProtocolError("journal snapshot has no job or no occurrences");
     record.accepted = unpackRecord(*wire.accepted());
-    record.state = static_cast<JobState>(wire.state());
+    record.state = unpackValue(wire.state(), JobState::Cancelled);
     record.endedAt = toWallTime(wire.ended_at_ms());
     for (const auto *occurrence : *wire.occurrences()) {
+        if (!occurrence->steps())
+            throw ProtocolError("journal snapshot has an occurrence without steps");
         auto &steps = record.tasks.emplace_back();
         for (const auto *step : *occurrence->steps()) {
+            if (!step->tasks())
+                throw ProtocolError("journal snapshot has a step without tasks");
             auto &tasks = steps.emplace_back();
             for (const auto *task : *step->tasks())
                 tasks.push_back({task->last_attempt(),
@@ -211,11 +258,15 @@
                                  text(task->checkpoint())});
         }
     }
+    checkSnapshot(record);
     return record;
 }
 
 JournalRecord unpackEntry(const Wire::Entry &entry)
 {
+    // The verifier accepts a type without its record.
+    if (!entry.record())
+        throw ProtocolError("journal entry has no record");
     switch (entry.record_type()) {
     case Wire::Record::Accepted:
         return unpackRecord(*entry.record_as_Accepted());
