Peer messages: Refuse frames without their message and unknown values

A frame that named a message and had none ended the process (SIGSEGV on in "Peer frame whose message is missing is refused"): the verifier accepts a union's type without its value. Kinds of calls, outcomes of replies and states of jobs were cast without a bound; four checks of "Peer message with an unknown kind..." failed. Both are ProtocolErrors now, over which the link is closed.

--- a/Libraries/Protocol/CellMessages.cpp
+++ b/Libraries/Protocol/CellMessages.cpp
@@ -15,6 +15,14 @@
     return string ? string->str() : std::string();
 }
 
+/** @return the value @p wire of an enumeration. @throws ProtocolError if it is above @p last. */
+template <typename Value> Value unpackValue(uint8_t wire, Value last)
+{
+    if (wire > static_cast<uint8_t>(last))
+        throw ProtocolError("peer message has an unknown kind, outcome or state");
+    return static_cast<Value>(wire);
+}
+
 flatbuffers::Offset<void> pack(Builder &builder, const HelloMessage &message)
 {
     return CellWire::CreateHelloDirect(builder, message.node.value().c_str(),
@@ -198,7 +206,7 @@
 ClientCall unpack(const CellWire::ClientRequest &wire)
 {
     ClientCall call;
-    call.kind = static_cast<ClientCall::Kind>(wire.kind());
+    call.kind = unpackValue(wire.kind(), ClientCall::Cancel);
     call.host = text(wire.host());
     call.path = text(wire.path());
     call.key = text(wire.key());
@@ -229,8 +237,9 @@
 
 ClientReply unpack(const CellWire::ClientResponse &wire)
 {
-    return {static_cast<ClientReply::Outcome>(wire.outcome()), static_cast<JobState>(wire.state()),
-            wire.pending(), Duration(wire.retry_after_ms()), text(wire.detail())};
+    return {unpackValue(wire.outcome(), ClientReply::Undetermined),
+            unpackValue(wire.state(), JobState::Cancelled), wire.pending(),
+            Duration(wire.retry_after_ms()), text(wire.detail())};
 }
 
 AdviceCall unpack(const CellWire::AdviceRequest &wire)
@@ -274,14 +283,6 @@
     return {JobId(text(wire->job())), wire->occurrence(), wire->step(), wire->index()};
 }
 
-/** @return the outcome with the value @p wire. @throws ProtocolError if it is above @p last. */
-template <typename Outcome> Outcome unpackOutcome(uint8_t wire, Outcome last)
-{
-    if (wire > static_cast<uint8_t>(last))
-        throw ProtocolError("peer message has an unknown outcome");
-    return static_cast<Outcome>(wire);
-}
-
 HoldCall unpack(const CellWire::HoldRequest &wire)
 {
     HoldCall call;
@@ -296,7 +297,7 @@
 HoldReply unpack(const CellWire::HoldResponse &wire)
 {
     HoldReply reply;
-    reply.outcome = unpackOutcome(wire.outcome(), HoldReply::Unreachable);
+    reply.outcome = unpackValue(wire.outcome(), HoldReply::Unreachable);
     reply.clock = WorkerClock(wire.clock());
     reply.startedAtMs = wire.born_ms();
     if (wire.running()) {
@@ -309,7 +310,7 @@
         reply.ended.reserve(wire.ended()->size());
         for (const auto *row : *wire.ended())
             reply.ended.push_back({row->number(), unpackTask(row->task()), row->attempt(),
-                                   unpackOutcome(row->outcome(), RunOutcome::Lost),
+                                   unpackValue(row->outcome(), RunOutcome::Lost),
                                    text(row->checkpoint())});
     }
     return reply;
@@ -357,6 +358,9 @@
     CellEnvelope envelope;
     envelope.correlation = wire->correlation();
     envelope.sentAt = Duration(wire->sent_at_ms());
+    // The verifier accepts a type without its message.
+    if (!wire->message())
+        throw ProtocolError("peer envelope has no message");
     switch (wire->message_type()) {
     case CellWire::Message::Hello: {
         const auto *hello = wire->message_as_Hello();
@@ -415,16 +419,16 @@
         break;
     case CellWire::Message::StartResponse:
         envelope.message = StartReply{
-            unpackOutcome(wire->message_as_StartResponse()->outcome(), StartReply::Unknown),
-            unpackOutcome(wire->message_as_StartResponse()->connection_fault(),
-                          ConnectionFault::Reset)};
+            unpackValue(wire->message_as_StartResponse()->outcome(), StartReply::Unknown),
+            unpackValue(wire->message_as_StartResponse()->connection_fault(),
+                        ConnectionFault::Reset)};
         break;
     case CellWire::Message::StopRequest:
         envelope.message = unpack(*wire->message_as_StopRequest());
         break;
     case CellWire::Message::StopResponse:
-        envelope.message = StopReply{
-            unpackOutcome(wire->message_as_StopResponse()->outcome(), StopReply::Unknown)};
+        envelope.message =
+            StopReply{unpackValue(wire->message_as_StopResponse()->outcome(), StopReply::Unknown)};
         break;
     case CellWire::Message::NONE:
         throw ProtocolError("peer message has an unknown type");
--- a/Libraries/Protocol/PeerMessages.cpp
+++ b/Libraries/Protocol/PeerMessages.cpp
@@ -131,6 +131,8 @@
 
 LookupReply decode(const Wire::LookupReply &wire)
 {
+    if (wire.outcome() < Wire::LookupOutcome::MIN || wire.outcome() > Wire::LookupOutcome::MAX)
+        throw ProtocolError("peer message has an unknown outcome");
     return {static_cast<LookupReply::Outcome>(wire.outcome()),
             wire.status(),
             text(wire.content_type()),
@@ -142,6 +144,9 @@
 
 PeerMessage decodeBody(const Wire::Envelope &envelope)
 {
+    // The verifier accepts a type without its body.
+    if (!envelope.body())
+        throw ProtocolError("peer envelope has no body");
     switch (envelope.body_type()) {
     case Wire::Body::Heartbeat:
         return decode(*envelope.body_as_Heartbeat());
