--- a/Tests/Unit/PlatformWorkersTest.cpp
+++ b/Tests/Unit/PlatformWorkersTest.cpp
@@ -166,3 +166,28 @@
                       });
     CHECK(startAt({"127.0.0.1", StatusPort}).outcome == StartReply::Unknown);
 }
+
+// Guards against a report that is taken for one of another task.
+TEST_CASE("Report that names a task with more parts than a task's name has is unreadable",
+          "[platform]")
+{
+    const std::string name = GENERATE("0123456789abcdef.0.0.1", "0123456789abcdef.0.0.1x",
+                                      "0123456789abcdef.0.0.1.2", "0123456789abcdef.0.0.1 ");
+    INFO(name);
+    const std::string body =
+        R"({"clockMs":5,"born":1,"running":[[")" + name + R"(",1,"",0]],"finished":[]})";
+    UnansweringServer worker({}, {}, {"200 OK", body});
+    asio::io_context context(1);
+    HttpClient client(context, 8);
+    PlatformWorkers workers(client, context, {});
+    HoldReply result;
+    HoldCall hold;
+    hold.to = targetAt(worker.address());
+    workers.hold(std::move(hold), [&](const HoldReply &reply) {
+        result = reply;
+        context.stop();
+    });
+    context.run();
+    const bool isTask = name.ends_with(".1");
+    CHECK(result.outcome == (isTask ? HoldReply::Answered : HoldReply::Unreachable));
+}
