--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -176,6 +176,23 @@
     CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[{"count":-1}]})"), ProtocolError);
 }
 
+// Guards against a deadline that a header does not give.
+TEST_CASE("Client's timeout is read only from a header that is a number", "[platform]")
+{
+    const auto timeoutOf = [](const std::string &text) {
+        HttpRequest request;
+        request.headers["x-deadline-ms"] = text;
+        return clientTimeout(request);
+    };
+    CHECK(timeoutOf("1500") == Duration(1500));
+    CHECK(timeoutOf("99999999999") == Duration(3'600'000));
+    CHECK(timeoutOf("-5") == Duration(0));
+    for (const char *text : {"", "1500ms", "1500 200", "15.5", "0x10", "many"}) {
+        INFO(text);
+        CHECK(timeoutOf(text) == Duration(0));
+    }
+}
+
 TEST_CASE("Refusal gives the time until a retry in whole seconds", "[platform]")
 {
     ClientReply reply;
