--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -176,6 +176,17 @@
     CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[{"count":-1}]})"), ProtocolError);
 }
 
+// Guards against a leader that runs out of memory over one job, which it may already have accepted.
+TEST_CASE("Job with too many steps for its occurrences is refused as malformed", "[platform]")
+{
+    std::string steps = R"({"count":0})";
+    for (int count = 1; count < 100; ++count)
+        steps += R"(,{"count":0})";
+    CHECK_NOTHROW(decodeWorkflow(R"({"steps":[)" + steps + R"(],"repeatCount":1000})"));
+    CHECK_THROWS_AS(decodeWorkflow(R"({"steps":[)" + steps + R"(],"repeatCount":1001})"),
+                    ProtocolError);
+}
+
 // Guards against a deadline that a header does not give.
 TEST_CASE("Client's timeout is read only from a header that is a number", "[platform]")
 {
