HttpServer: An error body is JSON whatever the error quotes

The text of an exception, which may quote the request, was put into the body as it is. Seen failing on for a quotation mark, a line break and a byte that is not UTF-8 in "Request whose handler fails gets an error body that is JSON".

--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "Transport/TransportError.h"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
 
 #include <atomic>
@@ -117,6 +118,13 @@
 
 namespace {
 
+/** @return a JSON object that names @p error, which may hold any bytes. */
+std::string errorBody(const std::string &error)
+{
+    const nlohmann::json body = {{"error", "request not understood: " + error}};
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 /** @return settings with a RESTinio handler that passes whole requests to @p handler. */
 restinio::server_settings_t<ServerTraits>
 makeSettings(const Endpoint &address, const HttpServerLimits &limits, HttpServer::Handler handler,
@@ -139,8 +147,7 @@
         try {
             handler(convert(request), respond);
         } catch (const std::exception &error) {
-            respond(
-                {400, fmt::format("{{\"error\":\"request not understood: {}\"}}", error.what())});
+            respond({400, errorBody(error.what())});
         }
         return restinio::request_accepted();
     };
--- a/Tests/Unit/HttpServerTest.cpp
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -1,5 +1,6 @@
 #include "Transport/HttpServer.h"
 #include "EndToEnd/PortReservation.h"
+#include "Protocol/Json.h"
 #include "Transport/HttpClient.h"
 
 #include <asio.hpp>
@@ -67,6 +68,26 @@
         CHECK(result.get_future().get().outcome == HttpResult::Unknown);
 }
 
+// Guards against an error body that is not JSON, because the error's text quotes the request.
+TEST_CASE("Request whose handler fails gets an error body that is JSON", "[transport]")
+{
+    const std::string text = GENERATE("a \"quoted\" key", "line\nbreak", "not \xff UTF-8");
+    const PortReservation port(static_cast<unsigned>(getpid()));
+    HttpServer server(
+        Endpoint{"127.0.0.1", port.port()}, HttpServerLimits(),
+        [&text](const HttpRequest &, const HttpResponder &) { throw std::runtime_error(text); });
+    HttpClient client;
+    std::promise<HttpResult> result;
+    HttpCall call;
+    call.url = "http://127.0.0.1:" + std::to_string(port.port()) + "/";
+    call.timeout = Duration(5000);
+    client.send(std::move(call), [&result](const HttpResult &answer) { result.set_value(answer); });
+    const HttpResult answer = result.get_future().get();
+    CHECK(answer.status == 400);
+    INFO(answer.body);
+    CHECK(Json::accept(answer.body));
+}
+
 namespace {
 
 /** A server whose responses exceed what the sockets' buffers hold, and a client that has requested
