cranberrymountd: A release that ends after the shutdown's deadline finds its promise

The callback of releaseAll() held a reference to a promise on the stack of shutDown(), which goes on at its deadline; a second call of it would throw. The promise is shared now and completed once.

--- a/Services/cranberrymountd/main.cpp
+++ b/Services/cranberrymountd/main.cpp
@@ -1,3 +1,4 @@
+#include "Service/AwaitCompletion.h"
 #include "Service/EntryApi.h"
 #include "Service/EntryNode.h"
 #include "Service/ServiceMain.h"
@@ -6,7 +7,6 @@
 #include <glog/logging.h>
 
 #include <csignal>
-#include <future>
 #include <thread>
 
 namespace {
@@ -39,11 +39,10 @@
     node.announceLeaving();
     std::this_thread::sleep_for(LeaveDetectionTime);
     waitUntil(deadline, [&node] { return node.slots().slotsInUse() == 0; });
-    std::promise<void> releasePromise;
-    const auto released = releasePromise.get_future();
-    node.runOnControlThread(
-        [&] { node.controlPlane().releaseAll([&releasePromise] { releasePromise.set_value(); }); });
-    released.wait_until(deadline);
+    awaitCompletion(deadline, [&node](std::function<void()> done) {
+        node.runOnControlThread(
+            [&node, done = std::move(done)] { node.controlPlane().releaseAll(done); });
+    });
     server.stopAccepting();
     waitUntil(deadline, [&server] {
         return server.requestsInFlight() == 0 && server.responsesUnwritten() == 0;
