--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -86,11 +86,19 @@
     CHECK(m_cell.viewReads <= 20);
 }
 
-TEST_CASE_METHOD(CellFixture, "Superseded leader neither accepts nor stores a job", "[cell]")
+TEST_CASE_METHOD(CellFixture,
+                 "Superseded leader neither accepts nor stores a job, and sends no command",
+                 "[cell]")
 {
     CellScheduler &old = m_cell.leader();
+    const LeaderProcess &former = m_cell.leaderProcess();
+    // Its runs and waiting tasks would give the former leader reasons for all kinds of commands.
+    m_cell.submit(60, Small, Duration(1500));
+    m_cell.run(Duration(500));
+    REQUIRE(former.startsSent > 0);
     m_cell.elect();
     m_cell.run(Duration(1000));
+    const std::size_t commands = former.commandsSent;
     const JobId job("00000000000000aa");
     ClientCall call;
     call.kind = ClientCall::Submit;
@@ -106,6 +114,7 @@
     m_cell.run(Duration(3000));
     CHECK_FALSE(isAccepted);
     CHECK(m_cell.call(ClientCall::Status, job).outcome == ClientReply::NoSuchJob);
+    CHECK(former.commandsSent == commands);
 }
 
 TEST_CASE_METHOD(CellFixture, "Job is refused at once while the store is down", "[cell]")
