Tests: Shares of 3:1 divide a full shard of 80 places as 60 and 20

The present test accepts 4 of 8 places for a share of 3:1, and 4 is what the scheduler gives: it places up to four tasks of a team in one turn, so half of a shard of eight places is one turn. It stays; the new test checks the proportion where a turn is small beside the shard, to within one turn.

--- a/Tests/Unit/ShardSchedulerTest.cpp
+++ b/Tests/Unit/ShardSchedulerTest.cpp
@@ -161,6 +161,22 @@
     CHECK(placedCount("more") >= 1);
 }
 
+TEST_CASE_METHOD(SchedulerFixture,
+                 "Full shard is divided by the teams' shares but for the tasks of one turn",
+                 "[scheduler]")
+{
+    constexpr int TasksPerTurn = 4;
+    for (int number = 2; number < 20; ++number)
+        view.workers.push_back({WorkerId("w" + std::to_string(number)),
+                                RackId("r" + std::to_string(number)), FourCores, FourCores});
+    view.teams[TeamId("red")].share = 3.0;
+    addWaitingJob("much", "red", BatchPolicy(), 100, Duration(1000));
+    addWaitingJob("more", "blue", BatchPolicy(), 100, Duration(9000));
+    decide();
+    CHECK(placedCount("much") + placedCount("more") == 80);
+    CHECK(std::abs(static_cast<int>(placedCount("much")) - 60) <= TasksPerTurn);
+}
+
 TEST_CASE_METHOD(SchedulerFixture, "Team stays within its slice", "[scheduler]")
 {
     view.teams[TeamId("red")].slice = OneCore.times(3);
