HttpStore: Call each callback once

A callback that failed over a JSON error was called again as if the store had not answered, so a write whose answer had been used counted as in doubt, and a client could be answered twice. Only the response is decoded under the guard now; those who decode stored values (configuration, escrow, shard records, claims, plans) treat a malformed one as they treated the second call: as a read without an answer.

--- a/Libraries/Coordination/ClaimRegistry.cpp
+++ b/Libraries/Coordination/ClaimRegistry.cpp
@@ -1,6 +1,6 @@
 #include "Coordination/ClaimRegistry.h"
 
-#include "Protocol/Json.h"
+#include "Protocol/StoredValue.h"
 #include "Transport/FirstCallOnly.h"
 
 namespace Cranberrymount {
@@ -68,9 +68,13 @@
             // blocks retries.
             return done({ClaimResult::NotRun});
         }
-        const Json claim = parseJson(read.entries.front().value);
-        const bool isMine = wasUnknown && claim.at("nonce").get<std::string>() == nonce;
-        done(isMine ? ClaimResult{ClaimResult::Claimed} : decodeClaim(claim, digest));
+        const StoreEntry &entry = read.entries.front();
+        const auto result = decodeStored(entry.key, [&] {
+            const Json claim = parseJson(entry.value);
+            const bool isMine = wasUnknown && claim.at("nonce").get<std::string>() == nonce;
+            return isMine ? ClaimResult{ClaimResult::Claimed} : decodeClaim(claim, digest);
+        });
+        done(result.value_or(ClaimResult{ClaimResult::NotRun}));
     });
 }
 
@@ -95,7 +99,10 @@
     const auto written = [done = std::move(done)](const StoreWrite &) { done(); };
     if (reply.outcome == LookupReply::NotRun)
         return m_store.remove(key, entry.revision, written);
-    Json claim = parseJson(entry.value);
+    auto stored = decodeStored(key, [&entry] { return parseJson(entry.value); });
+    if (!stored || !stored->is_object())
+        return done();
+    Json &claim = *stored;
     const bool isKept = reply.body.size() <= MaxKeptReplyBytes;
     claim["status"] = reply.status;
     claim["content_type"] = isKept ? reply.contentType : "application/json";
--- a/Libraries/Coordination/ConfigurationManager.cpp
+++ b/Libraries/Coordination/ConfigurationManager.cpp
@@ -1,6 +1,6 @@
 #include "Coordination/ConfigurationManager.h"
 
-#include "Protocol/Json.h"
+#include "Protocol/StoredValue.h"
 
 #include <glog/logging.h>
 
@@ -159,9 +159,12 @@
         const StoreEntry &entry = read.entries.front();
         stored = entry.revision;
         if (stored > m_configuration->revision) {
-            auto configuration = decodeJson<Configuration>(entry.value);
-            configuration.revision = stored;
-            applyConfiguration(std::move(configuration));
+            auto configuration = decodeStored(
+                entry.key, [&entry] { return decodeJson<Configuration>(entry.value); });
+            if (!configuration)
+                return;
+            configuration->revision = stored;
+            applyConfiguration(std::move(*configuration));
         }
     }
     applyEvidence(stored, askedAt);
--- a/Libraries/Coordination/EscrowManager.cpp
+++ b/Libraries/Coordination/EscrowManager.cpp
@@ -1,6 +1,6 @@
 #include "Coordination/EscrowManager.h"
 
-#include "Protocol/Json.h"
+#include "Protocol/StoredValue.h"
 
 namespace Cranberrymount {
 
@@ -143,18 +143,22 @@
                          return;
                      TeamSlice &slice = m_teams[team];
                      slice.isBusy = false;
-                     if (!read.answered) {
+                     const auto isApplied = decodeStored(escrowKey(team), [&] {
+                         if (read.answered)
+                             applyRecord(slice, read);
+                         return read.answered;
+                     });
+                     if (!isApplied.value_or(false)) {
                          slice.nextTryAt = m_timers.now() + m_settings.retryDelay;
                          return;
                      }
-                     applyRecord(slice, read);
                      advance(team);
                  });
 }
 
 void EscrowManager::applyRecord(TeamSlice &slice, const StoreRead &read)
 {
-    slice.isRead = true;
+    slice.isRead = false;
     slice.slices.clear();
     slice.revision = Revision();
     slice.recordLimitRevision = Revision();
@@ -169,6 +173,7 @@
             slice.limitRevision = slice.recordLimitRevision;
         }
     }
+    slice.isRead = true;
     // Another shard may have shrunk all slices to fit a lowered limit.
     slice.usable = slice.usable.cappedAt(slice.slices[m_shard]);
 }
--- a/Libraries/Coordination/RecordWriter.cpp
+++ b/Libraries/Coordination/RecordWriter.cpp
@@ -1,6 +1,6 @@
 #include "Coordination/RecordWriter.h"
 
-#include "Protocol/Json.h"
+#include "Protocol/StoredValue.h"
 
 namespace Cranberrymount {
 
@@ -9,6 +9,13 @@
 /** Edits within this time share one write. */
 constexpr Duration GroupingDelay{20};
 
+/** @return the record in a read that has one; nothing if it is malformed. */
+std::optional<ShardRecord> decodeRecord(const StoreRead &read)
+{
+    const StoreEntry &entry = read.entries.front();
+    return decodeStored(entry.key, [&entry] { return decodeJson<ShardRecord>(entry.value); });
+}
+
 } // namespace
 
 std::string recordKey(const ShardId &shard)
@@ -32,13 +39,15 @@
                   done = std::move(done)](const StoreRead &read) mutable {
                      if (alive.expired())
                          return;
-                     if (!read.answered) {
+                     const bool isPresent = read.answered && !read.entries.empty();
+                     auto stored = isPresent ? decodeRecord(read) : std::nullopt;
+                     if (!read.answered || (isPresent && !stored)) {
                          return retry([this, epoch, done = std::move(done)]() mutable {
                              takeOver(epoch, std::move(done));
                          });
                      }
-                     if (!read.entries.empty()) {
-                         m_record = decodeJson<ShardRecord>(read.entries.front().value);
+                     if (stored) {
+                         m_record = std::move(*stored);
                          m_revision = read.entries.front().revision;
                          if (m_record.epoch >= epoch)
                              return handleOwnershipLoss();
@@ -148,11 +157,13 @@
 {
     if (read.entries.empty())
         return handleWritten(0, Revision());
-    const auto stored = decodeJson<ShardRecord>(read.entries.front().value);
+    const auto stored = decodeRecord(read);
+    if (!stored)
+        return retry([this] { readBack(); });
     // Another owner may have held the shard in between; this copy lacks its changes.
-    if (!m_ownEpochs.contains(stored.epoch))
+    if (!m_ownEpochs.contains(stored->epoch))
         return handleOwnershipLoss();
-    const uint64_t sequence = stored.epoch == m_record.epoch ? stored.sequence : 0;
+    const uint64_t sequence = stored->epoch == m_record.epoch ? stored->sequence : 0;
     handleWritten(sequence, read.entries.front().revision);
 }
 
--- a/Libraries/Protocol/HttpStore.cpp
+++ b/Libraries/Protocol/HttpStore.cpp
@@ -60,6 +60,20 @@
     return lease;
 }
 
+/** @return the decoded response; a malformed one counts as none. */
+template <typename Reply>
+Reply decodeOrUnknown(Reply (*decode)(const HttpResult &), const HttpResult &result)
+{
+    try {
+        return decode(result);
+    } catch (const Json::exception &error) {
+        LOG(ERROR) << "event=store_answer_malformed error=\"" << error.what() << "\"";
+    } catch (const ProtocolError &error) {
+        LOG(ERROR) << "event=store_answer_malformed error=\"" << error.what() << "\"";
+    }
+    return decode({HttpResult::Unknown, 0, {}, {}, "malformed response"});
+}
+
 } // namespace
 
 HttpStore::HttpStore(HttpClient &client, asio::io_context &control, std::string baseUrl,
@@ -71,20 +85,14 @@
 {
 }
 
-void HttpStore::send(HttpCall call, std::function<void(HttpResult)> done)
+template <typename Reply>
+void HttpStore::send(HttpCall call, Reply (*decode)(const HttpResult &),
+                     std::function<void(Reply)> done)
 {
     ++m_calls;
-    m_client.send(std::move(call), [this, done = std::move(done)](HttpResult result) {
-        asio::post(m_control, [done, result = std::move(result)] {
-            try {
-                done(result);
-            } catch (const Json::exception &error) {
-                LOG(ERROR) << "event=store_answer_malformed error=\"" << error.what() << "\"";
-                done({HttpResult::Unknown, 0, {}, {}, "malformed response"});
-            } catch (const ProtocolError &error) {
-                LOG(ERROR) << "event=store_answer_malformed error=\"" << error.what() << "\"";
-                done({HttpResult::Unknown, 0, {}, {}, "malformed response"});
-            }
+    m_client.send(std::move(call), [this, decode, done = std::move(done)](HttpResult result) {
+        asio::post(m_control, [decode, done, result = std::move(result)] {
+            done(decodeOrUnknown(decode, result));
         });
     });
 }
@@ -92,8 +100,7 @@
 void HttpStore::readUrl(const std::string &path, Duration timeout,
                         std::function<void(StoreRead)> done)
 {
-    send({"GET", m_baseUrl + path, {}, {}, timeout},
-         [done = std::move(done)](const HttpResult &result) { done(decodeRead(result)); });
+    send({"GET", m_baseUrl + path, {}, {}, timeout}, &decodeRead, std::move(done));
 }
 
 void HttpStore::read(const std::string &key, std::function<void(StoreRead)> done)
@@ -121,8 +128,7 @@
     HttpCall call{"PUT", m_baseUrl + "/kv/" + put.key, body.dump(), {}, m_timeout};
     // A copy would conflict with the first one.
     call.sendsBodyOnce = true;
-    send(std::move(call),
-         [done = std::move(done)](const HttpResult &result) { done(decodeWrite(result)); });
+    send(std::move(call), &decodeWrite, std::move(done));
 }
 
 void HttpStore::remove(const std::string &key, Revision expected,
@@ -133,14 +139,13 @@
           {},
           {},
           m_timeout},
-         [done = std::move(done)](const HttpResult &result) { done(decodeWrite(result)); });
+         &decodeWrite, std::move(done));
 }
 
 void HttpStore::leaseCall(const std::string &method, const std::string &path,
                           const std::string &body, std::function<void(StoreLease)> done)
 {
-    send({method, m_baseUrl + path, body, {}, m_timeout},
-         [done = std::move(done)](const HttpResult &result) { done(decodeLease(result)); });
+    send({method, m_baseUrl + path, body, {}, m_timeout}, &decodeLease, std::move(done));
 }
 
 void HttpStore::createLease(Duration ttl, std::function<void(StoreLease)> done)
--- a/Libraries/Service/PlanApi.cpp
+++ b/Libraries/Service/PlanApi.cpp
@@ -1,6 +1,6 @@
 #include "Service/PlanApi.h"
 
-#include "Protocol/ProtocolError.h"
+#include "Protocol/StoredValue.h"
 
 #include <algorithm>
 
@@ -119,7 +119,11 @@
             return done({503, {{"error", "the store cannot be reached"}}});
         if (read.entries.empty())
             return done({404, {{"error", "no plan has the id " + id.value()}}});
-        Json plan = parseJson(read.entries.front().value);
+        const StoreEntry &entry = read.entries.front();
+        auto stored = decodeStored(entry.key, [&entry] { return parseJson(entry.value); });
+        if (!stored || !stored->is_object())
+            return done({503, {{"error", "the stored plan is malformed"}}});
+        Json &plan = *stored;
         plan.erase("base");
         const auto decision =
             findDecision(*m_node.controlPlane().configurationManager().configuration(), id);
@@ -138,17 +142,25 @@
             }
             if (read.entries.empty())
                 return done({404, {{"error", "no plan has the id " + id.value()}}});
-            applyDecision(id, decision, parseJson(read.entries.front().value), done);
+            const StoreEntry &entry = read.entries.front();
+            const auto plan = decodeStored(entry.key, [&entry] {
+                const Json json = parseJson(entry.value);
+                return StoredPlan{intentFromJson(json.at("intent")),
+                                  json.at("base").get<Configuration>()};
+            });
+            if (!plan) {
+                return done(
+                    {503, {{"error", "the stored plan is malformed"}, {"outcome", "not-run"}}});
+            }
+            applyDecision(id, decision, *plan, done);
         });
 }
 
-void PlanApi::applyDecision(const PlanId &id, PlanDecision decision, const Json &plan,
+void PlanApi::applyDecision(const PlanId &id, PlanDecision decision, const StoredPlan &plan,
                             const Done &done)
 {
-    const Intent intent = intentFromJson(plan.at("intent"));
-    const auto base = plan.at("base").get<Configuration>();
     auto refusal = std::make_shared<Json>();
-    const auto change = [=](Configuration &configuration) {
+    const auto change = [=, intent = plan.intent, base = plan.base](Configuration &configuration) {
         if (const auto earlier = findDecision(configuration, id)) {
             *refusal = {{"decided", decisionName(*earlier)}};
             return false;
--- a/Libraries/Service/PlanApi.h
+++ b/Libraries/Service/PlanApi.h
@@ -37,7 +37,14 @@
 
 private:
     void store(const PlanId &id, Json plan, Done done);
-    void applyDecision(const PlanId &id, PlanDecision decision, const Json &plan, const Done &done);
+    /** What a plan in the store would do, and to which configuration. */
+    struct StoredPlan
+    {
+        Intent intent;
+        Configuration base;
+    };
+    void applyDecision(const PlanId &id, PlanDecision decision, const StoredPlan &plan,
+                       const Done &done);
 
     EntryNode &m_node;
 };
