EntryNode, EntryApi: A failed callback ends no process and leaves no caller waiting

An exception in a callback ended cranberrymountd (SIGABRT on in "Entry goes on after an action on its control thread has failed"); a malformed reply of another entry, or a path that is not UTF-8, left the caller without a response ("Request is answered although...", "Request for a name that is not UTF-8..."), since gather() called its callback again within the handling of the error. The threads go on after a failed callback; replies that are not JSON count as missing, others that cannot be used get 502; error texts are written as UTF-8.

--- a/Libraries/Coordination/ControlPlane.cpp
+++ b/Libraries/Coordination/ControlPlane.cpp
@@ -209,7 +209,8 @@
         m_peers.call(member.heartbeat.address, call, trace, ControlCallTimeout,
                      [collection, finished, id = member.heartbeat.from](const PeerResult &result) {
                          const auto *reply = std::get_if<ControlReply>(&result.message);
-                         if (result.outcome == PeerResult::Answered && reply)
+                         if (result.outcome == PeerResult::Answered && reply
+                             && Json::accept(reply->body))
                              collection->gathered.replies.push_back({id, *reply});
                          else
                              collection->gathered.unresponsive.push_back(id);
--- a/Libraries/Service/EntryApi.cpp
+++ b/Libraries/Service/EntryApi.cpp
@@ -19,7 +19,8 @@
 
 HttpResponse jsonResponse(int status, const Json &body)
 {
-    HttpResponse response{status, body.dump() + "\n"};
+    // A request's path, which an error may quote, need not be UTF-8.
+    HttpResponse response{status, body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
     if (body.is_object() && body.contains("outcome"))
         response.headers["X-Outcome"] = body.at("outcome").get<std::string>();
     return response;
@@ -189,7 +190,8 @@
 {
     runOnControlThread(respond, [this, id, respond] {
         m_node.controlPlane().gather(
-            {"trace", id}, {}, [id, respond](const GatheredReplies &gathered) {
+            {"trace", id}, {},
+            answering(respondWith(respond), [id, respond](const GatheredReplies &gathered) {
                 Json hops = Json::array();
                 for (const GatheredReply &reply : gathered.replies) {
                     for (const Json &hop : parseJson(reply.reply.body))
@@ -205,7 +207,7 @@
                                      {{"id", id},
                                       {"hops", hops},
                                       {"silent_entries", gathered.unresponsive.size()}}));
-            });
+            }));
     });
 }
 
@@ -312,7 +314,8 @@
 {
     runOnControlThread(respond, [this, respond] {
         m_node.controlPlane().gather(
-            {"status", {}}, {}, [this, respond](const GatheredReplies &gathered) {
+            {"status", {}}, {},
+            answering(respondWith(respond), [this, respond](const GatheredReplies &gathered) {
                 Json entries = Json::array();
                 for (const GatheredReply &reply : gathered.replies)
                     entries.push_back(parseJson(reply.reply.body));
@@ -332,7 +335,7 @@
                                       {"zones_out", zonesOutOfService},
                                       {"entries", entries},
                                       {"silent_entries", unresponsive}}));
-            });
+            }));
     });
 }
 
--- a/Libraries/Service/EntryNode.cpp
+++ b/Libraries/Service/EntryNode.cpp
@@ -4,6 +4,7 @@
 #include "Transport/BootClock.h"
 
 #include <asio/post.hpp>
+#include <glog/logging.h>
 
 #include <algorithm>
 
@@ -15,6 +16,18 @@
 constexpr Duration DayLeaseTtl{86'400'000};
 constexpr std::size_t IncarnationBytes = 8;
 
+/** Runs the callbacks of @p context until it is stopped. One that fails ends no others. */
+void runCallbacks(asio::io_context &context)
+{
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (const std::exception &error) {
+            LOG(ERROR) << "event=callback_failed error=" << error.what();
+        }
+    }
+}
+
 ControlPlane::Settings controlPlaneSettings(const Settings &settings, Tracer &tracer)
 {
     ControlPlane::Settings result;
@@ -82,8 +95,8 @@
 
 void EntryNode::start()
 {
-    m_trafficThread = std::thread([this] { m_traffic.run(); });
-    m_controlThread = std::thread([this] { m_control.run(); });
+    m_trafficThread = std::thread([this] { runCallbacks(m_traffic); });
+    m_controlThread = std::thread([this] { runCallbacks(m_control); });
     runOnControlThread([this] {
         m_claims.start();
         m_dayLease.start();
--- a/Libraries/Service/JobApi.cpp
+++ b/Libraries/Service/JobApi.cpp
@@ -225,11 +225,11 @@
         });
 }
 
-void JobApi::show(const JobId &id, const TeamId &team, const std::string &trace, Done done)
+void JobApi::show(const JobId &id, const TeamId &team, const std::string &trace, const Done &done)
 {
     m_node.controlPlane().gather(
         {"job", id.value()}, trace,
-        [this, id, team, done = std::move(done)](const GatheredReplies &gathered) {
+        answering(done, [this, id, team, done](const GatheredReplies &gathered) {
             Json views = Json::array();
             for (const GatheredReply &reply : gathered.replies) {
                 for (const Json &view : parseJson(reply.reply.body)) {
@@ -250,13 +250,13 @@
             const auto age = m_node.controlPlane().configurationManager().evidenceAge();
             merged["configuration_age_ms"] = age ? age->count() : -1;
             done({200, std::move(merged)});
-        });
+        }));
 }
 
-void JobApi::list(const TeamId &team, const std::string &trace, Done done)
+void JobApi::list(const TeamId &team, const std::string &trace, const Done &done)
 {
     m_node.controlPlane().gather({"jobs", {}}, trace,
-                                 [team, done = std::move(done)](const GatheredReplies &gathered) {
+                                 answering(done, [team, done](const GatheredReplies &gathered) {
                                      Json summaries = Json::array();
                                      for (const GatheredReply &reply : gathered.replies) {
                                          for (const Json &summary : parseJson(reply.reply.body)) {
@@ -267,7 +267,7 @@
                                      done({200,
                                            {{"jobs", mergeJobSummaries(summaries)},
                                             {"silent_entries", gathered.unresponsive.size()}}});
-                                 });
+                                 }));
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Service/JobApi.h
+++ b/Libraries/Service/JobApi.h
@@ -24,8 +24,8 @@
     void submit(Json job, const TeamId &team, const std::string &trace, Done done);
     // The next three cover only jobs of @p team, or all jobs if it is empty.
     void cancel(const JobId &id, const TeamId &team, const std::string &trace, Done done);
-    void show(const JobId &id, const TeamId &team, const std::string &trace, Done done);
-    void list(const TeamId &team, const std::string &trace, Done done);
+    void show(const JobId &id, const TeamId &team, const std::string &trace, const Done &done);
+    void list(const TeamId &team, const std::string &trace, const Done &done);
 
 private:
     /** Records @p home as the home shard of a job whose id the submitter chose, then admits the job
--- a/Libraries/Service/PlanApi.cpp
+++ b/Libraries/Service/PlanApi.cpp
@@ -89,12 +89,13 @@
     const auto *drain = std::get_if<DrainZone>(&intent);
     if (!drain)
         return store(id, std::move(plan), std::move(done));
-    m_node.controlPlane().gather({"status", {}}, trace,
-                                 [this, id, plan = std::move(plan), zone = drain->zone,
-                                  done = std::move(done)](const GatheredReplies &status) mutable {
-                                     plan["forecast"] = forecastDrain(zone, status);
-                                     store(id, std::move(plan), std::move(done));
-                                 });
+    m_node.controlPlane().gather(
+        {"status", {}}, trace,
+        answering(done, [this, id, plan, zone = drain->zone, done](const GatheredReplies &status) {
+            Json planWithForecast = plan;
+            planWithForecast["forecast"] = forecastDrain(zone, status);
+            store(id, std::move(planWithForecast), done);
+        }));
 }
 
 void PlanApi::store(const PlanId &id, Json plan, Done done)
--- a/Libraries/Service/PlanApi.h
+++ b/Libraries/Service/PlanApi.h
@@ -2,19 +2,13 @@
 
 #include "Service/EntryNode.h"
 #include "Service/Intent.h"
+#include "Service/JsonResponse.h"
 
 #include <functional>
 #include <string>
 
 namespace Cranberrymount {
 
-/** An HTTP response with a JSON body. */
-struct JsonResponse
-{
-    int status = 200;
-    Json body;
-};
-
 /**
  * Plans: the changes that an intent would make. A plan stays in the store for 12 to 24 hours, in
  * which an operator can confirm or reject it.
