ShardController: Answer a repeated submission in time

A submission of a job whose record was being written waited until the write ended, however long the store was down; only the first one had a limit. Seen failing without the change in "Repeated submission is answered in time...".

--- a/Libraries/Coordination/ShardController.cpp
+++ b/Libraries/Coordination/ShardController.cpp
@@ -737,12 +737,15 @@
     const auto &admitted = m_record.record().admitted;
     const auto known = std::find_if(admitted.begin(), admitted.end(),
                                     [&spec](const auto &job) { return job.job == spec.id; });
+    const auto once = firstCallOnly(std::move(done));
     if (known != admitted.end()) {
         const auto outcome = known->digest == digest ? AdmissionOutcome::AlreadyRecorded
                                                      : AdmissionOutcome::NameTaken;
-        return m_record.whenRecorded([done, outcome](bool recorded) {
-            done(recorded ? outcome : AdmissionOutcome::Unknown);
+        m_record.whenRecorded([once, outcome](bool recorded) {
+            once(recorded ? outcome : AdmissionOutcome::Unknown);
         });
+        m_timers.after(m_settings.admissionTimeout, [once] { once(AdmissionOutcome::Unknown); });
+        return;
     }
     JobPortion portion;
     portion.spec = spec;
@@ -755,7 +758,6 @@
         record.admitted.erase(record.admitted.begin());
     m_jobStates[spec.id].waitingSince = m_timers.now();
     addHistory(spec.id, "admitted by " + m_self.value() + " to shard " + m_shard.value());
-    const auto once = firstCallOnly(std::move(done));
     m_record.whenRecorded([this, once, alive = std::weak_ptr(m_alive)](bool recorded) {
         once(recorded ? AdmissionOutcome::Recorded : AdmissionOutcome::Unknown);
         if (!alive.expired())
