--- a/Meta/cranberrymount.sh
+++ b/Meta/cranberrymount.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs packages, builds and runs one of: demo | test | soak | check | guards | bench | lint | build
+# Installs packages, builds and runs one of: demo | test | soak | check | guards | fuzz | bench | lint | build
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-Build}
@@ -34,6 +34,10 @@
     Meta/install.sh
     exec bash Meta/guards.sh "${@:2}"
     ;;
+fuzz)
+    Meta/install.sh
+    exec bash Meta/fuzz.sh "${@:2}"
+    ;;
 bench)
     build
     exec "$BUILD/bench" "${@:2}"
@@ -43,7 +47,7 @@
     exec bash Meta/lint.sh "$BUILD"
     ;;
 *)
-    echo "usage: Meta/cranberrymount.sh demo|test|soak|check|guards|bench|lint|build" >&2
+    echo "usage: Meta/cranberrymount.sh demo|test|soak|check|guards|fuzz|bench|lint|build" >&2
     exit 2
     ;;
 esac
