--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -263,13 +263,19 @@
         return;
     if (m_openReadBacks >= MaxOpenReadBacks)
         return awaitAnswer(commit);
-    if (!m_resends.takeExtraCall()) {
-        m_observer.count("store_extra_calls_refused", 1);
+    if (!takeExtraCall())
         return awaitAnswer(commit);
-    }
     readBack(commit);
 }
 
+bool Journal::takeExtraCall()
+{
+    const bool isTaken = m_resends.takeExtraCall();
+    if (!isTaken)
+        m_observer.count("store_extra_calls_refused", 1);
+    return isTaken;
+}
+
 void Journal::readBack(const CommitHandle &commit)
 {
     ++commit->readBacks;
@@ -296,8 +302,11 @@
                      if (std::ranges::find(read.entries, written, &StoreEntry::value)
                          != read.entries.end())
                          return markWritten(commit, {1, commit->begin}, Evidence::Read);
-                     if (commit->lastTry == number)
-                         sendCommit(commit);
+                     if (commit->lastTry != number)
+                         return;
+                     if (!takeExtraCall())
+                         return awaitAnswer(commit);
+                     sendCommit(commit);
                  });
 }
 
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -151,6 +151,8 @@
     /** Checks after the usual response time whether the last try of @p commit was answered. */
     void awaitAnswer(const CommitHandle &commit);
     void checkAnswer(const CommitHandle &commit, uint32_t number);
+    /** Takes a call from the budget of calls beyond first tries. @return false if none is left. */
+    bool takeExtraCall();
     /** Reads the segment of @p commit, and sends the commit again if it is not there. */
     void readBack(const CommitHandle &commit);
     /** What has shown that a commit was executed. */
--- a/Tests/Unit/JournalTest.cpp
+++ b/Tests/Unit/JournalTest.cpp
@@ -381,9 +381,14 @@
     const Duration latency = GENERATE(Duration(4), Duration(100));
     m_store.latency = [latency] { return latency; };
     runUnderLoad(*m_leader, Duration(2000));
-    m_store.fate = [](int, const StoreTransaction &) { return Fate::Dropped; };
+    const uint32_t lostPercent = GENERATE(30, 50, 70, 100);
+    pcg32 random(1);
+    m_store.fate = [&random, lostPercent](int, const StoreTransaction &) {
+        return random(100) < lostPercent ? Fate::Dropped : Fate::Answered;
+    };
     const std::size_t before = m_store.extraCalls();
     runUnderLoad(*m_leader, Duration(10'000));
+    INFO("latency " << latency.count() << ", lost " << lostPercent << " of 100");
     const double budget = ResendPolicy::MaxExtraCallBurst + 10 * ResendPolicy::ExtraCallsPerSecond;
     CHECK(static_cast<double>(m_store.extraCalls() - before) <= budget);
     CHECK(m_leader->reachability.empty());
@@ -489,11 +494,13 @@
     m_leader->append(1);
     run(Duration(20));
     m_store.execute(m_store.held.front().transaction);
+    const Instant lostAt = m_events.now();
     m_store.claim("second");
     REQUIRE(runUntil([this] { return !m_store.heldReads.empty(); }, Duration(200)));
     if (isReadFirst)
         m_store.heldReads.front()();
     CHECK(m_leader->confirmed.size() == (isReadFirst ? 1 : 0));
+    CHECK(m_leader->journal.claimHeldAt() <= lostAt);
     // A copy conflicts; its first try would have been answered as written.
     const auto call = m_store.held.front();
     call.done(m_store.execute(call.transaction));
