--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -274,15 +274,20 @@
     // While the store is unreachable, probe() finds out when a further try makes sense.
     if (m_isSuperseded || commit->isWritten || commit->lastTry != number || !isReachable())
         return;
-    const bool hasFreeRead = m_openReadBacks < MaxOpenReadBacks;
-    if (hasFreeRead && m_resends.takeExtraCall())
+    if (m_openReadBacks < MaxOpenReadBacks && takeExtraCall())
         return readBack(commit);
-    if (hasFreeRead)
-        m_observer.count("store_extra_calls_refused", 1);
     m_timers.after(m_resends.delayAfter(1),
                    [this, commit, number] { checkAnswer(commit, number); });
 }
 
+bool Journal::takeExtraCall()
+{
+    const bool isTaken = m_resends.takeExtraCall();
+    if (!isTaken)
+        m_observer.count("store_extra_calls_refused", 1);
+    return isTaken;
+}
+
 void Journal::readBack(const CommitHandle &commit)
 {
     ++commit->readBacks;
@@ -309,8 +314,12 @@
                      if (std::ranges::find(read.entries, written, &StoreEntry::value)
                          != read.entries.end())
                          return markWritten(commit, {1, commit->begin}, Evidence::Read);
-                     if (commit->lastTry == number)
-                         sendCommit(commit);
+                     // After a refusal, the pauses of the refused tries say when to send again.
+                     if (commit->lastTry != number || !isReachable())
+                         return;
+                     if (!takeExtraCall())
+                         return awaitAnswer(commit);
+                     sendCommit(commit);
                  });
 }
 
@@ -461,7 +470,7 @@
         return scheduleCommit();
     }
     // An earlier try may have been executed, and its answer lost.
-    if (!m_commits.empty() && m_openReadBacks < MaxOpenReadBacks && m_resends.takeExtraCall())
+    if (!m_commits.empty() && m_openReadBacks < MaxOpenReadBacks && takeExtraCall())
         readBack(m_commits.front());
     if (m_timers.now() - m_lastResendAt >= MaxRetryPause)
         resendCommits();
