Leadership: A late answer is judged by what was known when the request was sent

A read of the claim that was answered late set the known claim back from 168 to 167, and the late answer to an earlier try then made the node leader.

Cause: handleLeader took any other revision for news.

Now the read and the list carry the claim that was known when they were sent. A read shows an older claim than the known one only if the known one was learned after it was sent, or if the store never had it (a false announcement), which the next read still corrects. Announcements end with their claim. Votes, offers, RegainGrace, announcement checks and claims were looked at: they compare the claim already.

Tests: "Late read of the claim..." and "Late list of members..." failed before. LeadershipTest runs in virtual time.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -173,16 +173,21 @@
 {
     if (m_isLeading)
         return endElection(Duration(0));
-    m_store.list(LeaderKey, [this](const StoreRead &read) { handleLeader(read); });
+    m_store.list(LeaderKey, [this, known = m_leader.revision](const StoreRead &read) {
+        handleLeader(read, known);
+    });
 }
 
-void Leadership::handleLeader(const StoreRead &read)
+void Leadership::handleLeader(const StoreRead &read, Revision known)
 {
     if (!read.answered || m_isLeading || m_isRetired)
         return endElection(ElectionPause);
     const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
     if (entry == read.entries.end())
         return claimVacantCell();
+    // A later claim was learned after the read was sent.
+    if (m_leader.revision != known && entry->revision < m_leader.revision)
+        return endElection(Duration(0));
     if (entry->revision != m_leader.revision) {
         try {
             recordLeader(*entry);
@@ -239,15 +244,18 @@
         return endElection(Duration(0));
     LOG(INFO) << "event=leader_suspected node=" << m_leader.node.value()
               << " claim=" << m_leader.revision.value() << " linked=" << m_peers.isLinked();
-    m_store.list(MemberPrefix, [this](const StoreRead &read) {
+    m_store.list(MemberPrefix, [this, claim = m_leader.revision](const StoreRead &read) {
         if (!read.answered || m_isLeading)
             return endElection(ElectionPause);
-        countVotes(read);
+        countVotes(claim, read);
     });
 }
 
-void Leadership::countVotes(const StoreRead &members)
+void Leadership::countVotes(Revision claim, const StoreRead &members)
 {
+    // The leader that was suspected has been replaced.
+    if (m_leader.revision != claim)
+        return endElection(Duration(0));
     struct Count
     {
         std::size_t members = 1;
@@ -257,7 +265,6 @@
         bool hasStronger = false;
     };
     const auto count = std::make_shared<Count>();
-    const Revision claim = m_leader.revision;
     const auto decide = [this, count, claim] {
         if (--count->awaited > 0)
             return;
@@ -375,22 +382,23 @@
     m_peers.follow(std::nullopt);
     LOG(INFO) << "event=leadership_won claim=" << revision.value();
     m_observer.won(revision, heldAt);
-    announce();
+    announce(revision);
 }
 
 /** Announces this leader to members without a link to it; they may be unable to read the store. */
-void Leadership::announce()
+void Leadership::announce(Revision claim)
 {
-    if (!m_isLeading)
+    if (!m_isLeading || m_leader.revision != claim)
         return;
-    m_store.list(MemberPrefix, [this](const StoreRead &read) {
-        if (!m_isLeading)
+    m_store.list(MemberPrefix, [this, claim](const StoreRead &read) {
+        if (!m_isLeading || m_leader.revision != claim)
             return;
         for (const CellMember &member : decodeMembers(read)) {
             if (member.node != m_self.node && !m_peers.hasFollower(member.node))
-                m_peers.announce(member.address, {m_leader.revision, m_self.node, m_self.address});
+                m_peers.announce(member.address, {claim, m_self.node, m_self.address});
         }
-        m_timers.after(read.answered ? AnnounceInterval : ElectionPause, [this] { announce(); });
+        m_timers.after(read.answered ? AnnounceInterval : ElectionPause,
+                       [this, claim] { announce(claim); });
     });
 }
 
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -71,13 +71,14 @@
     void tick();
     bool isLeaderHealthy() const;
     void readLeader();
-    void handleLeader(const StoreRead &read);
+    /** @param known the claim that this node knew when it sent the read */
+    void handleLeader(const StoreRead &read, Revision known);
     void awaitLeader();
     void recordLeader(const StoreEntry &entry);
     /** Opens a new link to the leader. */
     void followLeader();
     void callElection();
-    void countVotes(const StoreRead &members);
+    void countVotes(Revision claim, const StoreRead &members);
     /** @return true the first time for each @p claim: the node lets a stronger one claim first. */
     bool yieldsOnce(Revision claim);
     /** Claims leadership unless the holder of @p claim can use the store again. */
@@ -85,7 +86,7 @@
     void claimVacantCell();
     void claimLeadership(Revision expected);
     void becomeLeader(Revision revision, Instant heldAt);
-    void announce();
+    void announce(Revision claim);
     void endElection(Duration pause);
 
     TransactionalStore &m_store;
--- a/Tests/Unit/LeadershipHistoryTest.cpp
+++ b/Tests/Unit/LeadershipHistoryTest.cpp
@@ -306,8 +306,13 @@
     {
         m_events.at(m_events.now() + time, [this, action = std::move(action)] {
             action();
-            for (const auto &node : m_nodes)
-                node->known = std::max(node->known, node->leadership.claim());
+            for (const auto &node : m_nodes) {
+                const Revision claim = node->leadership.claim();
+                if (claim < node->known)
+                    find(node->self.node.value() + " goes back to claim "
+                         + std::to_string(claim.value()));
+                node->known = std::max(node->known, claim);
+            }
         });
     }
     /** Runs @p action in a node's process, which may be paused. */
--- a/Tests/Unit/LeadershipTest.cpp
+++ b/Tests/Unit/LeadershipTest.cpp
@@ -1,7 +1,9 @@
 // A node leads once for each claim that it has written, whatever becomes of its other tries.
 
-#include "Coordination/Leadership.h"
+#include "MemoryStore.h"
+
 #include "Coordination/Journal.h"
+#include "Coordination/Leadership.h"
 #include "Coordination/PeerHub.h"
 #include "Transport/AsioTimerService.h"
 
@@ -48,8 +50,12 @@
 
     void runFor(Duration time)
     {
-        m_context.restart();
-        m_context.run_for(time);
+        constexpr Duration Step{5};
+        for (Duration passed{0}; passed < time; passed += Step) {
+            m_context.restart();
+            m_context.poll();
+            m_events.runUntil(m_events.now() + Step);
+        }
     }
 
     /** Waits until the node has sent @p count tries. @return true if it has */
@@ -74,7 +80,10 @@
             read.entries.push_back(m_claim);
         else
             read.entries = m_members;
-        asio::post(m_context, [read, done = std::move(done)] { done(read); });
+        if (prefix == LeaderKey ? m_holdsClaimReads : m_holdsMemberReads)
+            m_heldReads.push_back([read, done = std::move(done)] { done(read); });
+        else
+            m_events.at(m_events.now(), [read, done = std::move(done)] { done(read); });
     }
     void commit(StoreTransaction transaction, std::function<void(CommitResult)> done) override
     {
@@ -89,11 +98,17 @@
     StoreEntry m_claim{LeaderKey, "{}", OtherClaim};
     std::vector<StoreEntry> m_members;
     std::vector<Try> m_tries;
+    /** Reads of the claim, or of the members, are answered when the test calls them. */
+    bool m_holdsClaimReads = false;
+    bool m_holdsMemberReads = false;
+    std::vector<std::function<void()>> m_heldReads;
     std::vector<Revision> m_won;
+    EventQueue m_events;
+    EventQueueTimers m_timers{m_events};
     asio::io_context m_context{1};
-    AsioTimerService m_timers{m_context};
+    AsioTimerService m_peerTimers{m_context};
     PeerHub m_peers{m_context,
-                    m_timers,
+                    m_peerTimers,
                     {EntryId("n"), CpuMillis(1000), {}},
                     {"127.0.0.1", 0},
                     PeerHub::Handlers{}};
@@ -174,3 +189,38 @@
     answer(3, fourth);
     CHECK(m_won == std::vector{fourth.revision});
 }
+
+// A read of the claim that was answered late set the known claim back, so that the late answer to
+// an earlier try made the node leader with a claim that it knew to be replaced or its own already.
+TEST_CASE_METHOD(ClaimFixture, "Late read of the claim does not set the known claim back",
+                 "[leadership]")
+{
+    m_claim.value = memberValue("other", 1);
+    m_holdsClaimReads = true;
+    m_leadership.begin();
+    for (int attempt = 0; attempt < 100 && m_heldReads.empty(); ++attempt)
+        runFor(Duration(20));
+    REQUIRE(m_heldReads.size() == 1);
+    const AnnouncementMessage later{
+        Revision(OtherClaim.value() + 2), EntryId("third"), {"127.0.0.1", 3}};
+    m_leadership.handleAnnouncement(later);
+    m_heldReads.front()();
+    CHECK(m_leadership.claim() == later.claim);
+}
+
+// Votes were asked against a leader that had followed the suspected one in the meantime.
+TEST_CASE_METHOD(ClaimFixture, "Late list of members opens no election against a later leader",
+                 "[leadership]")
+{
+    m_claim.value = memberValue("other", 1);
+    m_holdsMemberReads = true;
+    m_leadership.begin();
+    for (int attempt = 0; attempt < 200 && m_heldReads.empty(); ++attempt)
+        runFor(Duration(20));
+    REQUIRE(m_heldReads.size() == 1);
+    m_claim = {LeaderKey, memberValue("third", 3), Revision(OtherClaim.value() + 2)};
+    m_leadership.handleAnnouncement({m_claim.revision, EntryId("third"), {"127.0.0.1", 3}});
+    m_heldReads.front()();
+    runFor(Duration(5));
+    CHECK(m_tries.empty());
+}
