Leadership: Look for claims without an answer, and send them and the member's writes again

Seen: a claim whose answer is lost was looked for only after the call's time-out of a second, and not sent again in that election; a lease or member entry waited 2.5 s more, so that members left the list while the store was up.

Claims: a try that is not answered after ResendPolicy::delayAfter and 5 ms is looked for by a read: its value there makes the node leader, the revision that it expects sends the same transaction again, another revision ends it. Each round takes from the node's budget; a try runs a second at most, and ends when a read is not answered or when the leader that it would replace can use the store again (not if that leader has asked for it). Copies can't win twice: each needs the revision that the claim had before, and revisions don't return. A copy that is refused because an earlier one was executed also makes the node leader. A claim that was given up may still be executed, at most once for each claim that it would replace, since all other tries of all nodes against that claim fail then: an election without a winner deposes at most one leader later. A node that finds such a claim of its own claims again, as before: to lead at once would be a second way to lead, two tests rule it out, and it would save one write.

Member: lease, entry and renewal are sent up to five times (RepeatedCall); the first answer counts. All copies of the entry name the one lease that is renewed; another lease is taken only after the store has said that it has ended, and then the store refuses the copies.

Tests: with the copies disabled (one copy, no read-back) "Claim whose answer is lost...", "...not in the store...", "Copy that finds...", "...never answered..." and "Member stays listed..." fail; "Claim that another node has won..." and "Member whose lease ended..." pass there as well. Two older tests of LeadershipTest need tries that the node no longer waits for: the store answers no reads meanwhile (giveUpTries), their checks are the same. In the history leases end, renewals are executed late, and all members must be listed at the end. Its bound is unchanged: after the faults the next round is answered, within the time-out that the bound has for open calls. [leadership] 14 cases, [cellnode] 12 cases, histories 1 to 2,000 pass; the whole of the unit tests was not run.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/Leadership.h"
 
 #include "Coordination/Journal.h"
+#include "Coordination/RepeatedCall.h"
 #include "Protocol/ProtocolError.h"
 
 #include <glog/logging.h>
@@ -32,6 +33,9 @@
 /** Crashed members disappear from the member list after this time. */
 constexpr Duration MemberLease{8000};
 constexpr Duration MemberRenewalInterval{2500};
+/** How often a member sends a write of its entry or lease that is not answered. At the worst, the
+ * store loses seven in ten; of three renewals in a lease one is then answered almost always. */
+constexpr uint32_t MaxMemberCopies = 5;
 /** Maximum random pause before an election, so that followers do not all call one at once. */
 constexpr double ElectionJitterMs = 80;
 constexpr Duration ElectionPause{120};
@@ -43,6 +47,8 @@
 constexpr Duration YieldPause{400};
 /** A leader that cannot read its claim in this time after an announcement can't use the store. */
 constexpr Duration AnnouncementCheckTime{300};
+/** A claim is sent again for this long; the next election finds out whether it is still needed. */
+constexpr Duration ClaimTime{1000};
 
 std::string encodeMember(const CellMember &member, uint64_t nonce)
 {
@@ -82,12 +88,19 @@
     return members;
 }
 
+std::optional<StoreLease> answerOf(const StoreLease &lease)
+{
+    return lease.answered ? std::optional(lease) : std::nullopt;
+}
+
 } // namespace
 
-Leadership::Leadership(TransactionalStore &store, TimerService &timers, ElectionPeers &peers,
-                       CellMember self, std::function<double()> random, Observer observer)
+Leadership::Leadership(TransactionalStore &store, TimerService &timers, ResendPolicy &resends,
+                       ElectionPeers &peers, CellMember self, std::function<double()> random,
+                       Observer observer)
     : m_store(store)
     , m_timers(timers)
+    , m_resends(resends)
     , m_peers(peers)
     , m_self(std::move(self))
     , m_random(std::move(random))
@@ -102,37 +115,57 @@
     tick();
 }
 
+/** Takes the first lease that the store names; those of other copies end without any key. */
 void Leadership::registerMember()
 {
-    m_store.createLease(MemberLease, [this](const StoreLease &lease) {
-        if (!lease.answered || !lease.alive)
+    const auto send = [this](auto done) {
+        m_store.createLease(MemberLease,
+                            [done](const StoreLease &lease) { done(answerOf(lease)); });
+    };
+    const auto handle = [this](const std::optional<StoreLease> &lease) {
+        if (!lease || !lease->alive)
             return m_timers.after(MemberRenewalInterval, [this] { registerMember(); });
-        m_lease = lease.id;
+        m_lease = lease->id;
         writeMember();
-    });
+    };
+    RepeatedCall<StoreLease>::begin({m_timers, m_resends, "member_lease", MaxMemberCopies}, send,
+                                    handle);
 }
 
-/** Writes the entry under the lease that is renewed: a try with another lease may be executed late
- * and would let the entry expire. */
+/** Writes the entry under the lease that is renewed: a copy with another lease may be executed late
+ * and would let the entry expire. Another lease is taken only after this one has ended, and then
+ * the store refuses all copies. */
 void Leadership::writeMember()
 {
     StoreTransaction transaction;
     transaction.puts = {{MemberPrefix + m_self.node.value(), encodeMember(m_self, 0), m_lease}};
-    m_store.commit(std::move(transaction), [this](const CommitResult &result) {
-        const bool isWritten = result.outcome == CommitResult::Committed;
+    const auto send = [this, transaction = std::move(transaction)](auto done) {
+        m_store.commit(transaction, [done](const CommitResult &result) {
+            done(result.outcome == CommitResult::Unknown ? std::nullopt : std::optional(result));
+        });
+    };
+    const auto handle = [this](const std::optional<CommitResult> &result) {
+        const bool isWritten = result && result->outcome == CommitResult::Committed;
         m_timers.after(MemberRenewalInterval, [this, isWritten] { renewMember(isWritten); });
-    });
+    };
+    RepeatedCall<CommitResult>::begin({m_timers, m_resends, "member_entry", MaxMemberCopies}, send,
+                                      handle);
 }
 
 void Leadership::renewMember(bool isWritten)
 {
-    m_store.renewLease(m_lease, [this, isWritten](const StoreLease &lease) {
-        if (lease.answered && !lease.alive)
+    const auto send = [this](auto done) {
+        m_store.renewLease(m_lease, [done](const StoreLease &lease) { done(answerOf(lease)); });
+    };
+    const auto handle = [this, isWritten](const std::optional<StoreLease> &lease) {
+        if (lease && !lease->alive)
             return registerMember();
-        if (lease.answered && !isWritten)
+        if (lease && !isWritten)
             return writeMember();
         m_timers.after(MemberRenewalInterval, [this, isWritten] { renewMember(isWritten); });
-    });
+    };
+    RepeatedCall<StoreLease>::begin({m_timers, m_resends, "member_renewal", MaxMemberCopies}, send,
+                                    handle);
 }
 
 bool Leadership::isLeaderHealthy() const
@@ -325,7 +358,7 @@
     LOG(INFO) << "event=leadership_offered claim=" << offer.claim.value()
               << " store_lost=" << offer.isStoreUnresponsive;
     if (!offer.isStoreUnresponsive)
-        return claimLeadership(offer.claim);
+        return claimLeadership(offer.claim, true);
     m_store.list(LeaderKey, [this, claim = offer.claim](const StoreRead &read) {
         if (!read.answered)
             return endElection(Duration(0));
@@ -343,33 +376,115 @@
     claimLeadership(claim);
 }
 
-void Leadership::claimLeadership(Revision expected)
+void Leadership::claimLeadership(Revision expected, bool isHandedOver)
 {
-    const uint64_t number = ++m_claimCount;
-    const std::string value = encodeMember(m_self, number);
-    LOG(INFO) << "event=claim_sent try=" << number << " expected=" << expected.value();
+    const auto claimTry = std::make_shared<ClaimTry>();
+    claimTry->number = ++m_claimCount;
+    claimTry->value = encodeMember(m_self, claimTry->number);
+    claimTry->expected = expected;
+    claimTry->isHandedOver = isHandedOver;
+    claimTry->begin = m_timers.now();
+    sendClaim(claimTry);
+}
+
+void Leadership::sendClaim(const ClaimTryHandle &claimTry)
+{
+    ++claimTry->copies;
+    LOG(INFO) << "event=claim_sent try=" << claimTry->number
+              << " expected=" << claimTry->expected.value() << " copy=" << claimTry->copies;
     StoreTransaction transaction;
-    transaction.conditions = {{LeaderKey, expected}};
-    transaction.puts = {{LeaderKey, value, {}}};
-    m_store.commit(
-        std::move(transaction),
-        [this, number, value, sentAt = m_timers.now()](const CommitResult &result) {
-            LOG(INFO) << "event=claim_answered try=" << number << " outcome=" << result.outcome
-                      << " revision=" << result.revision.value() << " leads=" << m_isLeading;
-            if (result.outcome == CommitResult::Committed)
-                return becomeLeader(result.revision, sentAt);
-            if (result.outcome != CommitResult::Unknown)
-                return endElection(ElectionPause);
-            // The claim may have been written; reading it back and comparing the value shows this.
-            m_store.list(LeaderKey, [this, value, readAt = m_timers.now()](const StoreRead &read) {
-                const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
-                if (entry != read.entries.end() && entry->value == value)
-                    return becomeLeader(entry->revision, readAt);
-                endElection(ElectionPause);
-            });
+    transaction.conditions = {{LeaderKey, claimTry->expected}};
+    transaction.puts = {{LeaderKey, claimTry->value, {}}};
+    m_store.commit(std::move(transaction),
+                   [this, claimTry, sentAt = m_timers.now()](const CommitResult &result) {
+                       handleClaimResult(claimTry, sentAt, result);
+                   });
+    awaitClaim(claimTry);
+}
+
+void Leadership::handleClaimResult(const ClaimTryHandle &claimTry, Instant sentAt,
+                                   const CommitResult &result)
+{
+    LOG(INFO) << "event=claim_answered try=" << claimTry->number << " outcome=" << result.outcome
+              << " revision=" << result.revision.value() << " leads=" << m_isLeading;
+    if (result.outcome == CommitResult::Unknown) {
+        if (claimTry->isActive)
+            readClaimBack(claimTry);
+        return;
+    }
+    if (result.outcome != CommitResult::NotDone)
+        m_resends.recordResponse(std::chrono::duration_cast<Duration>(m_timers.now() - sentAt));
+    if (result.outcome == CommitResult::Committed) {
+        claimTry->isActive = false;
+        return becomeLeader(result.revision, sentAt);
+    }
+    // An earlier copy may have been executed.
+    const auto written = std::ranges::find(result.current, claimTry->value, &StoreEntry::value);
+    if (written != result.current.end()) {
+        claimTry->isActive = false;
+        return becomeLeader(written->revision, sentAt);
+    }
+    giveUpClaim(claimTry);
+}
+
+void Leadership::awaitClaim(const ClaimTryHandle &claimTry)
+{
+    m_timers.after(m_resends.delayAfter(1 + claimTry->readBacks),
+                   [this, claimTry, copy = claimTry->copies] {
+                       // The answer may have arrived while this process was busy.
+                       m_timers.after(ResendPolicy::BusyMargin, [this, claimTry, copy] {
+                           if (!claimTry->isActive || claimTry->copies != copy)
+                               return;
+                           if (m_timers.now() - claimTry->begin >= ClaimTime)
+                               return giveUpClaim(claimTry);
+                           if (!m_resends.takeExtraCall())
+                               return awaitClaim(claimTry);
+                           readClaimBack(claimTry);
+                       });
+                   });
+}
+
+void Leadership::readClaimBack(const ClaimTryHandle &claimTry)
+{
+    ++claimTry->readBacks;
+    m_store.list(
+        LeaderKey,
+        [this, claimTry, copy = claimTry->copies, readAt = m_timers.now()](const StoreRead &read) {
+            if (!claimTry->isActive || claimTry->copies != copy)
+                return;
+            if (!read.answered)
+                return giveUpClaim(claimTry);
+            const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
+            const Revision current = entry == read.entries.end() ? Revision() : entry->revision;
+            if (current == claimTry->expected) {
+                const bool isOver = m_timers.now() - claimTry->begin >= ClaimTime;
+                if (isOver || m_isLeading || m_isRetired || !isStillWanted(*claimTry))
+                    return giveUpClaim(claimTry);
+                return sendClaim(claimTry);
+            }
+            if (entry == read.entries.end() || entry->value != claimTry->value)
+                return giveUpClaim(claimTry);
+            claimTry->isActive = false;
+            becomeLeader(current, readAt);
         });
 }
 
+bool Leadership::isStillWanted(const ClaimTry &claimTry) const
+{
+    const auto &beat = m_peers.heartbeat();
+    const bool hasRegained = m_peers.isLinked() && beat && beat->claim == claimTry.expected
+        && isLeaderHealthy() && beat->timeSinceStoreConfirmation < RegainGrace;
+    return claimTry.isHandedOver || !hasRegained;
+}
+
+void Leadership::giveUpClaim(const ClaimTryHandle &claimTry)
+{
+    if (!claimTry->isActive)
+        return;
+    claimTry->isActive = false;
+    endElection(ElectionPause);
+}
+
 /** Leads with the claim @p revision, unless another try of this node has won or a later claim is
  * known: the leader's offers and this node's elections may have several tries open at a time. */
 void Leadership::becomeLeader(Revision revision, Instant heldAt)
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Coordination/ElectionPeers.h"
+#include "Coordination/ResendPolicy.h"
 #include "Decision/LeaderChoice.h"
 #include "Protocol/TransactionalStore.h"
 #include "Transport/ScopedTimers.h"
@@ -35,8 +36,10 @@
         std::function<void()> doubted;
     };
 
-    Leadership(TransactionalStore &store, TimerService &timers, ElectionPeers &peers,
-               CellMember self, std::function<double()> random, Observer observer);
+    /** @param resends when writes to the store are sent again */
+    Leadership(TransactionalStore &store, TimerService &timers, ResendPolicy &resends,
+               ElectionPeers &peers, CellMember self, std::function<double()> random,
+               Observer observer);
 
     void begin();
     Revision claim() const { return m_leader.revision; }
@@ -64,6 +67,24 @@
         Endpoint address;
     };
 
+    /** A try to write the claim; the store may execute each of its copies, now or later. Only one
+     * of them can succeed, since each needs the revision that the claim had before. */
+    struct ClaimTry
+    {
+        uint64_t number = 0;
+        std::string value;
+        Revision expected;
+        /** The leader has asked this node to replace it. */
+        bool isHandedOver = false;
+        Instant begin;
+        uint32_t copies = 0;
+        /** How often the answer was looked for by a read. */
+        uint32_t readBacks = 0;
+        /** The claim is still looked for and sent again; answers count in any case. */
+        bool isActive = true;
+    };
+    using ClaimTryHandle = std::shared_ptr<ClaimTry>;
+
     void registerMember();
     void writeMember();
     /** @param isWritten false if the entry must be written again */
@@ -84,13 +105,25 @@
     /** Claims leadership unless the holder of @p claim can use the store again. */
     void claimIfStillLost(Revision claim);
     void claimVacantCell();
-    void claimLeadership(Revision expected);
+    /** @param isHandedOver true if the leader has asked for it and may be healthy */
+    void claimLeadership(Revision expected, bool isHandedOver = false);
+    void sendClaim(const ClaimTryHandle &claimTry);
+    void handleClaimResult(const ClaimTryHandle &claimTry, Instant sentAt,
+                           const CommitResult &result);
+    /** Looks for the claim in a while, unless it is answered before. */
+    void awaitClaim(const ClaimTryHandle &claimTry);
+    void readClaimBack(const ClaimTryHandle &claimTry);
+    /** @return false if the leader that the try would replace can use the store again. */
+    bool isStillWanted(const ClaimTry &claimTry) const;
+    /** Ends a try that this node no longer waits for; the store may still execute it. */
+    void giveUpClaim(const ClaimTryHandle &claimTry);
     void becomeLeader(Revision revision, Instant heldAt);
     void announce(Revision claim);
     void endElection(Duration pause);
 
     TransactionalStore &m_store;
     ScopedTimers m_timers;
+    ResendPolicy &m_resends;
     ElectionPeers &m_peers;
     CellMember m_self;
     std::function<double()> m_random;
--- a/Libraries/Coordination/ResendPolicy.h
+++ b/Libraries/Coordination/ResendPolicy.h
@@ -20,6 +20,9 @@
     /** Additional calls that may be sent at once after a time without any. */
     static constexpr double MaxExtraCallBurst = 40;
 
+    /** An answer that arrived while this process was busy is handled within this time. */
+    static constexpr Duration BusyMargin{5};
+
     explicit ResendPolicy(TimerService &timers);
 
     /** Records how long the store took to answer a call. */
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -99,7 +99,7 @@
                        m_adviceScheduler.removeCaller(node);
                        m_commandRelay.removeForwarder(node);
                    }})
-    , m_leadership(m_platform.store, m_timers, m_peers,
+    , m_leadership(m_platform.store, m_timers, m_storeResends, m_peers,
                    {m_settings.node, m_settings.peer, m_settings.processor},
                    [this] { return random(); },
                    {[this](Revision claim, Instant heldAt) { becomeLeader(claim, heldAt); },
--- a/Tests/Unit/LeadershipHistoryTest.cpp
+++ b/Tests/Unit/LeadershipHistoryTest.cpp
@@ -40,6 +40,7 @@
 constexpr Duration ElectionPause{120};
 constexpr Duration RegainGrace{250};
 constexpr Duration YieldPause{400};
+constexpr Duration MemberLease{8000};
 /** From a node's next tick to its knowledge of the claim in the store. */
 constexpr Duration ReadTime = TickInterval + ElectionJitter + StoreCall;
 /** From the claim to the votes of all other members: a new link, the list of members, the votes. */
@@ -96,6 +97,12 @@
             find("the cell has lost its leader without a fault");
         if (std::ranges::count_if(m_nodes, [](const auto &node) { return node->leads; }) > 1)
             find("a superseded leader goes on");
+        // Entries that were written late under a lease that is not renewed end in this time.
+        runUntil(m_events.now() + MemberLease);
+        for (const auto &node : m_nodes) {
+            if (!isListed(*node))
+                find(node->self.node.value() + " has no entry in the list of members");
+        }
     }
 
     const std::vector<std::string> &findings() const { return m_findings; }
@@ -154,24 +161,16 @@
         {
             list("none", [done = std::move(done)](const StoreRead &read) { done(read.answered); });
         }
-        /** Leases of this store never expire. */
-        void createLease(Duration, std::function<void(StoreLease)> done) override
+        void createLease(Duration ttl, std::function<void(StoreLease)> done) override
         {
             m_history.exchange<StoreLease>(
-                m_node, false,
-                [] {
-                    return StoreLease{true, true, StoreLeaseId(1)};
-                },
+                m_node, true, [this, ttl] { return m_history.serveNewLease(ttl); },
                 std::move(done));
         }
         void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) override
         {
             m_history.exchange<StoreLease>(
-                m_node, false,
-                [id] {
-                    return StoreLease{true, true, id};
-                },
-                std::move(done));
+                m_node, true, [this, id] { return m_history.serveRenewal(id); }, std::move(done));
         }
 
     private:
@@ -266,9 +265,10 @@
                    processor}
             , timers(history, *this)
             , store(history, *this)
+            , resends(timers)
             , peers(history, *this)
             , leadership(
-                  store, timers, peers, self,
+                  store, timers, resends, peers, self,
                   [&history] { return history.m_random(1000) / 1000.0; },
                   {[this, &history](Revision claim, Instant) { history.checkWin(*this, claim); },
                    [this] { leads = false; }, [] {}})
@@ -278,6 +278,7 @@
         CellMember self;
         NodeTimers timers;
         NodeStore store;
+        ResendPolicy resends;
         NodePeers peers;
         std::set<Node *> followers;
         bool leads = false;
@@ -370,8 +371,47 @@
 
     // The store.
 
-    StoreRead serveList(const std::string &prefix) const
+    struct Lease
+    {
+        Duration ttl;
+        Instant end;
+    };
+    StoreLease serveNewLease(Duration ttl)
+    {
+        const StoreLeaseId id(m_leases.size() + 1);
+        m_leases[id] = {ttl, m_events.now() + ttl};
+        return {true, true, id};
+    }
+    StoreLease serveRenewal(StoreLeaseId id)
+    {
+        if (!isAlive(id))
+            return {true, false, id};
+        m_leases[id].end = m_events.now() + m_leases[id].ttl;
+        return {true, true, id};
+    }
+    bool isAlive(StoreLeaseId id) const
     {
+        const auto found = m_leases.find(id);
+        return found != m_leases.end() && found->second.end > m_events.now();
+    }
+    void removeEndedEntries()
+    {
+        std::erase_if(m_leaseOf, [this](const auto &entry) {
+            const bool hasEnded = !isAlive(entry.second);
+            if (hasEnded)
+                m_values.erase(entry.first);
+            return hasEnded;
+        });
+    }
+    bool isListed(const Node &node)
+    {
+        removeEndedEntries();
+        return m_values.contains("cell/member/" + node.self.node.value());
+    }
+
+    StoreRead serveList(const std::string &prefix)
+    {
+        removeEndedEntries();
         StoreRead read{true, {}};
         for (const auto &[key, entry] : m_values) {
             if (key.starts_with(prefix))
@@ -382,6 +422,10 @@
     CommitResult serveCommit(const StoreTransaction &transaction)
     {
         CommitResult result{CommitResult::Committed, {}, {}};
+        for (const auto &put : transaction.puts) {
+            if (put.lease.value() != 0 && !isAlive(put.lease))
+                return {CommitResult::LeaseEnded, {}, {}};
+        }
         for (const auto &condition : transaction.conditions) {
             const auto found = m_values.find(condition.key);
             const bool exists = found != m_values.end();
@@ -396,6 +440,8 @@
         result.revision = Revision(++m_revision);
         for (const auto &put : transaction.puts) {
             m_values[put.key] = {put.key, put.value, result.revision};
+            if (put.lease.value() != 0)
+                m_leaseOf[put.key] = put.lease;
             if (put.key == LeaderKey)
                 recordClaim(put.value, result.revision);
         }
@@ -632,6 +678,9 @@
     pcg64 m_random;
     EventQueue m_events;
     std::map<std::string, StoreEntry> m_values;
+    std::map<StoreLeaseId, Lease> m_leases;
+    /** The leases of the keys that have one. */
+    std::map<std::string, StoreLeaseId> m_leaseOf;
     uint64_t m_revision = 100;
     Revision m_newestClaim;
     std::map<Revision, EntryId> m_writtenBy;
--- a/Tests/Unit/LeadershipTest.cpp
+++ b/Tests/Unit/LeadershipTest.cpp
@@ -66,6 +66,17 @@
         return m_tries.size() == count;
     }
 
+    /** The node gives up its open tries, since it can't look for their claims. */
+    void giveUpTries()
+    {
+        const std::size_t reads = m_claimReads;
+        m_answersReads = false;
+        for (int attempt = 0; attempt < 20 && m_claimReads == reads; ++attempt)
+            runFor(Duration(5));
+        runFor(Duration(5));
+        m_answersReads = true;
+    }
+
     /** @return the value of a member's entry, and of a claim of that member */
     static std::string memberValue(const std::string &node, int port)
     {
@@ -80,6 +91,10 @@
             read.entries.push_back(m_claim);
         else
             read.entries = m_members;
+        if (prefix == LeaderKey)
+            ++m_claimReads;
+        if (!m_answersReads)
+            read = {};
         if (prefix == LeaderKey ? m_holdsClaimReads : m_holdsMemberReads)
             m_heldReads.push_back([read, done = std::move(done)] { done(read); });
         else
@@ -98,6 +113,9 @@
     StoreEntry m_claim{LeaderKey, "{}", OtherClaim};
     std::vector<StoreEntry> m_members;
     std::vector<Try> m_tries;
+    /** False if each read ends without an answer. */
+    bool m_answersReads = true;
+    std::size_t m_claimReads = 0;
     /** Reads of the claim, or of the members, are answered when the test calls them. */
     bool m_holdsClaimReads = false;
     bool m_holdsMemberReads = false;
@@ -105,6 +123,7 @@
     std::vector<Revision> m_won;
     EventQueue m_events;
     EventQueueTimers m_timers{m_events};
+    ResendPolicy m_resends{m_timers};
     asio::io_context m_context{1};
     AsioTimerService m_peerTimers{m_context};
     PeerHub m_peers{m_context,
@@ -115,6 +134,7 @@
     Leadership m_leadership{
         *this,
         m_timers,
+        m_resends,
         m_peers,
         {EntryId("n"), {"127.0.0.1", 2}, CpuMillis(1000)},
         [] { return 0.5; },
@@ -147,6 +167,7 @@
     REQUIRE(m_tries.size() == 2);
     const CommitResult first = execute(0);
     answer(1, execute(1));
+    giveUpTries();
     CHECK(m_won.empty());
     // The node finds its own claim in the store, for which it does not lead, and writes another.
     REQUIRE(sendsTries(3));
@@ -181,6 +202,7 @@
     REQUIRE(m_tries.size() == 2);
     const CommitResult first = execute(0);
     answer(1, execute(1));
+    giveUpTries();
     REQUIRE(sendsTries(3));
     answer(2, {CommitResult::NotDone, {}, {}});
     answer(0, first);
@@ -208,6 +230,75 @@
     CHECK(m_leadership.claim() == later.claim);
 }
 
+// A claim whose answer was lost was looked for only after the call's time-out of a second.
+TEST_CASE_METHOD(ClaimFixture, "Claim whose answer is lost is found at once", "[leadership]")
+{
+    offerClaim();
+    REQUIRE(m_tries.size() == 1);
+    const CommitResult written = execute(0);
+    runFor(Duration(100));
+    CHECK(m_won == std::vector{written.revision});
+    // The lost answer comes nevertheless.
+    answer(0, written);
+    CHECK(m_won == std::vector{written.revision});
+    CHECK(m_tries.size() == 1);
+}
+
+// A claim that the store had not executed was sent again only after more than a second.
+TEST_CASE_METHOD(ClaimFixture, "Claim that is not in the store is sent again", "[leadership]")
+{
+    offerClaim();
+    REQUIRE(m_tries.size() == 1);
+    runFor(Duration(100));
+    REQUIRE(m_tries.size() >= 2);
+    CHECK(m_tries[0].transaction.puts.front().value == m_tries[1].transaction.puts.front().value);
+    CHECK(m_tries[1].transaction.conditions.front().revision == OtherClaim);
+    const CommitResult second = execute(1);
+    answer(1, second);
+    CHECK(m_won == std::vector{second.revision});
+    // The store executes the first copy late.
+    CHECK(execute(0).outcome == CommitResult::Conflict);
+    answer(0, execute(0));
+    CHECK(m_won == std::vector{second.revision});
+}
+
+// A refused copy hides that an earlier one was executed.
+TEST_CASE_METHOD(ClaimFixture, "Copy that finds the claim written makes the node leader",
+                 "[leadership]")
+{
+    offerClaim();
+    runFor(Duration(100));
+    REQUIRE(m_tries.size() >= 2);
+    const CommitResult first = execute(0);
+    answer(1, execute(1));
+    CHECK(m_won == std::vector{first.revision});
+    answer(0, first);
+    CHECK(m_won == std::vector{first.revision});
+}
+
+// Copies must stop once another node has the claim, and after the time of one try.
+TEST_CASE_METHOD(ClaimFixture, "Claim that another node has won is not sent again", "[leadership]")
+{
+    offerClaim();
+    REQUIRE(m_tries.size() == 1);
+    m_claim = {LeaderKey, memberValue("other", 1), Revision(OtherClaim.value() + 1)};
+    runFor(Duration(3000));
+    CHECK(m_tries.size() == 1);
+    CHECK(m_won.empty());
+}
+
+// A claim that is never answered must not hold back the next election, nor press the store.
+TEST_CASE_METHOD(ClaimFixture, "Claim that is never answered is given up", "[leadership]")
+{
+    offerClaim();
+    runFor(Duration(1500));
+    const std::size_t copies = m_tries.size();
+    CHECK(copies > 5);
+    CHECK(copies < 25);
+    runFor(Duration(3000));
+    CHECK(m_tries.size() == copies);
+}
+
 // Votes were asked against a leader that had followed the suspected one in the meantime.
 TEST_CASE_METHOD(ClaimFixture, "Late list of members opens no election against a later leader",
                  "[leadership]")
