Tests: Servers of the platform's tests listen on reserved ports

"Commit that the store refuses was not done" failed once under ctest -j7: "cannot listen on 127.0.0.1:18471: Address already in use". All tests of a file shared one port, and ctest runs them as processes side by side. Each now reserves its port, as the end-to-end tests do. No check changed.

--- a/Tests/Unit/PlatformStoreTest.cpp
+++ b/Tests/Unit/PlatformStoreTest.cpp
@@ -1,27 +1,30 @@
 #include "PlatformStore.h"
 
+#include "EndToEnd/PortReservation.h"
+
 #include "Transport/HttpServer.h"
 
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 using namespace Cranberrymount;
 using namespace Cranberrymount::Platform;
 
 namespace {
 
-constexpr uint16_t StorePort = 18'471;
-
 /** @return the outcome of a commit that is answered with @p status. */
 CommitResult::Outcome commitAnsweredWith(int status)
 {
+    const PortReservation port(static_cast<unsigned>(getpid()));
     asio::io_context context(1);
-    HttpServer server(context, {"127.0.0.1", StorePort}, {},
+    HttpServer server(context, {"127.0.0.1", port.port()}, {},
                       [status](const HttpRequest &, const HttpResponder &respond) {
                           respond({status, "{}"});
                       });
     HttpClient client(context, 2);
-    PlatformStore store(client, context, {"127.0.0.1", StorePort});
+    PlatformStore store(client, context, {"127.0.0.1", port.port()});
     CommitResult::Outcome outcome = CommitResult::Committed;
     store.commit({}, [&](const CommitResult &result) {
         outcome = result.outcome;
@@ -36,8 +39,9 @@
 // Guards against losing the whole list because of one value that cannot be decoded.
 TEST_CASE("Item of the store that cannot be decoded is left out of the list", "[platform]")
 {
+    const PortReservation port(static_cast<unsigned>(getpid()));
     asio::io_context context(1);
-    HttpServer server(context, {"127.0.0.1", StorePort}, {},
+    HttpServer server(context, {"127.0.0.1", port.port()}, {},
                       [](const HttpRequest &, const HttpResponder &respond) {
                           respond({200, R"({"at":9,"items":[
                               {"key":"a/1","value":"b25l","revision":1},
@@ -46,7 +50,7 @@
                               {"key":"a/4","value":"Zm91cg==","revision":4}]})"});
                       });
     HttpClient client(context, 2);
-    PlatformStore store(client, context, {"127.0.0.1", StorePort});
+    PlatformStore store(client, context, {"127.0.0.1", port.port()});
     StoreRead read;
     store.list("a/", [&](const StoreRead &answer) {
         read = answer;
--- a/Tests/Unit/PlatformWorkersTest.cpp
+++ b/Tests/Unit/PlatformWorkersTest.cpp
@@ -1,5 +1,7 @@
 #include "PlatformWorkers.h"
 
+#include "EndToEnd/PortReservation.h"
+
 #include "UnansweringServer.h"
 
 #include "Transport/HttpServer.h"
@@ -7,12 +9,13 @@
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 using namespace Cranberrymount;
 using namespace Cranberrymount::Platform;
 
 namespace {
 
-constexpr uint16_t StatusPort = 18'472;
 constexpr const char *StartPath = "/-/run-start";
 constexpr const char *HoldPath = "/-/hold";
 const UnansweringServer::Response Report{"200 OK",
@@ -145,11 +148,12 @@
 {
     const int status = GENERATE(500, 502, 504);
     asio::io_context context(1);
-    HttpServer server({"127.0.0.1", StatusPort}, HttpServerLimits(),
+    const PortReservation port(static_cast<unsigned>(getpid()));
+    HttpServer server({"127.0.0.1", port.port()}, HttpServerLimits(),
                       [status](const HttpRequest &, const HttpResponder &respond) {
                           respond({status, "{}"});
                       });
-    CHECK(startAt({"127.0.0.1", StatusPort}).outcome == StartReply::Unknown);
+    CHECK(startAt({"127.0.0.1", port.port()}).outcome == StartReply::Unknown);
 }
 
 // Guards against a second run of a task: a refusal that the documentation does not know says
@@ -160,11 +164,12 @@
                                       R"({"clockMs":5,"reason":7})", "refused", "");
     INFO(body);
     asio::io_context context(1);
-    HttpServer server({"127.0.0.1", StatusPort}, HttpServerLimits(),
+    const PortReservation port(static_cast<unsigned>(getpid()));
+    HttpServer server({"127.0.0.1", port.port()}, HttpServerLimits(),
                       [&body](const HttpRequest &, const HttpResponder &respond) {
                           respond({409, body});
                       });
-    CHECK(startAt({"127.0.0.1", StatusPort}).outcome == StartReply::Unknown);
+    CHECK(startAt({"127.0.0.1", port.port()}).outcome == StartReply::Unknown);
 }
 
 // Guards against a report that is taken for one of another task.
