--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -32,8 +32,6 @@
 constexpr Duration ReadBackMargin{200};
 /** Larger segments may take longer to be written than the usual response time. */
 constexpr std::size_t UsualSegmentBytes = 16'384;
-/** An answer that arrived while this process was busy is handled within this time. */
-constexpr Duration BusyMargin{5};
 /** Base and maximum of the pause after a try that was refused or ended without an answer; the pause
  * doubles with each such try. */
 constexpr Duration BaseRetryPause{50};
@@ -264,8 +262,8 @@
 void Journal::awaitAnswer(const CommitHandle &commit)
 {
     m_timers.after(answerDelay(*commit), [this, commit, number = commit->lastTry] {
-        // The answer may have arrived while this process was busy.
-        m_timers.after(BusyMargin, [this, commit, number] { checkAnswer(commit, number); });
+        m_timers.after(ResendPolicy::BusyMargin,
+                       [this, commit, number] { checkAnswer(commit, number); });
     });
 }
 
--- a/Libraries/Coordination/ResendPolicy.h
+++ b/Libraries/Coordination/ResendPolicy.h
@@ -16,9 +16,9 @@
 {
 public:
     /** Calls per second that may be sent in addition to first tries. */
-    static constexpr double ExtraCallsPerSecond = 80;
+    static constexpr double ExtraCallsPerSecond = 160;
     /** Additional calls that may be sent at once after a time without any. */
-    static constexpr double MaxExtraCallBurst = 40;
+    static constexpr double MaxExtraCallBurst = 80;
 
     /** An answer that arrived while this process was busy is handled within this time. */
     static constexpr Duration BusyMargin{5};
