--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -113,7 +113,7 @@
     case ClientCall::Submit:
         return submit(*queue, team ? team->id : TeamId(), id, std::move(call), std::move(respond));
     case ClientCall::Cancel:
-        return cancel(id, std::move(respond));
+        return cancel(id, respond);
     case ClientCall::Status:
         break;
     }
@@ -196,7 +196,7 @@
     }
 }
 
-void CellScheduler::cancel(const JobId &id, ClientResponder respond)
+void CellScheduler::cancel(const JobId &id, const ClientResponder &respond)
 {
     if (m_unwrittenSubmissions.contains(id))
         return respond(makeUnavailable("the job is being stored"));
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -166,7 +166,7 @@
     // Client calls; in CellCalls.cpp.
     void submit(const QueueSettings &queue, const TeamId &team, const JobId &id, ClientCall call,
                 ClientResponder respond);
-    void cancel(const JobId &id, ClientResponder respond);
+    void cancel(const JobId &id, const ClientResponder &respond);
     /** @return true if a record that is appended now will be written soon. */
     bool canWriteSoon() const;
     /** While nothing can be written soon, refuses the submissions whose records were never sent to
--- a/Libraries/Coordination/ClaimRegistry.cpp
+++ b/Libraries/Coordination/ClaimRegistry.cpp
@@ -94,9 +94,9 @@
 }
 
 void ClaimRegistry::recordReply(const StoreEntry &entry, const std::string &key,
-                                const LookupReply &reply, std::function<void()> done)
+                                const LookupReply &reply, const std::function<void()> &done)
 {
-    const auto written = [done = std::move(done)](const StoreWrite &) { done(); };
+    const auto written = [done](const StoreWrite &) { done(); };
     if (reply.outcome == LookupReply::NotRun)
         return m_store.remove(key, entry.revision, written);
     auto stored = decodeStored(key, [&entry] { return parseJson(entry.value); });
--- a/Libraries/Coordination/ClaimRegistry.h
+++ b/Libraries/Coordination/ClaimRegistry.h
@@ -59,7 +59,7 @@
 
 private:
     void recordReply(const StoreEntry &entry, const std::string &key, const LookupReply &reply,
-                     std::function<void()> done);
+                     const std::function<void()> &done);
     void readClaim(const std::string &key, const std::string &digest, const std::string &nonce,
                    bool wasUnknown, std::function<void(ClaimResult)> done);
 
--- a/Libraries/Protocol/HttpStore.cpp
+++ b/Libraries/Protocol/HttpStore.cpp
@@ -86,11 +86,11 @@
 }
 
 template <typename Reply>
-void HttpStore::send(HttpCall call, Reply (*decode)(const HttpResult &),
+void HttpStore::send(const HttpCall &call, Reply (*decode)(const HttpResult &),
                      std::function<void(Reply)> done)
 {
     ++m_calls;
-    m_client.send(std::move(call), [this, decode, done = std::move(done)](HttpResult result) {
+    m_client.send(call, [this, decode, done = std::move(done)](HttpResult result) {
         asio::post(m_control, [decode, done, result = std::move(result)] {
             done(decodeOrUnknown(decode, result));
         });
@@ -128,7 +128,7 @@
     HttpCall call{"PUT", m_baseUrl + "/kv/" + put.key, body.dump(), {}, m_timeout};
     // A copy would conflict with the first one.
     call.sendsBodyOnce = true;
-    send(std::move(call), &decodeWrite, std::move(done));
+    send(call, &decodeWrite, std::move(done));
 }
 
 void HttpStore::remove(const std::string &key, Revision expected,
--- a/Libraries/Protocol/HttpStore.h
+++ b/Libraries/Protocol/HttpStore.h
@@ -35,7 +35,8 @@
     /** Calls @p done once, with what @p decode returns for the response; a malformed response
      * counts as none. */
     template <typename Reply>
-    void send(HttpCall call, Reply (*decode)(const HttpResult &), std::function<void(Reply)> done);
+    void send(const HttpCall &call, Reply (*decode)(const HttpResult &),
+              std::function<void(Reply)> done);
     void readUrl(const std::string &path, Duration timeout, std::function<void(StoreRead)> done);
     void leaseCall(const std::string &method, const std::string &path, const std::string &body,
                    std::function<void(StoreLease)> done);
