--- a/Meta/guards.sh
+++ b/Meta/guards.sh
@@ -12,7 +12,7 @@
 # guard of the specification @ file @ text of the code @ text without the guard
 GUARDS='
 Core 1@ShardController.cpp@m_isActive = m_pool.isResolved();@m_isActive = true;
-Core 2@RecordWriter.cpp@if (!m_ownEpochs.contains(stored.epoch))@if (false)
+Core 2@RecordWriter.cpp@if (!m_ownEpochs.contains(stored->epoch))@if (false)
 Core 3@ShardController.cpp@task.phase == TaskPhase::Open && !active.contains(task.index))\n            indexes@task.phase == TaskPhase::Open)\n            indexes
 Core 4, evidence@ShardController.cpp@!isZoneUnavailable() && m_context.isConfigurationFresh()@!isZoneUnavailable()
 Core 4, zone@ShardController.cpp@!isZoneUnavailable() && m_context.isConfigurationFresh()@m_context.isConfigurationFresh()
