--- a/Tests/Fuzz/JournalFuzz.cpp
+++ b/Tests/Fuzz/JournalFuzz.cpp
@@ -29,6 +29,8 @@
 
 } // namespace
 
+// The name is given by libFuzzer.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, std::size_t size)
 {
     try {
--- a/Tests/Fuzz/PeerFuzz.cpp
+++ b/Tests/Fuzz/PeerFuzz.cpp
@@ -9,6 +9,8 @@
 
 using namespace Cranberrymount;
 
+// The name is given by libFuzzer.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, std::size_t size)
 {
     const std::string frame(reinterpret_cast<const char *>(data), size);
--- a/Tests/Unit/AwaitCompletionTest.cpp
+++ b/Tests/Unit/AwaitCompletionTest.cpp
@@ -18,7 +18,7 @@
 TEST_CASE("Wait for a completion ends with it", "[shutdown]")
 {
     const auto now = std::chrono::steady_clock::now();
-    CHECK(awaitCompletion(now + std::chrono::seconds(60), [](std::function<void()> done) {
+    CHECK(awaitCompletion(now + std::chrono::seconds(60), [](const std::function<void()> &done) {
         done();
         done();
     }));
