--- a/Tests/Unit/LateCopyTest.cpp
+++ b/Tests/Unit/LateCopyTest.cpp
@@ -96,8 +96,10 @@
                  "Segments whose removal was never executed are read by the next leader",
                  "[cell][latecopy]")
 {
+    constexpr int JobCount = 5;
     std::vector<JobId> jobs;
-    for (int index = 0; index < 5; ++index)
+    jobs.reserve(JobCount);
+    for (int index = 0; index < JobCount; ++index)
         jobs.push_back(m_cell.submit(1, {CpuMillis(20'000), MemoryMb(1), {}}, Duration(100)));
     std::string dropped;
     std::size_t laterSegments = 0;
