--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -261,10 +261,9 @@
 
 void Journal::awaitAnswer(const CommitHandle &commit)
 {
-    m_timers.after(answerDelay(*commit), [this, commit, number = commit->lastTry] {
-        m_timers.after(ResendPolicy::BusyMargin,
-                       [this, commit, number] { checkAnswer(commit, number); });
-    });
+    ResendPolicy::checkAfter(
+        m_timers, answerDelay(*commit),
+        [this, commit, number = commit->lastTry] { checkAnswer(commit, number); });
 }
 
 void Journal::checkAnswer(const CommitHandle &commit, uint32_t number)
@@ -354,10 +353,10 @@
         return;
     if (result.outcome != CommitResult::Unknown)
         setStoreState(StoreState::Refusing);
-    const bool wasRefused = !isReachable();
+    const bool isStoreLost = !isReachable();
     const Duration pause = exponentialBackoff(BaseRetryPause, ++commit->failures, MaxRetryPause);
-    m_timers.after(pause, [this, commit, number = tried.number, wasRefused] {
-        if (!wasRefused)
+    m_timers.after(pause, [this, commit, number = tried.number, isStoreLost] {
+        if (!isStoreLost)
             return checkAnswer(commit, number);
         if (!m_isSuperseded && !commit->isWritten && commit->lastTry == number)
             sendCommit(commit);
--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -429,19 +429,16 @@
 
 void Leadership::awaitClaim(const ClaimTryHandle &claimTry)
 {
-    m_timers.after(m_resends.delayAfter(1 + claimTry->readBacks),
-                   [this, claimTry, copy = claimTry->copies] {
-                       // The answer may have arrived while this process was busy.
-                       m_timers.after(ResendPolicy::BusyMargin, [this, claimTry, copy] {
-                           if (!claimTry->isActive || claimTry->copies != copy)
-                               return;
-                           if (m_timers.now() - claimTry->begin >= ClaimTime)
-                               return giveUpClaim(claimTry);
-                           if (!m_resends.takeExtraCall())
-                               return awaitClaim(claimTry);
-                           readClaimBack(claimTry);
-                       });
-                   });
+    ResendPolicy::checkAfter(m_timers, m_resends.delayAfter(1 + claimTry->readBacks),
+                             [this, claimTry, copy = claimTry->copies] {
+                                 if (!claimTry->isActive || claimTry->copies != copy)
+                                     return;
+                                 if (m_timers.now() - claimTry->begin >= ClaimTime)
+                                     return giveUpClaim(claimTry);
+                                 if (!m_resends.takeExtraCall())
+                                     return awaitClaim(claimTry);
+                                 readClaimBack(claimTry);
+                             });
 }
 
 void Leadership::readClaimBack(const ClaimTryHandle &claimTry)
--- a/Libraries/Coordination/RepeatedCall.h
+++ b/Libraries/Coordination/RepeatedCall.h
@@ -80,17 +80,14 @@
     {
         if (m_isOver || m_copies >= m_terms.maxCopies)
             return;
-        m_terms.timers.after(m_terms.resends.delayAfter(m_copies),
-                             [self = this->shared_from_this()] {
-                                 // The answer may have arrived while this process was busy.
-                                 self->m_terms.timers.after(ResendPolicy::BusyMargin, [self] {
+        ResendPolicy::checkAfter(m_terms.timers, m_terms.resends.delayAfter(m_copies),
+                                 [self = this->shared_from_this()] {
                                      if (self->m_isOver)
                                          return;
                                      if (!self->m_terms.resends.takeExtraCall())
                                          return self->awaitAnswer();
                                      self->sendCopy();
                                  });
-                             });
     }
 
     Terms m_terms;
--- a/Libraries/Coordination/ResendPolicy.cpp
+++ b/Libraries/Coordination/ResendPolicy.cpp
@@ -10,6 +10,8 @@
 constexpr Duration MinDelay{30};
 /** The timeout of a call: later answers are not seen. */
 constexpr Duration MaxDelay{1000};
+/** An answer that arrived while this process was busy is handled within this time. */
+constexpr Duration BusyMargin{5};
 /** Tries after which the delay begins to double. */
 constexpr uint32_t TriesBeforeBackoff = 8;
 /** The doubled delay stays below this, unless the store itself is slower. */
@@ -44,6 +46,11 @@
     return exponentialBackoff(first, doublings, std::max(first, MaxBackoffDelay));
 }
 
+void ResendPolicy::checkAfter(ScopedTimers &timers, Duration delay, std::function<void()> check)
+{
+    timers.after(delay, [&timers, check = std::move(check)] { timers.after(BusyMargin, check); });
+}
+
 bool ResendPolicy::takeExtraCall()
 {
     const Instant now = m_timers.now();
--- a/Libraries/Coordination/ResendPolicy.h
+++ b/Libraries/Coordination/ResendPolicy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Transport/TimerService.h"
+#include "Transport/ScopedTimers.h"
 
 #include <chrono>
 #include <cstdint>
@@ -20,9 +20,6 @@
     /** Additional calls that may be sent at once after a time without any. */
     static constexpr double MaxExtraCallBurst = 80;
 
-    /** An answer that arrived while this process was busy is handled within this time. */
-    static constexpr Duration BusyMargin{5};
-
     explicit ResendPolicy(TimerService &timers);
 
     /** Records how long the store took to answer a call. */
@@ -34,6 +31,10 @@
      */
     Duration delayAfter(uint32_t tries) const;
 
+    /** Runs @p check after @p delay, and after the answers that have arrived by then are handled,
+     * even if this process was busy. */
+    static void checkAfter(ScopedTimers &timers, Duration delay, std::function<void()> check);
+
     /** @return true if an additional call may be sent now; it then counts against the budget. */
     bool takeExtraCall();
 
