--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -115,73 +115,81 @@
 
 void CellScheduler::readJournal()
 {
-    m_dependencies.store.list(
-        SegmentPrefix, [this, alive = std::weak_ptr(m_alive)](const StoreRead &read) {
-            if (alive.expired() || m_isSuperseded)
-                return;
-            if (!read.answered)
-                return retryReadingJournal();
-            m_isStoreReachable = true;
-            std::map<uint64_t, JournalSegment> segments;
-            uint64_t lastUnreadable = 0;
-            Journal::Start start{Revision(m_epoch.value()), m_claimHeldAt};
-            for (const StoreEntry &entry : read.entries) {
-                const uint64_t number = segmentNumber(entry.key);
-                JournalSegment &segment = segments[number];
-                try {
-                    segment = decodeSegment(entry.value);
-                } catch (const ProtocolError &error) {
-                    LOG(ERROR) << "event=segment_unreadable key=" << entry.key
-                               << " error=" << error.what();
-                    lastUnreadable = std::max(lastUnreadable, number);
-                }
-                start.floor = std::max(start.floor, segment.floor);
-                start.nextSegment = std::max({start.nextSegment, number + 1, segment.floor});
-            }
-            m_isJournalIncomplete = lastUnreadable > 0 && lastUnreadable >= start.floor;
-            std::size_t records = 0;
-            std::vector<std::pair<uint64_t, std::set<JobId>>> adopted;
-            for (const auto &[number, segment] : segments) {
-                std::set<JobId> jobs;
-                if (number < start.floor) {
-                    LOG(WARNING) << "event=segment_removed_before number=" << number
-                                 << " floor=" << start.floor
-                                 << " records=" << segment.records.size();
-                } else {
-                    for (const JournalRecord &record : segment.records) {
-                        m_jobs.apply(record, m_dependencies.wallClock());
-                        jobs.insert(jobOf(record));
-                        ++records;
-                    }
-                }
-                adopted.emplace_back(number, std::move(jobs));
+    m_dependencies.store.list(SegmentPrefix,
+                              [this, alive = std::weak_ptr(m_alive)](const StoreRead &read) {
+                                  if (alive.expired() || m_isSuperseded)
+                                      return;
+                                  if (!read.answered)
+                                      return retryReadingJournal();
+                                  continueJournal(read);
+                              });
+}
+
+void CellScheduler::continueJournal(const StoreRead &read)
+{
+    m_isStoreReachable = true;
+    std::map<uint64_t, JournalSegment> segments;
+    uint64_t lastUnreadable = 0;
+    Journal::Start start{Revision(m_epoch.value()), m_claimHeldAt};
+    for (const StoreEntry &entry : read.entries) {
+        const uint64_t number = segmentNumber(entry.key);
+        JournalSegment &segment = segments[number];
+        try {
+            segment = decodeSegment(entry.value);
+        } catch (const ProtocolError &error) {
+            LOG(ERROR) << "event=segment_unreadable key=" << entry.key << " error=" << error.what();
+            lastUnreadable = std::max(lastUnreadable, number);
+        }
+        start.floor = std::max(start.floor, segment.floor);
+        start.nextSegment = std::max({start.nextSegment, number + 1, segment.floor});
+    }
+    m_isJournalIncomplete = lastUnreadable > 0 && lastUnreadable >= start.floor;
+    std::size_t records = 0;
+    std::vector<std::pair<uint64_t, std::set<JobId>>> adopted;
+    for (const auto &[number, segment] : segments) {
+        std::set<JobId> jobs;
+        if (number < start.floor) {
+            LOG(WARNING) << "event=segment_removed_before number=" << number
+                         << " floor=" << start.floor << " records=" << segment.records.size();
+        } else {
+            for (const JournalRecord &record : segment.records) {
+                m_jobs.apply(record, m_dependencies.wallClock());
+                jobs.insert(jobOf(record));
+                ++records;
             }
-            Journal::Observer observer;
-            observer.superseded = m_superseded;
-            observer.claimConfirmed = [this] { handleClaimConfirmed(); };
-            observer.reachabilityChanged = [this](bool isReachable) {
-                m_isStoreReachable = isReachable;
-                m_storeOutageBeganAt = m_timers.now();
-                // Deferred: the journal must not be changed inside its own callback.
-                if (!isReachable)
-                    m_timers.after(Duration(0), [this] { refuseUnsentSubmissions(); });
-                if (isReachable) {
-                    m_dependencies.storeRecovered();
-                    scheduleDispatch();
-                }
-            };
-            observer.count = m_dependencies.count;
-            m_journal = std::make_unique<Journal>(
-                Journal::Dependencies{m_dependencies.store, m_dependencies.timers,
-                                      m_dependencies.resends, m_dependencies.log},
-                start, std::move(observer));
-            for (auto &[number, jobs] : adopted)
-                m_journal->adoptSegment(number, std::move(jobs));
-            LOG(INFO) << "event=journal_read epoch=" << m_epoch.value()
-                      << " segments=" << segments.size() << " records=" << records
-                      << " jobs=" << m_jobs.jobs().size() << " open=" << m_jobs.openJobs().size();
-            finishRecovery();
-        });
+        }
+        adopted.emplace_back(number, std::move(jobs));
+    }
+    m_journal =
+        std::make_unique<Journal>(Journal::Dependencies{m_dependencies.store, m_dependencies.timers,
+                                                        m_dependencies.resends, m_dependencies.log},
+                                  start, journalObserver());
+    for (auto &[number, jobs] : adopted)
+        m_journal->adoptSegment(number, std::move(jobs));
+    LOG(INFO) << "event=journal_read epoch=" << m_epoch.value() << " segments=" << segments.size()
+              << " records=" << records << " jobs=" << m_jobs.jobs().size()
+              << " open=" << m_jobs.openJobs().size();
+    finishRecovery();
+}
+
+Journal::Observer CellScheduler::journalObserver()
+{
+    Journal::Observer observer;
+    observer.superseded = m_superseded;
+    observer.claimConfirmed = [this] { handleClaimConfirmed(); };
+    observer.reachabilityChanged = [this](bool isReachable) {
+        m_isStoreReachable = isReachable;
+        m_storeOutageBeganAt = m_timers.now();
+        // Deferred: the journal must not be changed inside its own callback.
+        if (!isReachable)
+            m_timers.after(Duration(0), [this] { refuseUnsentSubmissions(); });
+        if (isReachable) {
+            m_dependencies.storeRecovered();
+            scheduleDispatch();
+        }
+    };
+    observer.count = m_dependencies.count;
+    return observer;
 }
 
 /** Reads the journal again; if the store doesn't answer a probe either, this leader can't use it.
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -148,6 +148,9 @@
 
     void readJournal();
     void retryReadingJournal();
+    /** Applies the records of the segments in @p read, and continues the journal after them. */
+    void continueJournal(const StoreRead &read);
+    Journal::Observer journalObserver();
     void finishRecovery();
     void pollOperators();
     void pollWorkers();
