--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -3,6 +3,7 @@
 #include "AttemptGaps.h"
 #include "ClusterSimulation.h"
 #include "MemoryStore.h"
+#include "StoreContents.h"
 
 #include "Coordination/CellScheduler.h"
 #include "Coordination/CommandRelay.h"
@@ -23,7 +24,7 @@
     void renewLease(StoreLeaseId id, std::function<void(StoreLease)> done) override;
 
     /** Writes the leadership claim of @p holder at once. @return its revision. */
-    Revision claim(const std::string &holder);
+    Revision claim(const std::string &holder) { return m_contents.claim(holder); }
 
     /** Reads and commits fail without effect. */
     bool isDown = false;
@@ -41,9 +42,9 @@
     std::function<bool(const StoreTransaction &transaction)> dropsCommit;
     Duration latency{4};
 
-    std::size_t keyCount(const std::string &prefix) const;
+    std::size_t keyCount(const std::string &prefix) const { return m_contents.list(prefix).size(); }
     /** Gives an existing key another value at once, as a fault of the store does. */
-    void damage(const std::string &key) { m_values.at(key).value = "damaged"; }
+    void damage(const std::string &key) { m_contents.damage(key); }
     /** Transactions that were committed. */
     std::size_t commitCount = 0;
 
@@ -54,8 +55,7 @@
 
     EventQueue &m_events;
     pcg32 m_random;
-    std::map<std::string, StoreEntry> m_values;
-    uint64_t m_revision = 1;
+    StoreContents m_contents;
 };
 
 /** Fake worker with the behaviour that the platform's documentation describes. */
--- a/Tests/Unit/CellStore.cpp
+++ b/Tests/Unit/CellStore.cpp
@@ -43,10 +43,8 @@
     m_events.at(m_events.now() + latency, [this, prefix, done = std::move(done)] {
         StoreRead read;
         read.answered = !isDown;
-        for (const auto &[key, entry] : m_values) {
-            if (!isDown && key.starts_with(prefix))
-                read.entries.push_back(entry);
-        }
+        if (!isDown)
+            read.entries = m_contents.list(prefix);
         done(std::move(read));
     });
 }
@@ -88,39 +86,11 @@
 
 CommitResult CellStore::apply(const StoreTransaction &transaction)
 {
-    CommitResult result{CommitResult::Committed, {}, {}};
-    for (const auto &condition : transaction.conditions) {
-        const auto found = m_values.find(condition.key);
-        const Revision currentRevision =
-            found == m_values.end() ? Revision() : found->second.revision;
-        if (currentRevision != condition.revision)
-            result.outcome = CommitResult::Conflict;
-        if (found != m_values.end())
-            result.current.push_back(found->second);
-    }
-    if (result.outcome == CommitResult::Conflict)
-        return result;
-    ++commitCount;
-    result.revision = Revision(++m_revision);
-    for (const auto &put : transaction.puts)
-        m_values[put.key] = {put.key, put.value, result.revision};
-    for (const std::string &key : transaction.removals)
-        m_values.erase(key);
+    CommitResult result = m_contents.apply(transaction);
+    commitCount += result.outcome == CommitResult::Committed ? 1 : 0;
     return result;
 }
 
-Revision CellStore::claim(const std::string &holder)
-{
-    m_values[LeaderKey] = {LeaderKey, holder, Revision(++m_revision)};
-    return Revision(m_revision);
-}
-
-std::size_t CellStore::keyCount(const std::string &prefix) const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_values, [&prefix](const auto &entry) { return entry.first.starts_with(prefix); }));
-}
-
 void CellStore::createLease(Duration, std::function<void(StoreLease)> done)
 {
     done({true, true, StoreLeaseId(1)});
--- a/Tests/Unit/JournalTest.cpp
+++ b/Tests/Unit/JournalTest.cpp
@@ -47,12 +47,7 @@
         if (!answersReads)
             return after(CallTimeout, [done = std::move(done)] { done({}); });
         auto answer = [this, prefix, done = std::move(done)] {
-            StoreRead read{true, {}};
-            for (const auto &[key, entry] : m_values) {
-                if (key.starts_with(prefix))
-                    read.entries.push_back(entry);
-            }
-            done(std::move(read));
+            done({true, m_contents.list(prefix)});
         };
         if (holdsReads)
             heldReads.emplace_back(std::move(answer));
@@ -101,31 +96,11 @@
 
     CommitResult execute(const StoreTransaction &transaction)
     {
-        CommitResult result{CommitResult::Committed, {}, {}};
-        for (const auto &condition : transaction.conditions) {
-            const auto found = m_values.find(condition.key);
-            if (found != m_values.end())
-                result.current.push_back(found->second);
-            if ((found == m_values.end() ? Revision() : found->second.revision)
-                != condition.revision)
-                result.outcome = CommitResult::Conflict;
-        }
-        if (result.outcome == CommitResult::Conflict)
-            return result;
-        result.revision = Revision(++m_revision);
-        for (const auto &put : transaction.puts)
-            m_values[put.key] = {put.key, put.value, result.revision};
-        for (const std::string &key : transaction.removals)
-            m_values.erase(key);
-        return result;
+        return m_contents.apply(transaction);
     }
     /** Writes a claim at once. @return its revision. */
-    Revision claim(const std::string &holder)
-    {
-        m_values[LeaderKey] = {LeaderKey, holder, Revision(++m_revision)};
-        return Revision(m_revision);
-    }
-    bool has(const std::string &key) const { return m_values.contains(key); }
+    Revision claim(const std::string &holder) { return m_contents.claim(holder); }
+    bool has(const std::string &key) const { return m_contents.has(key); }
     std::size_t callCount() const { return commits + reads; }
     /** @return calls beyond the first try of each commit. */
     std::size_t extraCalls() const { return callCount() - segments.size(); }
@@ -155,8 +130,7 @@
     }
 
     EventQueue &m_events;
-    std::map<std::string, StoreEntry> m_values;
-    uint64_t m_revision = 1;
+    StoreContents m_contents;
 };
 
 using Fate = ScriptedStore::Fate;
--- a/Tests/Unit/LeadershipTest.cpp
+++ b/Tests/Unit/LeadershipTest.cpp
@@ -1,11 +1,8 @@
 // A node leads once for each claim that it has written, whatever becomes of its other tries.
 
-#include "MemoryStore.h"
+#include "MemberSurroundings.h"
 
 #include "Coordination/Journal.h"
-#include "Coordination/Leadership.h"
-#include "Coordination/PeerHub.h"
-#include "Transport/AsioTimerService.h"
 
 #include <asio.hpp>
 #include <catch2/catch.hpp>
@@ -15,7 +12,7 @@
 namespace {
 
 /** A node that is offered another node's claim; the test answers its tries to write it. */
-class ClaimFixture : public TransactionalStore
+class ClaimFixture : public TransactionalStore, protected MemberSurroundings
 {
 protected:
     struct Try
@@ -121,22 +118,12 @@
     bool m_holdsMemberReads = false;
     std::vector<std::function<void()>> m_heldReads;
     std::vector<Revision> m_won;
-    EventQueue m_events;
-    EventQueueTimers m_timers{m_events};
-    ResendPolicy m_resends{m_timers};
-    asio::io_context m_context{1};
-    AsioTimerService m_peerTimers{m_context};
-    PeerHub m_peers{m_context,
-                    m_peerTimers,
-                    {EntryId("n"), CpuMillis(1000), {}},
-                    {"127.0.0.1", 0},
-                    PeerHub::Handlers{}};
     Leadership m_leadership{
         *this,
         m_timers,
         m_resends,
         m_peers,
-        {EntryId("n"), {"127.0.0.1", 2}, CpuMillis(1000)},
+        member(),
         [] { return 0.5; },
         {[this](Revision claim, Instant) { m_won.push_back(claim); }, [] {}, [] {}}};
 };
--- a/Tests/Unit/MemberEntryTest.cpp
+++ b/Tests/Unit/MemberEntryTest.cpp
@@ -1,10 +1,6 @@
 // The entry of a member stays in the store as long as the member renews its lease.
 
-#include "MemoryStore.h"
-
-#include "Coordination/Leadership.h"
-#include "Coordination/PeerHub.h"
-#include "Transport/AsioTimerService.h"
+#include "MemberSurroundings.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,7 +9,7 @@
 namespace {
 
 /** A member whose first entry the store writes late, without an answer. */
-class LateEntryFixture : public TransactionalStore
+class LateEntryFixture : public TransactionalStore, protected MemberSurroundings
 {
 protected:
     void run(Duration time) { m_events.runUntil(m_events.now() + time); }
@@ -47,27 +43,11 @@
     /** The lease of the entry in the store, and the one that was renewed last. */
     StoreLeaseId m_entryLease;
     StoreLeaseId m_renewed;
-    EventQueue m_events;
-    EventQueueTimers m_timers{m_events};
-    ResendPolicy m_resends{m_timers};
-    asio::io_context m_context{1};
-    AsioTimerService m_peerTimers{m_context};
-    PeerHub m_peers{m_context,
-                    m_peerTimers,
-                    {EntryId("n"), CpuMillis(1000), {}},
-                    {"127.0.0.1", 0},
-                    PeerHub::Handlers{}};
-    Leadership m_leadership{*this,
-                            m_timers,
-                            m_resends,
-                            m_peers,
-                            {EntryId("n"), {"127.0.0.1", 2}, CpuMillis(1000)},
-                            [] { return 0.5; },
-                            {}};
+    Leadership m_leadership{*this, m_timers, m_resends, m_peers, member(), [] { return 0.5; }, {}};
 };
 
 /** A member at a store that loses two of three writes; its leases end as the platform's do. */
-class LossyStoreFixture : public TransactionalStore
+class LossyStoreFixture : public TransactionalStore, protected MemberSurroundings
 {
 protected:
     void run(Duration time) { m_events.runUntil(m_events.now() + time); }
@@ -123,23 +103,7 @@
     std::map<StoreLeaseId, Instant> m_leaseEnds;
     std::optional<StoreLeaseId> m_entryLease;
     StoreLeaseId m_renewed;
-    EventQueue m_events;
-    EventQueueTimers m_timers{m_events};
-    ResendPolicy m_resends{m_timers};
-    asio::io_context m_context{1};
-    AsioTimerService m_peerTimers{m_context};
-    PeerHub m_peers{m_context,
-                    m_peerTimers,
-                    {EntryId("n"), CpuMillis(1000), {}},
-                    {"127.0.0.1", 0},
-                    PeerHub::Handlers{}};
-    Leadership m_leadership{*this,
-                            m_timers,
-                            m_resends,
-                            m_peers,
-                            {EntryId("n"), {"127.0.0.1", 2}, CpuMillis(1000)},
-                            [] { return 0.5; },
-                            {}};
+    Leadership m_leadership{*this, m_timers, m_resends, m_peers, member(), [] { return 0.5; }, {}};
 
 private:
     template <typename Answer>
