review: a task that lasts waits 12.7 s for its restart after a change of the leader

Cause: a new leader counts leases on a worker that does not answer from 6 s after its own start, also if the worker has reported that it leaves, has no entry in the store any more and refuses connections. No code of the product changes.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -22,6 +23,9 @@
 STOP_MS = 900
 GANG_WAIT_MS = 3000
 CANCEL_MS = 3000
+DRAIN_MS = 2000
+# Time from the start of a task that lasts until it is at work.
+STARTUP_S = 0.3
 GRACE_S = 6
 HEARTBEAT_S = 1.5
 # A script runs for 120 s at most.
@@ -54,6 +58,8 @@
     """An HTTP/1.1 server; `answer(method, path, headers, body)` returns a status and a body, or None for no answer."""
 
     def __init__(self, answer, host=HOST):
+        server = self
+
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
             disable_nagle_algorithm = True
@@ -81,10 +87,12 @@
                 pass
 
             def handle(self):
+                server.sockets.add(self.connection)
                 try:
                     super().handle()
-                except OSError:
+                except (OSError, ValueError):
                     pass
+                server.sockets.discard(self.connection)
 
         class Listener(ThreadingHTTPServer):
             daemon_threads = True
@@ -93,11 +101,22 @@
             def handle_error(self, request, client_address):
                 pass
 
+        self.sockets = set()
         self.listener = Listener((host, 0), Handler)
         self.port = self.listener.server_address[1]
         self.address = f"{host}:{self.port}"
         threading.Thread(target=self.listener.serve_forever, args=(0.05,), daemon=True).start()
 
+    def close(self):
+        """Takes no more connections and resets the open ones."""
+        self.listener.shutdown()
+        self.listener.server_close()
+        for connection in list(self.sockets):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 class Store:
     """The platform's metadata store."""
@@ -201,6 +220,8 @@
 
 
 class Run:
+    """One run of a task on a worker."""
+
     def __init__(self, task, attempt, begin):
         self.task = task
         self.attempt = attempt
@@ -210,7 +231,7 @@
 
 
 class Worker:
-    """A worker of a service; `duration(task)` is the work of a task in seconds at full speed."""
+    """A worker of a service; `duration(task)` is the work of a task in seconds at full speed, or None if it lasts."""
 
     TICK_S = 0.01
 
@@ -232,6 +253,7 @@
         self.until = 0
         self.runs = {}
         self.starts = []
+        self.terminated = []
         self.highest = {}
         self.finished = []
         self.next_end = 1
@@ -248,13 +270,18 @@
 
     def announce(self):
         while self.is_open:
-            self.sequence += 1
-            self.store.write("servers/" + self.name, {
-                "service": self.service, "addr": self.address, "zone": self.zone, "version": "1", "slots": 8,
-                "state": "draining" if self.draining else "ready", "coldRemainingMs": 0, "seqNo": self.sequence,
-                "born": self.born, "capacity": self.capacity, "labels": self.labels})
+            self.register()
             time.sleep(HEARTBEAT_S)
 
+    def register(self):
+        self.sequence += 1
+        entry = {"service": self.service, "addr": self.address, "zone": self.zone, "version": "1", "slots": 8,
+                 "state": "draining" if self.draining else "ready", "coldRemainingMs": 0, "seqNo": self.sequence,
+                 "born": self.born, "capacity": self.capacity, "labels": self.labels}
+        if self.draining:
+            entry["remainingMs"] = DRAIN_MS
+        self.store.write("servers/" + self.name, entry)
+
     def end(self, run, how):
         del self.runs[run.task]
         self.finished.append([self.next_end, run.task, run.attempt, how, ""])
@@ -278,11 +305,32 @@
                         self.end(run, "lapsed")
                     else:
                         run.done_work += passed * self.speed
-                        if run.done_work >= self.duration(run.task):
+                        work = self.duration(run.task)
+                        if work is not None and run.done_work >= work:
                             self.end(run, "done")
 
     def percent(self, run):
-        return min(99, int(100 * run.done_work / self.duration(run.task)))
+        work = self.duration(run.task)
+        if work is None:
+            return 100 if run.done_work >= STARTUP_S else 0
+        return min(99, int(100 * run.done_work / work))
+
+    def drain(self):
+        """Reports that the worker leaves; it goes on to serve."""
+        self.record(f"worker {self.name}: reports draining")
+        self.draining = True
+        self.register()
+
+    def leave(self):
+        """Ends the worker and all that runs on it."""
+        with self.condition:
+            self.is_open = False
+            for task in list(self.runs):
+                self.terminated.append((self.record.now(), task))
+            self.runs.clear()
+        self.server.close()
+        self.store.remove("servers/" + self.name)
+        self.record(f"worker {self.name}: has left, and what ran on it: {[task for _, task in self.terminated]}")
 
     def extend(self, until):
         self.until = max(self.until, min(until, self.clock() + HOLD_MAX_MS))
@@ -374,11 +422,21 @@
                        f'[platform]\nstore = "{store}"\n'
                        f'[timing]\nworker_lease_ms = {HOLD_MAX_MS}\ngang_wait_ms = {GANG_WAIT_MS}\nstatus_s = 120\n'
                        f'stop_grace_s = {GRACE_S}\n')
+        self.settings = settings
         self.log_path = os.path.join(folder, name + ".log")
         self.log = open(self.log_path, "wb")
-        self.process = subprocess.Popen([PROGRAM, settings], stdout=self.log, stderr=subprocess.STDOUT, cwd=ROOT,
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen([PROGRAM, self.settings], stdout=self.log, stderr=subprocess.STDOUT, cwd=ROOT,
                                         stdin=subprocess.DEVNULL)
 
+    def restart(self):
+        """Starts the process again after it has ended, as the platform does."""
+        self.process.wait()
+        self.record(f"{self.name} starts again")
+        self.start()
+
     def log_text(self):
         with open(self.log_path, encoding="utf-8", errors="replace") as file:
             return file.read()
@@ -513,6 +571,8 @@
             worker.is_open = False
         for node in self.nodes:
             node.end()
+            if os.environ.get("KEEP_LOGS"):
+                shutil.copy(node.log_path, os.environ["KEEP_LOGS"])
         self.folder.cleanup()
 
 
