--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -253,6 +254,7 @@
         self.until = 0
         self.runs = {}
         self.starts = []
+        self.ends = []
         self.terminated = []
         self.highest = {}
         self.finished = []
@@ -286,6 +288,7 @@
         del self.runs[run.task]
         self.finished.append([self.next_end, run.task, run.attempt, how, ""])
         self.next_end += 1
+        self.ends.append((self.record.now(), run.task, how))
         self.record(f"worker {self.name}: end {run.task} run {run.attempt} {how}")
         self.condition.notify_all()
 
@@ -397,21 +400,28 @@
                      "finished": self.finished[:500]}
 
 
+def free_ports(count):
+    """Returns ports that nothing listens on, below those that the system gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
 class Node:
     """A process of the cell, started with the command of the deploy file."""
 
     def __init__(self, folder, store, record, name, zone):
         self.name = name
         self.record = record
-        ports = []
-        sockets = []
-        for _ in range(4):
-            probe = socket.socket()
-            probe.bind((HOST, 0))
-            sockets.append(probe)
-            ports.append(probe.getsockname()[1])
-        for probe in sockets:
-            probe.close()
+        ports = free_ports(4)
         self.front = ports[0]
         self.readiness = ports[1]
         settings = os.path.join(folder, name + ".toml")
@@ -530,6 +540,12 @@
     def starts(self, job):
         return sorted(start for worker in self.workers for start in worker.starts if start[1].startswith(job + "."))
 
+    def ends(self, how):
+        return sorted(end for worker in self.workers for end in worker.ends if end[2] == how)
+
+    def running(self, job):
+        return [task for worker in self.workers for task in list(worker.runs) if task.startswith(job + ".")]
+
     def client(self, node):
         return Client(node, self.record, self.QUEUE_HOST, self.KEY)
 
