review: with leases of 10 s a task that lasts waits 10 s for its restart after a planned scale-in

Cause: a run on a worker that does not answer counts as lost only after a whole lease, which is always holdMaxMs; the rule allows 9 s, and neither the worker's drain nor its missing entry is looked at. No code of the product changes.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -236,13 +236,14 @@
 
     TICK_S = 0.01
 
-    def __init__(self, store, record, name, service, zone, duration, cpu=16000, labels=("a", "r1-1")):
+    def __init__(self, store, record, name, service, zone, duration, cpu=16000, labels=("a", "r1-1"), hold_max_ms=HOLD_MAX_MS):
         self.store = store
         self.record = record
         self.name = name
         self.service = service
         self.zone = zone
         self.duration = duration
+        self.hold_max_ms = hold_max_ms
         self.capacity = {"cpu": cpu, "memMb": 65536, "gpu": 0}
         self.labels = list(labels)
         self.speed = 1.0
@@ -336,7 +337,7 @@
         self.record(f"worker {self.name}: has left, and what ran on it: {[task for _, task in self.terminated]}")
 
     def extend(self, until):
-        self.until = max(self.until, min(until, self.clock() + HOLD_MAX_MS))
+        self.until = max(self.until, min(until, self.clock() + self.hold_max_ms))
 
     def answer(self, method, path, headers, body):
         if headers.get("X-Expected-Instance") not in (None, self.name):
@@ -418,7 +419,7 @@
 class Node:
     """A process of the cell, started with the command of the deploy file."""
 
-    def __init__(self, folder, store, record, name, zone):
+    def __init__(self, folder, store, record, name, zone, hold_max_ms):
         self.name = name
         self.record = record
         ports = free_ports(4)
@@ -430,7 +431,7 @@
                        f'link_mbps = 1000.0\nfront = "{HOST}:{ports[0]}"\nreadiness = "{HOST}:{ports[1]}"\n'
                        f'peer = "{HOST}:{ports[2]}"\nmetrics = "{HOST}:{ports[3]}"\n'
                        f'[platform]\nstore = "{store}"\n'
-                       f'[timing]\nworker_lease_ms = {HOLD_MAX_MS}\ngang_wait_ms = {GANG_WAIT_MS}\nstatus_s = 120\n'
+                       f'[timing]\nworker_lease_ms = {hold_max_ms}\ngang_wait_ms = {GANG_WAIT_MS}\nstatus_s = 120\n'
                        f'stop_grace_s = {GRACE_S}\n')
         self.settings = settings
         self.log_path = os.path.join(folder, name + ".log")
@@ -511,8 +512,9 @@
     PREFIX = "/jobs/"
     KEY = "key-of-the-tenant"
 
-    def __init__(self, record, nodes=3, **route):
+    def __init__(self, record, nodes=3, hold_max_ms=HOLD_MAX_MS, **route):
         self.record = record
+        self.hold_max_ms = hold_max_ms
         self.folder = tempfile.TemporaryDirectory()
         self.watchdog = threading.Timer(LIMIT_S, self.give_up)
         self.watchdog.daemon = True
@@ -529,11 +531,13 @@
                          "cap": {"cpu": 0, "memMb": 0, "gpu": 0}}],
             "limits": {"maxBodyBytes": 262144}})
         for number in range(nodes):
-            self.nodes.append(Node(self.folder.name, self.store.address, record, f"node-{number + 1}", f"zone-{number % 3 + 1}"))
+            self.nodes.append(Node(self.folder.name, self.store.address, record, f"node-{number + 1}",
+                                   f"zone-{number % 3 + 1}", hold_max_ms))
 
     def add_worker(self, duration, **more):
         name = f"w-{len(self.workers) + 1}"
-        worker = Worker(self.store, self.record, name, "service", f"zone-{len(self.workers) % 3 + 1}", duration, **more)
+        worker = Worker(self.store, self.record, name, "service", f"zone-{len(self.workers) % 3 + 1}", duration,
+                        hold_max_ms=self.hold_max_ms, **more)
         self.workers.append(worker)
         return worker
 
