--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -11,9 +11,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -598,10 +600,11 @@
 
 def play(folder, case):
     """Runs `case(record, trouble)`, which returns True if the rule was broken; exits as a case has to."""
-    import sys
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"TROUBLE={int(trouble)}")
+    # Whoever ends the script early ends the nodes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("target/cranberrymount-cell is not built")
@@ -609,5 +612,9 @@
     except CannotRun as error:
         record(f"could not run: {error}")
         sys.exit(2)
+    except Exception:
+        # An exit with 1 would say that the rule was broken.
+        record(f"could not run: {traceback.format_exc()}")
+        sys.exit(2)
     record("result: " + ("the rule was broken" if is_broken else "the rule held"))
     sys.exit(1 if is_broken else 0)
