CellScheduler: Spread the returns of clients beyond their team's share

Change: ReturnSchedule gives each refused job of a team a return time of its own, in the order of refusal, spaced by the rate of the team's share, between 1 s and 30 s. A job that returns early keeps its time. A team's burst delays no other team.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -19,9 +19,6 @@
 /** Maximum number of waiting jobs that are over their team's fair share; a pool with free capacity
  * starts them within seconds. */
 constexpr std::size_t MaxPendingOverShare = 24;
-/** When a team that is over its fair share may retry; bursts in the users' deployment files
- * last 4 to 8 s. */
-constexpr Duration OverShareRetryAfter{4000};
 /** Nothing is accepted while a commit has waited for longer: its caller may not get an answer in
  * time, and confirmations keep their order. */
 constexpr Duration MaxCommitAge{800};
@@ -148,9 +145,11 @@
             << " configuration=" << m_configuration.version;
         m_dependencies.count("jobs_refused", 1);
         ClientReply reply = makeReply(ClientReply::TooBusy, "the team is over its fair share");
-        reply.retryAfter = OverShareRetryAfter;
+        reply.retryAfter = m_returns.recordRefusal(
+            team, id, m_configuration.findTeam(team)->jobsPerSecond, m_timers.now());
         return respond(reply);
     }
+    m_returns.recordAdmission(team, id);
     record.spec = std::move(call.spec);
     m_unwrittenSubmissions[id].push_back(std::move(respond));
     LOG_EVENT(m_dependencies.log, "job_received")
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -6,6 +6,7 @@
 #include "Coordination/WorkerHealth.h"
 #include "Coordination/WorkerSession.h"
 #include "Decision/Dispatcher.h"
+#include "Decision/ReturnSchedule.h"
 #include "Decision/StartLatency.h"
 #include "Decision/WorkerSpeeds.h"
 #include "Protocol/ClientCall.h"
@@ -301,6 +302,8 @@
         Instant filledAt{};
     };
     std::map<TeamId, ShareBucket> m_shareBuckets;
+    /** When the clients of jobs that were refused for their team's share should return. */
+    ReturnSchedule m_returns;
     /** When a worker last refused the epoch while it was unknown whether the claim still holds. */
     std::optional<Instant> m_claimDoubtedAt;
     /** Workers whose refusal the next confirmation of the claim explains: they are not ours. */
