--- a/Libraries/Coordination/Journal.cpp
+++ b/Libraries/Coordination/Journal.cpp
@@ -11,12 +11,16 @@
 namespace Cranberrymount {
 
 const std::string LeaderKey = "cell/leader";
+const std::string LeaderActivityKey = "cell/leader/activity";
 const std::string SegmentPrefix = "cell/journal/";
 
 namespace {
 
 /** Minimum time between the starts of two commits: 40 calls/s of the 400 that the store allows. */
 constexpr Duration MinCommitInterval{25};
+/** Minimum time between two commits that write LeaderActivityKey. An idle leader commits every 400
+ * to 500 ms, and followers look for a change within a second. */
+constexpr Duration ActivityInterval{200};
 /** With a slow store, at most this many commits overlap; with a fast one they do not overlap. */
 constexpr std::size_t MaxCommitsInFlight = 6;
 /** The store counts as unresponsive if it answers no call for this long, or for
@@ -39,7 +43,8 @@
 /** Interval between probes while the store accepts no commits. An unresponsive store lets each
  * commit hang for its 1 s timeout; a new call shows sooner that the store has recovered. */
 constexpr Duration ProbeInterval{100};
-/** The store accepts 32 rows per transaction; three of them are for the segment itself. */
+/** The store accepts 32 rows per transaction; four of them are for the segment itself and the
+ * leader's activity. */
 constexpr std::size_t MaxRemovals = 24;
 /** Half of the 1 MB that the platform accepts for one value. */
 constexpr std::size_t MaxSegmentBytes = 500'000;
@@ -224,6 +229,10 @@
     commit->floor = stored.floor;
     transaction.conditions = {{LeaderKey, m_claim}, {segmentKey(segment.number), Revision(0)}};
     transaction.puts = {{segmentKey(segment.number), encodeSegment(stored), {}}};
+    if (commit->begin - m_lastActivityAt >= ActivityInterval) {
+        transaction.puts.push_back({LeaderActivityKey, "1", {}});
+        m_lastActivityAt = commit->begin;
+    }
     m_segments.push_back(std::move(segment));
     m_commits.push_back(commit);
     sendCommit(commit);
--- a/Libraries/Coordination/Journal.h
+++ b/Libraries/Coordination/Journal.h
@@ -13,6 +13,11 @@
 
 /** Store key of the leadership claim; its revision is the leader's epoch. */
 extern const std::string LeaderKey;
+/**
+ * Store key that some of the leader's commits write: its revision shows when the leader last used
+ * the store. A read of all keys that begin with LeaderKey returns both.
+ */
+extern const std::string LeaderActivityKey;
 
 /**
  * The cell's journal: segments of records in the platform's store, appended only by the leader.
@@ -208,6 +213,8 @@
     /** When the store last answered a call, whatever the outcome. */
     Instant m_lastAnswerAt{};
     Instant m_lastStartAt;
+    /** When a commit that writes LeaderActivityKey was last begun. */
+    Instant m_lastActivityAt{};
     /** When unwritten commits were last resent because the store had recovered. */
     Instant m_lastResendAt{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/Tests/Unit/JournalTest.cpp
+++ b/Tests/Unit/JournalTest.cpp
@@ -510,3 +510,33 @@
     CHECK(m_leader->supersededCount == (isReadFirst ? 0 : 1));
     CHECK(m_leader->confirmed.size() == (isReadFirst ? 1 : 0));
 }
+
+// Guards against a healthy leader whose use of the store does not show, so that a node with bad
+// links takes it for gone, and against one more write with every commit.
+TEST_CASE_METHOD(JournalFixture, "Journal shows the leader's activity at most five times a second",
+                 "[journal]")
+{
+    const bool isIdle = GENERATE(true, false);
+    std::vector<Instant> written{m_events.now()};
+    m_store.fate = [this, &written](int, const StoreTransaction &transaction) {
+        const auto &last = transaction.puts.back();
+        if (last.key == LeaderActivityKey)
+            written.push_back(m_events.now());
+        return ScriptedStore::Fate::Answered;
+    };
+    // An idle leader confirms its claim every 400 ms.
+    for (int round = 0; round < 10; ++round) {
+        if (!isIdle) {
+            runUnderLoad(*m_leader, Duration(400));
+            continue;
+        }
+        m_leader->journal.confirmClaim();
+        run(Duration(400));
+    }
+    REQUIRE(written.size() > 8);
+    for (std::size_t number = 1; number < written.size(); ++number) {
+        CHECK(written[number] - written[number - 1] <= Duration(500));
+        if (number > 1)
+            CHECK(written[number] - written[number - 1] >= Duration(200));
+    }
+}
