Leadership: Elect a leader with any number of nodes lost

Cause: members that were lost counted as votes for the leader until their entries expired (8 s). Change: members that don't respond are left out of the count if two reads of the store, a second apart, show no activity of the leader. A node without another's vote always needs these reads, so that bad links alone depose no leader.

--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -26,6 +26,12 @@
 constexpr Duration LinkGrace{350};
 /** A new leader may miss heartbeats for this long while it reads the journal. */
 constexpr Duration RecoveryGrace{2000};
+/** A leader that has not written its activity for this long does not use the store: an idle leader
+ * writes it every 500 ms at most, and lost responses cost some tens of milliseconds each. */
+constexpr Duration InactivityLimit{1000};
+/** After two missing heartbeats a follower reads the leader's activity for the first time, so that
+ * an election can compare it with a second read after HeartbeatTimeout. */
+constexpr Duration WatchDelay{400};
 constexpr Duration AwaitPollInterval{20};
 /** Interval of announcements to members without a link; members that start or recover while they
  * cannot use the store learn of the leader this way. */
@@ -193,6 +199,7 @@
 
 void Leadership::tick()
 {
+    watchLateLeader();
     if (!m_isLeading && !m_isElecting && !m_isRetired && m_timers.now() >= m_noElectionUntil
         && (m_leader.revision == Revision() || !isLeaderHealthy())) {
         m_isElecting = true;
@@ -233,6 +240,7 @@
             return endElection(LinkGrace);
         }
     }
+    observeActivity(read);
     // The claim belongs to an earlier process of this node, which no longer runs, or to an earlier
     // try. A node must never follow itself.
     if (m_leader.node == m_self.node)
@@ -289,29 +297,10 @@
     // The leader that was suspected has been replaced.
     if (m_leader.revision != claim)
         return endElection(Duration(0));
-    struct Count
-    {
-        std::size_t members = 1;
-        std::size_t agreeing = 1;
-        std::size_t awaited = 0;
-        /** A stronger node also votes against the leader, so it would claim leadership too. */
-        bool hasStronger = false;
-    };
-    const auto count = std::make_shared<Count>();
+    const auto count = std::make_shared<VoteCount>();
     const auto decide = [this, count, claim] {
-        if (--count->awaited > 0)
-            return;
-        LOG(INFO) << "event=election claim=" << claim.value() << " members=" << count->members
-                  << " agreeing=" << count->agreeing;
-        if (count->hasStronger && yieldsOnce(claim))
-            return endElection(YieldPause);
-        if (2 * count->agreeing < count->members || m_leader.revision != claim || m_isRetired)
-            return endElection(ElectionPause);
-        // The leader is alive and has only lost access to the store.
-        if (m_peers.isLinked()
-            && m_timers.now() - m_peers.heartbeatAt() < ElectionPeers::HeartbeatTimeout)
-            return m_timers.after(RegainGrace, [this, claim] { claimIfStillLost(claim); });
-        claimLeadership(claim);
+        if (--count->awaited == 0)
+            decideElection(claim, *count);
     };
     ++count->awaited;
     for (const CellMember &member : decodeMembers(members)) {
@@ -321,6 +310,7 @@
         ++count->awaited;
         const bool isStronger = isClearlyStronger(member.processor, m_self.processor);
         m_peers.askVote(member.address, claim, [=](std::optional<bool> vote) {
+            count->answering += vote.has_value();
             count->agreeing += vote.value_or(false);
             count->hasStronger |= isStronger && vote.value_or(false);
             decide();
@@ -329,6 +319,82 @@
     decide();
 }
 
+void Leadership::decideElection(Revision claim, const VoteCount &count)
+{
+    LOG(INFO) << "event=election claim=" << claim.value() << " members=" << count.members
+              << " answering=" << count.answering << " agreeing=" << count.agreeing;
+    if (m_leader.revision != claim || m_isRetired || 2 * count.agreeing < count.answering)
+        return endElection(ElectionPause);
+    // A single node may only have bad links, however few members there are.
+    if (count.agreeing > 1 && 2 * count.agreeing >= count.members)
+        return claimAfterVote(claim, count);
+    awaitInactivity(claim, count);
+}
+
+void Leadership::claimAfterVote(Revision claim, const VoteCount &count)
+{
+    if (count.hasStronger && yieldsOnce(claim))
+        return endElection(YieldPause);
+    // The leader is alive and has only lost access to the store.
+    if (m_peers.isLinked()
+        && m_timers.now() - m_peers.heartbeatAt() < ElectionPeers::HeartbeatTimeout)
+        return m_timers.after(RegainGrace, [this, claim] { claimIfStillLost(claim); });
+    claimLeadership(claim);
+}
+
+void Leadership::observeActivity(const StoreRead &read)
+{
+    const auto claim = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
+    if (claim == read.entries.end())
+        return;
+    const auto written = std::ranges::find(read.entries, LeaderActivityKey, &StoreEntry::key);
+    // What an earlier leader has written does not count.
+    const Revision revision = written == read.entries.end()
+        ? claim->revision
+        : std::max(claim->revision, written->revision);
+    if (m_activity.claim == claim->revision && m_activity.revision == revision)
+        return;
+    m_activity = {claim->revision, revision, m_timers.now()};
+}
+
+void Leadership::watchLateLeader()
+{
+    const Instant beatAt = m_peers.heartbeatAt();
+    if (m_isLeading || m_isElecting || m_isRetired || !m_peers.isLinked() || !m_peers.heartbeat()
+        || m_watchedHeartbeat == beatAt || m_timers.now() - beatAt < WatchDelay)
+        return;
+    m_watchedHeartbeat = beatAt;
+    m_store.list(LeaderKey, [this](const StoreRead &read) { observeActivity(read); });
+}
+
+Instant Leadership::inactiveAt() const
+{
+    // A new leader commits nothing until it has read the journal.
+    const bool isReading = m_activity.revision == m_activity.claim;
+    return m_activity.since + (isReading ? RecoveryGrace : InactivityLimit);
+}
+
+void Leadership::awaitInactivity(Revision claim, const VoteCount &count)
+{
+    const Instant readAt = std::max(m_timers.now(), inactiveAt());
+    const auto pause = std::chrono::duration_cast<Duration>(readAt - m_timers.now());
+    m_timers.after(pause, [this, claim, count] {
+        if (m_leader.revision != claim || m_isLeading || m_isRetired)
+            return endElection(Duration(0));
+        m_store.list(LeaderKey, [this, claim, count, sentAt = m_timers.now()](const auto &read) {
+            if (!read.answered || m_leader.revision != claim || m_isLeading || m_isRetired)
+                return endElection(ElectionPause);
+            observeActivity(read);
+            const bool isInactive = m_activity.claim == claim && sentAt >= inactiveAt();
+            LOG(INFO) << "event=leader_activity_checked claim=" << claim.value()
+                      << " inactive=" << isInactive;
+            if (!isInactive || (m_peers.isLinked() && m_peers.heartbeat() && isLeaderHealthy()))
+                return endElection(ElectionPause);
+            claimAfterVote(claim, count);
+        });
+    });
+}
+
 bool Leadership::yieldsOnce(Revision claim)
 {
     return std::exchange(m_lastYieldedClaim, claim) != claim;
--- a/Libraries/Coordination/Leadership.h
+++ b/Libraries/Coordination/Leadership.h
@@ -21,7 +21,8 @@
  * Elects the cell's leader. The leadership claim is one key of the store: the node that wrote it
  * last leads, and its revision fences every write and command of earlier leaders. A follower takes
  * over the claim when it and most of its peers find the leader unhealthy, so that no lease has to
- * expire first.
+ * expire first. Peers that don't respond are left out of the count if the store shows that the
+ * leader has stopped using it (docs/design/Elections.md).
  */
 class Leadership
 {
@@ -67,6 +68,29 @@
         Endpoint address;
     };
 
+    /** The leader's last known use of the store. */
+    struct Activity
+    {
+        /** The leader's claim; activity under another claim says nothing about this one. */
+        Revision claim;
+        /** Revision of LeaderActivityKey, or that of the claim if the leader has not written it. */
+        Revision revision;
+        /** When a read first returned this revision. */
+        Instant since;
+    };
+
+    /** Votes on a suspected leader. */
+    struct VoteCount
+    {
+        /** Members except the leader; this node is one of them. */
+        std::size_t members = 1;
+        std::size_t answering = 1;
+        std::size_t agreeing = 1;
+        std::size_t awaited = 0;
+        /** A stronger node also votes against the leader, so it would claim leadership too. */
+        bool hasStronger = false;
+    };
+
     /** A try to write the claim; the store may execute each of its copies, now or later. Only one
      * of them can succeed, since each needs the revision that the claim had before. */
     struct ClaimTry
@@ -100,6 +124,18 @@
     void followLeader();
     void callElection();
     void countVotes(Revision claim, const StoreRead &members);
+    void decideElection(Revision claim, const VoteCount &count);
+    /** Claims leadership after a won vote, unless a stronger node gets the first try. */
+    void claimAfterVote(Revision claim, const VoteCount &count);
+    /** Records what @p read says about the leader's use of the store. */
+    void observeActivity(const StoreRead &read);
+    /** Reads the leader's activity while its heartbeats are late, so that an election can compare.
+     */
+    void watchLateLeader();
+    /** @return when a read can show that the leader has stopped using the store. */
+    Instant inactiveAt() const;
+    /** Waits until the leader's inactivity is long enough, and claims leadership if it is. */
+    void awaitInactivity(Revision claim, const VoteCount &count);
     /** @return true the first time for each @p claim: the node lets a stronger one claim first. */
     bool yieldsOnce(Revision claim);
     /** Claims leadership unless the holder of @p claim can use the store again. */
@@ -129,6 +165,9 @@
     std::function<double()> m_random;
     Observer m_observer;
     Leader m_leader;
+    Activity m_activity;
+    /** The heartbeat after which watchLateLeader() last read the activity. */
+    Instant m_watchedHeartbeat{};
     /** The last claim for which this node let stronger nodes go first. */
     std::optional<Revision> m_lastYieldedClaim;
     StoreLeaseId m_lease;
