WorkerConnections: Count no reused connection as a new one

Cause: 'Leader that gets one connection...' failed beside load with 12 resets of a worker instead of fewer than 10. A reply is handled later than its connection becomes free. A command that was to open a connection could then reuse that one; its reply counted as a new connection, and the pauses between attempts began anew at 0.1 s. Change: the HTTP client says whether a response came on a connection that was open before; such a reply does not end the pauses.

--- a/Libraries/Coordination/WorkerConnections.cpp
+++ b/Libraries/Coordination/WorkerConnections.cpp
@@ -104,7 +104,8 @@
                                                   alive = std::weak_ptr(m_alive)](Reply reply) {
             if (alive.expired())
                 return;
-            Worker *worker = recordResult(sent, isAnswered(reply), reply.fault);
+            Worker *worker =
+                recordResult(sent, {isAnswered(reply), reply.reusedConnection, reply.fault});
             // A command that was not sent can use a connection that is open, and so can a report
             // request, which may be repeated if it acknowledges nothing.
             const bool mayRepeat = reply.fault == ConnectionFault::Refused
@@ -238,9 +239,9 @@
     worker.peak = std::max(worker.peak, worker.inFlight());
 }
 
-WorkerConnections::Worker *WorkerConnections::recordResult(const Sent &sent, bool isAnswered,
-                                                           ConnectionFault fault)
+WorkerConnections::Worker *WorkerConnections::recordResult(const Sent &sent, const Result &result)
 {
+    const ConnectionFault fault = result.fault;
     m_counts.refused += fault == ConnectionFault::Refused ? 1 : 0;
     m_counts.reset += fault == ConnectionFault::Reset ? 1 : 0;
     const auto found = m_workers.find(sent.address);
@@ -263,10 +264,14 @@
             << " was_sent=" << (fault == ConnectionFault::Reset) << " failures=" << worker.failures
             << " open=" << worker.open << " in_flight=" << worker.inFlight() << " pause_ms="
             << std::chrono::duration_cast<Duration>(worker.mayOpenAt - m_timers.now()).count();
-    } else if (isAnswered && sent.isNew) {
+    } else if (result.isAnswered && sent.isNew) {
+        // Another command's connection had become free before its reply was handled: this says
+        // nothing about whether the worker accepts new ones.
+        if (result.isReused && worker.failures > 0 && worker.open > 0)
+            return &worker;
         worker.open = std::min(worker.open + 1, MaxConnections);
         worker.failures = 0;
-    } else if (!isAnswered && !sent.isNew) {
+    } else if (!result.isAnswered && !sent.isNew) {
         // The HTTP client closes a connection without a response.
         worker.open -= std::min<std::size_t>(worker.open, 1);
     }
--- a/Libraries/Coordination/WorkerConnections.h
+++ b/Libraries/Coordination/WorkerConnections.h
@@ -119,8 +119,16 @@
     std::size_t orderLimit(const Worker &worker) const;
     void failUnsendable(const Endpoint &address);
     void recordUse(Worker &worker) const;
+    /** How a command ended. */
+    struct Result
+    {
+        bool isAnswered;
+        /** The reply arrived on a connection that was open before. */
+        bool isReused;
+        ConnectionFault fault;
+    };
     /** @return the worker's entry, or null if closeConnections() has removed it. */
-    Worker *recordResult(const Sent &sent, bool isAnswered, ConnectionFault fault);
+    Worker *recordResult(const Sent &sent, const Result &result);
     void removeUnused();
 
     WorkerCommands &m_commands;
--- a/Libraries/Protocol/WorkerCommands.h
+++ b/Libraries/Protocol/WorkerCommands.h
@@ -72,6 +72,9 @@
     std::vector<EndReport> ended;
     /** Not sent to the leader by forwarders; Refused if the call was not sent. */
     ConnectionFault fault = ConnectionFault::None;
+    /** The reply arrived on a connection that was open before the call; not sent to the leader by
+     * forwarders. */
+    bool reusedConnection = false;
 };
 
 /** Starts one attempt of a task. */
@@ -109,6 +112,9 @@
     /** Other than None, the worker may have no connection left; Refused if the command was not
      * sent, in which case the outcome is Refused, too. */
     ConnectionFault fault = ConnectionFault::None;
+    /** The reply arrived on a connection that was open before the call; not sent to the leader by
+     * forwarders. */
+    bool reusedConnection = false;
 };
 
 /** Stops one attempt of a task. */
@@ -125,6 +131,9 @@
     Outcome outcome = Unknown;
     /** Not sent to the leader by forwarders; Refused if the command was not sent. */
     ConnectionFault fault = ConnectionFault::None;
+    /** The reply arrived on a connection that was open before the call; not sent to the leader by
+     * forwarders. */
+    bool reusedConnection = false;
 };
 
 /** Sends commands to workers; callbacks run on the control thread. */
--- a/Libraries/Transport/HttpClient.cpp
+++ b/Libraries/Transport/HttpClient.cpp
@@ -122,10 +122,13 @@
     HttpResult result = std::move(exchange.result);
     if (code == CURLE_OK) {
         long status = 0;
+        long newConnections = 0;
         char *contentType = nullptr;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         curl_easy_getinfo(handle, CURLINFO_CONTENT_TYPE, &contentType);
+        curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &newConnections);
         result.outcome = HttpResult::Answered;
+        result.reusedConnection = newConnections == 0;
         result.status = static_cast<int>(status);
         result.contentType = contentType ? contentType : "";
         return result;
--- a/Libraries/Transport/HttpClient.h
+++ b/Libraries/Transport/HttpClient.h
@@ -54,6 +54,8 @@
     std::string error;
     /** Other than None, the server may have no connection left for this client. */
     ConnectionFault connectionFault = ConnectionFault::None;
+    /** The response arrived on a connection that was open before the call. */
+    bool reusedConnection = false;
 
     bool isOk() const { return outcome == Answered && status >= 200 && status < 300; }
 };
