CellScheduler: Responses from memory need a current claim

Cause: a leader that was frozen for 2.5 s denied (410) a job that its successor had accepted. It responded from memory as long as its claim had been confirmed in the last 3 s, and a successor leads after 1.1 s. Change: denials, cancellations of ended jobs and the number of waiting jobs wait for a commit that was sent after the call arrived; all calls that wait share it. After a standstill, or while the claim is in doubt, every call does. Without the store the response is 503. If the claim is lost, the call goes back to its node, which sends it to the next leader. "Call that a former leader passes back" failed without the change in CellNode.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -25,6 +25,9 @@
 /** Nothing is accepted while a commit has waited for longer: its caller may not get an answer in
  * time, and confirmations keep their order. */
 constexpr Duration MaxCommitAge{800};
+/** A call waits this long for the proof of the claim: its caller may not get an answer in time, as
+ * with MaxCommitAge. */
+constexpr Duration MaxProofWait{800};
 constexpr std::size_t JobIdLength = 16;
 
 ClientReply makeUnavailable(const char *detail)
@@ -74,6 +77,14 @@
                            "the scheduler is not ready; an earlier try may have stored the job")
                                   : makeUnavailable("the cell has no scheduler at the moment"));
     }
+    observeActivity();
+    serve({std::move(call), std::move(respond), m_timers.now()});
+}
+
+void CellScheduler::serve(PendingCall pending)
+{
+    const ClientCall &call = pending.call;
+    const ClientResponder &respond = pending.respond;
     const std::string host = call.host.substr(0, call.host.find(':'));
     const QueueSettings *queue = m_configuration.route(host, call.path);
     const TeamSettings *team = m_configuration.teamOfKey(call.key);
@@ -83,7 +94,7 @@
         const JobId id(call.path.substr(queue->pathPrefix.size()));
         const auto beingWritten = m_unwrittenSubmissions.find(id);
         if (beingWritten != m_unwrittenSubmissions.end()) {
-            beingWritten->second.push_back(std::move(respond));
+            beingWritten->second.push_back(respond);
             return;
         }
         if (m_jobs.find(id))
@@ -91,6 +102,8 @@
     }
     if (m_isQuiescing)
         return respond(makeUnavailable("the scheduler is moving to another node"));
+    if (mayBeReplaced() && !isProven(pending))
+        return awaitProof(std::move(pending));
     if (isConfirmationStale())
         return respond(makeUnavailable("the store cannot be reached"));
     if (!queue)
@@ -102,6 +115,8 @@
     }
     const std::string name = call.path.substr(queue->pathPrefix.size());
     if (name.empty() && call.kind == ClientCall::Status) {
+        if (!isProven(pending))
+            return awaitProof(std::move(pending));
         ClientReply reply = makeReply(ClientReply::QueueShown);
         reply.pending = m_jobs.pendingCount(queue->id);
         return respond(reply);
@@ -111,21 +126,84 @@
     const JobId id(name);
     switch (call.kind) {
     case ClientCall::Submit:
-        return submit(*queue, team ? team->id : TeamId(), id, std::move(call), std::move(respond));
+        return submit(*queue, team ? team->id : TeamId(), id, std::move(pending.call),
+                      std::move(pending.respond));
     case ClientCall::Cancel:
-        return cancel(id, respond);
+        return cancel(id, std::move(pending));
     case ClientCall::Status:
-        break;
+        return showState(id, std::move(pending));
     }
+}
+
+void CellScheduler::showState(const JobId &id, PendingCall pending)
+{
     // A job whose record is in flight to the store may exist by the time the caller gets the reply.
     if (m_unwrittenSubmissions.contains(id))
-        return respond(makeUnavailable("the job is being stored"));
+        return pending.respond(makeUnavailable("the job is being stored"));
     const JobRecord *job = m_jobs.find(id);
+    if (!job && !isProven(pending))
+        return awaitProof(std::move(pending));
     if (!job)
-        return respond(makeReply(ClientReply::NoSuchJob, "no such job"));
+        return pending.respond(makeReply(ClientReply::NoSuchJob, "no such job"));
     ClientReply reply = makeReply(ClientReply::JobShown);
     reply.state = job->state;
-    respond(reply);
+    pending.respond(reply);
+}
+
+bool CellScheduler::isProven(const PendingCall &pending) const
+{
+    return m_journal->claimHeldAt() > pending.arrivedAt;
+}
+
+bool CellScheduler::mayBeReplaced() const
+{
+    return isClaimInDoubt() || m_journal->claimHeldAt() <= m_resumedAt;
+}
+
+void CellScheduler::awaitProof(PendingCall pending)
+{
+    if (!m_isStoreReachable)
+        return pending.respond(makeUnavailable("the store cannot be reached"));
+    m_dependencies.count("calls_awaiting_proof", 1);
+    m_unprovenCalls.push_back(std::move(pending));
+    m_journal->requestConfirmation();
+}
+
+std::vector<CellScheduler::PendingCall> CellScheduler::takeUnproven(Instant time)
+{
+    std::vector<PendingCall> taken;
+    while (!m_unprovenCalls.empty() && m_unprovenCalls.front().arrivedAt < time) {
+        taken.push_back(std::move(m_unprovenCalls.front()));
+        m_unprovenCalls.pop_front();
+    }
+    return taken;
+}
+
+void CellScheduler::serveProvenCalls()
+{
+    if (m_isSuperseded)
+        return;
+    for (PendingCall &pending : takeUnproven(m_journal->claimHeldAt()))
+        serve(std::move(pending));
+}
+
+void CellScheduler::refuseUnprovenCalls()
+{
+    if (m_isSuperseded)
+        return;
+    const Instant limit = m_isStoreReachable ? m_timers.now() - MaxProofWait : Instant::max();
+    for (const PendingCall &pending : takeUnproven(limit)) {
+        m_dependencies.count("calls_without_proof", 1);
+        pending.respond(makeUnavailable("the store does not confirm who leads"));
+    }
+}
+
+void CellScheduler::returnUnprovenCalls()
+{
+    ClientReply reply = makeReply(ClientReply::Isolated, "another node leads");
+    reply.retryAfter = StoreOutageRetryAfter;
+    for (const PendingCall &pending : takeUnproven(Instant::max()))
+        pending.respond(reply);
 }
 
 void CellScheduler::submit(const QueueSettings &queue, const TeamId &team, const JobId &id,
@@ -196,11 +274,15 @@
     }
 }
 
-void CellScheduler::cancel(const JobId &id, const ClientResponder &respond)
+void CellScheduler::cancel(const JobId &id, PendingCall pending)
 {
+    const ClientResponder &respond = pending.respond;
     if (m_unwrittenSubmissions.contains(id))
         return respond(makeUnavailable("the job is being stored"));
     const JobRecord *job = m_jobs.find(id);
+    // The record of an open job's cancellation is a proof of its own.
+    if ((!job || job->isOver()) && !isProven(pending))
+        return awaitProof(std::move(pending));
     if (!job)
         return respond(makeReply(ClientReply::NoSuchJob, "no such job"));
     if (job->isOver())
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -66,7 +66,7 @@
     , m_claimHeldAt(claimHeldAt)
     , m_superseded([this, superseded = std::move(superseded)] {
         if (!m_isSuperseded) {
-            m_isSuperseded = true;
+            abandon();
             superseded();
         }
     })
@@ -182,7 +182,10 @@
         m_storeOutageBeganAt = m_timers.now();
         // Deferred: the journal must not be changed inside its own callback.
         if (!isReachable)
-            m_timers.after(Duration(0), [this] { refuseUnsentSubmissions(); });
+            m_timers.after(Duration(0), [this] {
+                refuseUnsentSubmissions();
+                refuseUnprovenCalls();
+            });
         if (isReachable) {
             m_dependencies.storeRecovered();
             scheduleDispatch();
@@ -471,6 +474,9 @@
 
 void CellScheduler::handleClaimConfirmed()
 {
+    // Deferred: the journal calls this while it handles a commit.
+    if (!m_unprovenCalls.empty())
+        m_timers.after(Duration(0), [this] { serveProvenCalls(); });
     if (!m_claimDoubtedAt || isClaimInDoubt())
         return;
     m_claimDoubtedAt.reset();
@@ -480,7 +486,6 @@
         if (WorkerSession *session = sessionOf(incarnation))
             session->setForeign();
     }
-    // Deferred: the journal calls this while it handles a commit.
     m_timers.after(Duration(0), [this] { sendDeferredCommands(); });
 }
 
@@ -494,6 +499,7 @@
     if (timeSinceStoreConfirmation() > ClaimConfirmationInterval)
         m_journal->confirmClaim();
     refuseUnsentSubmissions();
+    refuseUnprovenCalls();
     for (const auto &[id, session] : m_sessions) {
         if (!session->isReachable() && now > session->allLeasesExpireAt())
             recordLostRuns(session->incarnation(), "lease_over");
@@ -687,6 +693,12 @@
                                job->accepted.queue);
 }
 
+void CellScheduler::abandon()
+{
+    m_isSuperseded = true;
+    returnUnprovenCalls();
+}
+
 void CellScheduler::quiesce(std::function<void()> done)
 {
     m_isQuiescing = true;
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -79,7 +79,12 @@
      * the store: another leader may have claimed since. */
     void doubtClaim();
 
-    /** Answers a client's call: at once, or after its record is written to the journal. */
+    /**
+     * Answers a client's call: at once, or after its record is written to the journal, or after the
+     * store has proven that no other leader has acted since the call arrived. A call that this
+     * leader did not run, since it has lost its claim, is answered with Isolated: the next leader
+     * can serve it.
+     */
     void handle(ClientCall call, ClientResponder respond);
 
     /** @return run ends that workers reported and that the store has not confirmed yet. */
@@ -91,8 +96,9 @@
     /** Stops making decisions; @p done runs after a short delay in which commits in flight can
      * finish. */
     void quiesce(std::function<void()> done);
-    /** Ignores everything that still arrives, since the claim is lost. */
-    void abandon() { m_isSuperseded = true; }
+    /** Ignores everything that still arrives, since the claim is lost, and passes back the calls
+     * that wait for a proof of it. */
+    void abandon();
 
 private:
     /** How far the start of a run has come. */
@@ -166,10 +172,35 @@
     void tick();
     void logLoad();
 
+    /** A client's call that has not been answered. */
+    struct PendingCall
+    {
+        ClientCall call;
+        ClientResponder respond;
+        Instant arrivedAt;
+    };
+
     // Client calls; in CellCalls.cpp.
+    void serve(PendingCall pending);
+    void showState(const JobId &id, PendingCall pending);
+    /** @return true if the claim held after the call had arrived, so that no other leader can have
+     * changed before that what this leader knows. */
+    bool isProven(const PendingCall &pending) const;
+    /** @return true if another leader may have acted since the claim was last confirmed. */
+    bool mayBeReplaced() const;
+    /** Serves the call again once the store has proven the claim, or refuses it if the store does
+     * not answer. */
+    void awaitProof(PendingCall pending);
+    /** @return the calls that wait for a proof and have arrived before @p time. */
+    std::vector<PendingCall> takeUnproven(Instant time);
+    void serveProvenCalls();
+    /** Refuses calls for which the store does not prove the claim in time. */
+    void refuseUnprovenCalls();
+    /** Passes the calls that wait for a proof back to the nodes that they have come from. */
+    void returnUnprovenCalls();
     void submit(const QueueSettings &queue, const TeamId &team, const JobId &id, ClientCall call,
                 ClientResponder respond);
-    void cancel(const JobId &id, const ClientResponder &respond);
+    void cancel(const JobId &id, PendingCall pending);
     /** @return true if a record that is appended now will be written soon. */
     bool canWriteSoon() const;
     /** While nothing can be written soon, refuses the submissions whose records were never sent to
@@ -292,6 +323,8 @@
     std::vector<RunEnded> m_adoptedEnds;
     std::map<WorkerIncarnation, Acknowledgement> m_pendingAcknowledgements;
     std::map<JobId, std::vector<ClientResponder>> m_unwrittenSubmissions;
+    /** Calls that wait for a proof of the claim, in order of arrival. */
+    std::deque<PendingCall> m_unprovenCalls;
     /** For each job the segment of its latest snapshot, which covers all of the job's records in
      * earlier segments. */
     std::unordered_map<JobId, uint64_t> m_latestSnapshotSegments;
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -61,6 +61,7 @@
                        if (m_scheduler)
                            return m_scheduler->handle(std::move(call), std::move(respond));
                        ClientReply reply;
+                       reply.outcome = ClientReply::Isolated;
                        reply.retryAfter = NoLeaderRetryDelay;
                        reply.detail = "this node is no longer the leader";
                        respond(reply);
@@ -278,8 +279,11 @@
         return refuse(waiting);
     if (m_scheduler && m_scheduler->isReady()) {
         const auto shared = std::make_shared<WaitingCall>(std::move(waiting));
-        return m_scheduler->handle(
-            shared->call, [shared](ClientReply reply) { shared->answer(std::move(reply)); });
+        return m_scheduler->handle(shared->call, [this, shared](ClientReply reply) {
+            if (reply.outcome == ClientReply::Isolated)
+                return awaitNextLeader(std::move(*shared));
+            shared->answer(std::move(reply));
+        });
     }
     if (!m_scheduler && hasLeader())
         return sendToLeader(std::move(waiting));
@@ -293,17 +297,24 @@
         std::max(std::chrono::duration_cast<Duration>(waiting.deadline - now), Duration(1));
     const auto shared = std::make_shared<WaitingCall>(std::move(waiting));
     m_peers.callLeader(shared->call, timeout, [this, shared](ClientReply reply) {
+        if (reply.outcome == ClientReply::Isolated)
+            return awaitNextLeader(std::move(*shared));
         if (reply.outcome != ClientReply::Undetermined)
             return shared->answer(std::move(reply));
         // The call can be repeated at the next leader: the job's id makes it take effect only once.
         shared->wasSent = true;
-        const Instant repliedAt = m_timers.now();
-        if (repliedAt >= shared->deadline)
-            return refuse(*shared);
-        m_waitingCalls.push_back(std::move(*shared));
+        awaitNextLeader(std::move(*shared));
     });
 }
 
+void CellNode::awaitNextLeader(WaitingCall waiting)
+{
+    const Instant now = m_timers.now();
+    if (m_isEnding || now >= waiting.deadline)
+        return refuse(waiting);
+    m_waitingCalls.push_back(std::move(waiting));
+}
+
 void CellNode::refuse(const WaitingCall &waiting)
 {
     ClientReply reply;
--- a/Libraries/Service/CellNode.h
+++ b/Libraries/Service/CellNode.h
@@ -85,6 +85,8 @@
     /** Handles the call here or sends it to the leader; without a leader the call waits. */
     void route(WaitingCall waiting);
     void sendToLeader(WaitingCall waiting);
+    /** Lets a call wait for the next leader, unless its time is over. */
+    void awaitNextLeader(WaitingCall waiting);
     void refuse(const WaitingCall &waiting);
     bool hasLeader() const;
     void tick();
--- a/Tests/Unit/CellNodeTest.cpp
+++ b/Tests/Unit/CellNodeTest.cpp
@@ -188,6 +188,25 @@
     CHECK(m_node.stopCounts().served == 1);
 }
 
+// Guards against 503 for a call that the next leader can serve, and against 504 for a submission
+// that no leader has stored.
+TEST_CASE_METHOD(SilentLeaderFixture,
+                 "Call that a former leader passes back is sent to the next leader", "[cellnode]")
+{
+    handle(GENERATE(ClientCall::Submit, ClientCall::Status, ClientCall::Cancel));
+    REQUIRE(m_leaderHolds.size() == 1);
+    ClientReply passedBack;
+    passedBack.outcome = ClientReply::Isolated;
+    m_leaderHolds.front()(passedBack);
+    runFor(Duration(150));
+    CHECK(m_replies.empty());
+    REQUIRE(m_leaderHolds.size() == 2);
+    passedBack.outcome = ClientReply::Unavailable;
+    m_leaderHolds.back()(passedBack);
+    runFor(Duration(50));
+    CHECK(m_replies == std::vector{ClientReply::Unavailable});
+}
+
 namespace {
 
 /** A node that leads; its store stops responding to commits at a given moment. */
