CellScheduler: Calls need a configuration that can't be out of date

Cause: a leader that could not read the configuration decided calls by the old one until its claim was 3 s old, or without limit if only these reads failed: 404 for a new route, 401 for a new key, and service for dropped ones, later than configApplyMs after the change. Change: a call is decided only while the last answered read was sent less than timing.config_apply_ms (bounds.configApplyMs, 2000 by default) ago, else it gets 503 with Retry-After. A read without an answer is sent again after the usual response time, four times at most, so that lost answers refuse no calls; its response time counts for the delays of ResendPolicy.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -106,6 +106,8 @@
         return awaitProof(std::move(pending));
     if (isConfirmationStale())
         return respond(makeUnavailable("the store cannot be reached"));
+    if (!isConfigurationRecent())
+        return respond(makeUnavailable("the configuration cannot be read"));
     if (!queue)
         return respond(makeReply(ClientReply::NoSuchQueue, "no queue has this host and path"));
     if (!team && !queue->isOpenToAll) {
@@ -160,6 +162,12 @@
     return isClaimInDoubt() || m_journal->claimHeldAt() <= m_resumedAt;
 }
 
+bool CellScheduler::isConfigurationRecent() const
+{
+    // A change that the last read has not shown was made after that read was sent.
+    return m_timers.now() - m_operatorsReadAt < m_terms.configApply;
+}
+
 void CellScheduler::awaitProof(PendingCall pending)
 {
     if (!m_isStoreReachable)
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/CellScheduler.h"
 
 #include "Coordination/CommandRelay.h"
+#include "Coordination/RepeatedCall.h"
 #include "Coordination/WorkerConnections.h"
 #include "Protocol/JournalCodec.h"
 #include "Protocol/ProtocolError.h"
@@ -17,6 +18,9 @@
  * that time: both lists are read well within it, 1.4 times a second each. */
 constexpr Duration ViewPollInterval{700};
 constexpr Duration ViewRetryDelay{250};
+/** How often a read of the configuration is sent at most while the store does not answer it: calls
+ * are refused once the last answer is too old. */
+constexpr uint32_t MaxOperatorReads = 4;
 /** No decision is made on older views: changes to them must take effect within 2 s. */
 constexpr Duration MaxViewAge{1800};
 constexpr Duration TickInterval{100};
@@ -212,31 +216,51 @@
 
 void CellScheduler::pollOperators()
 {
-    const Instant sentAt = m_timers.now();
-    m_dependencies.operators.readOperators(
-        [this, sentAt, alive = std::weak_ptr(m_alive)](OperatorView view) {
-            if (alive.expired() || m_isSuperseded)
+    struct TimedView
+    {
+        OperatorView view;
+        Instant sentAt;
+    };
+    const auto send = [this, alive = std::weak_ptr(m_alive)](auto done) {
+        const Instant sentAt = m_timers.now();
+        m_dependencies.operators.readOperators([alive, done, sentAt](OperatorView view) {
+            // The repeated call uses this scheduler's timers.
+            if (alive.expired())
                 return;
-            if (!view.answered)
-                return m_timers.after(ViewRetryDelay, [this] { pollOperators(); });
-            m_operatorsReadAt = sentAt;
-            if (view.configuration && view.configuration->version > m_configuration.version) {
-                LOG(INFO) << "event=configuration_applied version=" << view.configuration->version
-                          << " before=" << m_configuration.version
-                          << " queues=" << view.configuration->queues.size()
-                          << " teams=" << view.configuration->teams.size();
-                m_configuration = std::move(*view.configuration);
-                if (m_isReady)
-                    applyDirectory();
-            }
-            if (view.evacuated != m_evacuatedZones) {
-                LOG(INFO) << "event=evacuations_changed zones=" << view.evacuated.size();
-                m_evacuatedZones = std::move(view.evacuated);
-            }
-            finishRecovery();
-            scheduleDispatch();
-            m_timers.after(ViewPollInterval, [this] { pollOperators(); });
+            const bool isAnswered = view.answered;
+            done(isAnswered ? std::optional(TimedView{std::move(view), sentAt}) : std::nullopt);
         });
+    };
+    const auto handle = [this](std::optional<TimedView> read) {
+        if (m_isSuperseded)
+            return;
+        if (!read)
+            return m_timers.after(ViewRetryDelay, [this] { pollOperators(); });
+        applyOperators(std::move(read->view), read->sentAt);
+    };
+    RepeatedCall<TimedView>::begin(
+        {m_timers, m_dependencies.resends, "operators", MaxOperatorReads}, send, handle);
+}
+
+void CellScheduler::applyOperators(OperatorView view, Instant sentAt)
+{
+    m_operatorsReadAt = sentAt;
+    if (view.configuration && view.configuration->version > m_configuration.version) {
+        LOG(INFO) << "event=configuration_applied version=" << view.configuration->version
+                  << " before=" << m_configuration.version
+                  << " queues=" << view.configuration->queues.size()
+                  << " teams=" << view.configuration->teams.size();
+        m_configuration = std::move(*view.configuration);
+        if (m_isReady)
+            applyDirectory();
+    }
+    if (view.evacuated != m_evacuatedZones) {
+        LOG(INFO) << "event=evacuations_changed zones=" << view.evacuated.size();
+        m_evacuatedZones = std::move(view.evacuated);
+    }
+    finishRecovery();
+    scheduleDispatch();
+    m_timers.after(ViewPollInterval, [this] { pollOperators(); });
 }
 
 void CellScheduler::pollWorkers()
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -24,6 +24,8 @@
     Duration statusRetention{120'000};
     /** How long a worker lets a member of a gang wait for the other members before it ends it. */
     Duration gangWait{3000};
+    /** A change of the configuration must take effect within this time. */
+    Duration configApply{2000};
     /** Ended jobs are removed from memory this long after their status retention is over. */
     Duration forgetMargin{30'000};
     /** Segments kept before old ones are replaced by snapshots: 10 s of a busy cell, so that a new
@@ -159,6 +161,8 @@
     Journal::Observer journalObserver();
     void finishRecovery();
     void pollOperators();
+    /** @param sentAt when the answered read was sent */
+    void applyOperators(OperatorView view, Instant sentAt);
     void pollWorkers();
     /** Begins and ends sessions by the latest worker list, configuration and runs. */
     void applyDirectory();
@@ -198,6 +202,8 @@
     void refuseUnprovenCalls();
     /** Passes the calls that wait for a proof back to the nodes that they have come from. */
     void returnUnprovenCalls();
+    /** @return true if each change of the configuration that must be in force is known. */
+    bool isConfigurationRecent() const;
     void submit(const QueueSettings &queue, const TeamId &team, const JobId &id, ClientCall call,
                 ClientResponder respond);
     void cancel(const JobId &id, PendingCall pending);
--- a/Libraries/Service/CellSettings.cpp
+++ b/Libraries/Service/CellSettings.cpp
@@ -40,6 +40,7 @@
         };
         settings.workerLease = read("worker_lease_ms", settings.workerLease, 500, 600'000);
         settings.gangWait = read("gang_wait_ms", settings.gangWait, 200, 600'000);
+        settings.configApply = read("config_apply_ms", settings.configApply, 1000, 600'000);
         const int64_t status =
             checker.number(timing, "status_s", settings.statusRetention.count() / 1000, 1, 86'400);
         settings.statusRetention = std::chrono::seconds(status);
--- a/Libraries/Service/CellSettings.h
+++ b/Libraries/Service/CellSettings.h
@@ -34,6 +34,8 @@
     Duration workerLease{6000};
     /** How long a worker lets a member of a gang wait for the other members. */
     Duration gangWait{3000};
+    /** A change of the configuration must take effect within this time. */
+    Duration configApply{2000};
     /** How long the status of an ended job can be read. */
     Duration statusRetention{120'000};
     /** Time between the signal that stops the process and the kill. */
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -154,6 +154,9 @@
     std::set<WorkerId> unreachable;
     /** This process has lost the path to the store; calls to it time out. */
     bool isCutFromStore = false;
+    /** All answers, or this number of them, to reads of the configuration are lost. */
+    bool losesOperatorReads = false;
+    std::size_t operatorReadsToLose = 0;
     /** How long responses to this process' commits are on their way. */
     Duration commitResponseDelay{0};
     /** How long start commands of this process are on their way. */
--- a/Tests/Unit/LeaderProcess.cpp
+++ b/Tests/Unit/LeaderProcess.cpp
@@ -131,9 +131,11 @@
 
 void LeaderProcess::readOperators(std::function<void(OperatorView)> done)
 {
-    if (isCutFromStore)
-        return after(UnresponsiveStoreTimeout, [done = std::move(done)] { done({}); });
-    m_operators.readOperators(delivering(std::move(done)));
+    if (operatorReadsToLose > 0)
+        --operatorReadsToLose;
+    else if (!isCutFromStore && !losesOperatorReads)
+        return m_operators.readOperators(delivering(std::move(done)));
+    after(UnresponsiveStoreTimeout, [done = std::move(done)] { done({}); });
 }
 
 void LeaderProcess::readWorkers(std::function<void(WorkerDirectory)> done)
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -294,6 +294,9 @@
         parseCellSettings("[node]\nlink_mbps = 0\n" + validSettings.substr(7), "cell.toml"),
         SettingsError);
     CHECK_FALSE(parseCellSettings(validSettings, "cell.toml").advisor.isSet());
+    CHECK(parseCellSettings(validSettings + "[timing]\nconfig_apply_ms = 4000\n", "cell.toml")
+              .configApply
+          == Duration(4000));
     CHECK_THROWS_AS(parseCellSettings(validSettings + "typo = 1\n", "cell.toml"), SettingsError);
     CHECK_THROWS_AS(parseCellSettings("[node]\nid = 7\n", "cell.toml"), SettingsError);
 }
--- a/Tests/Unit/PresentClaimTest.cpp
+++ b/Tests/Unit/PresentClaimTest.cpp
@@ -173,3 +173,53 @@
     CHECK(m_replies.size() >= 198);
     CHECK(static_cast<double>(with) < 1.05 * static_cast<double>(without));
 }
+
+// CONFIG: a leader that could not read the configuration refused calls for a route that was added
+// more than configApplyMs before.
+TEST_CASE_METHOD(PresentClaimFixture,
+                 "Leader without a recent configuration decides no call by an old one",
+                 "[cell][presentclaim]")
+{
+    const bool isCut = GENERATE(false, true);
+    m_former.isCutFromStore = isCut;
+    m_former.losesOperatorReads = true;
+    ++m_cell.configuration.version;
+    m_cell.configuration.teams.front().keys = {"new key"};
+    m_cell.configuration.queues.front().pathPrefix = "/new queue/";
+    const Instant changedAt = m_cell.events.now();
+    m_cell.run(Duration(300));
+    callFormer(ClientCall::Cancel, "/new queue/" + UnknownJob.value());
+    callFormer(ClientCall::Cancel, pathOf(UnknownJob), "new key");
+    REQUIRE(m_replies.size() == 2);
+    CHECK(m_replies[0].outcome == ClientReply::NoSuchQueue);
+    CHECK(m_replies[1].outcome == ClientReply::UnknownKey);
+    m_replies.clear();
+    m_cell.run(std::chrono::duration_cast<Duration>(changedAt + m_cell.terms.configApply
+                                                    - m_cell.events.now()));
+    callFormer(ClientCall::Cancel, "/new queue/" + UnknownJob.value());
+    callFormer(ClientCall::Cancel, pathOf(UnknownJob), "new key");
+    callFormer(ClientCall::Submit, pathOf(UnknownJob));
+    callFormer(ClientCall::Status, "/queue/");
+    m_cell.run(Duration(100));
+    REQUIRE(m_replies.size() == 4);
+    for (const ClientReply &reply : m_replies) {
+        CHECK(reply.outcome == ClientReply::Unavailable);
+        CHECK(reply.retryAfter > Duration(0));
+    }
+}
+
+// Guards against refusals of all calls after two lost answers to the reads of the configuration.
+TEST_CASE_METHOD(PresentClaimFixture,
+                 "Leader reads the configuration again before a lost answer makes it too old",
+                 "[cell][presentclaim]")
+{
+    m_former.operatorReadsToLose = 2;
+    for (int count = 0; count < 40; ++count) {
+        callFormer(ClientCall::Status, "/queue/");
+        m_cell.run(Duration(100));
+    }
+    CHECK(m_former.operatorReadsToLose == 0);
+    CHECK(std::ranges::all_of(m_replies, [](const ClientReply &reply) {
+        return reply.outcome == ClientReply::QueueShown;
+    }));
+}
