Coordination: End each lease at a bound counted from the last confirmed claim

Cause: a run on a silent worker counted as lost 1.02 x holdMaxMs + 0.3 s after the last extension (10.5 s at 10,000 ms), and under a new leader 6 s later, since the former one could extend leases for 6 s without a confirmation of its claim.

Change: a lease ends at the last confirmation + 6 s at the latest (LeaseBound). All leases of a silent worker, and all leases of earlier leaders, are over 6.4 s after the last extension or after the claim. Runs that may be on a worker's next incarnation, whose clock starts anew, still count with the longest lease. In the last second of a lease that can't be extended, reports are requested each 0.25 s.

Seen failing before: LostWorkerTest, 'leaves as planned' (2 of 6 cases, both with leases of 10 s) and 'leaves while the leader is killed' (12 of 12); ServiceTest, 'lost together with the leader'. They pass now. The tests on partitioned workers, on a change of leader of 2.5 s and on an outage of 5 s pass before and after; they guard the other direction.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -13,9 +13,6 @@
 constexpr std::size_t MaxEndsPerReport = 500;
 /** Time between two attempts to stop a run. */
 constexpr Duration StopRetryDelay{300};
-/** Time between two report requests to a worker whose ends are not written yet: each report lists
- * all of these ends again. A fraction of a lease, so that leases are still extended in time. */
-constexpr Duration UnwrittenEndsReportPause{1000};
 /** A leader whose claim is older sends no start. Longer than a try of a commit takes; shorter than
  * an elected successor needs to ask the workers and to start a task elsewhere. */
 constexpr Duration MaxClaimAgeForStart{1200};
@@ -133,8 +130,11 @@
                     run.worker = tasks[index].worker;
                     // A start command to an ended incarnation may have reached the next one.
                     const auto session = m_sessions.find(run.worker.id);
-                    if (session != m_sessions.end())
+                    if (session != m_sessions.end()
+                        && session->second->incarnation() != run.worker) {
                         run.worker = session->second->incarnation();
+                        session->second->addInheritedLeases(m_inheritedExpiryAfterRestart);
+                    }
                     run.phase = RunPhase::Inherited;
                     // It is unknown when the run began, so its duration can't be measured.
                     run.hasPartialDuration = true;
@@ -154,10 +154,10 @@
     const bool isAnyUnknown = std::ranges::any_of(m_sessions, [&](const auto &entry) {
         const WorkerSession &session = *entry.second;
         return !m_fullyKnownWorkers.contains(session.incarnation())
-            && (session.isReachable() || now <= session.allLeasesExpireAt());
+            && (session.isReachable() || now <= session.allLeasesExpireAt()
+                || now <= m_inheritedExpiryAfterRestart);
     });
-    if (!isAnyUnknown
-        && now > WorkerSession::leaseExpiry(m_lastInheritedExtension, m_terms.leaseLength)) {
+    if (!isAnyUnknown && now > m_inheritedExpiryAfterRestart) {
         m_isJournalIncomplete = false;
         m_fullyKnownWorkers.clear();
         LOG(INFO) << "event=unread_runs_over epoch=" << m_epoch.value();
@@ -291,7 +291,7 @@
     call.task = key;
     call.attempt = attempt;
     call.payload = job->accepted.spec.payload;
-    call.leaseUntil = session->newLeaseEnd();
+    call.leaseUntil = session->newLeaseEnd(grantableLease());
     call.checkpoint = run.checkpoint;
     call.ticket = run.ticket;
     run.phase = RunPhase::StartSent;
@@ -451,8 +451,8 @@
     if (state.unwrittenCount == 0)
         return acknowledge(session.incarnation());
     // Keeps requesting reports while the ends are not written, because each request also extends
-    // the worker's leases.
-    m_timers.after(UnwrittenEndsReportPause, [this, incarnation = session.incarnation()] {
+    // the worker's leases. Each report lists all of these ends again, hence the pause.
+    m_timers.after(session.reportWait(), [this, incarnation = session.incarnation()] {
         if (WorkerSession *current = sessionOf(incarnation))
             current->requestReport();
     });
@@ -629,20 +629,41 @@
     const auto onWorker = m_runsByWorker.find(incarnation);
     if (onWorker == m_runsByWorker.end())
         return;
-    for (const auto &[key, activeRun] : onWorker->second) {
-        ActiveRun &run = *activeRun;
-        if (run.isEnding || run.phase == RunPhase::Recording)
-            continue;
-        LOG_EVENT(m_dependencies.log, "run_lost")
-            << "task=" << taskText(key) << " attempt=" << run.attempt
-            << " worker=" << incarnation.id.value() << " born=" << incarnation.startedAtMs
-            << " why=" << why << " phase=" << phaseName(run.phase)
-            << " reported=" << run.wasReported << " age_ms="
-            << std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt).count();
-        recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
+    for (const auto &[key, run] : onWorker->second)
+        recordLostRun(key, *run, why);
+}
+
+void CellScheduler::recordExpiredRuns(const WorkerSession &session)
+{
+    const auto onWorker = m_runsByWorker.find(session.incarnation());
+    if (onWorker == m_runsByWorker.end())
+        return;
+    const bool isOverOnNext = m_timers.now() > session.nextIncarnationLeasesExpireAt();
+    for (const auto &[key, run] : onWorker->second) {
+        if (isOverOnNext || !mayHaveMoved(*run))
+            recordLostRun(key, *run, "lease_over");
     }
 }
 
+bool CellScheduler::mayHaveMoved(const ActiveRun &run)
+{
+    // Inherited runs are not known to this leader's session; their leases are those of earlier
+    // leaders.
+    return !run.wasReported && run.phase != RunPhase::Inherited;
+}
+
+void CellScheduler::recordLostRun(const TaskKey &key, ActiveRun &run, const char *why)
+{
+    if (run.isEnding || run.phase == RunPhase::Recording)
+        return;
+    LOG_EVENT(m_dependencies.log, "run_lost")
+        << "task=" << taskText(key) << " attempt=" << run.attempt
+        << " worker=" << run.worker.id.value() << " born=" << run.worker.startedAtMs
+        << " why=" << why << " phase=" << phaseName(run.phase) << " reported=" << run.wasReported
+        << " age_ms=" << std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt).count();
+    recordEnd(key, run, RunOutcome::Lost, run.checkpoint);
+}
+
 void CellScheduler::stopRunsOfEndedJobs()
 {
     for (const JobId &id : m_jobs.endedWithActiveRuns()) {
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -30,9 +30,11 @@
 /** Pause after a round of decisions, as a multiple of the time that the round took: calls, commands
  * and reports need most of the leader's processor time. */
 constexpr int RestPerRoundFactor = 3;
-/** A leader whose claim was not confirmed for this long extends no lease, so that a successor can
- * compute when the last lease expires. */
-constexpr Duration MaxUnconfirmedForExtension{6000};
+/** A lease ends this long after the last confirmation of the claim at the latest, so that a
+ * successor can compute when all of them are over (docs/design/LostWorkers.md). Work goes on for
+ * this long without the store; longer leases delay the restart of work whose worker is gone, which
+ * users expect within 9 s. */
+constexpr Duration LeaseBound{6000};
 /** While nothing else is written, an empty commit confirms the claim at least this often. */
 constexpr Duration ClaimConfirmationInterval{400};
 constexpr Duration RecoveryRetryDelay{200};
@@ -72,7 +74,11 @@
     })
     , m_timers(m_dependencies.timers)
 {
-    m_lastInheritedExtension = m_timers.now() + MaxUnconfirmedForExtension;
+    // The former leader's last confirmation is older than this claim.
+    const Instant now = m_timers.now();
+    m_inheritedExpiry = WorkerSession::leaseExpiry(now, LeaseBound);
+    m_inheritedExpiryAfterRestart =
+        WorkerSession::leaseExpiry(now + LeaseBound, m_terms.leaseLength);
 }
 
 Duration CellScheduler::timeSinceStoreConfirmation() const
@@ -90,6 +96,11 @@
     return std::chrono::duration_cast<Duration>(m_timers.now() - heldAt);
 }
 
+Duration CellScheduler::grantableLease() const
+{
+    return std::min(m_terms.leaseLength, LeaseBound - claimAge());
+}
+
 void CellScheduler::observeActivity()
 {
     const Instant now = m_timers.now();
@@ -381,13 +392,12 @@
         if (!m_isSuperseded && !session.isForeign())
             doubtClaimOver(session.incarnation());
     };
-    // Without the store the claim can't be confirmed soon; a successor counts on leases that this
-    // leader extends by mayExtendLeases.
+    // Without the store the claim can't be confirmed soon; a successor counts on leases of the
+    // length that grantableLease() returns.
     observer.mayRequestReports = [this] {
-        return !isClaimInDoubt()
-            || (!m_isStoreReachable && claimAge() < MaxUnconfirmedForExtension);
+        return !isClaimInDoubt() || (!m_isStoreReachable && grantableLease() > Duration(0));
     };
-    observer.mayExtendLeases = [this] { return claimAge() < MaxUnconfirmedForExtension; };
+    observer.grantableLease = [this] { return grantableLease(); };
     std::vector<WorkerIncarnation> earlierIncarnations;
     for (const auto &[incarnation, keys] : m_runsByWorker) {
         if (incarnation.id == worker.incarnation.id && incarnation != worker.incarnation)
@@ -395,12 +405,13 @@
     }
     for (const WorkerIncarnation &incarnation : earlierIncarnations)
         moveToNextIncarnation(incarnation, worker.incarnation);
-    LeaseTerms terms{m_epoch, m_terms.leaseLength, m_lastInheritedExtension};
-    for (const auto &[incarnation, lastExtension] : m_endedIncarnations) {
+    LeaseTerms terms{m_epoch, m_terms.leaseLength, m_inheritedExpiry};
+    for (const auto &[incarnation, expiry] : m_endedIncarnations) {
         if (incarnation.id == worker.incarnation.id)
-            terms.lastInheritedExtension =
-                std::max(terms.lastInheritedExtension, lastExtension + StartDeliveryTime);
+            terms.inheritedExpiry = std::max(terms.inheritedExpiry, expiry);
     }
+    if (!earlierIncarnations.empty())
+        terms.inheritedExpiry = std::max(terms.inheritedExpiry, m_inheritedExpiryAfterRestart);
     auto &session = m_sessions[worker.incarnation.id];
     session = std::make_unique<WorkerSession>(m_dependencies.commands, m_dependencies.timers,
                                               worker, terms, std::move(observer));
@@ -412,7 +423,9 @@
     std::map<WorkerId, std::unique_ptr<WorkerSession>>::iterator position)
 {
     const WorkerIncarnation incarnation = position->second->incarnation();
-    m_endedIncarnations[incarnation] = position->second->lastLeaseExtension();
+    m_endedIncarnations[incarnation] =
+        std::max(position->second->nextIncarnationLeasesExpireAt() + StartDeliveryTime,
+                 m_inheritedExpiryAfterRestart);
     m_health.forget(incarnation);
     m_speeds.forget(incarnation);
     m_fullyKnownWorkers.erase(incarnation);
@@ -496,16 +509,16 @@
     refuseUnsentSubmissions();
     for (const auto &[id, session] : m_sessions) {
         if (!session->isReachable() && now > session->allLeasesExpireAt())
-            recordLostRuns(session->incarnation(), "lease_over");
+            recordExpiredRuns(*session);
     }
     for (const auto &[incarnation, keys] : m_runsByWorker) {
         if (sessionOf(incarnation))
             continue;
         // A worker that was never listed to this leader got its last lease from an earlier one.
         const auto ended = m_endedIncarnations.find(incarnation);
-        const Instant lastExtension =
-            ended != m_endedIncarnations.end() ? ended->second : m_lastInheritedExtension;
-        if (now > WorkerSession::leaseExpiry(lastExtension, m_terms.leaseLength))
+        const Instant expiry =
+            ended != m_endedIncarnations.end() ? ended->second : m_inheritedExpiry;
+        if (now > expiry)
             recordLostRuns(incarnation, "worker_unknown");
     }
     checkStalledRuns();
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -180,6 +180,8 @@
     bool isOverFairShare(const TeamId &team);
     /** @return time since this leader held its claim for certain. */
     Duration claimAge() const;
+    /** @return the longest lease that this leader may grant now; 0 or less for none. */
+    Duration grantableLease() const;
     /** Notes that the process runs, and whether it has stood still since the last call. */
     void observeActivity();
     /** @return true if the claim was not confirmed for so long that memory may be out of date. */
@@ -225,6 +227,12 @@
     void handleEndWritten(const RunRef &ref);
     void finishRun(const RunEnded &record);
     void recordLostRuns(const WorkerIncarnation &incarnation, const char *why);
+    /** Records the runs of an unreachable worker as lost whose leases are over. */
+    void recordExpiredRuns(const WorkerSession &session);
+    /** @return true if the run may be on the next incarnation of its worker, and not known to be
+     * on this one. */
+    static bool mayHaveMoved(const ActiveRun &run);
+    void recordLostRun(const TaskKey &key, ActiveRun &run, const char *why);
     /** Moves runs that the next incarnation may have received to it, and records the other runs of
      * the ended incarnation as lost. */
     void moveToNextIncarnation(const WorkerIncarnation &ended, const WorkerIncarnation &next);
@@ -274,8 +282,8 @@
     std::map<WorkerId, std::unique_ptr<WorkerSession>> m_sessions;
     /** Ended sessions, one of which may be on the stack. */
     std::vector<std::unique_ptr<WorkerSession>> m_endedSessions;
-    /** Incarnations that have ended but are listed or have runs assigned to them, and when a
-     * command to them last extended a lease: it may have reached the worker's next incarnation. */
+    /** Incarnations that have ended but are listed or have runs assigned to them, and when all
+     * leases are over that commands to them may have granted on the worker's next incarnation. */
     std::map<WorkerIncarnation, Instant> m_endedIncarnations;
     std::map<TaskKey, ActiveRun> m_runs;
     /** The entries of m_runs, grouped by worker. */
@@ -312,7 +320,11 @@
     WorkerDirectory m_directory;
     /** Listed workers that are not used. */
     std::set<WorkerId> m_unusedWorkers;
-    Instant m_lastInheritedExtension{};
+    /** When all leases are over that earlier leaders may have granted. */
+    Instant m_inheritedExpiry{};
+    /** The same for leases on workers that have restarted: commands to the incarnation before may
+     * have reached the next one, which grants the longest lease. */
+    Instant m_inheritedExpiryAfterRestart{};
     /** A part of the journal could not be read, and leases of runs that only this part names may
      * not have expired yet. */
     bool m_isJournalIncomplete = false;
--- a/Libraries/Coordination/WorkerSession.cpp
+++ b/Libraries/Coordination/WorkerSession.cpp
@@ -4,12 +4,18 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace Cranberrymount {
 
 namespace {
 
 /** How long a worker may delay its report; it reports at once when a run ends. */
 constexpr Duration MaxReportWait{1000};
+/** While the claim can't be confirmed, leases are not extended. In their last second, reports are
+ * requested this often, so that they are extended in time once the store is back. */
+constexpr Duration MinReportWait{250};
+constexpr Duration LastLeasePart{1000};
 /** Workers' clocks may run 2% slow; from the platform's documentation of leases. */
 constexpr double SlowClockFactor = 1.02;
 /** Time that a command may spend in transit before the worker starts to count the lease. */
@@ -49,22 +55,32 @@
         + CommandTransitTime;
 }
 
-Instant WorkerSession::lastLeaseExtension() const
+Instant WorkerSession::allLeasesExpireAt() const
 {
-    return std::max(m_lastLeaseExtension, m_terms.lastInheritedExtension);
+    return std::max(m_leaseExpiry, m_terms.inheritedExpiry);
 }
 
-Instant WorkerSession::allLeasesExpireAt() const
+Instant WorkerSession::nextIncarnationLeasesExpireAt() const
+{
+    return std::max(allLeasesExpireAt(), leaseExpiry(m_lastLeaseExtension, m_terms.longest));
+}
+
+Duration WorkerSession::reportWait() const
 {
-    return leaseExpiry(lastLeaseExtension(), m_terms.length);
+    const auto left = std::chrono::duration_cast<Duration>(m_leaseEnd - m_timers.now());
+    if (left <= Duration(0))
+        return MaxReportWait;
+    return std::clamp(left - LastLeasePart, MinReportWait, MaxReportWait);
 }
 
-WorkerClock WorkerSession::newLeaseEnd()
+WorkerClock WorkerSession::newLeaseEnd(Duration length)
 {
     m_lastLeaseExtension = m_timers.now();
+    m_leaseEnd = std::max(m_leaseEnd, m_lastLeaseExtension + length);
+    m_leaseExpiry = std::max(m_leaseExpiry, leaseExpiry(m_lastLeaseExtension, length));
     const auto elapsed = std::chrono::duration_cast<Duration>(m_lastLeaseExtension - m_clockReadAt);
     return WorkerClock(m_clock.value() + static_cast<uint64_t>(elapsed.count())
-                       + static_cast<uint64_t>(m_terms.length.count()));
+                       + static_cast<uint64_t>(length.count()));
 }
 
 void WorkerSession::requestReport()
@@ -101,10 +117,10 @@
     call.acknowledgedEnds = isSameIncarnation ? m_acknowledged : 0;
     m_sentAcknowledgement = std::max(m_sentAcknowledgement, call.acknowledgedEnds);
     if (m_isReachable) {
-        call.wait = MaxReportWait;
-        // A call that is executed late must not extend a lease that this leader counts as expired.
-        if (m_observer.mayExtendLeases())
-            call.leaseUntil = newLeaseEnd();
+        const Duration lease = m_observer.grantableLease();
+        if (lease > Duration(0))
+            call.leaseUntil = newLeaseEnd(lease);
+        call.wait = reportWait();
     }
     const Instant sentAt = m_timers.now();
     m_commands.hold(std::move(call),
--- a/Libraries/Coordination/WorkerSession.h
+++ b/Libraries/Coordination/WorkerSession.h
@@ -5,15 +5,15 @@
 
 namespace Cranberrymount {
 
-/** Duration of leases, and until when another session may have extended them. */
+/** Duration of leases, and when those are over that another session may have granted. */
 struct LeaseTerms
 {
     Epoch epoch;
     /** Longest lease that a worker grants; from the platform's settings. */
-    Duration length{6000};
-    /** Latest time at which an earlier leader, or a command to an earlier incarnation of the
-     * worker, may have extended a lease on it. */
-    Instant lastInheritedExtension{};
+    Duration longest{6000};
+    /** When every lease is over that an earlier leader, or a command to an earlier incarnation of
+     * the worker, may have granted. */
+    Instant inheritedExpiry{};
 };
 
 /**
@@ -36,8 +36,8 @@
         std::function<void(WorkerSession &)> refused;
         /** @return true while this leader may request reports. */
         std::function<bool()> mayRequestReports;
-        /** @return true while this leader may extend leases. */
-        std::function<bool()> mayExtendLeases;
+        /** @return the longest lease that this leader may grant now; 0 or less for none. */
+        std::function<Duration()> grantableLease;
     };
 
     WorkerSession(WorkerCommands &commands, TimerService &timers, CellWorker worker,
@@ -52,17 +52,25 @@
     bool isReachable() const { return m_isReachable; }
     /** @return when the latest report arrived. */
     Instant lastReportAt() const { return m_clockReadAt; }
-    /** @return the latest time at which this or an earlier session may have extended a lease. */
-    Instant lastLeaseExtension() const;
     /** @return when every lease that this or an earlier leader granted has expired. */
     Instant allLeasesExpireAt() const;
+    /** @return when every lease has expired if the commands of this session have reached the
+     * worker's next incarnation, whose clock starts anew: it grants the longest lease instead. */
+    Instant nextIncarnationLeasesExpireAt() const;
+    /** @return how long the worker may delay its next report. */
+    Duration reportWait() const;
     /** @return when a lease of @p length granted at @p given has expired even on the slowest worker
      * clock. */
     static Instant leaseExpiry(Instant given, Duration length);
+    /** Counts on leases of earlier sessions that are over at @p expiry at the latest. */
+    void addInheritedLeases(Instant expiry)
+    {
+        m_terms.inheritedExpiry = std::max(m_terms.inheritedExpiry, expiry);
+    }
     CommandTarget commandAddress() const;
-    /** Records that a lease is extended now.
+    /** Records that a lease of @p length is granted now.
      * @return the new lease end, by the worker's clock, to be sent at once */
-    WorkerClock newLeaseEnd();
+    WorkerClock newLeaseEnd(Duration length);
 
     /** Marks ends up to @p number as written; the next call lets the worker drop them. */
     void acknowledge(uint64_t number) { m_acknowledged = std::max(m_acknowledged, number); }
@@ -110,6 +118,10 @@
     /** The worker sent its latest response at this time or later. */
     Instant m_respondedAt{};
     Instant m_lastLeaseExtension{};
+    /** The latest end of a lease that this session has granted, by this node's clock. */
+    Instant m_leaseEnd{};
+    /** When that lease has expired even on the slowest worker clock. */
+    Instant m_leaseExpiry{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Tests/Unit/CellFaultHistoryTest.cpp
+++ b/Tests/Unit/CellFaultHistoryTest.cpp
@@ -20,6 +20,8 @@
     bool hasPlacementLimits = false;
     /** The clocks of half of the workers run as slow as the platform allows. */
     bool hasSlowClocks = false;
+    /** Longest lease that workers grant. */
+    Duration longestLease = CellTerms().leaseLength;
 };
 
 /** Counts the gaps between attempts whose leases lapsed and the next ones, by length. */
@@ -61,6 +63,7 @@
         , m_refusalRate(options.refusalRate)
         , m_hasPlacementLimits(options.hasPlacementLimits)
     {
+        m_cell.terms.leaseLength = options.longestLease;
         m_cell.lateCommandsOutliveWorkers = options.lateCommandsOutliveWorkers;
         if (m_hasPlacementLimits)
             setPlacementLimits();
@@ -374,3 +377,11 @@
 {
     runFaultHistories(100, {.hasSlowClocks = true});
 }
+
+// Guards against a bound of the leases that ignores what a worker grants after a restart, when its
+// clock starts anew.
+TEST_CASE("Random histories of workers that grant leases of 10 s lose no job and run no job twice",
+          "[cell][cellhistory]")
+{
+    runFaultHistories(100, {.hasSlowClocks = true, .longestLease = Duration(10'000)});
+}
--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -13,7 +13,6 @@
 constexpr Duration WorkerLatency{1};
 /** Timeout of a forwarded command, beyond the wait of the command itself. */
 constexpr Duration ForwardedCommandTimeout{1300};
-constexpr Duration LeaseLength = CellTerms().leaseLength;
 /** How long a worker lets a member of a gang wait for the others. */
 constexpr Duration GangWait = CellTerms().gangWait;
 /** Documented for users: no task starts later than this after its cancellation was confirmed. */
@@ -355,7 +354,7 @@
         return Duration(static_cast<int64_t>(static_cast<double>(time) / worker.clockRate));
     };
     const Instant wanted = worker.incarnationStart + onRealClock(until.value());
-    const Instant longest = events.now() + onRealClock(LeaseLength.count());
+    const Instant longest = events.now() + onRealClock(terms.leaseLength.count());
     worker.leaseUntil = std::max(worker.leaseUntil, std::min(wanted, longest));
 }
 
