Coordination: Record runs that moved to a worker's next incarnation

Where the store doesn't list that incarnation, the successor knew nothing of the restart.

Change: a leader that moves an unreported run to the next incarnation records its assignment again. A successor that reads two incarnations for an attempt counts the longest lease on that worker.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -146,6 +146,15 @@
     }
 }
 
+void CellScheduler::noteRestart(const JournalRecord &record)
+{
+    const auto *assigned = std::get_if<RunAssigned>(&record);
+    const TaskProgress *task = assigned ? m_jobs.findTask(assigned->task) : nullptr;
+    if (task && task->isActive && task->lastAttempt == assigned->attempt
+        && task->worker != assigned->worker)
+        m_restartedWorkers.insert(assigned->worker.id);
+}
+
 bool CellScheduler::mayHaveUnknownRuns()
 {
     if (!m_isJournalIncomplete)
@@ -692,6 +701,9 @@
         // The next incarnation knows nothing of stops that the ended one has received.
         moved.isStopInFlight = moved.isStopAccepted = false;
         moved.reportableSince = m_timers.now();
+        // A second record of the attempt: a successor can't know otherwise that the start may have
+        // reached an incarnation which grants longer leases, if the store doesn't list it.
+        m_journal->append(RunAssigned{key, moved.attempt, next}, [] {});
         addRun(key, std::move(moved));
     }
     recordLostRuns(ended, "worker_reborn");
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -164,6 +164,7 @@
                          << " floor=" << start.floor << " records=" << segment.records.size();
         } else {
             for (const JournalRecord &record : segment.records) {
+                noteRestart(record);
                 m_jobs.apply(record, m_dependencies.wallClock());
                 jobs.insert(jobOf(record));
                 ++records;
@@ -410,7 +411,7 @@
         if (incarnation.id == worker.incarnation.id)
             terms.inheritedExpiry = std::max(terms.inheritedExpiry, expiry);
     }
-    if (!earlierIncarnations.empty())
+    if (!earlierIncarnations.empty() || m_restartedWorkers.contains(worker.incarnation.id))
         terms.inheritedExpiry = std::max(terms.inheritedExpiry, m_inheritedExpiryAfterRestart);
     auto &session = m_sessions[worker.incarnation.id];
     session = std::make_unique<WorkerSession>(m_dependencies.commands, m_dependencies.timers,
@@ -516,9 +517,10 @@
             continue;
         // A worker that was never listed to this leader got its last lease from an earlier one.
         const auto ended = m_endedIncarnations.find(incarnation);
-        const Instant expiry =
-            ended != m_endedIncarnations.end() ? ended->second : m_inheritedExpiry;
-        if (now > expiry)
+        const Instant inherited = m_restartedWorkers.contains(incarnation.id)
+            ? m_inheritedExpiryAfterRestart
+            : m_inheritedExpiry;
+        if (now > (ended != m_endedIncarnations.end() ? ended->second : inherited))
             recordLostRuns(incarnation, "worker_unknown");
     }
     checkStalledRuns();
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -150,6 +150,8 @@
     void retryReadingJournal();
     /** Applies the records of the segments in @p read, and continues the journal after them. */
     void continueJournal(const StoreRead &read);
+    /** Notes the worker of a run that is recorded again, on the worker's next incarnation. */
+    void noteRestart(const JournalRecord &record);
     Journal::Observer journalObserver();
     void finishRecovery();
     void pollOperators();
@@ -325,6 +327,9 @@
     /** The same for leases on workers that have restarted: commands to the incarnation before may
      * have reached the next one, which grants the longest lease. */
     Instant m_inheritedExpiryAfterRestart{};
+    /** Workers of which an earlier leader has recorded that a run may be on their next incarnation.
+     */
+    std::set<WorkerId> m_restartedWorkers;
     /** A part of the journal could not be read, and leases of runs that only this part names may
      * not have expired yet. */
     bool m_isJournalIncomplete = false;
--- a/Tests/Unit/LostWorkerTest.cpp
+++ b/Tests/Unit/LostWorkerTest.cpp
@@ -166,3 +166,36 @@
     CHECK(cell.m_cell.startCount == Tasks);
     CHECK(cell.atWork() == Tasks);
 }
+
+// Guards against a successor that does not know that a start has reached the next incarnation of a
+// worker, which grants its longest lease since its clock has started anew.
+TEST_CASE("Run that a leader has moved to a worker's next incarnation is not repeated beside it",
+          "[cell][lostworker]")
+{
+    LostWorker cell(Duration(10'000));
+    LeaderProcess &former = cell.m_cell.leaderProcess();
+    const std::size_t last = cell.m_cell.workers.size() - 1;
+    FakeCellWorker &worker = cell.m_cell.workers[last];
+    former.startDelay = Duration(1200);
+    for (const FakeCellWorker &other : cell.m_cell.workers) {
+        if (&other != &worker)
+            former.unreachable.insert(other.info.incarnation.id);
+    }
+    cell.m_cell.run(Duration(2500));
+    cell.m_cell.submit(1, Small, Duration(60'000));
+    cell.m_cell.run(Duration(200));
+    worker.isCutFromStore = true;
+    worker.isUnreachable = true;
+    cell.m_cell.run(Duration(520));
+    cell.m_cell.crash(last);
+    worker.isUnreachable = false;
+    const std::size_t starts = cell.m_cell.startCount;
+    REQUIRE(cell.m_cell.runUntil([&] { return cell.m_cell.startCount > starts; }, Duration(1500)));
+    cell.m_cell.run(Duration(100));
+    cell.m_cell.killLeader();
+    cell.m_cell.run(Duration(GENERATE(0, 500)));
+    cell.m_cell.elect();
+    cell.m_cell.leaderProcess().unreachable.insert(worker.info.incarnation.id);
+    cell.m_cell.run(Duration(30'000));
+    CHECK(cell.m_cell.startCount > starts + 1);
+}
