Settings: Memory, descriptors and body limit of a cell node

Cause: the tests of clients that exceed the limits need low limits, which were constants. Change: node.memory_mb, node.max_descriptors and node.max_body_bytes; the last two are passed to the HTTP servers, the first is only read so far. Measured: unit test of the settings passes.

--- a/Libraries/Service/CellSettings.cpp
+++ b/Libraries/Service/CellSettings.cpp
@@ -24,6 +24,10 @@
         settings.processor = CpuMillis(std::llround(1000 * share * cores));
         settings.linkBandwidth =
             checker.real(node, "link_mbps", settings.linkBandwidth, 0.001, 1e6);
+        settings.memory =
+            MemoryMb(checker.number(node, "memory_mb", settings.memory.value(), 32, 1'048'576));
+        settings.maxDescriptors = checker.number(node, "max_descriptors", 4096, 256, 1'048'576);
+        settings.maxBodyBytes = checker.number(node, "max_body_bytes", 1'048'576, 1024, 16'777'216);
         settings.front = checker.requiredEndpoint(node, "front");
         settings.readiness = checker.requiredEndpoint(node, "readiness");
         settings.peer = checker.requiredEndpoint(node, "peer");
--- a/Libraries/Service/CellSettings.h
+++ b/Libraries/Service/CellSettings.h
@@ -19,6 +19,12 @@
     CpuMillis processor{1000};
     /** Bandwidth of the node's link, in Mbit/s. */
     double linkBandwidth = 1000;
+    /** Memory of the node's machine. The default is the users' smallest machine. */
+    MemoryMb memory{160};
+    /** Number of file descriptors that the process may open. */
+    std::size_t maxDescriptors = 4096;
+    /** Longest body of a submitter's request, in bytes. */
+    std::size_t maxBodyBytes = 1'048'576;
     /** Address on which the node listens for submitters' calls. */
     Endpoint front;
     /** Address on which it listens for the balancer's readiness probes. */
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -39,6 +39,14 @@
 /** A node of a cell with its HTTP servers for clients, readiness probes and metrics. */
 class CellService
 {
+    static HttpServerLimits limits(const CellSettings &settings)
+    {
+        HttpServerLimits limits;
+        limits.bodyBytes = settings.maxBodyBytes;
+        limits.connections = settings.maxDescriptors;
+        return limits;
+    }
+
 public:
     CellService(asio::io_context &context, const CellSettings &settings)
         : m_context(context)
@@ -50,18 +58,18 @@
         , m_workers(m_workerClient, context, {})
         , m_advisor(m_client, context, settings.advisor)
         , m_node(context, settings, {m_store, m_documents, m_workers, m_advisor})
-        , m_clientServer(context, settings.front, {},
+        , m_clientServer(context, settings.front, limits(settings),
                          [this](const HttpRequest &request, const HttpResponder &respond) {
                              handleClient(request, respond);
                          })
-        , m_readinessServer(context, settings.readiness, {},
+        , m_readinessServer(context, settings.readiness, limits(settings),
                             [this](const HttpRequest &request, const HttpResponder &respond) {
                                 const bool isReady =
                                     Platform::isReadinessProbe(request) && m_node.isReady();
                                 respond({isReady ? 200 : ServiceUnavailable, "{}"});
                             })
         , m_metricsServer(
-              context, settings.metrics, {},
+              context, settings.metrics, limits(settings),
               [this](const HttpRequest &, const HttpResponder &respond) {
                   respond({200, m_node.metrics().prometheusText(), "text/plain; version=0.0.4"});
               })
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -290,6 +290,15 @@
         + validSettings.substr(7);
     CHECK(parseCellSettings(smallNodeSettings, "cell.toml").processor == CpuMillis(120));
     CHECK(parseCellSettings(smallNodeSettings, "cell.toml").linkBandwidth == 2.5);
+    const CellSettings limited =
+        parseCellSettings("[node]\nmemory_mb = 64\nmax_descriptors = 400\nmax_body_bytes = 65536\n"
+                              + validSettings.substr(7),
+                          "cell.toml");
+    CHECK(limited.memory == MemoryMb(64));
+    CHECK(limited.maxDescriptors == 400);
+    CHECK(limited.maxBodyBytes == 65'536);
+    // A node that is not told its limits assumes the smallest machine.
+    CHECK(parseCellSettings(validSettings, "cell.toml").memory == MemoryMb(160));
     CHECK_THROWS_AS(
         parseCellSettings("[node]\nlink_mbps = 0\n" + validSettings.substr(7), "cell.toml"),
         SettingsError);
