PeerHub: Limits for links without a greeting

Cause: whoever reached a node's peer port could keep any number of links open, each with an unfinished frame of up to 4 MB. The listener also tried again at once, in a loop, when no descriptor was free. Change: an accepted link gets plain frames of at most 8 KB until its greeting; without one it is closed after 3 s, or when more than 256 such links (an eighth of the descriptors, if that is less) are open. A failed accept is repeated after 50 ms. Measured: hostile-client-tests on the peer port, which failed before (168 MiB with frames of 4 MB, 400 descriptors open), pass; unit tests of the cell's nodes pass.

--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -9,6 +9,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -39,9 +40,19 @@
         std::function<void(const EntryId &node)> followerLeft;
     };
 
-    /** @throws TransportError if @p address cannot be bound. */
+    /** More than the links of 150 nodes that ask for votes at the same time. */
+    static constexpr std::size_t MaxStrangers = 256;
+
+    /**
+     * @param maxStrangers number of accepted links without a greeting; a further one closes the
+     *        oldest of them
+     * @throws TransportError if @p address cannot be bound
+     */
     PeerHub(asio::io_context &context, TimerService &timers, HelloMessage self,
-            const Endpoint &address, Handlers handlers);
+            const Endpoint &address, Handlers handlers, std::size_t maxStrangers = MaxStrangers);
+
+    /** @return the number of accepted links that were closed, since they sent no greeting. */
+    uint64_t closedStrangers() const { return m_closedStrangers; }
 
     /** Compresses what this node exchanges with followers that join from now on. */
     void compressFollowerLinks() { m_compressesFollowerLinks = true; }
@@ -111,6 +122,10 @@
     void completeRequest(uint64_t correlation, const CellMessage &message);
     /** Fails the requests that wait for a reply on @p link. */
     void failRequests(const Link &link);
+    void closeOldestStranger();
+    void forgetStranger(const Link &link);
+    /** Closes the accepted links that have sent no greeting for too long. */
+    void expireStrangers();
     /** Fails the requests whose deadline has passed, at regular intervals. */
     void expireRequests();
 
@@ -138,6 +153,10 @@
     Instant m_heartbeatAt{};
     MessageDelay m_leaderDelay;
     std::map<Link, EntryId> m_inbound;
+    /** Accepted links without a greeting and when they were accepted, oldest first. */
+    std::deque<std::pair<Link, Instant>> m_strangers;
+    const std::size_t m_maxStrangers;
+    uint64_t m_closedStrangers = 0;
     std::map<EntryId, Follower> m_followers;
     std::map<uint64_t, PendingRequest> m_pendingRequests;
     uint64_t m_nextCorrelation = 1;
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <random>
 
 namespace Cranberrymount {
@@ -41,6 +42,8 @@
 /** Links with less bandwidth, in Mbit/s, may be too narrow for the messages of a leader of some
  * hundred workers. */
 constexpr double NarrowLinkBandwidth = 50;
+/** Part of the descriptors that peers' links without a greeting may take. */
+constexpr std::size_t StrangersDivisor = 8;
 
 } // namespace
 
@@ -98,7 +101,8 @@
                        LOG(INFO) << "event=follower_left node=" << node.value();
                        m_adviceScheduler.removeCaller(node);
                        m_commandRelay.removeForwarder(node);
-                   }})
+                   }},
+              std::min(PeerHub::MaxStrangers, m_settings.maxDescriptors / StrangersDivisor))
     , m_leadership(m_platform.store, m_timers, m_storeResends, m_peers,
                    {m_settings.node, m_settings.peer, m_settings.processor},
                    [this] { return random(); },
@@ -352,6 +356,7 @@
     const auto processor = readSystemClock(CLOCK_PROCESS_CPUTIME_ID);
     const WorkerConnections::Counts connections = m_workerConnections.counts();
     const std::size_t openConnections = m_workerConnections.connectionCount();
+    m_metrics.set("peer_strangers_closed", static_cast<double>(m_peers.closedStrangers()));
     m_metrics.set("worker_connections_open", static_cast<double>(openConnections));
     m_metrics.set("worker_connections_refused", static_cast<double>(connections.refused));
     m_metrics.set("worker_connections_reset", static_cast<double>(connections.reset));
--- a/Libraries/Transport/FrameLink.cpp
+++ b/Libraries/Transport/FrameLink.cpp
@@ -17,6 +17,8 @@
 constexpr uint32_t MaxFrameBytes = 4 * 1024 * 1024;
 constexpr std::size_t PrefixBytes = sizeof(uint32_t);
 constexpr std::size_t MaxQueuedFrames = 20'000;
+/** An accept without a free descriptor fails at once, and would do so again. */
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
 /** Set in the length prefix of a part of a compressed stream. */
 constexpr uint32_t CompressedFlag = 0x80000000U;
@@ -109,6 +111,8 @@
         if (length > (isCompressed ? MaxPartBytes : MaxFrameBytes)
             || (isCompressed && isDecompressed))
             return closeAndNotify();
+        if (m_frameLimit && (isCompressed || length > *m_frameLimit))
+            return closeAndNotify();
         if (bytes.size() - position - PrefixBytes < length)
             break;
         m_lastReceived = bootInstant();
@@ -201,6 +205,7 @@
                              AcceptHandler onAccept)
     : m_context(context)
     , m_acceptor(context)
+    , m_retryTimer(context)
     , m_onAccept(std::move(onAccept))
 {
     try {
@@ -221,9 +226,15 @@
                             [this](const asio::error_code &error, asio::ip::tcp::socket socket) {
                                 if (error == asio::error::operation_aborted)
                                     return;
-                                if (!error)
+                                if (!error) {
                                     m_onAccept(std::make_shared<FrameLink>(std::move(socket)));
-                                acceptNext();
+                                    return acceptNext();
+                                }
+                                m_retryTimer.expires_after(AcceptRetryDelay);
+                                m_retryTimer.async_wait([this](const asio::error_code &aborted) {
+                                    if (!aborted)
+                                        acceptNext();
+                                });
                             });
 }
 
--- a/Libraries/Transport/FrameLink.h
+++ b/Libraries/Transport/FrameLink.h
@@ -8,12 +8,14 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <array>
 #include <atomic>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Cranberrymount {
@@ -45,6 +47,14 @@
     void start(FrameHandler onFrame, CloseHandler onClose);
     /** Queues @p frame; drops it if the link is closed. Too long a queue closes the link. */
     void send(Frame frame);
+    /**
+     * Closes the link when it receives a frame of more than @p bytes, or a compressed one, until
+     * liftFrameLimit() is called. Must be called before start().
+     */
+    void limitFrames(std::size_t bytes) { m_frameLimit = bytes; }
+    /** Receives frames of any size up to what all links allow. Must be called by the handler of a
+     * frame of this link. */
+    void liftFrameLimit() { m_frameLimit.reset(); }
     /** Compresses all frames sent from now on; the peer must understand compressed frames. */
     void enableCompression();
     void close();
@@ -76,6 +86,8 @@
     std::unique_ptr<StreamCompressor> m_compressor;
     /** Null until the peer sends a compressed part. */
     std::unique_ptr<StreamDecompressor> m_decompressor;
+    /** Limit on the frames of a peer that is not known yet. */
+    std::optional<std::size_t> m_frameLimit;
     bool m_isWriting = false;
     bool m_closed = false;
     std::atomic<Instant> m_lastReceived = bootInstant();
@@ -95,6 +107,7 @@
 
     asio::io_context &m_context;
     asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_retryTimer;
     AcceptHandler m_onAccept;
 };
 
