Transport: One memory budget for all requests and responses of a process

Cause: HttpServer read bodies of 16 times the limit, and all limits applied to one connection. RESTinio's acceptor never accepts again once an accept has failed for lack of a descriptor. Change: RequestMemoryBudget, shared by a node's servers: a quarter of node.memory_mb, and half of node.max_descriptors beyond 200 as connections. BudgetedSocket reports what each connection reads and writes. Charged are two bytes for each received one and 16 for each line end (RESTinio keeps 16 bytes for each chunk), and 12 KiB for each connection. Over the limit the connection with the highest product of memory and time without progress is closed; a connection over the number closes the one that has waited for its request, or been in it, for longest. A request without progress for 4 s is closed. Heads of up to 32 KiB are read in all, so that 16,384 bytes of headers fit (a field was limited to 8 KiB, a request to 64 fields). A response to a request with 'Connection: Upgrade' closes its connection, since RESTinio would call the handler again without a request.

--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -1,8 +1,11 @@
 #include "Transport/HttpServer.h"
 
+#include "Transport/BudgetedSocket.h"
 #include "Transport/TransportError.h"
 
+#include <asio/steady_timer.hpp>
 #include <fmt/format.h>
+#include <http_parser.h>
 #include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
 
@@ -14,7 +17,10 @@
 
 namespace {
 
-struct ServerTraits : public restinio::default_traits_t
+struct ServerTraits
+    : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
+                                restinio::default_request_handler_t, restinio::default_strand_t,
+                                BudgetedSocket>
 {
     static constexpr bool use_connection_count_limiter = true; // NOLINT: RESTinio's name
 };
@@ -54,9 +60,11 @@
 
 using SharedCount = std::shared_ptr<std::atomic<std::size_t>>;
 
+using RequestHandle = restinio::request_handle_t;
+
 /** @param unwritten is higher by one until the response is written or its connection has ended */
-void send(const restinio::request_handle_t &request, const HttpResponse &httpResponse, bool closing,
-          const SharedCount &unwritten)
+void send(const RequestHandle &request, const HttpResponse &httpResponse, bool closing,
+          const SharedCount &unwritten, const RequestMemoryBudget::AccountHandle &account)
 {
     auto response = request->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(static_cast<uint16_t>(httpResponse.status)),
@@ -68,24 +76,51 @@
         response.connection_close();
     response.set_body(httpResponse.body);
     ++*unwritten;
-    response.done([unwritten](const asio::error_code &) { --*unwritten; });
+    if (account)
+        account->beginResponse(httpResponse.body.size());
+    response.done([unwritten, account](const asio::error_code &) {
+        --*unwritten;
+        if (account)
+            account->endResponse();
+    });
 }
 
-/** A body over the limit gets an error response; one over this many times the limit ends
- * its connection without a response. */
-constexpr std::size_t MaxReadBodyFactor = 16;
-constexpr int PayloadTooLarge = 413;
+/** Promises nothing about the job: an earlier try of the same request may have been accepted. */
+constexpr int GatewayTimeout = 504;
+/** Of the whole head of a request; its fields may have 16,384 bytes, its target 8,192. */
+constexpr uint32_t MaxHeadBytes = 32'768;
+constexpr std::size_t MaxFieldBytes = 16'385;
+/** Enough for a usual request in one read; each open connection has such a buffer. */
+constexpr std::size_t ReadBufferBytes = 8'192;
+constexpr std::size_t MaxFields = 256;
+constexpr std::chrono::seconds SweepInterval{1};
 
-restinio::request_handling_status_t rejectOversizedBody(const restinio::request_handle_t &request,
-                                                        std::size_t maxBodyBytes,
-                                                        const SharedCount &unwritten)
+/** Lets @p budget close connections without progress as long as the caller holds the result. */
+std::shared_ptr<asio::steady_timer>
+startSweeping(asio::io_context &context, const std::shared_ptr<RequestMemoryBudget> &budget)
 {
-    send(request,
-         {PayloadTooLarge,
-          fmt::format("{{\"outcome\":\"not-run\",\"error\":\"the body is above {} bytes\"}}\n",
-                      maxBodyBytes)},
-         true, unwritten);
-    return restinio::request_accepted();
+    struct Sweep
+    {
+        std::weak_ptr<asio::steady_timer> timer;
+        std::shared_ptr<RequestMemoryBudget> budget;
+
+        void wait() const
+        {
+            const auto held = timer.lock();
+            if (!held)
+                return;
+            held->expires_after(SweepInterval);
+            held->async_wait([sweep = *this](const asio::error_code &error) {
+                if (error || sweep.timer.expired())
+                    return;
+                sweep.budget->closeStalled();
+                sweep.wait();
+            });
+        }
+    };
+    auto timer = std::make_shared<asio::steady_timer>(context);
+    Sweep{timer, budget}.wait();
+    return timer;
 }
 
 } // namespace
@@ -114,6 +149,7 @@
     std::shared_ptr<std::atomic<bool>> closing = std::make_shared<std::atomic<bool>>(false);
     std::shared_ptr<RestinioServer> server;
     std::unique_ptr<restinio::on_pool_runner_t<RestinioServer>> runner;
+    std::shared_ptr<asio::steady_timer> sweepTimer;
 };
 
 namespace {
@@ -121,63 +157,81 @@
 /** @return a JSON object that names @p error, which may hold any bytes. */
 std::string errorBody(const std::string &error)
 {
-    const nlohmann::json body = {{"error", "request not understood: " + error}};
+    const nlohmann::json body = {{"error", error}};
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 /** @return settings with a RESTinio handler that passes whole requests to @p handler. */
 restinio::server_settings_t<ServerTraits>
-makeSettings(const Endpoint &address, const HttpServerLimits &limits, HttpServer::Handler handler,
+makeSettings(const Endpoint &address, const HttpServerLimits &limits,
+             const std::shared_ptr<RequestMemoryBudget> &budget, HttpServer::Handler handler,
              const SharedCount &inFlight, const SharedCount &unwritten,
              const std::shared_ptr<std::atomic<bool>> &closing,
              const std::shared_ptr<std::weak_ptr<RestinioServer>> &self)
 {
-    const auto handle = [handler = std::move(handler), inFlight, unwritten, closing, self,
-                         maxBodyBytes =
-                             limits.bodyBytes](const restinio::request_handle_t &request) {
+    // The parser's default is 80 KB for each request; the limit applies to the whole process.
+    http_parser_set_max_header_size(MaxHeadBytes);
+    const auto handle = [handler = std::move(handler), inFlight, unwritten, closing,
+                         self](const RequestHandle &request) {
+        const auto account = CurrentAccount::current();
+        // RESTinio waits for the application to take over the connection and would call the handler
+        // again and again.
+        const bool isUpgrade =
+            request->header().connection() == restinio::http_connection_header_t::upgrade;
         const auto respond = [pending = PendingRequest{self->lock(), request}, inFlight, unwritten,
-                              closing](const HttpResponse &httpResponse) {
-            send(pending.request, httpResponse, *closing || httpResponse.closesConnection,
-                 unwritten);
+                              closing, account, isUpgrade](const HttpResponse &httpResponse) {
+            send(pending.request, httpResponse,
+                 *closing || httpResponse.closesConnection || isUpgrade, unwritten, account);
             --*inFlight;
         };
-        if (request->body().size() > maxBodyBytes)
-            return rejectOversizedBody(request, maxBodyBytes, unwritten);
+        if (account && !account->beginHandling()) {
+            send(request, {GatewayTimeout, errorBody("too many requests are being handled")}, true,
+                 unwritten, account);
+            return restinio::request_accepted();
+        }
         ++*inFlight;
         try {
             handler(convert(request), respond);
         } catch (const std::exception &error) {
-            respond({400, errorBody(error.what())});
+            respond({400, errorBody(std::string("request not understood: ") + error.what())});
         }
         return restinio::request_accepted();
     };
     restinio::server_settings_t<ServerTraits> settings;
+    settings.socketLimits({budget, limits.bodyBytes});
     settings.address(address.host)
         .port(address.port)
         .request_handler(handle)
         .max_parallel_connections(limits.connections)
         .read_next_http_message_timelimit(limits.readTimeout)
         .handle_request_timeout(limits.handleTimeout)
-        .buffer_size(16'384)
+        .buffer_size(ReadBufferBytes)
         .max_pipelined_requests(1)
         .socket_options_setter(
             [](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
                                       .max_url_size(8'192)
-                                      .max_field_count(64)
+                                      .max_field_count(MaxFields)
                                       .max_field_name_size(256)
-                                      .max_field_value_size(8'192)
-                                      .max_body_size(limits.bodyBytes * MaxReadBodyFactor));
+                                      .max_field_value_size(MaxFieldBytes)
+                                      .max_body_size(limits.bodyBytes));
     return settings;
 }
 
+std::shared_ptr<RequestMemoryBudget> budgetFor(const HttpServerLimits &limits)
+{
+    return limits.budget ? limits.budget
+                         : std::make_shared<RequestMemoryBudget>(RequestMemoryBudget::Limits());
+}
+
 } // namespace
 
 HttpServer::HttpServer(const Endpoint &address, const HttpServerLimits &limits, Handler handler)
     : m_private(std::make_unique<Private>())
 {
     const auto self = std::make_shared<std::weak_ptr<RestinioServer>>();
-    auto settings = makeSettings(address, limits, std::move(handler), m_private->inFlight,
+    const auto budget = budgetFor(limits);
+    auto settings = makeSettings(address, limits, budget, std::move(handler), m_private->inFlight,
                                  m_private->unwritten, m_private->closing, self);
     try {
         m_private->server =
@@ -190,6 +244,7 @@
             [&opened]() noexcept { opened.set_value(); },
             [&opened](const std::exception_ptr &error) noexcept { opened.set_exception(error); });
         opened.get_future().get();
+        m_private->sweepTimer = startSweeping(m_private->server->io_context(), budget);
     } catch (const std::exception &error) {
         throw TransportError(fmt::format("cannot listen on {}: {}", address.text(), error.what()));
     }
@@ -200,7 +255,8 @@
     : m_private(std::make_unique<Private>())
 {
     const auto self = std::make_shared<std::weak_ptr<RestinioServer>>();
-    auto settings = makeSettings(address, limits, std::move(handler), m_private->inFlight,
+    const auto budget = budgetFor(limits);
+    auto settings = makeSettings(address, limits, budget, std::move(handler), m_private->inFlight,
                                  m_private->unwritten, m_private->closing, self);
     try {
         m_private->server = std::make_shared<RestinioServer>(restinio::external_io_context(context),
@@ -215,6 +271,7 @@
             context.run_one();
         if (failure)
             std::rethrow_exception(failure);
+        m_private->sweepTimer = startSweeping(context, budget);
     } catch (const std::exception &error) {
         throw TransportError(fmt::format("cannot listen on {}: {}", address.text(), error.what()));
     }
--- a/Libraries/Transport/HttpServer.h
+++ b/Libraries/Transport/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "State/Time.h"
 #include "State/Worker.h"
+#include "Transport/RequestMemoryBudget.h"
 
 #include <asio/io_context.hpp>
 
@@ -53,8 +54,12 @@
     std::size_t threads = 2;
     /** Longest body of a request. */
     std::size_t bodyBytes = 1'048'576;
-    /** Number of connections open at a time. */
-    std::size_t connections = 4096;
+    /** Number of connections that are accepted; further ones wait until others are closed. The
+     * default is above each budget's limit, which closes connections instead. */
+    std::size_t connections = 1'048'576;
+    /** What the connections of all servers with the same budget may hold; null for a budget of its
+     * own with default limits. */
+    std::shared_ptr<RequestMemoryBudget> budget = nullptr;
     /** Longest time in which a client may send one request. */
     Duration readTimeout{10'000};
     /** Longest time that a handler may take to respond. */
--- a/Services/cranberrymount-cell/main.cpp
+++ b/Services/cranberrymount-cell/main.cpp
@@ -35,18 +35,12 @@
 /** Connections to the store that are not used for longer are closed. */
 constexpr std::chrono::seconds MaxStoreIdleTime{5};
 constexpr int ServiceUnavailable = 503;
+/** Requests for the readiness or the metrics have no body. */
+constexpr std::size_t ProbeBodyBytes = 4096;
 
 /** A node of a cell with its HTTP servers for clients, readiness probes and metrics. */
 class CellService
 {
-    static HttpServerLimits limits(const CellSettings &settings)
-    {
-        HttpServerLimits limits;
-        limits.bodyBytes = settings.maxBodyBytes;
-        limits.connections = settings.maxDescriptors;
-        return limits;
-    }
-
 public:
     CellService(asio::io_context &context, const CellSettings &settings)
         : m_context(context)
@@ -57,20 +51,23 @@
         , m_documents(m_store)
         , m_workers(m_workerClient, context, {})
         , m_advisor(m_client, context, settings.advisor)
+        , m_budget(std::make_shared<RequestMemoryBudget>(
+              RequestMemoryBudget::limitsForMachine(settings.memory, settings.maxDescriptors)))
         , m_node(context, settings, {m_store, m_documents, m_workers, m_advisor})
-        , m_clientServer(context, settings.front, limits(settings),
+        , m_clientServer(context, settings.front, limits(settings.maxBodyBytes),
                          [this](const HttpRequest &request, const HttpResponder &respond) {
                              handleClient(request, respond);
                          })
-        , m_readinessServer(context, settings.readiness, limits(settings),
+        , m_readinessServer(context, settings.readiness, limits(ProbeBodyBytes),
                             [this](const HttpRequest &request, const HttpResponder &respond) {
                                 const bool isReady =
                                     Platform::isReadinessProbe(request) && m_node.isReady();
                                 respond({isReady ? 200 : ServiceUnavailable, "{}"});
                             })
         , m_metricsServer(
-              context, settings.metrics, limits(settings),
+              context, settings.metrics, limits(ProbeBodyBytes),
               [this](const HttpRequest &, const HttpResponder &respond) {
+                  recordConnections();
                   respond({200, m_node.metrics().prometheusText(), "text/plain; version=0.0.4"});
               })
         , m_timers(context)
@@ -94,6 +91,30 @@
     }
 
 private:
+    /** @return limits of a server whose connections share this process's budget. */
+    HttpServerLimits limits(std::size_t bodyBytes) const
+    {
+        HttpServerLimits limits;
+        limits.bodyBytes = bodyBytes;
+        limits.budget = m_budget;
+        return limits;
+    }
+
+    void recordConnections()
+    {
+        const RequestMemoryBudget::Counts counts = m_budget->counts();
+        const auto set = [this](const char *name, auto value) {
+            m_node.metrics().set(name, static_cast<double>(value));
+        };
+        set("connections_open", counts.openConnections);
+        set("request_bytes_held", counts.heldBytes);
+        set("connections_closed_for_memory", counts.closedForMemory);
+        set("connections_closed_for_others", counts.closedForConnections);
+        set("requests_closed_stalled", counts.closedStalled);
+        set("requests_refused_over_limits", counts.refusedOverLimits);
+        set("requests_refused_for_memory", counts.refusedForMemory);
+    }
+
     void handleClient(const HttpRequest &request, const HttpResponder &respond)
     {
         ClientCall call;
@@ -165,6 +186,7 @@
     Platform::PlatformDocuments m_documents;
     Platform::PlatformWorkers m_workers;
     Platform::PlatformWorkers m_advisor;
+    std::shared_ptr<RequestMemoryBudget> m_budget;
     CellNode m_node;
     HttpServer m_clientServer;
     HttpServer m_readinessServer;
