--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -174,14 +174,10 @@
     const auto handle = [handler = std::move(handler), inFlight, unwritten, closing,
                          self](const RequestHandle &request) {
         const auto account = CurrentAccount::current();
-        // RESTinio waits for the application to take over the connection and would call the handler
-        // again and again.
-        const bool isUpgrade =
-            request->header().connection() == restinio::http_connection_header_t::upgrade;
         const auto respond = [pending = PendingRequest{self->lock(), request}, inFlight, unwritten,
-                              closing, account, isUpgrade](const HttpResponse &httpResponse) {
-            send(pending.request, httpResponse,
-                 *closing || httpResponse.closesConnection || isUpgrade, unwritten, account);
+                              closing, account](const HttpResponse &httpResponse) {
+            send(pending.request, httpResponse, *closing || httpResponse.closesConnection,
+                 unwritten, account);
             --*inFlight;
         };
         if (account && !account->beginHandling()) {
--- a/Tests/EndToEnd/HostileClientsTest.cpp
+++ b/Tests/EndToEnd/HostileClientsTest.cpp
@@ -269,6 +269,7 @@
 {
     const std::vector<Crowd> all = crowds();
     std::vector<std::string> messages;
+    messages.reserve(all.size());
     for (const Crowd &crowd : all)
         messages.push_back(crowd.message());
     const std::array<uint16_t, 4> ports{m_node.frontPort(), m_node.frontPort(),
