--- a/Libraries/Service/Settings.cpp
+++ b/Libraries/Service/Settings.cpp
@@ -44,6 +44,8 @@
     const toml::table &limits = checker.section(root, "limits", false);
     settings.httpThreads = checker.number(limits, "http_threads", 2, 1, 64);
     settings.maxBodyBytes = checker.number(limits, "max_body_bytes", 1'048'576, 1024, 16'777'216);
+    settings.memoryMb = checker.number(limits, "memory_mb", 1024, 32, 1'048'576);
+    settings.maxDescriptors = checker.number(limits, "max_descriptors", 4096, 256, 1'048'576);
     settings.maxWaitingRequests = checker.number(limits, "max_waiting_requests", 256, 0, 100'000);
     settings.faultsAllowed = checker.flag(limits, "faults_allowed", false);
     checker.rejectUnknown(limits);
--- a/Libraries/Service/Settings.h
+++ b/Libraries/Service/Settings.h
@@ -38,6 +38,9 @@
 
     std::size_t httpThreads = 2;
     std::size_t maxBodyBytes = 1'048'576;
+    /** Memory of the machine, in MB. */
+    int64_t memoryMb = 1024;
+    std::size_t maxDescriptors = 4096;
     std::size_t maxWaitingRequests = 256;
     /** True if the API may block connections, for failure tests. */
     bool faultsAllowed = false;
--- a/Services/cranberrymountd/main.cpp
+++ b/Services/cranberrymountd/main.cpp
@@ -66,6 +66,8 @@
     HttpServerLimits limits;
     limits.threads = settings.httpThreads;
     limits.bodyBytes = settings.maxBodyBytes;
+    limits.budget = std::make_shared<RequestMemoryBudget>(RequestMemoryBudget::limitsForMachine(
+        MemoryMb(settings.memoryMb), settings.maxDescriptors));
     HttpServer server(settings.http, limits, [&api](HttpRequest request, HttpResponder respond) {
         api.handle(std::move(request), std::move(respond));
     });
