Decision: Steps wait for a local placement while that pays off

Cause: a data rack was only a preference, and a gang took one rack only if it fitted there at once, although both take a multiple of the time elsewhere.

LocalityWait holds the rule: wait while the expected wait is below (factor - 1) x run time minus the time already waited, and below the step's slack. The forecast comes from RunAllocation::releasedAt; of a step with a data rack as many tasks wait as places become free there in time. A gang waits for the rack that is expected to hold it soonest; it reserves that rack within MaxReservingGangs - 1, and what it could use elsewhere is left to others. A gang that no rack can hold in time starts at once. RunLengths corrects estimates by queue, LocalityWaits remembers since when a step has waited. The calls of a gang that wants one rack name workers rack by rack, those of a step with a data rack its workers first. With a factor of 1, the default, decisions are unchanged.

Seen failing with the new input fields but without the rule: 11 of the 14 tests in LocalityWaitTest.cpp ("Gang waits for one rack by a factor of 3 and not of 1.5": 4 starts instead of 0; "Step with a data rack ...": 3 instead of 0; "Gang that wants one rack asks about one rack ...": 3 racks instead of 1; the random mix: no waiting round). The two tests of pure functions and "Gang that can never fit one rack starts at once" passed before. All 14 pass now, and all tests tagged dispatcher, gang, adviceload, dispatchhistory and scheduler (72 test cases).

--- a/Libraries/Decision/DispatchAdvice.cpp
+++ b/Libraries/Decision/DispatchAdvice.cpp
@@ -96,15 +96,21 @@
     }
     const std::vector<std::size_t> &workers = candidate.pool->workers;
     const std::size_t first = std::hash<JobId>()(candidate.key.job) % workers.size();
-    for (std::size_t count = 0; count < workers.size(); ++count) {
-        const std::size_t worker = workers[(first + count) % workers.size()];
-        if (!isKnown[worker] && isEligible(candidate, worker) && !visit(worker))
-            return;
-    }
+    const auto visitThose = [&](bool areAway) {
+        for (std::size_t count = 0; count < workers.size(); ++count) {
+            const std::size_t worker = workers[(first + count) % workers.size()];
+            if (!isKnown[worker] && isAwayFromData(candidate, worker) == areAway
+                && isEligible(candidate, worker) && !visit(worker))
+                return false;
+        }
+        return true;
+    };
+    if (visitThose(false) && prefersLocal(candidate))
+        visitThose(true);
 }
 
 Dispatcher::AdvicePlan Dispatcher::planAdvice(const Candidate &candidate, Instant answerAt,
-                                              std::size_t maxUnknown) const
+                                              std::size_t maxUnknown, const RackId *rack) const
 {
     const double limit = slownessLimit(candidate.urgency);
     AdvicePlan plan;
@@ -114,7 +120,7 @@
             {worker, isAllowed, places, m_input.workers[worker].slowness > limit, rank});
     };
     for (const auto &[worker, verdict] : candidate.allowed) {
-        if (!isEligible(candidate, worker))
+        if (!isEligible(candidate, worker) || (rack && m_input.workers[worker].info->rack != *rack))
             continue;
         plan.allowedCapacity += membersFittingIn(candidate, m_releasable[worker]);
         const int64_t places = placesAt(candidate, worker, answerAt);
@@ -128,15 +134,17 @@
     }
     const std::size_t maxChoices = plan.choices.size() + maxUnknown;
     visitUnknownWorkers(candidate, [&](std::size_t worker) {
-        const int64_t places = placesOnWorker(candidate, worker);
+        const bool isInRack = !rack || m_input.workers[worker].info->rack == *rack;
+        const int64_t places = isInRack ? placesOnWorker(candidate, worker) : 0;
         if (places > 0)
             addChoice(worker, false, places);
         return plan.choices.size() < maxChoices;
     });
-    std::ranges::stable_sort(plan.choices, [](const AdviceChoice &left, const AdviceChoice &right) {
-        return std::tuple(!left.isAllowed, left.isSlow, -left.rank)
-            < std::tuple(!right.isAllowed, right.isSlow, -right.rank);
+    std::ranges::stable_sort(plan.choices, {}, [&](const AdviceChoice &choice) {
+        return std::tuple(!choice.isAllowed, isAwayFromData(candidate, choice.worker),
+                          choice.isSlow, -choice.rank);
     });
+    groupByRack(candidate, plan.choices);
     return plan;
 }
 
@@ -193,7 +201,8 @@
     return std::clamp<std::size_t>(m_input.adviceCapacity.longCallers, 1, MaxGangCalls);
 }
 
-void Dispatcher::requestGangAdvice(const Candidate &candidate, uint32_t members, bool mayStart)
+void Dispatcher::requestGangAdvice(const Candidate &candidate, uint32_t members, bool mayStart,
+                                   const RackId *rack)
 {
     const AdviceCost &cost = *candidate.queue->advice;
     const std::size_t callSize = efficientCallSize(cost);
@@ -201,7 +210,7 @@
     if (freeCalls == 0 || !mayAskAbout(candidate))
         return;
     const AdvicePlan plan =
-        planAdvice(candidate, m_input.now + cost.costOf(callSize), m_input.workers.size());
+        planAdvice(candidate, m_input.now + cost.costOf(callSize), m_input.workers.size(), rack);
     const double fraction = m_input.advice->allowedFraction(candidate.queue->id);
     const double requested = placesToRequest(members);
     const bool hasEnoughAllowed = plan.allowedPlaces >= members;
@@ -209,14 +218,15 @@
     auto expected = static_cast<double>(plan.placesWithTicket);
     std::vector<std::size_t> named;
     for (const AdviceChoice &choice : plan.choices) {
-        if (named.size() == maxNamed || expected >= requested
-            || (!choice.isAllowed && hasEnoughAllowed))
+        if (named.size() == maxNamed || expected >= requested)
             break;
+        if (!choice.isAllowed && hasEnoughAllowed)
+            continue;
         named.push_back(choice.worker);
         expected += static_cast<double>(choice.places) * (choice.isAllowed ? 1 : fraction);
     }
     if (!mayStart || expected < members)
-        return learnWorkersForGang(candidate, members, plan.allowedCapacity);
+        return learnWorkersForGang(candidate, members, plan.allowedCapacity, rack);
     if (named.empty())
         return;
     // A gang takes all callers that it needs or none: tickets of calls that are made one after the
@@ -231,9 +241,9 @@
 }
 
 void Dispatcher::learnWorkersForGang(const Candidate &candidate, uint32_t members,
-                                     int64_t allowedCapacity)
+                                     int64_t allowedCapacity, const RackId *rack)
 {
-    const int64_t missing = int64_t(KnownCapacityFactor) * members - allowedCapacity;
+    const int64_t missing = int64_t(rack ? 1 : KnownCapacityFactor) * members - allowedCapacity;
     if (!mayReserve(candidate) || missing <= 0)
         return;
     const AdviceCost &cost = *candidate.queue->advice;
@@ -244,7 +254,8 @@
     double expected = 0;
     std::vector<std::size_t> named;
     visitUnknownWorkers(candidate, [&](std::size_t worker) {
-        const int64_t members = membersFittingIn(candidate, m_releasable[worker]);
+        const bool isInRack = !rack || m_input.workers[worker].info->rack == *rack;
+        const int64_t members = isInRack ? membersFittingIn(candidate, m_releasable[worker]) : 0;
         if (members == 0)
             return true;
         named.push_back(worker);
--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -164,10 +164,11 @@
     return m_input.now + m_input.startDelay + length <= m_reservations[worker].startsAt;
 }
 
-void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted)
+void Dispatcher::reserveForGang(const Candidate &candidate, uint32_t wanted, const RackId *rack)
 {
     const bool isLongestWaiting = &candidate == m_longestWaitingGang;
-    if (!mayReserve(candidate) || (!isLongestWaiting && m_reservingGangs >= MaxReservingGangs)
+    const std::size_t maxGangs = rack ? MaxReservingGangs - 1 : MaxReservingGangs;
+    if (!mayReserve(candidate) || (!isLongestWaiting && m_reservingGangs >= maxGangs)
         || teamHeadroom(candidate.job->accepted.team, candidate.spec().need) < wanted)
         return;
     // FIXME: Only whole workers are reserved; a gang may fit beside long runs earlier.
@@ -193,6 +194,8 @@
         const Candidate *holder = m_reservations[worker].holder;
         if (!isEligible(candidate, worker) || (holder && holder != &candidate))
             return;
+        if (rack && m_input.workers[worker].info->rack != *rack)
+            return;
         const DispatchWorker &workerState = m_input.workers[worker];
         const Resources freeCapacity = workerState.freeCapacity();
         const int64_t placesNow = membersFittingIn(candidate, freeCapacity);
@@ -293,7 +296,10 @@
             || m_input.jobs->findStep(candidate.key)->activeCount > 0
             || teamHeadroom(candidate.job->accepted.team, spec.need) < spec.taskCount)
             continue;
-        const std::vector<PlacementOption> places = optionsWithTickets(candidate);
+        std::vector<PlacementOption> places = optionsWithTickets(candidate);
+        // The capacity elsewhere is not kept idle while the gang waits for one rack.
+        if (!putWholeRackFirst(candidate, places) && isWaitingForRack(candidate))
+            continue;
         int64_t wanted = spec.taskCount;
         for (const PlacementOption &place : places)
             wanted -= place.count;
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -279,6 +279,9 @@
         return;
     }
     std::vector<PlacementOption> usable = placementOptions(candidate);
+    const int64_t wanted = allowed;
+    const int64_t maxRemote = maxRemoteStarts(candidate, usable, wanted);
+    int64_t remoteStarts = 0;
     for (uint32_t index = 0; index < step.tasks.size() && allowed > 0; ++index) {
         const TaskProgress &task = step.tasks[index];
         if (task.isDone || task.isActive)
@@ -286,7 +289,8 @@
         PlacementOption *best = nullptr;
         int64_t bestScore = 0;
         for (PlacementOption &place : usable) {
-            if (place.count <= 0)
+            if (place.count <= 0
+                || (remoteStarts == maxRemote && isAwayFromData(candidate, place.worker)))
                 continue;
             const DispatchWorker &worker = m_input.workers[place.worker];
             int64_t score = placementCost(candidate, place.worker);
@@ -302,14 +306,22 @@
         }
         if (!best)
             break;
-        start(candidate, index, task.lastAttempt + 1, best->worker, *best->ticket);
+        const bool isRemote = isAwayFromData(candidate, best->worker);
+        start(candidate, index, task.lastAttempt + 1, best->worker, *best->ticket, isRemote);
+        remoteStarts += isRemote;
         --best->count;
         --allowed;
     }
+    const int64_t waiting =
+        noteDataRackDecision(candidate, usable, wanted - allowed, remoteStarts, allowed);
     if (allowed <= 0)
         return;
-    countWaitingStep(candidate, missingOf(candidate));
-    if (candidate.queue->advice)
+    countWaitingStep(candidate,
+                     waiting == allowed ? m_result.waiting.forLocality : missingOf(candidate));
+    // Tasks that wait need no further tickets until a local worker has free capacity.
+    if (!lacksLocalTicket(candidate))
+        allowed -= waiting;
+    if (candidate.queue->advice && allowed > 0)
         requestSinglesAdvice(candidate, static_cast<uint32_t>(allowed));
 }
 
@@ -376,16 +388,15 @@
         return left.count > right.count;
     });
     std::vector<const PlacementOption *> chosen;
-    if (mayStart && spec.wantsOneRack) {
-        for (const PlacementOption &place : order) {
-            chosen = chooseForGang(order, members, &m_input.workers[place.worker].info->rack);
-            if (!chosen.empty())
-                break;
-        }
-    }
-    // FIXME: A gang that asks for one rack should wait for a free rack while its objective allows.
+    if (mayStart)
+        chosen = chooseLocallyForGang(candidate, order, members);
     if (mayStart && chosen.empty())
         chosen = chooseForGang(order, members, nullptr);
+    const bool isRemote = isRemoteForGang(candidate, chosen);
+    if (isRemote) {
+        if (const RackId *rack = findRackToWaitFor(candidate, members))
+            return waitForRack(candidate, members, *rack);
+    }
     if (chosen.empty()) {
         countWaitingStep(candidate, missingOf(candidate));
         if (noteObstacle(candidate))
@@ -399,7 +410,9 @@
     for (const TaskProgress &task : step.tasks)
         attempt = std::max(attempt, task.lastAttempt + 1);
     for (uint32_t index = 0; index < members; ++index)
-        start(candidate, index, attempt, chosen[index]->worker, *chosen[index]->ticket);
+        start(candidate, index, attempt, chosen[index]->worker, *chosen[index]->ticket, isRemote);
+    if (prefersLocal(candidate))
+        m_result.localityDecisions.push_back({candidate.key, 0, isRemote ? members : 0});
 }
 
 int64_t Dispatcher::placementCost(const Candidate &candidate, std::size_t worker) const
@@ -486,16 +499,26 @@
     return used <= CpuMillis(0) ? std::max<int64_t>(count, 1) : count;
 }
 
+Duration Dispatcher::expectedLengthOf(const Candidate &candidate) const
+{
+    const Duration estimate = candidate.spec().estimate;
+    if (m_input.remoteFactor <= 1 || !m_input.runLengths)
+        return std::max(estimate, MinEstimate);
+    return std::max(m_input.runLengths->expectedLength(candidate.queue->id, estimate), MinEstimate);
+}
+
 void Dispatcher::start(const Candidate &candidate, uint32_t index, uint32_t attempt,
-                       std::size_t worker, const std::string &ticket)
+                       std::size_t worker, const std::string &ticket, bool isRemote)
 {
     const StepKey &key = candidate.key;
     const StepSpec &spec = candidate.spec();
     m_result.starts.push_back(
-        {{key.job, key.occurrence, key.step, index}, attempt, worker, ticket});
+        {{key.job, key.occurrence, key.step, index}, attempt, worker, ticket, isRemote});
     DispatchWorker &workerState = m_input.workers[worker];
     workerState.used += spec.need;
-    const Duration length = std::max(spec.estimate, MinEstimate);
+    Duration length = expectedLengthOf(candidate);
+    if (isRemote)
+        length += localityGain({length, m_input.remoteFactor});
     workerState.allocations.push_back({&key.job, key.occurrence, key.step, spec.need,
                                        spec.isService ? NeverReleased : m_input.now + length});
     if (spec.isService) {
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "Decision/AdviceCache.h"
+#include "Decision/LocalityWait.h"
+#include "Decision/LocalityWaits.h"
+#include "Decision/RunLengths.h"
 #include "State/CellConfiguration.h"
 
 #include <map>
@@ -64,6 +67,13 @@
     std::map<TeamId, Resources> teamUse;
     /** Time after which a start that is decided now has reached its worker. */
     Duration startDelay{60};
+    /** Run time away from a step's data rack, or of a gang that wants one rack on several, as a
+     * multiple of the local run time; 1 if no step waits for a local placement. */
+    double remoteFactor = 1;
+    /** Null if only the submitters' estimates are known. */
+    const RunLengths *runLengths = nullptr;
+    /** Null if no step has waited before. */
+    const LocalityWaits *localityWaits = nullptr;
 };
 
 /** A task to start and the worker to start it on. */
@@ -75,6 +85,9 @@
     std::size_t worker = 0;
     /** Empty if the queue needs no advice. */
     std::string ticket;
+    /** The task takes longer than on a local worker; only set if DispatchInput::remoteFactor is
+     * above 1. */
+    bool isRemote = false;
 };
 
 /** An advice call to make. */
@@ -98,6 +111,9 @@
     std::size_t withoutTicket = 0;
     /** The team is at its limit, or the rest of the pool is kept free for more urgent work. */
     std::size_t atLimit = 0;
+    /** All tasks that can't start locally wait for a local placement, although some could start
+     * elsewhere. */
+    std::size_t forLocality = 0;
     /** Of all these, steps without a running task that have waited for more than 3 s and more than
      * 10 s; steps of services also if other tasks run, by the task that has waited longest. */
     std::size_t olderThan3s = 0;
@@ -140,6 +156,8 @@
     WaitingSteps waiting;
     /** Gangs that hold and request nothing until workers or runs change. */
     std::vector<BlockedGang> blockedGangs;
+    /** Decisions about steps that take longer on remote workers: those that start or wait. */
+    std::vector<LocalityDecision> localityDecisions;
 };
 
 /** How urgent a step is; steps with smaller class and rank are placed first. */
@@ -173,6 +191,8 @@
  * urgent gangs that do not fit reserve workers until they fit, and so does the late gang that has
  * waited longest. Free capacity for which a gang has or requests tickets is reserved for it. A gang
  * that would not fit even after all runs that are expected to end have ended reserves nothing.
+ *
+ * A step that takes longer on remote workers waits for a local placement while that pays off.
  */
 class Dispatcher
 {
@@ -304,7 +324,7 @@
     int64_t poolHeadroom(const Candidate &candidate, const Resources &need) const;
     /** Adds a start to the result and its resources to those in use. */
     void start(const Candidate &candidate, uint32_t index, uint32_t attempt, std::size_t worker,
-               const std::string &ticket);
+               const std::string &ticket, bool isRemote);
     /** @return the counter of what the step waits for: free capacity or a ticket. */
     std::size_t &missingOf(const Candidate &candidate);
     /** Adds the step to @p counter, and to those that count waiting steps by age. */
@@ -325,9 +345,10 @@
     /**
      * @param answerAt when the answer to a call made now is expected.
      * @param maxUnknown limit on the workers in the plan that the advisor was not asked about.
+     * @param rack the rack that the plan is limited to; null for all.
      */
-    AdvicePlan planAdvice(const Candidate &candidate, Instant answerAt,
-                          std::size_t maxUnknown) const;
+    AdvicePlan planAdvice(const Candidate &candidate, Instant answerAt, std::size_t maxUnknown,
+                          const RackId *rack = nullptr) const;
     /** @return how many tasks of the step are expected to fit on the worker at @p answerAt. */
     int64_t placesAt(const Candidate &candidate, std::size_t worker, Instant answerAt) const;
     /** Requests tickets for a step of which @p wanted tasks cannot start yet. */
@@ -338,12 +359,17 @@
      * it may run on.
      *
      * @param mayStart the pool has room for the gang beside what is kept for more urgent work.
+     * @param rack the rack that the gang waits for, and the only one that is asked about; null for
+     * all.
      */
-    void requestGangAdvice(const Candidate &candidate, uint32_t members, bool mayStart);
+    void requestGangAdvice(const Candidate &candidate, uint32_t members, bool mayStart,
+                           const RackId *rack = nullptr);
     /** @return the maximum number of calls that are made for a gang at a time. */
     std::size_t maxGangCalls() const;
-    /** Asks about workers on which a gang may wait for room, until enough of them are known. */
-    void learnWorkersForGang(const Candidate &candidate, uint32_t members, int64_t allowedCapacity);
+    /** Asks about workers on which a gang may wait for room, in @p rack if it is not null, until
+     * enough of them are known. */
+    void learnWorkersForGang(const Candidate &candidate, uint32_t members, int64_t allowedCapacity,
+                             const RackId *rack);
     /** Adds @p calls calls about @p workers, spread evenly. */
     void addAdviceCalls(const Candidate &candidate, const std::vector<std::size_t> &workers,
                         std::size_t calls);
@@ -365,8 +391,9 @@
     /** @return true if the advisor has allowed the step on the worker or was not asked about it. */
     bool mayBeAllowed(const Candidate &candidate, std::size_t worker) const;
     /** Reserves whole workers for the gang: those that will be the first to have free capacity for
-     * its members. */
-    void reserveForGang(const Candidate &candidate, uint32_t wanted);
+     * its members. Gangs that could start elsewhere and wait for @p rack leave one reservation to
+     * those that can't start. */
+    void reserveForGang(const Candidate &candidate, uint32_t wanted, const RackId *rack = nullptr);
     /** Reserves the capacity for which gangs have or request tickets, until they start. */
     void reserveForGangsWithTickets();
     /** @return a gang's workers with free capacity and a ticket that is valid or requested. */
@@ -375,6 +402,70 @@
      * placed. */
     void findLongestWaitingGang();
 
+    // Local placement; in DispatchLocality.cpp.
+    /** @return true if the step's tasks take longer on remote workers. */
+    bool prefersLocal(const Candidate &candidate) const;
+    /** @return true if the step names a data rack and the worker is elsewhere. */
+    bool isAwayFromData(const Candidate &candidate, std::size_t worker) const;
+    /** @return the expected run time of a task of the step on a local worker. */
+    Duration expectedLengthOf(const Candidate &candidate) const;
+    /** @return how much longer the step may wait for a local placement; 0 if it must not wait. */
+    Duration localityHorizon(const Candidate &candidate) const;
+    /** @return places for all members on local workers, as chooseForGang(). */
+    std::vector<const PlacementOption *>
+    chooseLocallyForGang(const Candidate &candidate, const std::vector<PlacementOption> &order,
+                         std::size_t members) const;
+    /** @return true if a gang on these workers takes longer than on local ones. */
+    bool isRemoteForGang(const Candidate &candidate,
+                         const std::vector<const PlacementOption *> &chosen) const;
+    /** A place that becomes available within the horizon. */
+    struct ExpectedPlace
+    {
+        Instant when;
+        /** Probability that the advisor allows the worker. */
+        double weight = 1;
+    };
+    /** Adds the places for the step on @p worker until @p horizon; those that are free now if
+     * @p withFreeNow. */
+    void addExpectedPlaces(const Candidate &candidate, std::size_t worker, Instant horizon,
+                           bool withFreeNow, double weight,
+                           std::vector<ExpectedPlace> &places) const;
+    /** @return how many tasks of the step use the capacity for which more urgent steps wait on the
+     * rack. */
+    int64_t placesAwaitedBefore(const Candidate &candidate, const RackId &rack) const;
+    /** @return the rack that is expected to hold all members soonest, if waiting for it pays off;
+     * otherwise null. */
+    const RackId *findRackToWaitFor(const Candidate &candidate, std::size_t members) const;
+    /** Lets a gang that could start now wait for @p rack. */
+    void waitForRack(const Candidate &candidate, uint32_t members, const RackId &rack);
+    /** @return how many of @p wanted tasks that can't start locally now should wait for the data
+     * rack. */
+    int64_t countWaitingForDataRack(const Candidate &candidate, int64_t wanted) const;
+    /** @return how many of @p wanted tasks may start remotely; the others that can't start on
+     * @p options wait for the data rack. */
+    int64_t maxRemoteStarts(const Candidate &candidate, const std::vector<PlacementOption> &options,
+                            int64_t wanted);
+    /**
+     * Notes the decision about a step that is no gang.
+     * @param options the places that are left.
+     * @param started tasks that were started, and @p remoteStarts of them remotely.
+     * @param remaining tasks that were not started.
+     * @return the number of tasks that wait although they could start remotely.
+     */
+    int64_t noteDataRackDecision(const Candidate &candidate,
+                                 const std::vector<PlacementOption> &options, int64_t started,
+                                 int64_t remoteStarts, int64_t remaining);
+    /** @return true if a worker in the data rack has free capacity but no valid ticket. */
+    bool lacksLocalTicket(const Candidate &candidate) const;
+    /** @return true if the gang waited for a rack in the last round and may still do so. */
+    bool isWaitingForRack(const Candidate &candidate) const;
+    /** Sorts the options of a gang that wants one rack: first those of a rack that holds it.
+     * @return true if there is such a rack. */
+    bool putWholeRackFirst(const Candidate &candidate, std::vector<PlacementOption> &places) const;
+    /** Sorts the choices of a gang that wants one rack by rack: the one with the most expected
+     * places comes first. */
+    void groupByRack(const Candidate &candidate, std::vector<AdviceChoice> &choices) const;
+
     DispatchInput m_input;
     DispatchResult m_result;
     std::map<std::string, Pool> m_pools;
@@ -403,6 +494,8 @@
     std::vector<uint32_t> m_callsNaming;
     /** Gangs with a reservation, apart from m_longestWaitingGang. */
     std::size_t m_reservingGangs = 0;
+    /** Resources that steps wait for in this round, by rack. */
+    std::map<RackId, Resources> m_awaited;
     /** A late gang that may reserve workers too, so that it cannot wait forever; may be null. */
     const Candidate *m_longestWaitingGang = nullptr;
 };
--- a/Tests/Unit/DispatcherFixture.h
+++ b/Tests/Unit/DispatcherFixture.h
@@ -51,6 +51,28 @@
         }
     }
 
+    /** Adds workers of 10 cores that share a rack. */
+    void addRack(const char *rack, std::size_t count)
+    {
+        addWorkers(count, 10'000);
+        for (std::size_t index = m_infos.size() - count; index < m_infos.size(); ++index)
+            m_infos[index].rack = RackId(rack);
+    }
+
+    /** Adds a run of another job to each worker of a rack. */
+    void addRunOnRack(const char *rack, int64_t cpu, Duration endsIn, Duration length)
+    {
+        static const JobId OtherJob("x");
+        const Resources need{CpuMillis(cpu), MemoryMb(0), AcceleratorCount(0)};
+        for (DispatchWorker &worker : m_workers) {
+            if (worker.info->rack.value() != rack)
+                continue;
+            worker.used += need;
+            worker.allocations.push_back(
+                {&OtherJob, 0, 0, need, expectedRelease(m_instant, m_instant + endsIn, length)});
+        }
+    }
+
     JobId addJob(const char *queue, uint32_t tasks, int64_t cpu, Duration estimate,
                  bool isGang = false, bool isOverFairShare = false)
     {
@@ -100,7 +122,13 @@
         input.workers = m_workers;
         input.teamUse = m_teamUse;
         input.startDelay = m_startDelay;
-        return Dispatcher(std::move(input)).decide();
+        input.remoteFactor = m_remoteFactor;
+        input.runLengths = &m_runLengths;
+        input.localityWaits = &m_localityWaits;
+        DispatchResult result = Dispatcher(std::move(input)).decide();
+        m_localityWaits.update(result.localityDecisions, m_instant,
+                               [this](const char *name, double by) { m_counts[name] += by; });
+        return result;
     }
 
     /**
@@ -151,6 +179,10 @@
     std::vector<DispatchWorker> m_workers;
     std::map<TeamId, Resources> m_teamUse;
     Duration m_startDelay{60};
+    double m_remoteFactor = 1;
+    RunLengths m_runLengths;
+    LocalityWaits m_localityWaits;
+    std::map<std::string, double> m_counts;
     uint64_t m_nextJob = 0;
 };
 
