Cell: Setting placement.remote_factor, measured run lengths, counters of waits

The leader passes the factor, the measured run lengths and the waits to the dispatcher. Run lengths are learned from runs that ended as done, were whole, local and no service. Remote runs don't count towards worker speeds. With a factor above 1 the expected end of a run follows the measured length of its queue, times the factor if it is remote.

--- a/Libraries/Coordination/CellRuns.cpp
+++ b/Libraries/Coordination/CellRuns.cpp
@@ -217,7 +217,7 @@
     // All members of a gang resume from the same point.
     if (spec.isGang)
         checkpointOwner.index = 0;
-    ActiveRun run = makeRun(job, decision.task.step);
+    ActiveRun run = makeRun(job, decision.task.step, decision.isRemote);
     run.attempt = decision.attempt;
     run.worker = worker;
     run.ticket = decision.ticket;
@@ -231,7 +231,8 @@
     });
 }
 
-CellScheduler::ActiveRun CellScheduler::makeRun(const JobRecord &job, uint32_t step) const
+CellScheduler::ActiveRun CellScheduler::makeRun(const JobRecord &job, uint32_t step,
+                                                bool isRemote) const
 {
     const StepSpec &spec = job.accepted.spec.steps[step];
     ActiveRun run;
@@ -240,7 +241,12 @@
     run.team = job.accepted.team;
     run.isGang = spec.isGang;
     run.isService = spec.isService;
+    run.isRemote = isRemote;
     run.estimate = spec.estimate;
+    if (m_terms.remoteFactor > 1)
+        run.estimate = m_runLengths.expectedLength(job.accepted.queue, spec.estimate);
+    if (isRemote)
+        run.estimate += localityGain({run.estimate, m_terms.remoteFactor});
     return run;
 }
 
@@ -598,16 +604,24 @@
     const ActiveRun run = removeRun(found);
     const JobRecord *job = m_jobs.find(record.task.job);
     const bool wasOver = !job || job->isOver();
+    // A job that ends keeps no steps.
+    const Duration submittedEstimate =
+        wasOver ? Duration(0) : job->accepted.spec.steps[record.task.step].estimate;
     m_jobs.apply(record, m_dependencies.wallClock());
     LOG_EVENT(m_dependencies.log, "run_ended")
         << "task=" << taskText(record.task) << " attempt=" << record.attempt
         << " worker=" << run.worker.id.value() << " outcome=" << outcomeName(record.outcome)
         << " ran_ms=" << std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt).count();
     m_dependencies.count(std::string("runs_") + outcomeName(record.outcome), 1);
-    // A resumed run did only part of the work, and a gang runs at the speed of its slowest member.
-    if (record.outcome == RunOutcome::Done && !run.isGang && !run.hasPartialDuration && job)
+    // A resumed run did only part of the work.
+    const bool isWholeRun = record.outcome == RunOutcome::Done && !run.hasPartialDuration && job;
+    const auto ran = std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt);
+    if (isWholeRun && !run.isRemote && !run.isService)
+        m_runLengths.recordRun(job->accepted.queue, submittedEstimate, ran);
+    // A gang runs at the speed of its slowest member.
+    if (isWholeRun && !run.isRemote && !run.isGang)
         m_speeds.recordRun({record.task.job, record.task.occurrence, record.task.step}, run.worker,
-                           std::chrono::duration_cast<Duration>(m_timers.now() - run.beganAt));
+                           ran);
     // After a success the other members of a gang end by themselves.
     if (run.isGang && record.outcome != RunOutcome::Done)
         stopGang(record.task, record.attempt, "gang_broken");
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -573,6 +573,7 @@
     m_load.waiting = result.waiting;
     m_load.blockedGangs = result.blockedGangs.size();
     logBlockedGangs(result.blockedGangs);
+    m_localityWaits.update(result.localityDecisions, now, m_dependencies.count);
     for (const StartDecision &decision : result.starts) {
         LOG_EVENT(m_dependencies.log, "start_decided")
             << "job=" << decision.task.job.value() << " step=" << decision.task.step
@@ -624,6 +625,9 @@
     input.adviceCapacity = m_dependencies.advice.capacity();
     input.teamUse = m_teamUse;
     input.startDelay = m_startLatency.upperEstimate();
+    input.remoteFactor = m_terms.remoteFactor;
+    input.runLengths = &m_runLengths;
+    input.localityWaits = &m_localityWaits;
     input.workers.reserve(m_sessions.size());
     for (const auto &[id, session] : m_sessions) {
         DispatchWorker worker;
@@ -698,6 +702,7 @@
     m_adviceCache.forget(job);
     eraseStepsOf(job, m_blockedGangLogs);
     m_speeds.forget(job);
+    m_localityWaits.forget(job);
 }
 
 void CellScheduler::cleanJournal()
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -24,6 +24,9 @@
     Duration statusRetention{120'000};
     /** How long a worker lets a member of a gang wait for the other members before it ends it. */
     Duration gangWait{3000};
+    /** Run time on remote workers as a multiple of the local run time, for steps that are slower
+     * there; 1 if they need not wait for local workers. */
+    double remoteFactor = 1;
     /** Ended jobs are removed from memory this long after their status retention is over. */
     Duration forgetMargin{30'000};
     /** Segments kept before old ones are replaced by snapshots: 10 s of a busy cell, so that a new
@@ -134,6 +137,9 @@
         TeamId team;
         bool isGang = false;
         bool isService = false;
+        /** The task takes longer than on a local worker. */
+        bool isRemote = false;
+        /** Expected run time. */
         Duration estimate{0};
     };
 
@@ -208,7 +214,7 @@
      */
     void noteKnownRuns(const WorkerSession &session, const HoldReply &reply);
     void recordStart(const StartDecision &decision, const WorkerIncarnation &worker);
-    ActiveRun makeRun(const JobRecord &job, uint32_t step) const;
+    ActiveRun makeRun(const JobRecord &job, uint32_t step, bool isRemote = false) const;
     void addRun(const TaskKey &key, ActiveRun run);
     ActiveRun removeRun(std::map<TaskKey, ActiveRun>::iterator position);
     void sendStart(const TaskKey &key, uint32_t attempt);
@@ -268,6 +274,8 @@
     std::map<StepKey, BlockedGangLog> m_blockedGangLogs;
     WorkerHealth m_health;
     WorkerSpeeds m_speeds;
+    RunLengths m_runLengths;
+    LocalityWaits m_localityWaits;
     StartLatency m_startLatency;
     CellConfiguration m_configuration;
     std::set<ZoneId> m_evacuatedZones;
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -167,8 +167,9 @@
         [this] { heartbeat(); }};
     m_scheduler = std::make_unique<CellScheduler>(
         std::move(dependencies),
-        CellTerms{m_settings.workerLease, m_settings.statusRetention, m_settings.gangWait}, claim,
-        claimHeldAt, [this] { m_leadership.stepDown(); });
+        CellTerms{m_settings.workerLease, m_settings.statusRetention, m_settings.gangWait,
+                  m_settings.remoteFactor},
+        claim, claimHeldAt, [this] { m_leadership.stepDown(); });
     m_scheduler->recover();
     m_scheduler->adoptEnds(m_leftoverEnds);
 }
--- a/Libraries/Service/CellSettings.cpp
+++ b/Libraries/Service/CellSettings.cpp
@@ -47,6 +47,9 @@
             checker.number(timing, "stop_grace_s", settings.stopGrace.count() / 1000, 1, 600);
         settings.stopGrace = std::chrono::seconds(grace);
         checker.rejectUnknown(timing);
+        const toml::table &placement = checker.section(root, "placement", false);
+        settings.remoteFactor = checker.real(placement, "remote_factor", 1, 1, 100);
+        checker.rejectUnknown(placement);
         checker.rejectUnknown(root);
     }
     if (faults.empty())
--- a/Libraries/Service/CellSettings.h
+++ b/Libraries/Service/CellSettings.h
@@ -34,6 +34,9 @@
     Duration workerLease{6000};
     /** How long a worker lets a member of a gang wait for the other members. */
     Duration gangWait{3000};
+    /** Run time of a step away from its data rack, or of a gang that wants one rack on several, as
+     * a multiple of the local run time. */
+    double remoteFactor = 1;
     /** How long the status of an ended job can be read. */
     Duration statusRetention{120'000};
     /** Time between the signal that stops the process and the kill. */
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -294,6 +294,12 @@
         parseCellSettings("[node]\nlink_mbps = 0\n" + validSettings.substr(7), "cell.toml"),
         SettingsError);
     CHECK_FALSE(parseCellSettings(validSettings, "cell.toml").advisor.isSet());
+    CHECK(parseCellSettings(validSettings, "cell.toml").remoteFactor == 1);
+    const std::string placement = "[placement]\nremote_factor = ";
+    CHECK(parseCellSettings(validSettings + placement + "1.5\n", "cell.toml").remoteFactor == 1.5);
+    CHECK(parseCellSettings(validSettings + placement + "3\n", "cell.toml").remoteFactor == 3);
+    CHECK_THROWS_AS(parseCellSettings(validSettings + placement + "0.9\n", "cell.toml"),
+                    SettingsError);
     CHECK_THROWS_AS(parseCellSettings(validSettings + "typo = 1\n", "cell.toml"), SettingsError);
     CHECK_THROWS_AS(parseCellSettings("[node]\nid = 7\n", "cell.toml"), SettingsError);
 }
