--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -27,6 +27,9 @@
     Duration gangWait{3000};
     /** A change of the configuration must take effect within this time. */
     Duration configApply{2000};
+    /** Run time on remote workers as a multiple of the local run time, for steps that are slower
+     * there; 1 if they need not wait for local workers. */
+    double remoteFactor = 1;
     /** Ended jobs are removed from memory this long after their status retention is over. */
     Duration forgetMargin{30'000};
     /** Segments kept before old ones are replaced by snapshots: 10 s of a busy cell, so that a new
@@ -143,6 +146,9 @@
         TeamId team;
         bool isGang = false;
         bool isService = false;
+        /** The task takes longer than on a local worker. */
+        bool isRemote = false;
+        /** Expected run time. */
         Duration estimate{0};
     };
 
@@ -250,7 +256,7 @@
      */
     void noteKnownRuns(const WorkerSession &session, const HoldReply &reply);
     void recordStart(const StartDecision &decision, const WorkerIncarnation &worker);
-    ActiveRun makeRun(const JobRecord &job, uint32_t step) const;
+    ActiveRun makeRun(const JobRecord &job, uint32_t step, bool isRemote = false) const;
     void addRun(const TaskKey &key, ActiveRun run);
     ActiveRun removeRun(std::map<TaskKey, ActiveRun>::iterator position);
     void sendStart(const TaskKey &key, uint32_t attempt);
@@ -316,6 +322,8 @@
     std::map<StepKey, BlockedGangLog> m_blockedGangLogs;
     WorkerHealth m_health;
     WorkerSpeeds m_speeds;
+    RunLengths m_runLengths;
+    LocalityWaits m_localityWaits;
     StartLatency m_startLatency;
     CellConfiguration m_configuration;
     std::set<ZoneId> m_evacuatedZones;
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -173,7 +173,7 @@
     m_scheduler = std::make_unique<CellScheduler>(
         std::move(dependencies),
         CellTerms{m_settings.workerLease, m_settings.statusRetention, m_settings.gangWait,
-                  m_settings.configApply},
+                  m_settings.configApply, m_settings.remoteFactor},
         claim, claimHeldAt, [this] { m_leadership.stepDown(); });
     m_scheduler->recover();
     m_scheduler->adoptEnds(m_leftoverEnds);
--- a/Libraries/Service/CellSettings.h
+++ b/Libraries/Service/CellSettings.h
@@ -42,6 +42,9 @@
     Duration gangWait{3000};
     /** A change of the configuration must take effect within this time. */
     Duration configApply{2000};
+    /** Run time of a step away from its data rack, or of a gang that wants one rack on several, as
+     * a multiple of the local run time. */
+    double remoteFactor = 1;
     /** How long the status of an ended job can be read. */
     Duration statusRetention{120'000};
     /** Time between the signal that stops the process and the kill. */
--- a/Tests/Unit/PlatformDocumentsTest.cpp
+++ b/Tests/Unit/PlatformDocumentsTest.cpp
@@ -306,6 +306,12 @@
     CHECK(parseCellSettings(validSettings + "[timing]\nconfig_apply_ms = 4000\n", "cell.toml")
               .configApply
           == Duration(4000));
+    CHECK(parseCellSettings(validSettings, "cell.toml").remoteFactor == 1);
+    const std::string placement = "[placement]\nremote_factor = ";
+    CHECK(parseCellSettings(validSettings + placement + "1.5\n", "cell.toml").remoteFactor == 1.5);
+    CHECK(parseCellSettings(validSettings + placement + "3\n", "cell.toml").remoteFactor == 3);
+    CHECK_THROWS_AS(parseCellSettings(validSettings + placement + "0.9\n", "cell.toml"),
+                    SettingsError);
     CHECK_THROWS_AS(parseCellSettings(validSettings + "typo = 1\n", "cell.toml"), SettingsError);
     CHECK_THROWS_AS(parseCellSettings("[node]\nid = 7\n", "cell.toml"), SettingsError);
 }
