Decision: Name enough workers for a gang in one wave of advice calls

Thirty late gangs of 3 and 6 members in an empty pool of 48 workers, eight callers, calls of 0.5 to 0.6 s: 22 had started after 3 s. Neither reservations nor poolHeadroom held them. The first wave named 4 to 9 workers, because the margin for the number of allowed workers counted places, while a worker is allowed or not with all its places; most gangs got too few places and asked again (36 calls). A quarter of the callers stayed reserved for short calls although none was made.

AdviceWave chooses the number of workers by the mean and the deviation of their places, and names a quarter of the efficient call size at least. All callers take long calls if no short call was made for 5 s. scheduler_load shows idle_callers.

--- a/Libraries/Coordination/AdviceCallScheduler.cpp
+++ b/Libraries/Coordination/AdviceCallScheduler.cpp
@@ -8,6 +8,8 @@
 
 /** One of this many callers is reserved for short calls. */
 constexpr std::size_t CallersPerReservedCaller = 4;
+/** Without a short call for this long, long calls may use all callers. */
+constexpr Duration ShortCallReserveTime{5000};
 /** Added to a call's timeout: a round trip through a peer, and a margin for a busy node. */
 constexpr Duration RelayAllowance{400};
 /** A caller whose call failed counts as busy for this long, so that others are tried first. */
@@ -23,6 +25,7 @@
 
 AdviceCallScheduler::AdviceCallScheduler(TimerService &timers)
     : m_timers(timers)
+    , m_lastShortCallAt(timers.now())
 {
 }
 
@@ -38,6 +41,8 @@
 
 std::size_t AdviceCallScheduler::reservedCallers() const
 {
+    if (m_timers.now() - m_lastShortCallAt > ShortCallReserveTime)
+        return 0;
     return m_callers.size() / CallersPerReservedCaller;
 }
 
@@ -62,12 +67,14 @@
                                   std::function<void(AdviceReply)> done)
 {
     const Instant now = m_timers.now();
+    const bool isLong = cost > LongAdviceCallThreshold;
+    if (!isLong)
+        m_lastShortCallAt = now;
     Caller *best = nullptr;
     EntryId bestNode;
     std::size_t position = 0;
     for (auto &[node, caller] : m_callers) {
         const bool isReserved = position++ < reservedCallers();
-        const bool isLong = cost > LongAdviceCallThreshold;
         if (caller.busyUntil > now + (isLong ? LongOverlap : ShortOverlap))
             continue;
         if (isReserved && isLong)
--- a/Libraries/Coordination/AdviceCallScheduler.h
+++ b/Libraries/Coordination/AdviceCallScheduler.h
@@ -43,11 +43,13 @@
         Instant busyUntil{};
     };
 
-    /** @return how many callers, counted from the first, are reserved for short calls. */
+    /** @return how many callers, counted from the first, are reserved for short calls; none if no
+     * short call was made lately. */
     std::size_t reservedCallers() const;
 
     TimerService &m_timers;
     std::map<EntryId, Caller> m_callers;
+    Instant m_lastShortCallAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -526,8 +526,10 @@
               << " ends_unwritten=" << m_unwrittenEnds.size()
               << " store_age_ms=" << timeSinceStoreConfirmation().count()
               << " start_delay_ms=" << m_startLatency.upperEstimate().count();
-    m_load = SchedulerLoad{
-        .since = m_timers.now(), .waiting = m_load.waiting, .blockedGangs = m_load.blockedGangs};
+    m_load = SchedulerLoad{.since = m_timers.now(),
+                           .waiting = m_load.waiting,
+                           .idleCallers = m_load.idleCallers,
+                           .blockedGangs = m_load.blockedGangs};
 }
 
 bool CellScheduler::acceptsStarts(const WorkerSession &session) const
@@ -584,6 +586,7 @@
     }
     for (const AdviceDecision &decision : result.advice)
         requestAdvice(decision);
+    m_load.idleCallers = m_dependencies.advice.capacity().longCalls;
 }
 
 Instant CellScheduler::expectedReleaseOf(const ActiveRun &run, Instant now)
--- a/Libraries/Coordination/SchedulerLoad.h
+++ b/Libraries/Coordination/SchedulerLoad.h
@@ -22,6 +22,8 @@
     Instant::duration maxTimerDelay{0};
     /** State after the last round. */
     WaitingSteps waiting;
+    /** Callers that could make another long advice call after the last round. */
+    std::size_t idleCallers = 0;
     /** Gangs that could not be placed in the last round even if the other runs ended. */
     std::size_t blockedGangs = 0;
 };
--- a/Libraries/Decision/DispatchAdvice.cpp
+++ b/Libraries/Decision/DispatchAdvice.cpp
@@ -1,3 +1,4 @@
+#include "Decision/AdviceWave.h"
 #include "Decision/Dispatcher.h"
 
 #include <algorithm>
@@ -203,19 +204,21 @@
     const AdvicePlan plan =
         planAdvice(candidate, m_input.now + cost.costOf(callSize), m_input.workers.size());
     const double fraction = m_input.advice->allowedFraction(candidate.queue->id);
-    const double requested = placesToRequest(members);
     const bool hasEnoughAllowed = plan.allowedPlaces >= members;
     const std::size_t maxNamed = maxGangCalls() * MaxWorkersPerCall;
-    auto expected = static_cast<double>(plan.placesWithTicket);
+    AdviceWave wave(members, plan.placesWithTicket, fraction, callSize);
     std::vector<std::size_t> named;
     for (const AdviceChoice &choice : plan.choices) {
-        if (named.size() == maxNamed || expected >= requested
+        if (named.size() == maxNamed || wave.isEnough(!choice.isAllowed)
             || (!choice.isAllowed && hasEnoughAllowed))
             break;
         named.push_back(choice.worker);
-        expected += static_cast<double>(choice.places) * (choice.isAllowed ? 1 : fraction);
+        if (choice.isAllowed)
+            wave.nameAllowed(choice.places);
+        else
+            wave.nameUnknown(choice.places);
     }
-    if (!mayStart || expected < members)
+    if (!mayStart || !wave.fitsGang())
         return learnWorkersForGang(candidate, members, plan.allowedCapacity);
     if (named.empty())
         return;
