RequestMemoryBudget: Count line ends by the library's search

Cause: counting byte by byte cost 3 to 4 us for a request of 3 KB. Change: std::string_view::find, which uses memchr.

--- a/Libraries/Transport/RequestMemoryBudget.cpp
+++ b/Libraries/Transport/RequestMemoryBudget.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <string_view>
 
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -44,6 +45,16 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+/** Uses the library's search, which is faster than comparing each byte: most bodies have few lines.
+ */
+std::size_t countLineEnds(std::string_view data)
+{
+    std::size_t count = 0;
+    for (auto end = data.find('\n'); end != data.npos; end = data.find('\n', end + 1))
+        ++count;
+    return count;
+}
+
 } // namespace
 
 RequestMemoryBudget::Limits RequestMemoryBudget::limitsForMachine(MemoryMb memory,
@@ -77,7 +88,7 @@
 
 void RequestMemoryBudget::Account::received(const char *data, std::size_t length)
 {
-    const auto lineEnds = static_cast<std::size_t>(std::count(data, data + length, '\n'));
+    const std::size_t lineEnds = countLineEnds({data, length});
     const Instant now = bootInstant();
     const std::lock_guard lock(m_budget->m_mutex);
     m_progressAt = now;
