--- a/Tests/Unit/LocalityWaitTest.cpp
+++ b/Tests/Unit/LocalityWaitTest.cpp
@@ -332,25 +332,40 @@
 
     std::size_t choose(std::size_t count) { return m_random() % count; }
 
-    void addRandomJob(bool withGangs)
+    JobId addRandomJob(bool withGangs)
     {
         const char *const queue = choose(3) == 0 ? "lookup" : "batch";
         const auto tasks = static_cast<uint32_t>(1 + choose(6));
         const auto cpu = static_cast<int64_t>(1'000 * (1 + choose(5)));
         const Duration estimate(static_cast<int64_t>(100 + choose(1'500)));
         const bool isGang = withGangs && choose(2) == 0;
-        const JobId job = addJob(queue, tasks, cpu, estimate, isGang);
+        JobId job = addJob(queue, tasks, cpu, estimate, isGang);
         stepOf(job).wantsOneRack = isGang && choose(4) > 0;
         if (choose(2) == 0)
             stepOf(job).dataRack = RackId(choose(2) == 0 ? "a" : "b");
+        return job;
+    }
+
+    /** @return true if the run is away from its data rack, or its gang is on several racks. */
+    bool isRemote(const StartDecision &start, const std::vector<StartDecision> &starts)
+    {
+        const StepSpec &spec = stepOf(start.task.job);
+        return std::ranges::any_of(starts, [&](const StartDecision &other) {
+            const RackId &rack = m_infos[other.worker].rack;
+            const bool isAway = !spec.dataRack.isEmpty() && rack != spec.dataRack;
+            return other.task.job == start.task.job
+                && ((spec.wantsOneRack && rack != m_infos[start.worker].rack)
+                    || (isAway && (spec.isGang || other.task == start.task)));
+        });
     }
 
-    void apply(const DispatchResult &result)
+    /** @param factor run time of remote runs as a multiple of that of local ones. */
+    void apply(const DispatchResult &result, double factor)
     {
         for (const StartDecision &start : result.starts) {
             const StepSpec &spec = stepOf(start.task.job);
             const Duration length =
-                spec.estimate * static_cast<int64_t>(start.isRemote ? m_remoteFactor : 1);
+                spec.estimate + localityGain({spec.estimate, start.isRemote ? factor : 1});
             m_jobs.apply(RunAssigned{start.task, start.attempt, m_infos[start.worker].incarnation},
                          m_now);
             m_runs.push_back({start.task, start.attempt, start.worker, spec.need,
@@ -404,7 +419,7 @@
         endRuns();
         setAllocations();
         const DispatchResult result = decide();
-        apply(result);
+        apply(result, m_remoteFactor);
         std::set<JobId> waiting;
         for (const LocalityDecision &decision : result.localityDecisions) {
             if (decision.waitingTasks == 0)
@@ -427,3 +442,47 @@
     CHECK(m_counts["locality_waits"]
           == m_counts["locality_waits_paid_off"] + m_counts["locality_waits_given_up"]);
 }
+
+// Prints the figures of docs/design/LocalityWait.md.
+TEST_CASE_METHOD(LocalityMix, "Figures of waits for a local placement", "[.][localityfigures]")
+{
+    const double factor = GENERATE(1.5, 3.0);
+    const std::size_t jobsPerMinute = GENERATE(60U, 120U, 180U);
+    const bool waits = GENERATE(false, true);
+    m_remoteFactor = waits ? factor : 1;
+    addRack("c", 3);
+    std::map<JobId, Duration> objectives;
+    double coreSeconds = 0;
+    for (int round = 0; round < 8'000; ++round) {
+        if (round < 6'000 && choose(1'200) < jobsPerMinute) {
+            const JobId job = addRandomJob(true);
+            objectives[job] = 4 * stepOf(job).estimate + Duration(1000);
+        }
+        endRuns();
+        setAllocations();
+        DispatchResult result = decide();
+        for (StartDecision &start : result.starts)
+            start.isRemote = isRemote(start, result.starts);
+        const std::size_t known = m_runs.size();
+        apply(result, factor);
+        for (std::size_t run = known; run < m_runs.size(); ++run)
+            coreSeconds += static_cast<double>(m_runs[run].need.cpu.value())
+                * static_cast<double>((m_runs[run].end - m_instant) / Duration(1)) / 1e6;
+        pass(Duration(50));
+    }
+    double seconds = 0;
+    std::size_t inTime = 0;
+    for (const auto &[id, objective] : objectives) {
+        const JobRecord &job = *m_jobs.find(id);
+        const auto took = job.endedAt - job.accepted.acceptedAt;
+        seconds += static_cast<double>(took / Duration(1)) / 1000;
+        inTime += took <= objective;
+    }
+    const auto jobs = static_cast<double>(objectives.size());
+    CHECK(m_jobs.openJobs().empty());
+    WARN(fmt::format("factor {} jobs/min {} waits {}: {} jobs, mean {:.2f} s, in time {:.3f}, "
+                     "core-seconds {:.0f}, paid off {}, given up {}",
+                     factor, jobsPerMinute, waits, jobs, seconds / jobs,
+                     static_cast<double>(inTime) / jobs, coreSeconds,
+                     m_counts["locality_waits_paid_off"], m_counts["locality_waits_given_up"]));
+}
