--- a/Libraries/Decision/AdviceWave.cpp
+++ b/Libraries/Decision/AdviceWave.cpp
@@ -8,7 +8,7 @@
 
 /** Places to ask for, as a multiple of the members. In a pool that is 77% used, others take about a
  * third of the places while the calls are in flight. */
-constexpr double PlacesPerMember = 1.4;
+constexpr double PlacesPerMember = 1.43;
 /** A call about workers that were not asked about yet names at least the efficient call size
  * divided by this, which makes the call longer by a quarter of its base time at most. */
 constexpr std::size_t MinWorkersDivisor = 4;
