Decision: Let small tasks fill the room that is too small for gangs first

In a pool that is 77% used, 20 to 35 gangs waited beside 150 places for their members, with callers idle: the test prints that a gang knew 148 of 350 workers, was allowed on 36, and of the 29 places that it needed 14 were free there, 9 not taken by other gangs. Reservations did not bind (0, 2 or 8 reserving gangs: p90 5,450 to 6,650 ms). Small tasks were asked for on the emptiest workers and split the room.

A task that is no gang's prefers workers on which no member of a waiting gang loses its place, when it asks for advice and when it is placed.

--- a/Libraries/Decision/DispatchAdvice.cpp
+++ b/Libraries/Decision/DispatchAdvice.cpp
@@ -17,6 +17,8 @@
 /** Workers with free capacity from which a step that is no gang selects those to ask about; enough
  * to find fast and empty ones. */
 constexpr std::size_t MaxSampledWorkers = 120;
+/** How much less a worker suits a small task for each gang member that no longer fits beside it. */
+constexpr int64_t LostMemberWeight = 2;
 /** Capacity of the allowed workers that a gang without room knows, as a multiple of its own size:
  * enough to reserve those that are free first. */
 constexpr int KnownCapacityFactor = 2;
@@ -110,7 +112,9 @@
     const double limit = slownessLimit(candidate.urgency);
     AdvicePlan plan;
     const auto addChoice = [&](std::size_t worker, bool isAllowed, int64_t places) {
-        const double rank = static_cast<double>(places) / (1 + m_callsNaming[worker]);
+        const double rank = static_cast<double>(places)
+            / static_cast<double>((1 + m_callsNaming[worker])
+                                  * (1 + LostMemberWeight * lostMembers(candidate, worker)));
         plan.choices.push_back(
             {worker, isAllowed, places, m_input.workers[worker].slowness > limit, rank});
     };
--- a/Libraries/Decision/DispatchReservations.cpp
+++ b/Libraries/Decision/DispatchReservations.cpp
@@ -72,6 +72,26 @@
     }
 }
 
+void Dispatcher::findMemberNeeds()
+{
+    for (const Candidate &candidate : m_candidates) {
+        const StepSpec &spec = candidate.spec();
+        if (spec.isGang && candidate.pool && spec.need.cpu > candidate.pool->memberNeed.cpu
+            && m_input.jobs->findStep(candidate.key)->activeCount == 0)
+            candidate.pool->memberNeed = spec.need;
+    }
+}
+
+int64_t Dispatcher::lostMembers(const Candidate &candidate, std::size_t worker) const
+{
+    const Resources &member = candidate.pool->memberNeed;
+    if (candidate.spec().isGang || member == Resources())
+        return 0;
+    const Resources freeCapacity = m_input.workers[worker].freeCapacity();
+    const Resources left = freeCapacity - candidate.spec().need;
+    return member.countFittingIn(freeCapacity) - member.countFittingIn(left);
+}
+
 bool Dispatcher::mayBeAllowed(const Candidate &candidate, std::size_t worker) const
 {
     if (!candidate.queue->advice || !candidate.stepAdvice)
--- a/Libraries/Decision/Dispatcher.cpp
+++ b/Libraries/Decision/Dispatcher.cpp
@@ -180,6 +180,7 @@
     };
     if (std::ranges::any_of(m_candidates, dependsOnEndlessRuns))
         findEndlessRuns();
+    findMemberNeeds();
     reserveForGangsWithTickets();
     findLongestWaitingGang();
     countCallsNamingWorkers();
@@ -411,6 +412,8 @@
     int64_t score = workerState.freeCapacity().cpu.value();
     if (!dataRack.isEmpty() && workerState.info->rack != dataRack)
         score += 2 * capacity;
+    // Small tasks fill the gaps that are too small for gangs first.
+    score += capacity * lostMembers(candidate, worker);
     // Immediate work prefers fast workers; all work avoids very slow ones.
     if (workerState.slowness > VerySlowFactor)
         score += 2 * capacity;
--- a/Libraries/Decision/Dispatcher.h
+++ b/Libraries/Decision/Dispatcher.h
@@ -194,6 +194,8 @@
         CpuMillis used;
         /** The part of @c used of runs that are not expected to end. */
         CpuMillis usedForGood;
+        /** The largest member of the gangs that wait; zero if none does. */
+        Resources memberNeed;
     };
     /** A worker on which the advisor allows a step. */
     struct AllowedWorker
@@ -235,7 +237,8 @@
         int64_t places = 0;
         /** The advisor is asked about slow workers only if the others have no free capacity. */
         bool isSlow = false;
-        /** Places, divided among the calls of other steps that name the worker too. */
+        /** Places, divided among the calls of other steps that name the worker too, and smaller if
+         * a task there takes room from gangs. */
         double rank = 0;
     };
     /** Workers that the advisor may be asked about for a step, and the places found so far. */
@@ -281,6 +284,11 @@
                                                        const RackId *rack) const;
     /** @return the slowness above which workers are avoided for work of this urgency. */
     static double slownessLimit(const StepUrgency &urgency);
+    /** Sets memberNeed of all pools. */
+    void findMemberNeeds();
+    /** @return how many fewer members of waiting gangs fit on the worker beside one task of the
+     * step; 0 if the step is a gang itself. */
+    int64_t lostMembers(const Candidate &candidate, std::size_t worker) const;
     /** @return how badly the worker suits a task of the step; smaller is better. */
     int64_t placementCost(const Candidate &candidate, std::size_t worker) const;
     /** @return true if the worker has the label that the step requires. */
