--- a/Tests/Unit/CellSimulation.cpp
+++ b/Tests/Unit/CellSimulation.cpp
@@ -56,14 +56,21 @@
         renewEntry(worker);
         workers.push_back(std::move(worker));
     }
-    m_advice.addCaller(EntryId("self"),
-                       [this](AdviceCall call, std::function<void(AdviceReply)> done) {
-                           ask(std::move(call), std::move(done));
-                       });
+    addAdviceCallers(1);
 }
 
 CellSimulation::~CellSimulation() = default;
 
+void CellSimulation::addAdviceCallers(std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        m_advice.addCaller(EntryId(fmt::format("caller{}", m_adviceCallers++)),
+                           [this](AdviceCall call, std::function<void(AdviceReply)> done) {
+                               ask(std::move(call), std::move(done));
+                           });
+    }
+}
+
 std::size_t CellSimulation::addForeignWorker(const std::string &pool)
 {
     FakeCellWorker worker;
@@ -717,11 +724,15 @@
 
 void CellSimulation::ask(AdviceCall call, std::function<void(AdviceReply)> done)
 {
-    events.at(events.now() + Duration(20), [call, done = std::move(done)] {
+    const Duration cost = adviceCost.costOf(call.workers.size());
+    events.at(events.now() + cost, [this, call, done = std::move(done)] {
         AdviceReply reply;
         reply.answered = true;
-        for (const WorkerId &worker : call.workers)
-            reply.allowed.push_back({worker, "ticket"});
+        const std::hash<std::string> hash;
+        for (const WorkerId &worker : call.workers) {
+            if (hash(call.step.job.value() + worker.value()) % workersPerAllowed == 0)
+                reply.allowed.push_back({worker, "ticket"});
+        }
         done(reply);
     });
 }
--- a/Tests/Unit/CellSimulation.h
+++ b/Tests/Unit/CellSimulation.h
@@ -214,6 +214,9 @@
      * reused connection reset sends the request again on a new one. */
     void resetConnections(std::size_t worker);
 
+    /** Adds @p count nodes that call the advisor for the leader. */
+    void addAdviceCallers(std::size_t count);
+
     /** Creates a new leader; earlier ones continue until they notice it. */
     CellScheduler &elect();
     CellScheduler &leader() { return *m_leaders.back().scheduler; }
@@ -279,6 +282,10 @@
     Duration estimatedLength{0};
     /** How long a run goes on after its worker has accepted a stop. */
     Duration stopTime{300};
+    /** How long the advisor takes for a call. */
+    AdviceCost adviceCost{Duration(20), {}, Duration(1500)};
+    /** The advisor allows a job on one of this many workers. */
+    std::size_t workersPerAllowed = 1;
     /** All runs report the same progress forever. */
     bool isProgressStalled = false;
     /** Probability that a start or stop gets no reply and is executed 2 to 12 s later. */
@@ -332,6 +339,7 @@
 
     LogRateLimiter m_log;
     AdviceCallScheduler m_advice;
+    std::size_t m_adviceCallers = 0;
     std::unique_ptr<CommandRelay> m_commandRelay;
     std::vector<Instant> m_faultyUntil;
     std::vector<bool> m_areRepliesBlocked;
