--- a/Tests/Unit/ElectionHistory.h
+++ b/Tests/Unit/ElectionHistory.h
@@ -131,8 +131,7 @@
     static constexpr Duration ConnectTimeout{300};
     static constexpr Duration VoteTimeout{300};
 
-    // The constants of Leadership.cpp, and the longest course of an election that follows from
-    // them.
+    // The constants of Leadership.cpp, and the longest course of an election with them.
     static constexpr Duration StoreCall = 2 * MaxDelay;
     static constexpr Duration TickInterval{50};
     static constexpr Duration LinkGrace{350};
@@ -145,8 +144,7 @@
     static constexpr Duration MemberLease{8000};
     /** From a node's next tick to its knowledge of the claim in the store. */
     static constexpr Duration ReadTime = TickInterval + ElectionJitter + StoreCall;
-    /** From the claim to the votes of all other members: a new link, the list of members, the
-     * votes. */
+    /** From the claim to the others' votes: a new link, the list of members, the votes. */
     static constexpr Duration VotingTime = LinkGrace + AwaitPollInterval + StoreCall + VoteTimeout;
     static constexpr Duration ClaimTime = RegainGrace + StoreCall;
     /** A node may have to read a new claim, give way to a stronger node, and lose a vote to members
