--- a/Tests/EndToEnd/HostileClientsTest.cpp
+++ b/Tests/EndToEnd/HostileClientsTest.cpp
@@ -48,6 +48,17 @@
     return requestHead("Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
 }
 
+/** @return a valid submission of at most @p length bytes that has as many steps as fit. */
+std::string submissionOfManySteps(std::size_t length)
+{
+    const std::string step = R"({"count":1},)";
+    std::string body = R"({"spec":"","steps":[)";
+    while (body.size() + step.size() + 2 <= length)
+        body += step;
+    body.replace(body.size() - 1, 1, "]}");
+    return requestHead("Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+}
+
 /** @return a chunked request whose body has @p length bytes in chunks of @p chunkLength bytes. */
 std::string chunked(std::size_t length, std::size_t chunkLength, bool isEnded)
 {
@@ -119,6 +130,10 @@
          [] { return announced(1000, 10); }},
         {"whole bodies of the limit that are held until a leader is found", 180,
          [] { return submission(BodyLimit); }},
+        {"submissions of many steps that are held until a leader is found", 180,
+         [] { return submissionOfManySteps(BodyLimit); }},
+        {"small submissions of many steps that are held until a leader is found", 250,
+         [] { return submissionOfManySteps(BodyLimit / 4); }},
     };
 }
 
