Coordination, Transport: What the review of the merged parts found

- RequestMemoryBudget: idle connections could use up the memory, and active callers were then closed: the number of connections is also limited by half of the memory.
Small requests could exceed the budget while they were handled: three quarters at most.
Decoded steps need ten times their bytes and were not counted: 12 bytes for each byte of a body.
Heads of 16 KiB may have more than 256 fields.
- PeerHub: a link without a greeting could submit jobs and ends; now only votes and announcements.
- CellScheduler: a submission that waits for a proof in vain is Undetermined, since the next leader may have stored the job; a refusal for the team's share needs a proof, too; after a standstill a proof that has arrived is read first.
- Leadership: time in which the store could not be read does not count as the leader's inactivity.
- ReturnSchedule: a client that returns up to a second late keeps its place; entries of calm teams are removed.

--- a/Libraries/Coordination/CellCalls.cpp
+++ b/Libraries/Coordination/CellCalls.cpp
@@ -25,6 +25,8 @@
 /** A call waits this long for the proof of the claim: its caller may not get an answer in time, as
  * with MaxCommitAge. */
 constexpr Duration MaxProofWait{800};
+/** After the process has stood still, what has arrived meanwhile is read within this time. */
+constexpr Duration MaxProofReadTime{100};
 constexpr std::size_t JobIdLength = 16;
 
 ClientReply makeUnavailable(const char *detail)
@@ -125,8 +127,7 @@
     const JobId id(name);
     switch (call.kind) {
     case ClientCall::Submit:
-        return submit(*queue, team ? team->id : TeamId(), id, std::move(pending.call),
-                      std::move(pending.respond));
+        return submit(*queue, team ? team->id : TeamId(), id, std::move(pending));
     case ClientCall::Cancel:
         return cancel(id, std::move(pending));
     case ClientCall::Status:
@@ -168,7 +169,7 @@
 void CellScheduler::awaitProof(PendingCall pending)
 {
     if (!m_isStoreReachable)
-        return pending.respond(makeUnavailable("the store cannot be reached"));
+        return refuseUnproven(pending);
     m_dependencies.count("calls_awaiting_proof", 1);
     m_unprovenCalls.push_back(std::move(pending));
     m_journal->requestConfirmation();
@@ -192,15 +193,24 @@
         serve(std::move(pending));
 }
 
+void CellScheduler::refuseUnproven(const PendingCall &pending)
+{
+    m_dependencies.count("calls_without_proof", 1);
+    constexpr const char *Detail = "the leadership claim could not be confirmed in time";
+    // A refusal promises that the job never runs, but the next leader may have stored it.
+    pending.respond(pending.call.kind == ClientCall::Submit
+                        ? makeReply(ClientReply::Undetermined, Detail)
+                        : makeUnavailable(Detail));
+}
+
 void CellScheduler::refuseUnprovenCalls()
 {
-    if (m_isSuperseded)
+    // After a standstill the proof may have arrived, but not been read.
+    if (m_isSuperseded || m_timers.now() - m_resumedAt < MaxProofReadTime)
         return;
     const Instant limit = m_isStoreReachable ? m_timers.now() - MaxProofWait : Instant::max();
-    for (const PendingCall &pending : takeUnproven(limit)) {
-        m_dependencies.count("calls_without_proof", 1);
-        pending.respond(makeUnavailable("the store does not confirm who leads"));
-    }
+    for (const PendingCall &pending : takeUnproven(limit))
+        refuseUnproven(pending);
 }
 
 void CellScheduler::returnUnprovenCalls()
@@ -212,8 +222,9 @@
 }
 
 void CellScheduler::submit(const QueueSettings &queue, const TeamId &team, const JobId &id,
-                           ClientCall call, ClientResponder respond)
+                           PendingCall pending)
 {
+    const ClientResponder &respond = pending.respond;
     if (!canWriteSoon())
         return respond(makeUnavailable("the store does not answer; the job was not stored"));
     JobAccepted record;
@@ -225,6 +236,8 @@
     record.maxAttempts = queue.maxAttempts;
     record.isOverFairShare = isOverFairShare(team);
     if (record.isOverFairShare && m_jobs.pendingOverFairShare() >= MaxPendingOverShare) {
+        if (!isProven(pending))
+            return awaitProof(std::move(pending));
         LOG_EVENT(m_dependencies.log, "job_refused")
             << "job=" << id.value() << " team=" << team.value()
             << " why=beyond_share waiting=" << m_jobs.pendingOverFairShare()
@@ -236,8 +249,8 @@
         return respond(reply);
     }
     m_returns.recordAdmission(team, id);
-    record.spec = std::move(call.spec);
-    m_unwrittenSubmissions[id].push_back(std::move(respond));
+    record.spec = std::move(pending.call.spec);
+    m_unwrittenSubmissions[id].push_back(std::move(pending.respond));
     LOG_EVENT(m_dependencies.log, "job_received")
         << "job=" << id.value() << " queue=" << queue.id.value() << " team=" << team.value()
         << " steps=" << record.spec.steps.size()
--- a/Libraries/Coordination/CellScheduler.h
+++ b/Libraries/Coordination/CellScheduler.h
@@ -197,9 +197,10 @@
     void serve(PendingCall pending);
     void showState(const JobId &id, PendingCall pending);
     /** @return true if the claim held after the call had arrived, so that no other leader can have
-     * changed before that what this leader knows. */
+     * changed this leader's state before that. */
     bool isProven(const PendingCall &pending) const;
-    /** @return true if another leader may have acted since the claim was last confirmed. */
+    /** @return true if another leader may have acted since the claim was last confirmed: the
+     * process has stood still since, or the claim is in doubt. */
     bool mayBeReplaced() const;
     /** Serves the call again once the store has proven the claim, or refuses it if the store does
      * not answer. */
@@ -207,14 +208,16 @@
     /** @return the calls that wait for a proof and have arrived before @p time. */
     std::vector<PendingCall> takeUnproven(Instant time);
     void serveProvenCalls();
-    /** Refuses calls for which the store does not prove the claim in time. */
+    /** Answers a call for which the store does not prove the claim in time. */
+    void refuseUnproven(const PendingCall &pending);
+    /** Does so for all calls that have waited too long. */
     void refuseUnprovenCalls();
     /** Passes the calls that wait for a proof back to the nodes that they have come from. */
     void returnUnprovenCalls();
     /** @return true if each change of the configuration that must be in force is known. */
     bool isConfigurationRecent() const;
-    void submit(const QueueSettings &queue, const TeamId &team, const JobId &id, ClientCall call,
-                ClientResponder respond);
+    void submit(const QueueSettings &queue, const TeamId &team, const JobId &id,
+                PendingCall pending);
     void cancel(const JobId &id, PendingCall pending);
     /** @return true if a record that is appended now will be written soon. */
     bool canWriteSoon() const;
--- a/Libraries/Coordination/Leadership.cpp
+++ b/Libraries/Coordination/Leadership.cpp
@@ -27,7 +27,8 @@
 /** A new leader may miss heartbeats for this long while it reads the journal. */
 constexpr Duration RecoveryGrace{2000};
 /** A leader that has not written its activity for this long does not use the store: an idle leader
- * writes it every 500 ms at most, and lost responses cost some tens of milliseconds each. */
+ * commits 400 to 500 ms after the response to its last commit, so a store that takes 250 ms leaves
+ * a margin of 250 ms for lost responses. */
 constexpr Duration InactivityLimit{1000};
 /** After two missing heartbeats a follower reads the leader's activity for the first time, so that
  * an election can compare it with a second read after HeartbeatTimeout. */
@@ -220,6 +221,8 @@
 
 void Leadership::handleLeader(const StoreRead &read, Revision known)
 {
+    if (!read.answered)
+        observeActivity(read);
     if (!read.answered || m_isLeading || m_isRetired)
         return endElection(ElectionPause);
     const auto entry = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
@@ -344,6 +347,11 @@
 
 void Leadership::observeActivity(const StoreRead &read)
 {
+    // Time in which the store can't be used does not count as inactivity of the leader.
+    if (!read.answered) {
+        m_activity = {};
+        return;
+    }
     const auto claim = std::ranges::find(read.entries, LeaderKey, &StoreEntry::key);
     if (claim == read.entries.end())
         return;
@@ -382,9 +390,9 @@
         if (m_leader.revision != claim || m_isLeading || m_isRetired)
             return endElection(Duration(0));
         m_store.list(LeaderKey, [this, claim, count, sentAt = m_timers.now()](const auto &read) {
+            observeActivity(read);
             if (!read.answered || m_leader.revision != claim || m_isLeading || m_isRetired)
                 return endElection(ElectionPause);
-            observeActivity(read);
             const bool isInactive = m_activity.claim == claim && sentAt >= inactiveAt();
             LOG(INFO) << "event=leader_activity_checked claim=" << claim.value()
                       << " inactive=" << isInactive;
--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -93,6 +93,11 @@
     const uint64_t correlation = envelope->correlation;
     if (const auto *hello = std::get_if<HelloMessage>(&envelope->message))
         return handleHello(link, *hello);
+    const bool needsNoGreeting = std::holds_alternative<VoteRequest>(envelope->message)
+        || std::holds_alternative<AnnouncementMessage>(envelope->message);
+    const auto known = m_inbound.find(link);
+    if (!needsNoGreeting && (known == m_inbound.end() || known->second == EntryId()))
+        return link->close();
     if (auto *call = std::get_if<ClientCall>(&envelope->message)) {
         return m_handlers.clientCall(std::move(*call),
                                      [this, link, correlation](ClientReply reply) {
--- a/Libraries/Decision/ReturnSchedule.cpp
+++ b/Libraries/Decision/ReturnSchedule.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/** Jobs that did not return within this time after theirs have been given up by their clients. */
+/** A job that has not returned this long after its return time was given up by its client. */
 constexpr Duration MaxReturnDelay{5000};
+/** Retry-After is given in whole seconds, so a client returns up to a second late. */
+constexpr Duration RoundingTime{1000};
 /** Time between two removals of the jobs that have been given up. */
 constexpr Duration CleanInterval{1000};
 
@@ -16,12 +18,12 @@
 Duration ReturnSchedule::recordRefusal(const TeamId &team, const JobId &job, double jobsPerSecond,
                                        Instant now)
 {
+    removePassed(now);
     TeamReturns &known = m_teams[team];
-    removePassed(known, now);
     const Instant earliest = now + m_bounds.shortest;
     const auto found = known.returns.find(job);
     // An early try must not lose the job's place in the order.
-    if (found != known.returns.end() && found->second > now)
+    if (found != known.returns.end() && found->second + RoundingTime > now)
         return std::max(std::chrono::ceil<Duration>(found->second - now), m_bounds.shortest);
     const auto spacing = std::chrono::duration_cast<Instant::duration>(
         std::chrono::duration<double>(1 / jobsPerSecond));
@@ -47,13 +49,15 @@
     return found == m_teams.end() ? 0 : found->second.returns.size();
 }
 
-void ReturnSchedule::removePassed(TeamReturns &team, Instant now)
+void ReturnSchedule::removePassed(Instant now)
 {
-    if (now - team.cleanedAt < CleanInterval)
+    if (now - m_cleanedAt < CleanInterval)
         return;
-    team.cleanedAt = now;
-    std::erase_if(team.returns,
-                  [now](const auto &entry) { return entry.second + MaxReturnDelay < now; });
+    m_cleanedAt = now;
+    for (auto &[id, team] : m_teams)
+        std::erase_if(team.returns,
+                      [now](const auto &entry) { return entry.second + MaxReturnDelay < now; });
+    std::erase_if(m_teams, [](const auto &entry) { return entry.second.returns.empty(); });
 }
 
 } // namespace Cranberrymount
--- a/Libraries/Decision/ReturnSchedule.h
+++ b/Libraries/Decision/ReturnSchedule.h
@@ -9,8 +9,8 @@
 namespace Cranberrymount {
 
 /**
- * Spreads the returns of refused submissions. Answers the load of a team that submits many times
- * its share: with one fixed delay all refused clients return together, most of them in vain.
+ * Spreads the returns of refused submissions, for teams that submit many times their share: with
+ * one fixed delay all refused clients return together, and most of them are refused again.
  *
  * Each refused job of a team gets the next return time, in the order in which the jobs were
  * refused. Return times follow each other at the rate at which the team's share admits jobs. A job
@@ -51,13 +51,14 @@
     {
         Instant lastReturn{};
         std::unordered_map<JobId, Instant> returns;
-        Instant cleanedAt{};
     };
 
-    static void removePassed(TeamReturns &team, Instant now);
+    /** Removes the jobs of all teams that have been given up. */
+    void removePassed(Instant now);
 
     Bounds m_bounds;
     std::map<TeamId, TeamReturns> m_teams;
+    Instant m_cleanedAt{};
 };
 
 } // namespace Cranberrymount
--- a/Libraries/Transport/HttpServer.cpp
+++ b/Libraries/Transport/HttpServer.cpp
@@ -92,7 +92,8 @@
 constexpr std::size_t MaxFieldBytes = 16'385;
 /** Enough for a usual request in one read; each open connection has such a buffer. */
 constexpr std::size_t ReadBufferBytes = 8'192;
-constexpr std::size_t MaxFields = 256;
+/** MaxHeadBytes limits their total size. */
+constexpr std::size_t MaxFields = 4096;
 constexpr std::chrono::seconds SweepInterval{1};
 
 /** Lets @p budget close connections without progress as long as the caller holds the result. */
@@ -180,7 +181,7 @@
                  unwritten, account);
             --*inFlight;
         };
-        if (account && !account->beginHandling()) {
+        if (account && !account->beginHandling(request->body().size())) {
             send(request, {GatewayTimeout, errorBody("too many requests are being handled")}, true,
                  unwritten, account);
             return restinio::request_accepted();
--- a/Libraries/Transport/RequestMemoryBudget.cpp
+++ b/Libraries/Transport/RequestMemoryBudget.cpp
@@ -21,7 +21,9 @@
 /** RESTinio keeps 16 bytes for each chunk, in a vector of up to twice that capacity; a chunk has
  * two line ends. */
 constexpr std::size_t BytesPerLineEnd = 16;
-/** Requests of up to this size are handled as long as there is any budget left. */
+/** A step of a submitted job needs 14 bytes of JSON and 144 bytes once it is decoded. */
+constexpr std::size_t BytesPerDecodedByte = 12;
+/** Requests of up to this size are still handled when larger ones are refused. */
 constexpr std::size_t SmallRequestBytes = 32'768;
 /** Part of the machine's memory for requests and responses; the node's state, copies during the
  * decoding of a request and the fragmentation of the heap need the rest. */
@@ -37,8 +39,10 @@
 constexpr std::size_t MaxRefusals = 32;
 constexpr Duration MaxRefusalTime{2000};
 constexpr Duration LogInterval{1000};
-/** After a longer pause of the process, what has arrived in the meantime must be read first. */
-constexpr Duration MaxSweepGap{3000};
+/** After a longer pause of the process, what has arrived in the meantime must be read first; sweeps
+ * are a second apart. */
+constexpr Duration MaxSweepGap{2000};
+constexpr Duration GraceAfterPause{1000};
 
 double milliseconds(Instant::duration time)
 {
@@ -66,8 +70,10 @@
     const std::size_t usable = descriptors > FileDescriptors ? descriptors - FileDescriptors : 0;
     Limits limits;
     limits.bytes = static_cast<std::size_t>(memory.value()) * 1'048'576 / MemoryDivisor;
-    // The other half is for connections to workers, peers and the store.
-    limits.connections = std::max(usable / 2, MinConnections);
+    // The other half of the descriptors is for connections to workers, peers and the store; the
+    // other half of the memory is for requests.
+    limits.connections =
+        std::max(std::min(usable / 2, limits.bytes / 2 / ConnectionBytes), MinConnections);
     return limits;
 }
 
@@ -101,13 +107,15 @@
     m_budget->enforceMemory(now);
 }
 
-bool RequestMemoryBudget::Account::beginHandling()
+bool RequestMemoryBudget::Account::beginHandling(std::size_t bodyBytes)
 {
     const std::lock_guard lock(m_budget->m_mutex);
-    const bool fits = m_held <= SmallRequestBytes
-        || m_budget->m_handledBytes + m_held <= m_budget->m_limits.bytes / 2;
+    const std::size_t held = m_held + BytesPerDecodedByte * bodyBytes;
+    const std::size_t limit = m_budget->m_limits.bytes;
+    const std::size_t available = held <= SmallRequestBytes ? limit / 4 * 3 : limit / 2;
+    const bool fits = m_budget->m_handledBytes + held <= available;
     if (fits)
-        m_budget->setPhase(*this, Phase::Handling, m_held);
+        m_budget->setPhase(*this, Phase::Handling, held);
     else
         ++m_budget->m_counts.refusedForMemory;
     return fits;
@@ -211,9 +219,11 @@
 {
     const Instant now = bootInstant();
     const std::lock_guard lock(m_mutex);
-    const bool wasPaused = now - m_sweptAt > MaxSweepGap;
+    // Each server sweeps, so the first sweep after a pause must hold the others back, too.
+    if (now - m_sweptAt > MaxSweepGap)
+        m_graceUntil = now + GraceAfterPause;
     m_sweptAt = now;
-    if (wasPaused)
+    if (now < m_graceUntil)
         return;
     for (Account *account : m_accounts) {
         if (account->m_isEvicted)
--- a/Libraries/Transport/RequestMemoryBudget.h
+++ b/Libraries/Transport/RequestMemoryBudget.h
@@ -69,10 +69,11 @@
         void received(const char *data, std::size_t length);
         /**
          * Records that the request is complete.
+         * @param bodyBytes size of its body, which is decoded
          * @return false if it must not be handled, since the requests that are being handled hold
          *         too much
          */
-        bool beginHandling();
+        bool beginHandling(std::size_t bodyBytes = 0);
         /** Records that a response of @p size bytes replaces the request. */
         void beginResponse(std::size_t size);
         /** Records that the client took a part of the response. */
@@ -149,6 +150,8 @@
     Counts m_counts;
     Counts m_loggedCounts;
     Instant m_sweptAt;
+    /** After a pause of the process: no connection counts as stalled before this time. */
+    Instant m_graceUntil;
     Instant m_loggedAt;
 };
 
