Coordination: Leases end 6 s after the last confirmation again; Dispatcher: A gang that wants one rack asks about one rack

- With 7 s four checks of LostWorkerTest fail (elections of 2 s): the limit of 9 s on the restart goes before the work that an outage of more than 5.5 s costs.
- AdviceWave's least number of workers in a call exceeds a rack of twelve, so that the merged code named workers of three racks for a gang that wants one.
The least number does not apply there.

--- a/Libraries/Coordination/CellScheduler.cpp
+++ b/Libraries/Coordination/CellScheduler.cpp
@@ -38,7 +38,7 @@
  * successor can compute when all of them are over (docs/design/LostWorkers.md). Work goes on for
  * this long without the store; longer leases delay the restart of work whose worker is gone, which
  * users expect within 9 s. */
-constexpr Duration LeaseBound{7000};
+constexpr Duration LeaseBound{6000};
 /** While nothing else is written, an empty commit confirms the claim at least this often. */
 constexpr Duration ClaimConfirmationInterval{400};
 constexpr Duration RecoveryRetryDelay{200};
--- a/Libraries/Decision/DispatchAdvice.cpp
+++ b/Libraries/Decision/DispatchAdvice.cpp
@@ -219,7 +219,9 @@
     const double fraction = m_input.advice->allowedFraction(candidate.queue->id);
     const bool hasEnoughAllowed = plan.allowedPlaces >= members;
     const std::size_t maxNamed = maxGangCalls() * MaxWorkersPerCall;
-    AdviceWave wave(members, plan.placesWithTicket, fraction, callSize);
+    // A rack may have fewer workers than a call usually names; those of other racks are of no use.
+    AdviceWave wave(members, plan.placesWithTicket, fraction,
+                    prefersLocal(candidate) ? 0 : callSize);
     std::vector<std::size_t> named;
     for (const AdviceChoice &choice : plan.choices) {
         if (named.size() == maxNamed || wave.isEnough(!choice.isAllowed))
