--- a/Libraries/Coordination/PeerHub.cpp
+++ b/Libraries/Coordination/PeerHub.cpp
@@ -23,9 +23,9 @@
 
 /** A vote or an announcement ends within VoteTimeout; a link that is kept begins with a greeting.
  */
-constexpr Duration MaxStrangerTime{3000};
+constexpr Duration MaxUnidentifiedLinkTime{3000};
 /** A greeting, a vote or an announcement has less than 1 KB. */
-constexpr std::size_t MaxStrangerFrameBytes = 8'192;
+constexpr std::size_t MaxUnidentifiedLinkFrameBytes = 8'192;
 
 /** @return the message; if it cannot be decoded, closes the link and returns nothing. */
 std::optional<CellEnvelope> decodeOrClose(const std::shared_ptr<FrameLink> &link,
@@ -43,12 +43,12 @@
 } // namespace
 
 PeerHub::PeerHub(asio::io_context &context, TimerService &timers, HelloMessage self,
-                 const Endpoint &address, Handlers handlers, std::size_t maxStrangers)
+                 const Endpoint &address, Handlers handlers, std::size_t maxUnidentifiedLinks)
     : m_context(context)
     , m_timers(timers)
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
-    , m_maxStrangers(maxStrangers)
+    , m_maxUnidentifiedLinks(maxUnidentifiedLinks)
     , m_listener(context, address, [this](const Link &link) { accept(link); })
 {
     expireRequests();
@@ -57,32 +57,34 @@
 void PeerHub::accept(const Link &link)
 {
     m_inbound.emplace(link, EntryId());
-    m_strangers.emplace_back(link, m_timers.now());
-    link->limitFrames(MaxStrangerFrameBytes);
+    m_unidentifiedLinks.emplace_back(link, m_timers.now());
+    link->limitFrames(MaxUnidentifiedLinkFrameBytes);
     link->start([this](const Link &from, const Frame &frame) { handleInbound(from, frame); },
                 [this](const Link &closed) { dropInbound(closed); });
-    if (m_strangers.size() > m_maxStrangers)
-        closeOldestStranger();
+    if (m_unidentifiedLinks.size() > m_maxUnidentifiedLinks)
+        closeOldestUnidentifiedLink();
 }
 
-void PeerHub::closeOldestStranger()
+void PeerHub::closeOldestUnidentifiedLink()
 {
-    const Link link = m_strangers.front().first;
-    m_strangers.pop_front();
-    ++m_closedStrangers;
-    LOG_EVERY_N(WARNING, 100) << "event=peer_stranger_closed count=" << m_closedStrangers;
+    const Link link = m_unidentifiedLinks.front().first;
+    m_unidentifiedLinks.pop_front();
+    ++m_closedUnidentifiedLinks;
+    LOG_EVERY_N(WARNING, 100) << "event=peer_link_unidentified_closed count="
+                              << m_closedUnidentifiedLinks;
     link->close();
 }
 
-void PeerHub::forgetStranger(const Link &link)
+void PeerHub::forgetUnidentifiedLink(const Link &link)
 {
-    std::erase_if(m_strangers, [&link](const auto &item) { return item.first == link; });
+    std::erase_if(m_unidentifiedLinks, [&link](const auto &item) { return item.first == link; });
 }
 
-void PeerHub::expireStrangers()
+void PeerHub::expireUnidentifiedLinks()
 {
-    while (!m_strangers.empty() && m_timers.now() - m_strangers.front().second >= MaxStrangerTime)
-        closeOldestStranger();
+    while (!m_unidentifiedLinks.empty()
+           && m_timers.now() - m_unidentifiedLinks.front().second >= MaxUnidentifiedLinkTime)
+        closeOldestUnidentifiedLink();
 }
 
 void PeerHub::handleInbound(const Link &link, const Frame &frame)
@@ -118,7 +120,7 @@
 void PeerHub::handleHello(const Link &link, const HelloMessage &hello)
 {
     m_inbound[link] = hello.node;
-    forgetStranger(link);
+    forgetUnidentifiedLink(link);
     link->liftFrameLimit();
     m_followers[hello.node] = {link, hello};
     if (m_compressesFollowerLinks && hello.acceptsCompression)
@@ -144,7 +146,7 @@
         return;
     const EntryId node = found->second;
     m_inbound.erase(found);
-    forgetStranger(link);
+    forgetUnidentifiedLink(link);
     failRequests(link);
     const auto follower = m_followers.find(node);
     if (follower != m_followers.end() && follower->second.link == link) {
@@ -291,7 +293,7 @@
     });
     for (const ReplyCallback &done : failedCallbacks)
         done(nullptr);
-    expireStrangers();
+    expireUnidentifiedLinks();
     m_timers.after(ExpiryInterval, [this] { expireRequests(); });
 }
 
--- a/Libraries/Coordination/PeerHub.h
+++ b/Libraries/Coordination/PeerHub.h
@@ -41,18 +41,19 @@
     };
 
     /** More than the links of 150 nodes that ask for votes at the same time. */
-    static constexpr std::size_t MaxStrangers = 256;
+    static constexpr std::size_t MaxUnidentifiedLinks = 256;
 
     /**
-     * @param maxStrangers number of accepted links without a greeting; a further one closes the
-     *        oldest of them
+     * @param maxUnidentifiedLinks number of accepted links without a greeting; a further one closes
+     * the oldest of them
      * @throws TransportError if @p address cannot be bound
      */
     PeerHub(asio::io_context &context, TimerService &timers, HelloMessage self,
-            const Endpoint &address, Handlers handlers, std::size_t maxStrangers = MaxStrangers);
+            const Endpoint &address, Handlers handlers,
+            std::size_t maxUnidentifiedLinks = MaxUnidentifiedLinks);
 
     /** @return the number of accepted links that were closed, since they sent no greeting. */
-    uint64_t closedStrangers() const { return m_closedStrangers; }
+    uint64_t closedUnidentifiedLinks() const { return m_closedUnidentifiedLinks; }
 
     /** Compresses what this node exchanges with followers that join from now on. */
     void compressFollowerLinks() { m_compressesFollowerLinks = true; }
@@ -122,10 +123,10 @@
     void completeRequest(uint64_t correlation, const CellMessage &message);
     /** Fails the requests that wait for a reply on @p link. */
     void failRequests(const Link &link);
-    void closeOldestStranger();
-    void forgetStranger(const Link &link);
+    void closeOldestUnidentifiedLink();
+    void forgetUnidentifiedLink(const Link &link);
     /** Closes the accepted links that have sent no greeting for too long. */
-    void expireStrangers();
+    void expireUnidentifiedLinks();
     /** Fails the requests whose deadline has passed, at regular intervals. */
     void expireRequests();
 
@@ -154,9 +155,9 @@
     MessageDelay m_leaderDelay;
     std::map<Link, EntryId> m_inbound;
     /** Accepted links without a greeting and when they were accepted, oldest first. */
-    std::deque<std::pair<Link, Instant>> m_strangers;
-    const std::size_t m_maxStrangers;
-    uint64_t m_closedStrangers = 0;
+    std::deque<std::pair<Link, Instant>> m_unidentifiedLinks;
+    const std::size_t m_maxUnidentifiedLinks;
+    uint64_t m_closedUnidentifiedLinks = 0;
     std::map<EntryId, Follower> m_followers;
     std::map<uint64_t, PendingRequest> m_pendingRequests;
     uint64_t m_nextCorrelation = 1;
--- a/Libraries/Service/CellNode.cpp
+++ b/Libraries/Service/CellNode.cpp
@@ -43,7 +43,7 @@
  * hundred workers. */
 constexpr double NarrowLinkBandwidth = 50;
 /** Part of the descriptors that peers' links without a greeting may take. */
-constexpr std::size_t StrangersDivisor = 8;
+constexpr std::size_t UnidentifiedLinksDivisor = 8;
 
 } // namespace
 
@@ -103,7 +103,8 @@
                        m_adviceScheduler.removeCaller(node);
                        m_commandRelay.removeForwarder(node);
                    }},
-              std::min(PeerHub::MaxStrangers, m_settings.maxDescriptors / StrangersDivisor))
+              std::min(PeerHub::MaxUnidentifiedLinks,
+                       m_settings.maxDescriptors / UnidentifiedLinksDivisor))
     , m_leadership(m_platform.store, m_timers, m_storeResends, m_peers,
                    {m_settings.node, m_settings.peer, m_settings.processor},
                    [this] { return random(); },
@@ -368,7 +369,8 @@
     const auto processor = readSystemClock(CLOCK_PROCESS_CPUTIME_ID);
     const WorkerConnections::Counts connections = m_workerConnections.counts();
     const std::size_t openConnections = m_workerConnections.connectionCount();
-    m_metrics.set("peer_strangers_closed", static_cast<double>(m_peers.closedStrangers()));
+    m_metrics.set("peer_links_unidentified_closed",
+                  static_cast<double>(m_peers.closedUnidentifiedLinks()));
     m_metrics.set("worker_connections_open", static_cast<double>(openConnections));
     m_metrics.set("worker_connections_refused", static_cast<double>(connections.refused));
     m_metrics.set("worker_connections_reset", static_cast<double>(connections.reset));
