--- a/Libraries/Coordination/SchedulerLoad.cpp
+++ b/Libraries/Coordination/SchedulerLoad.cpp
@@ -13,8 +13,7 @@
                << " reports=" << load.reports << " late_ms=" << milliseconds(load.maxTimerDelay)
                << " steps_without_room=" << load.waiting.withoutCapacity
                << " steps_without_ticket=" << load.waiting.withoutTicket
-               << " idle_callers=" << load.idleCallers
-               << " steps_at_limit=" << load.waiting.atLimit
+               << " idle_callers=" << load.idleCallers << " steps_at_limit=" << load.waiting.atLimit
                << " steps_waiting_local=" << load.waiting.forLocality
                << " steps_over_3s=" << load.waiting.olderThan3s
                << " steps_over_10s=" << load.waiting.olderThan10s
